--- /dev/null
+++ b/claim.go
@@ -0,0 +1,106 @@
+package sapphiregauge
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// ClaimState is how far a claimed request is.
+type ClaimState string
+
+// The claim states.
+const (
+	ClaimAccepted ClaimState = "accepted" // promised to be run; surely not dispatched yet
+	ClaimRunning  ClaimState = "running"  // may have been dispatched
+	ClaimDone     ClaimState = "done"     // the answer or the error is final
+)
+
+// ClaimKey names a claim: the team, the day of the idempotency key and the key.
+type ClaimKey struct {
+	Team string
+	ID   string // a UUID of version 7
+	Day  string
+}
+
+// Claim is the row that lets a request run at most once.
+type Claim struct {
+	Token  string     `json:"token"` // of the attempt to claim, so that a lost answer can be read back
+	Entry  string     `json:"entry"` // id/run of the entry that runs it
+	State  ClaimState `json:"state"`
+	Hash   uint64     `json:"hash"`             // of what was asked, to tell a reused key
+	Accept *Accepted  `json:"accept,omitempty"` // of an asynchronous request, to run it after a takeover
+	Result *Outcome   `json:"result,omitempty"`
+}
+
+// Accepted is an asynchronous request as it was accepted.
+type Accepted struct {
+	Service    string        `json:"service"`
+	Path       string        `json:"path"`
+	Type       string        `json:"type"`
+	Class      Class         `json:"class"`
+	Repeatable bool          `json:"repeatable"`
+	Timeout    time.Duration `json:"timeout"`
+	Body       []byte        `json:"body,omitempty"`
+	Object     string        `json:"object,omitempty"` // where the body is, if it is large
+}
+
+// Outcome is the final answer of a claimed request.
+type Outcome struct {
+	Kind   Kind   `json:"kind,omitempty"` // empty: it has an answer
+	Reason string `json:"reason,omitempty"`
+	Ran    Ran    `json:"ran,omitempty"`
+	Status int    `json:"status,omitempty"`
+	Type   string `json:"type,omitempty"`
+	Host   string `json:"host,omitempty"`
+	Body   []byte `json:"body,omitempty"`
+	Object string `json:"object,omitempty"`
+}
+
+// How long a claim is kept, and how far a key's time may lie ahead of ours.
+const (
+	ClaimKept  = 7 * 24 * time.Hour
+	claimAhead = time.Hour
+)
+
+const dayLayout = "20060102"
+
+// Key checks an idempotency key and says where its claim is kept. The time in
+// the key decides the day under which it is kept and whether it is accepted at
+// all: a key older than the claims that are kept is refused, so a duplicate
+// that comes after its claim was dropped can't run a second time.
+func Key(now time.Time, team, id string) (ClaimKey, error) {
+	var fs Faults
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 {
+		fs.Add("Idempotency-Key", "%q is no UUID of version 7, which a request that is asynchronous or not repeatable needs", id)
+		return ClaimKey{}, fs.Err()
+	}
+	at := time.Unix(u.Time().UnixTime()).UTC()
+	if now.Sub(at) > ClaimKept {
+		fs.Add("Idempotency-Key", "was made at %s, older than the %s that answers are kept", at.Format(time.RFC3339), ClaimKept)
+	}
+	if at.Sub(now) > claimAhead {
+		fs.Add("Idempotency-Key", "was made at %s, which is still to come", at.Format(time.RFC3339))
+	}
+	return ClaimKey{Team: team, ID: u.String(), Day: at.Format(dayLayout)}, fs.Err()
+}
+
+// ClaimDays lists the days, counted back from the oldest that may still be
+// used, whose claims can be dropped.
+func ClaimDays(now time.Time, days int) []string {
+	out := make([]string, days)
+	for i := range out {
+		out[i] = now.Add(-ClaimKept).UTC().AddDate(0, 0, -2-i).Format(dayLayout)
+	}
+	return out
+}
+
+// Err is the stored error told again, with what was proved at the time of
+// whether the request ran; nil for an answer.
+func (o *Outcome) Err() error {
+	if o.Kind == "" {
+		return nil
+	}
+	return &Error{Kind: o.Kind, Reason: o.Reason, ran: o.Ran}
+}
--- /dev/null
+++ b/internal/apply/apply.go
@@ -0,0 +1,187 @@
+// Package apply accepts operators' changes: it reads the records, checks them
+// together with what is in force, and appends one revision. The same submission
+// twice is one revision; a change made on a basis that somebody else has
+// changed since is refused, with the other change shown.
+package apply
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pmezard/go-difflib/difflib"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/revlog"
+	"sapphiregauge/internal/schema"
+)
+
+// Config sets up an Applier.
+type Config struct {
+	Log     *revlog.Log
+	State   func() gauge.State // in force here; the newest is read from the log
+	Decoder *schema.Decoder
+	// Notices says what is doubtful in a state, such as jobs that fit no host.
+	Notices func(gauge.State) []string
+}
+
+// File is one record file as it came.
+type File struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// Submission is one change as an operator wants it.
+type Submission struct {
+	ID    string           `json:"id"`
+	Basis int64            `json:"basis"` // revision that the operator looked at; 0: any
+	Files []File           `json:"files,omitempty"`
+	Drops []gauge.RecordID `json:"drops,omitempty"`
+	Dry   bool             `json:"dry,omitempty"` // only say what would change
+}
+
+// Result is what a submission did.
+type Result struct {
+	Revision int64    `json:"revision"`
+	Changed  []string `json:"changed,omitempty"`
+	Diff     string   `json:"diff,omitempty"`
+	Notices  []string `json:"notices,omitempty"`
+}
+
+// Applier accepts submissions.
+type Applier struct {
+	conf Config
+}
+
+// New makes an Applier.
+func New(c Config) *Applier { return &Applier{conf: c} }
+
+// races bounds how often an apply tries again because a host changed at the
+// same moment.
+const races = 20
+
+// Apply accepts a submission, whole or not at all.
+func (a *Applier) Apply(ctx context.Context, sub Submission) (Result, error) {
+	records, err := a.read(sub)
+	if err != nil {
+		return Result{}, err
+	}
+	if rev, err := a.conf.Log.Submitted(ctx, sub.ID); err != nil || rev > 0 {
+		return Result{Revision: rev}, err
+	}
+	for range races {
+		state, err := a.newest(ctx)
+		if err != nil {
+			return Result{}, err
+		}
+		res, change, err := a.compare(state, sub, records)
+		if err != nil || sub.Dry || len(change.Records) == 0 {
+			return res, err
+		}
+		done, err := a.conf.Log.Append(ctx, state.Revision, change)
+		if err == nil {
+			res.Revision = done.Revision
+			return res, nil
+		}
+		if !gauge.Is(err, gauge.KindConflict) {
+			return Result{}, err
+		}
+	}
+	return Result{}, gauge.Fail(gauge.KindConflict, "others keep changing the fleet, nothing was applied")
+}
+
+func (a *Applier) newest(ctx context.Context) (gauge.State, error) {
+	s := a.conf.State()
+	if s.Revision == 0 {
+		return a.conf.Log.Load(ctx)
+	}
+	next, err := a.conf.Log.CatchUp(ctx, s)
+	if gauge.Is(err, gauge.KindMissing) {
+		return a.conf.Log.Load(ctx)
+	}
+	return next, err
+}
+
+// read decodes all files; all faults of all files are told at once.
+func (a *Applier) read(sub Submission) ([]gauge.Record, error) {
+	var faults gauge.Faults
+	if sub.ID == "" {
+		faults.Add("id", "is missing")
+	}
+	if sub.Basis < 0 {
+		faults.Add("basis", "is %d, must not be negative", sub.Basis)
+	}
+	if len(sub.Files)+len(sub.Drops) == 0 {
+		faults.Add("files", "there is nothing to apply")
+	}
+	var records []gauge.Record
+	where := make(map[gauge.RecordID]string)
+	for _, f := range sub.Files {
+		got, fs := a.conf.Decoder.Decode(f.Name, f.Text)
+		faults = append(faults, fs...)
+		for _, r := range got {
+			if other, twice := where[r.ID()]; twice {
+				faults = append(faults, gauge.Fault{
+					Source: f.Name, Record: r.ID().String(), Field: "name", Reason: "stands in " + other + " too",
+				})
+			}
+			where[r.ID()] = f.Name
+		}
+		records = append(records, got...)
+	}
+	for _, id := range sub.Drops {
+		records = append(records, gauge.Record{Kind: id.Kind, Name: id.Name, Gone: true})
+	}
+	return records, faults.Err()
+}
+
+// compare works out what would change on top of a state.
+func (a *Applier) compare(s gauge.State, sub Submission, records []gauge.Record) (Result, gauge.Change, error) {
+	change := gauge.Change{Revision: s.Revision + 1, Submission: sub.ID}
+	res := Result{Revision: s.Revision}
+	var stale []string
+	for _, r := range records {
+		old, there := s.Records[r.ID()]
+		if r.Gone && !there {
+			return res, change, gauge.Fail(gauge.KindMissing, "there is no %s to drop", r.ID())
+		}
+		if there && !r.Gone && old.Source == r.Source {
+			continue
+		}
+		if there && sub.Basis > 0 && old.Revision > sub.Basis {
+			stale = append(stale, fmt.Sprintf("%s was changed by revision %d:\n%s", r.ID(), old.Revision, diff(r.ID(), r.Source, old.Source)))
+		}
+		change.Records = append(change.Records, r)
+		res.Changed = append(res.Changed, r.ID().String())
+		res.Diff += diff(r.ID(), old.Source, r.Source)
+	}
+	if len(stale) > 0 {
+		return res, change, gauge.Fail(gauge.KindConflict, "made for revision %d, but %s", sub.Basis, strings.Join(stale, "\n"))
+	}
+	slices.Sort(res.Changed)
+	next, err := s.Apply(change)
+	if err != nil {
+		return res, change, err
+	}
+	if err := next.Validate().Err(); err != nil {
+		return res, change, err
+	}
+	if a.conf.Notices != nil {
+		res.Notices = a.conf.Notices(next)
+	}
+	return res, change, nil
+}
+
+const contextLines = 3
+
+func diff(id gauge.RecordID, before, after string) string {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(before), B: difflib.SplitLines(after),
+		FromFile: id.String(), ToFile: id.String(), Context: contextLines,
+	})
+	if err != nil {
+		return ""
+	}
+	return text
+}
--- /dev/null
+++ b/internal/claim/group.go
@@ -0,0 +1,114 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// group commits the writes of many requests in shared transactions: while one
+// is under way, the next gathers. The table takes several hundred writes a
+// second; a transaction counts as one.
+type group struct {
+	table   gauge.Table
+	timeout time.Duration
+
+	mu      sync.Mutex
+	waiting []*write
+	busy    bool
+	commits int
+	writes  int
+}
+
+// write is one conditional write with the channel that gets its result.
+type write struct {
+	check gauge.Check
+	put   []gauge.Put
+	done  chan error
+}
+
+const mostInGroup = 100
+
+// do writes once, with others where they come together. The result is of kind
+// conflict if the check failed, and unknown if that can't be told.
+func (g *group) do(ctx context.Context, check gauge.Check, puts ...gauge.Put) error {
+	w := &write{check: check, put: puts, done: make(chan error, 1)}
+	g.mu.Lock()
+	g.waiting = append(g.waiting, w)
+	if !g.busy {
+		g.busy = true
+		go g.run()
+	}
+	g.mu.Unlock()
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return gauge.Fail(gauge.KindUnknown, "claim not confirmed in time").Because(ctx.Err())
+	}
+}
+
+func (g *group) run() {
+	for {
+		batch := g.next()
+		if batch == nil {
+			return
+		}
+		g.commit(batch)
+	}
+}
+
+// next takes the writes that wait. Two on the same row don't go into one
+// transaction, since the second's check is of the row before the first.
+func (g *group) next() []*write {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waiting) == 0 {
+		g.busy = false
+		return nil
+	}
+	var batch, later []*write
+	rows := make(map[string]bool)
+	for _, w := range g.waiting {
+		if len(batch) == mostInGroup || rows[w.check.Key] {
+			later = append(later, w)
+			continue
+		}
+		rows[w.check.Key] = true
+		batch = append(batch, w)
+	}
+	g.waiting = later
+	g.commits++
+	g.writes += len(batch)
+	return batch
+}
+
+func (g *group) commit(batch []*write) {
+	ctx, cancel := context.WithTimeout(context.Background(), g.timeout)
+	defer cancel()
+	var t gauge.Txn
+	for _, w := range batch {
+		t.Checks = append(t.Checks, w.check)
+		t.Puts = append(t.Puts, w.put...)
+	}
+	err := g.table.Commit(ctx, t)
+	if gauge.Is(err, gauge.KindConflict) && len(batch) > 1 {
+		// One of them lost its race; the others must not fail with it.
+		for _, w := range batch {
+			g.commit([]*write{w})
+		}
+		return
+	}
+	for _, w := range batch {
+		w.done <- err
+	}
+}
+
+// counts returns the transactions made and the writes they carried.
+func (g *group) counts() (commits, writes int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.commits, g.writes
+}
--- /dev/null
+++ b/internal/claim/store.go
@@ -0,0 +1,96 @@
+package claim
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cenkalti/backoff/v5"
+
+	gauge "sapphiregauge"
+)
+
+// spill moves a long body into the object store. Its name holds the whole key,
+// so a repeat writes the same object.
+func (c *Claims) spill(ctx context.Context, k gauge.ClaimKey, a *gauge.Accepted) error {
+	if a == nil || len(a.Body) <= c.conf.Inline {
+		return nil
+	}
+	name := "body/" + k.Day + "/" + k.Team + "/" + k.ID
+	if err := c.conf.Objects.Store(ctx, name, a.Body); err != nil {
+		return gauge.Fail(gauge.KindOutage, "the body could not be stored").Because(err)
+	}
+	a.Object, a.Body = name, nil
+	return nil
+}
+
+func (c *Claims) spillOutcome(ctx context.Context, k gauge.ClaimKey, o *gauge.Outcome) error {
+	if len(o.Body) <= c.conf.Inline {
+		return nil
+	}
+	name := "answer/" + k.Day + "/" + k.Team + "/" + k.ID
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		return struct{}{}, c.conf.Objects.Store(ctx, name, o.Body)
+	}, backoff.WithBackOff(pauses()), backoff.WithMaxElapsedTime(0))
+	if err != nil {
+		return err
+	}
+	o.Object, o.Body = name, nil
+	return nil
+}
+
+// Body returns the body of an accepted request.
+func (c *Claims) Body(ctx context.Context, a *gauge.Accepted) ([]byte, error) {
+	if a.Object == "" {
+		return a.Body, nil
+	}
+	return c.conf.Objects.Fetch(ctx, a.Object)
+}
+
+// Answer returns the body of a stored answer.
+func (c *Claims) Answer(ctx context.Context, o *gauge.Outcome) ([]byte, error) {
+	if o.Object == "" {
+		return o.Body, nil
+	}
+	return c.conf.Objects.Fetch(ctx, o.Object)
+}
+
+// Entries lists the entries (id/run) that have asynchronous claims not done.
+func (c *Claims) Entries(ctx context.Context) (map[string][]gauge.ClaimKey, error) {
+	rows, err := c.conf.Table.Scan(ctx, "async/")
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string][]gauge.ClaimKey)
+	for _, r := range rows {
+		const parts = 6 // async, id, run, day, team, key
+		p := strings.Split(r.Key, "/")
+		if len(p) != parts {
+			continue
+		}
+		entry := p[1] + "/" + p[2]
+		out[entry] = append(out[entry], gauge.ClaimKey{Day: p[3], Team: p[4], ID: p[5]})
+	}
+	return out, nil
+}
+
+// sweepAtOnce bounds one transaction of a sweep.
+const sweepAtOnce = 100
+
+// Sweep drops the claims of a day whose keys are no longer accepted. It
+// returns how many it dropped.
+func (c *Claims) Sweep(ctx context.Context, day string) (int, error) {
+	rows, err := c.conf.Table.Scan(ctx, "claim/"+day+"/")
+	if err != nil {
+		return 0, err
+	}
+	for begin := 0; begin < len(rows); begin += sweepAtOnce {
+		var t gauge.Txn
+		for _, r := range rows[begin:min(begin+sweepAtOnce, len(rows))] {
+			t.Puts = append(t.Puts, gauge.Put{Key: r.Key})
+		}
+		if err := c.conf.Table.Commit(ctx, t); err != nil {
+			return begin, err
+		}
+	}
+	return len(rows), nil
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,237 @@
+// Package desk is one pool at one entry, under one lock: the slots held, the
+// requests that wait for one, the workers ejected and the budget of repeats.
+package desk
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/eject"
+	"sapphiregauge/internal/hold"
+	"sapphiregauge/internal/queue"
+	"sapphiregauge/internal/retry"
+	"sapphiregauge/internal/slots"
+)
+
+// Config sets up a Desk.
+type Config struct {
+	Pool   string
+	Name   string // of this entry: id and run
+	Length int    // most requests that wait here
+	Clock  gauge.Clock
+	Random *rand.Rand
+	Kick   func() // there is need of slots: ask soon
+}
+
+// Desk is one pool at one entry.
+type Desk struct {
+	conf Config
+
+	mu     sync.Mutex
+	slots  *hold.Holder
+	queue  *queue.Queue
+	ejects *eject.Ejector
+	budget *retry.Budget
+	hosts  int
+}
+
+// Counts is what a desk is doing now.
+type Counts struct {
+	Pool    string
+	Held    int
+	Used    int
+	Quick   int // waiting
+	Long    int // waiting
+	Hosts   int
+	Ejected int
+}
+
+// New makes a Desk without hosts.
+func New(c Config) *Desk {
+	now := c.Clock()
+	return &Desk{
+		conf:   c,
+		slots:  hold.New(hold.Config{Name: c.Name, Pool: c.Pool}),
+		queue:  queue.New(queue.Config{Length: c.Length, Start: now}),
+		ejects: eject.New(eject.Config{}),
+		budget: retry.New(retry.Config{Random: c.Random, Start: now}),
+	}
+}
+
+// Set tells which hosts serve the pool and how many were promised. Hosts that
+// are leaving get nothing from here on.
+func (d *Desk) Set(hosts gauge.Hosts, promised int) {
+	targets := make(map[string]gauge.Target, len(hosts))
+	for _, h := range hosts {
+		targets[h.ID] = h.Target()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts = len(targets)
+	d.slots.Set(targets)
+	d.ejects.Cap(len(targets), promised)
+	d.ejects.Keep(func(host string) bool { _, ok := targets[host]; return ok })
+	d.pump()
+}
+
+// Acquire returns a place, after waiting for one if need be. It refuses at once
+// what can't start before its deadline.
+func (d *Desk) Acquire(ctx context.Context, class gauge.Class, deadline time.Time, earlier gauge.Attempts) (*gauge.Place, error) {
+	it := &queue.Item{Class: class, Deadline: deadline, Ready: make(chan *gauge.Place, 1), Earlier: earlier}
+	p, err := d.takeOrWait(it)
+	if p != nil || err != nil {
+		return p, err
+	}
+	d.conf.Kick()
+	select {
+	case p := <-it.Ready:
+		return p, nil
+	case <-ctx.Done():
+	}
+	if p := d.leave(it); p != nil {
+		d.Release(p) // it came at the same moment
+	}
+	if ctx.Err() == context.Canceled {
+		return nil, gauge.Refuse(earlier, gauge.KindCancelled, "the caller left while the request waited", 0)
+	}
+	return nil, gauge.Refuse(earlier, gauge.KindFull, "no worker came free before the deadline", d.again(class))
+}
+
+func (d *Desk) takeOrWait(it *queue.Item) (*gauge.Place, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.conf.Clock()
+	if d.hosts == 0 {
+		return nil, gauge.Refuse(it.Earlier, gauge.KindEmpty, "pool "+d.conf.Pool+" has no serving worker", leastAgain)
+	}
+	if d.queue.Len(it.Class) == 0 {
+		if p, ok := d.take(now, it); ok {
+			return p, nil
+		}
+	}
+	wait, ok := d.queue.Add(now, it)
+	if !ok {
+		return nil, gauge.Refuse(it.Earlier, gauge.KindFull, "no worker comes free in time", max(wait, leastAgain))
+	}
+	return nil, nil
+}
+
+const leastAgain = time.Second
+
+func (d *Desk) again(c gauge.Class) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(leastAgain, d.queue.Wait(d.conf.Clock(), c))
+}
+
+func (d *Desk) take(now time.Time, it *queue.Item) (*gauge.Place, bool) {
+	p, ok := d.slots.Take(now, it.Class, it.Earlier, func(host string) bool { return d.ejects.Skip(now, host) })
+	if ok {
+		d.ejects.Sent(now, p.Target.Host)
+	}
+	return p, ok
+}
+
+// leave stops waiting; a place that came meanwhile is returned.
+func (d *Desk) leave(it *queue.Item) *gauge.Place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.queue.Remove(it) {
+		return nil
+	}
+	return <-it.Ready
+}
+
+// pump gives idle slots to those that wait.
+func (d *Desk) pump() {
+	now := d.conf.Clock()
+	for _, c := range []gauge.Class{gauge.ClassQuick, gauge.ClassLong} {
+		for it := d.queue.Next(c); it != nil; it = d.queue.Next(c) {
+			p, ok := d.take(now, it)
+			if !ok {
+				break
+			}
+			d.queue.Remove(it)
+			it.Ready <- p
+		}
+	}
+}
+
+// Release gives a place back and passes it on.
+func (d *Desk) Release(p *gauge.Place) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.Finished(d.conf.Clock(), p.Class)
+	d.slots.Done(p)
+	d.pump()
+}
+
+// Turn makes a quick place count as long.
+func (d *Desk) Turn(p *gauge.Place) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slots.Turn(p)
+}
+
+// Outcome judges the worker by how a request ended there, and earns repeats.
+// It returns true if the worker is ejected for it.
+func (d *Desk) Outcome(host string, failed bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !failed {
+		d.budget.Success()
+	}
+	return d.ejects.Outcome(d.conf.Clock(), host, failed)
+}
+
+// Repeat takes one repeat out of the budget and returns how long to wait
+// before it; false: the budget is spent.
+func (d *Desk) Repeat(n int) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.budget.Spend(d.conf.Clock()) {
+		return 0, false
+	}
+	return d.budget.Pause(n), true
+}
+
+// Ask makes the ask of this round; false if there is nothing to ask for or an
+// ask is still open.
+func (d *Desk) Ask() (slots.Ask, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	quick, long := d.queue.Len(gauge.ClassQuick), d.queue.Len(gauge.ClassLong)
+	if d.slots.Open() || (d.slots.Idles() && quick+long == 0) {
+		return slots.Ask{}, false
+	}
+	return d.slots.Ask(d.conf.Clock(), quick, long), true
+}
+
+// Answer takes in the owner's answer.
+func (d *Desk) Answer(g slots.Grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slots.Answer(g)
+	d.pump()
+}
+
+// Lost notes that an ask got no answer.
+func (d *Desk) Lost() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slots.Lost()
+}
+
+// Counts returns what the desk is doing now.
+func (d *Desk) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Counts{
+		Pool: d.conf.Pool, Held: d.slots.Held(), Used: d.slots.Used(), Hosts: d.hosts,
+		Quick: d.queue.Len(gauge.ClassQuick), Long: d.queue.Len(gauge.ClassLong),
+		Ejected: len(d.ejects.Ejected(d.conf.Clock())),
+	}
+}
--- /dev/null
+++ b/internal/entry/peer.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/peers"
+)
+
+// stateMethod fetches a peer's state in force, for an entry that starts while
+// the table is out.
+const stateMethod = "state"
+
+type stateReq struct {
+	Above int64 `msgpack:"a"` // nothing is sent unless the peer's revision is higher
+}
+
+type stateResp struct {
+	Revision int64          `msgpack:"r"`
+	Records  []gauge.Record `msgpack:"c,omitempty"`
+	Hosts    []gauge.Host   `msgpack:"h,omitempty"`
+}
+
+func (e *Entry) handState(_ context.Context, body []byte) (any, error) {
+	var req stateReq
+	if err := decodeBody(body, &req); err != nil {
+		return nil, err
+	}
+	s := e.follow.State()
+	resp := &stateResp{Revision: s.Revision}
+	if s.Revision <= req.Above {
+		return resp, nil
+	}
+	resp.Hosts = s.Hosts()
+	for _, r := range s.Records {
+		resp.Records = append(resp.Records, r)
+	}
+	return resp, nil
+}
+
+// askPeers returns the newest state that any live entry holds, this one's own
+// among them, if at least one other entry can be heard.
+func (e *Entry) askPeers(ctx context.Context) (gauge.State, error) {
+	own := e.follow.State()
+	revisions := e.member.Revisions()
+	if len(revisions) < 2 {
+		return own, gauge.Fail(gauge.KindOutage, "neither the table nor a peer can be heard")
+	}
+	var best gauge.Member
+	most := own.Revision
+	for _, m := range e.member.View().Live {
+		if revisions[m.ID] > most {
+			best, most = m, revisions[m.ID]
+		}
+	}
+	if best.ID == "" {
+		return own, nil
+	}
+	var resp stateResp
+	if err := e.mesh.Call(ctx, best.Peer, stateMethod, &stateReq{Above: own.Revision}, &resp); err != nil {
+		return own, err
+	}
+	return stateOf(resp), nil
+}
+
+func stateOf(r stateResp) gauge.State {
+	s := gauge.State{
+		Revision: r.Revision,
+		Records:  make(map[gauge.RecordID]gauge.Record, len(r.Records)),
+		ByHost:   make(map[string]gauge.Host, len(r.Hosts)),
+	}
+	for _, rec := range r.Records {
+		s.Records[rec.ID()] = rec
+	}
+	for _, h := range r.Hosts {
+		s.ByHost[h.ID] = h
+	}
+	return s
+}
+
+// mine tells whether a single duty is this entry's: duties spread over the live
+// entries.
+func (e *Entry) mine(duty string) bool {
+	return peers.Owner(e.member.View().Live, duty).ID == e.conf.Self.ID
+}
+
+// sweep drops claims whose keys are too old to be accepted again.
+func (e *Entry) sweep(ctx context.Context) error {
+	const days = 3 // so that a day missed in an outage is found later
+	for _, day := range gauge.ClaimDays(e.conf.Clock(), days) {
+		if _, err := e.claims.Sweep(ctx, day); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/exch/exch.go
@@ -0,0 +1,187 @@
+// Package exch does single HTTP exchanges over connections that it owns.
+//
+// fasthttp's own clients repeat requests by themselves and, on a timeout, give
+// the buffers back while the late answer is still to come: the next user of
+// the buffer then reads somebody else's answer. Here fasthttp only encodes and
+// decodes. One exchange owns one connection until the whole answer is in; a
+// connection on which anything went wrong is closed and never used again.
+package exch
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up a Pool.
+type Config struct {
+	Dial    time.Duration // longest time to connect; default 1 s
+	Idle    time.Duration // longest time a connection rests before it is closed; default 20 s
+	Answer  int           // longest answer body, bytes; default 1 MiB
+	Resting int           // connections kept resting per address; default 16
+	Clock   gauge.Clock
+}
+
+const (
+	defaultDial    = time.Second
+	defaultIdle    = 20 * time.Second
+	defaultAnswer  = 1 << 20
+	defaultResting = 16
+	keepProbe      = 5 * time.Second
+	keepCount      = 3
+	bufferSize     = 4 << 10
+)
+
+// Pool keeps resting connections by address.
+type Pool struct {
+	conf Config
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+type conn struct {
+	net.Conn
+	br     *bufio.Reader
+	bw     *bufio.Writer
+	rested time.Time
+	addr   string
+}
+
+// New makes a Pool.
+func New(c Config) *Pool {
+	if c.Dial == 0 {
+		c.Dial = defaultDial
+	}
+	if c.Idle == 0 {
+		c.Idle = defaultIdle
+	}
+	if c.Answer == 0 {
+		c.Answer = defaultAnswer
+	}
+	if c.Resting == 0 {
+		c.Resting = defaultResting
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	return &Pool{conf: c, idle: make(map[string][]*conn)}
+}
+
+// Do sends req to addr and reads the whole answer into resp before ctx ends.
+// Sent is false only if no byte of the request left this process. With fresh
+// set a new connection is made: the way to tell a silent connection from a
+// silent host, and the only safe way for a request that must not be repeated,
+// since a resting connection may have been closed at the other end.
+func (p *Pool) Do(ctx context.Context, addr string, req *fasthttp.Request, resp *fasthttp.Response, fresh bool) (sent bool, err error) {
+	c, err := p.connect(ctx, addr, fresh)
+	if err != nil {
+		return false, gauge.Fail(gauge.KindOutage, "exch.Do: connect to %s", addr).Because(err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	err = c.exchange(req, resp, p.conf.Answer)
+	inTime := stop()
+	if err != nil {
+		_ = c.Close() // a late answer may still come on it
+		return true, gauge.Fail(gauge.KindUnknown, "exch.Do: %s", addr).Because(err)
+	}
+	if !inTime || resp.ConnectionClose() {
+		_ = c.Close()
+		return true, nil
+	}
+	p.rest(c)
+	return true, nil
+}
+
+// Drop closes all resting connections to an address, since one of them was
+// found silent while a new one worked.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	old := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// Close closes every resting connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	old := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, cs := range old {
+		for _, c := range cs {
+			_ = c.Close()
+		}
+	}
+}
+
+func (p *Pool) connect(ctx context.Context, addr string, fresh bool) (*conn, error) {
+	if !fresh {
+		if c := p.wake(addr); c != nil {
+			return c, nil
+		}
+	}
+	d := net.Dialer{
+		Timeout:         p.conf.Dial,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepProbe, Interval: keepProbe, Count: keepCount},
+	}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn: nc, addr: addr,
+		br: bufio.NewReaderSize(nc, bufferSize),
+		bw: bufio.NewWriterSize(nc, bufferSize),
+	}, nil
+}
+
+// wake takes the connection that rested shortest; those over the bound are
+// closed, since tables between the two ends forget idle connections.
+func (p *Pool) wake(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[addr]
+	for len(cs) > 0 {
+		c := cs[len(cs)-1]
+		cs = cs[:len(cs)-1]
+		p.idle[addr] = cs
+		if p.conf.Clock().Sub(c.rested) < p.conf.Idle && !c.closedByPeer() {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) rest(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.addr]) >= p.conf.Resting || c.br.Buffered() > 0 {
+		// Bytes nobody asked for would be read as the next answer.
+		_ = c.Close()
+		return
+	}
+	c.rested = p.conf.Clock()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// exchange writes the request and reads the answer. The caller counts the
+// request as sent from here on: a failed write may have left in part.
+func (c *conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, most int) error {
+	if err := req.Write(c.bw); err != nil {
+		return err
+	}
+	if err := c.bw.Flush(); err != nil {
+		return err
+	}
+	return resp.ReadLimitBody(c.br, most)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,136 @@
+// Package follow holds the state that this entry has in force and moves it
+// forward, never back: the table's head is the truth and is polled, a word from
+// a peer is only a reason to poll at once. While the table is out, a state from
+// a peer is taken if it is newer than ours.
+package follow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/revlog"
+)
+
+// Config sets up a Follower.
+type Config struct {
+	Log   *revlog.Log
+	Every time.Duration // between two polls; default 1 s
+	Clock gauge.Clock
+	Logs  logr.Logger
+	// Ask fetches the newest state that any live peer holds; used only while
+	// the table does not answer.
+	Ask func(ctx context.Context) (gauge.State, error)
+	// Adopted is called after each step forward, one call at a time.
+	Adopted func(gauge.State)
+}
+
+const defaultEvery = time.Second
+
+// Follower holds the state in force.
+type Follower struct {
+	conf  Config
+	state atomic.Pointer[gauge.State]
+	wake  chan struct{}
+
+	mu     sync.Mutex // one step at a time
+	since  time.Time  // when the state in force was adopted
+	proved time.Time  // when the table or a peer last confirmed it
+}
+
+// New makes a Follower with nothing in force.
+func New(c Config) *Follower {
+	if c.Every == 0 {
+		c.Every = defaultEvery
+	}
+	f := &Follower{conf: c, wake: make(chan struct{}, 1)}
+	f.state.Store(&gauge.State{})
+	return f
+}
+
+// State returns what is in force. Revision 0: nothing yet.
+func (f *Follower) State() gauge.State { return *f.state.Load() }
+
+// Since returns when the state in force was adopted, and when it was last
+// confirmed to be the newest.
+func (f *Follower) Since() (adopted, proved time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since, f.proved
+}
+
+// Wake asks for a poll at once, if there is reason to think that a newer
+// revision exists.
+func (f *Follower) Wake(revision int64) {
+	if revision <= f.State().Revision {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default: // a poll is due already
+	}
+}
+
+// Run polls until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	tick := time.NewTicker(f.conf.Every)
+	defer tick.Stop()
+	for {
+		if err := f.Poll(ctx); err != nil && ctx.Err() == nil {
+			f.conf.Logs.V(1).Info("configuration not confirmed", "revision", f.State().Revision, "reason", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-f.wake:
+		}
+	}
+}
+
+// Poll takes one step: read the head, adopt what is newer.
+func (f *Follower) Poll(ctx context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next, err := f.read(ctx)
+	if err != nil && f.conf.Ask != nil {
+		next, err = f.conf.Ask(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.proved = f.conf.Clock()
+	f.adopt(next)
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context) (gauge.State, error) {
+	now := f.State()
+	if now.Revision == 0 {
+		return f.conf.Log.Load(ctx)
+	}
+	next, err := f.conf.Log.CatchUp(ctx, now)
+	if gauge.Is(err, gauge.KindMissing) {
+		return f.conf.Log.Load(ctx) // so far behind that the changes were trimmed
+	}
+	return next, err
+}
+
+// adopt takes a state only if it is newer: an older one comes from a table
+// restored from a copy or from a peer that is behind, and would undo what is
+// in force.
+func (f *Follower) adopt(next gauge.State) {
+	if next.Revision <= f.State().Revision {
+		return
+	}
+	f.state.Store(&next)
+	f.since = f.conf.Clock()
+	f.conf.Logs.Info("configuration in force", "revision", next.Revision)
+	if f.conf.Adopted != nil {
+		f.conf.Adopted(next)
+	}
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,246 @@
+// Package member keeps this entry a member: it writes the entry's row, reads
+// the others' rows, and exchanges heartbeats. What follows from them package
+// peers decides.
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/peers"
+)
+
+// Config sets up a Keeper.
+type Config struct {
+	Self     gauge.Member
+	Table    gauge.Table
+	Peers    gauge.Peers
+	Clock    gauge.Clock
+	Logs     logr.Logger
+	Beat     time.Duration // between two heartbeats; default 1 s
+	Row      time.Duration // between two writes of the row; default 5 s
+	Seeds    []string      // peers' addresses to try while no other entry is known
+	Revision func() int64
+	// Newer is called when a peer has a newer revision in force.
+	Newer func(revision int64)
+}
+
+// Method is the name under which heartbeats go over the mesh.
+const Method = "beat"
+
+const (
+	prefix      = "member/"
+	defaultBeat = time.Second
+	defaultRow  = 5 * time.Second
+)
+
+// View is what the entries' heartbeats and rows say at one moment.
+type View struct {
+	Live  []gauge.Member
+	Hash  uint64
+	Same  int // entries that see the same, this one among them
+	Known int
+}
+
+// Keeper keeps the membership.
+type Keeper struct {
+	conf Config
+
+	mu  sync.Mutex
+	set *peers.Set
+	own gauge.Member
+}
+
+// New makes a Keeper that knows this entry alone.
+func New(c Config) *Keeper {
+	if c.Beat == 0 {
+		c.Beat = defaultBeat
+	}
+	if c.Row == 0 {
+		c.Row = defaultRow
+	}
+	silence := 3 * c.Beat
+	return &Keeper{conf: c, own: c.Self, set: peers.New(peers.Config{Self: c.Self, Silence: silence, Term: 3 * c.Row})}
+}
+
+// Run writes, reads and beats until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { every(ctx, k.conf.Row, k.rows) })
+	group.Go(func() { every(ctx, k.conf.Beat, k.beats) })
+}
+
+func every(ctx context.Context, d time.Duration, do func(context.Context)) {
+	tick := time.NewTicker(d)
+	defer tick.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Join reads the rows and writes the own one once, so that the entry knows
+// whom to ask before it serves.
+func (k *Keeper) Join(ctx context.Context) { k.rows(ctx) }
+
+// Leave drops the own row, so that the others need not wait out the term.
+func (k *Keeper) Leave(ctx context.Context) error {
+	return k.conf.Table.Commit(ctx, gauge.Txn{Puts: []gauge.Put{{Key: prefix + k.own.ID}}})
+}
+
+func (k *Keeper) rows(ctx context.Context) {
+	if err := k.writeRow(ctx); err != nil {
+		k.conf.Logs.V(1).Info("own member row not written", "reason", err.Error())
+	}
+	rows, err := k.conf.Table.Scan(ctx, prefix)
+	if err != nil {
+		k.conf.Logs.V(1).Info("member rows not read", "reason", err.Error())
+		return
+	}
+	members, versions := decodeRows(rows)
+	k.mu.Lock()
+	stale := k.set.Rows(k.conf.Clock(), members)
+	k.mu.Unlock()
+	for _, m := range stale {
+		k.drop(ctx, m, versions[m.ID])
+	}
+}
+
+func (k *Keeper) writeRow(ctx context.Context) error {
+	k.own.Beat++
+	body, err := json.Marshal(k.own)
+	if err != nil {
+		return gauge.Fail(gauge.KindInternal, "member row").Because(err)
+	}
+	return k.conf.Table.Commit(ctx, gauge.Txn{Puts: []gauge.Put{{Key: prefix + k.own.ID, Value: body}}})
+}
+
+// drop removes the row of an entry that is gone, if it has not written since.
+func (k *Keeper) drop(ctx context.Context, m gauge.Member, version int64) {
+	key := prefix + m.ID
+	err := k.conf.Table.Commit(ctx, gauge.Txn{
+		Checks: []gauge.Check{{Key: key, Version: version}},
+		Puts:   []gauge.Put{{Key: key}},
+	})
+	if err == nil {
+		k.conf.Logs.Info("entry is gone", "entry", m.ID, "run", m.Run)
+	}
+}
+
+// decodeRows passes over a malformed row: one bad row must not make all other
+// members unknown.
+func decodeRows(rows []gauge.Row) ([]gauge.Member, map[string]int64) {
+	var members []gauge.Member
+	versions := make(map[string]int64, len(rows))
+	for _, r := range rows {
+		var m gauge.Member
+		if json.Unmarshal(r.Value, &m) != nil || m.ID == "" {
+			continue
+		}
+		members = append(members, m)
+		versions[m.ID] = r.Version
+	}
+	return members, versions
+}
+
+func (k *Keeper) beats(ctx context.Context) {
+	now := k.conf.Clock()
+	k.mu.Lock()
+	k.set.Look(now)
+	beat := k.set.Beat(now, k.conf.Revision())
+	to := k.set.Neighbours(now)
+	k.mu.Unlock()
+	addrs := make([]string, len(to))
+	for i, m := range to {
+		addrs[i] = m.Peer
+	}
+	if len(addrs) == 0 {
+		// While the table is out, a fresh entry can learn of the others only so.
+		addrs = k.conf.Seeds
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*k.conf.Beat)
+	defer cancel()
+	var group conc.WaitGroup
+	for _, addr := range addrs {
+		if addr == k.own.Peer {
+			continue
+		}
+		group.Go(func() {
+			var back peers.Beat
+			if err := k.conf.Peers.Call(ctx, addr, Method, &beat, &back); err == nil {
+				k.heard(back)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// Handle answers a heartbeat with the own one.
+func (k *Keeper) Handle(_ context.Context, body []byte) (any, error) {
+	var b peers.Beat
+	if err := frame.Decode(body, &b); err != nil {
+		return nil, err
+	}
+	k.heard(b)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	back := k.set.Beat(k.conf.Clock(), k.conf.Revision())
+	return &back, nil
+}
+
+func (k *Keeper) heard(b peers.Beat) {
+	k.mu.Lock()
+	k.set.Heard(k.conf.Clock(), b)
+	k.mu.Unlock()
+	if k.conf.Newer != nil && b.Revision > k.conf.Revision() {
+		k.conf.Newer(b.Revision)
+	}
+}
+
+// Tell sends a heartbeat now: the word that there is a new revision.
+func (k *Keeper) Tell(ctx context.Context) { k.beats(ctx) }
+
+// View returns what is known now.
+func (k *Keeper) View() View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.conf.Clock()
+	hash, live := k.set.Look(now)
+	same, known := k.set.Share(now)
+	return View{Live: live, Hash: hash, Same: same, Known: known}
+}
+
+// Linked tells whether anything was learned from the table or a peer lately.
+func (k *Keeper) Linked() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.set.Linked(k.conf.Clock())
+}
+
+// Confirmed tells whether every entry has a revision in force or is gone.
+func (k *Keeper) Confirmed(revision int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.conf.Revision() >= revision && k.set.Confirmed(revision)
+}
+
+// Revisions returns the revision in force at each live entry.
+func (k *Keeper) Revisions() map[string]int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := k.set.Revisions(k.conf.Clock())
+	out[k.own.ID] = k.conf.Revision()
+	return out
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,80 @@
+// Package meter has the metrics. Each belongs to a promise or a measure of the
+// project; label values come from closed sets: error kinds, record names,
+// classes.
+package meter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	gauge "sapphiregauge"
+)
+
+// Meter is the metrics of one entry, in a registry of its own.
+type Meter struct {
+	Registry *prometheus.Registry
+
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	ejected  *prometheus.CounterVec
+	values   *prometheus.GaugeVec
+}
+
+const prefix = "sapphiregauge_"
+
+// New makes a Meter.
+func New() *Meter {
+	m := &Meter{
+		Registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: prefix + "requests_total", Help: "Requests answered, by service and error kind (ok: an answer).",
+		}, []string{"service", "kind"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: prefix + "request_seconds", Help: "Time from acceptance to the final answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 18),
+		}, []string{"service", "class"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: prefix + "attempts_total", Help: "Requests sent to workers, by pool and outcome.",
+		}, []string{"pool", "kind"}),
+		ejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: prefix + "ejections_total", Help: "Workers that were ejected for failing.",
+		}, []string{"pool"}),
+		values: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: prefix + "state", Help: "What this entry holds now, by pool and what is counted.",
+		}, []string{"pool", "what"}),
+	}
+	m.Registry.MustRegister(
+		m.requests, m.seconds, m.attempts, m.ejected, m.values,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+const ok = "ok"
+
+func label(err error) string {
+	if err == nil {
+		return ok
+	}
+	return string(gauge.KindOf(err))
+}
+
+// Request counts a request's final answer.
+func (m *Meter) Request(service string, class gauge.Class, took time.Duration, err error) {
+	m.requests.WithLabelValues(service, label(err)).Inc()
+	m.seconds.WithLabelValues(service, string(class)).Observe(took.Seconds())
+}
+
+// Attempt counts one dispatch to a worker.
+func (m *Meter) Attempt(pool string, err error) { m.attempts.WithLabelValues(pool, label(err)).Inc() }
+
+// Ejected counts a worker's ejection.
+func (m *Meter) Ejected(pool string) { m.ejected.WithLabelValues(pool).Inc() }
+
+// Set notes how much of something there is now.
+func (m *Meter) Set(pool, what string, value float64) {
+	m.values.WithLabelValues(pool, what).Set(value)
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,45 @@
+// Package order takes operators' commands over HTTP: changes of records.
+// Questions go through package query.
+package order
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/gofiber/fiber/v3"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/apply"
+	"sapphiregauge/internal/front"
+)
+
+// Config sets up Orders.
+type Config struct {
+	Apply func(ctx context.Context, s apply.Submission) (apply.Result, error)
+	// Applied is called after a new revision was accepted.
+	Applied func(revision int64)
+}
+
+// Orders takes commands.
+type Orders struct {
+	conf Config
+}
+
+// New makes Orders.
+func New(c Config) *Orders { return &Orders{conf: c} }
+
+// Register adds the routes to a group that checks the operators' key.
+func (o *Orders) Register(r fiber.Router) { r.Post("/apply", o.apply) }
+
+func (o *Orders) apply(c fiber.Ctx) error {
+	var sub apply.Submission
+	if err := json.Unmarshal(c.Body(), &sub); err != nil {
+		return front.Problem(c, gauge.Fail(gauge.KindInvalid, "body: %s", err))
+	}
+	res, err := o.conf.Apply(c.Context(), sub)
+	if err != nil {
+		return front.Problem(c, err)
+	}
+	o.conf.Applied(res.Revision)
+	return c.JSON(res)
+}
--- /dev/null
+++ b/internal/plat/plat.go
@@ -0,0 +1,174 @@
+// Package plat speaks the platform's HTTP protocol: table, object store and
+// host list. docs/PLATFORM.md describes the protocol; a site whose platform
+// speaks another one replaces this package.
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/exch"
+)
+
+// Config sets up a Client.
+type Config struct {
+	Addr    string        // ip:port of the platform's service
+	Key     string        // sent as a bearer token; empty: none
+	Timeout time.Duration // of one call; default 2 s
+	Clock   gauge.Clock
+}
+
+const (
+	defaultTimeout = 2 * time.Second
+	answerLimit    = 64 << 20
+)
+
+// Client implements gauge.Table, gauge.Objects and gauge.Platform.
+type Client struct {
+	conf Config
+	pool *exch.Pool
+}
+
+// New makes a Client.
+func New(c Config) *Client {
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
+	return &Client{conf: c, pool: exch.New(exch.Config{Answer: answerLimit, Clock: c.Clock})}
+}
+
+// Close drops the resting connections.
+func (c *Client) Close() { c.pool.Close() }
+
+// Get reads one row.
+func (c *Client) Get(ctx context.Context, key string) (gauge.Row, error) {
+	rows, err := c.rows(ctx, "/table/row?key="+url.QueryEscape(key))
+	if err != nil {
+		return gauge.Row{}, err
+	}
+	if len(rows) != 1 {
+		return gauge.Row{}, gauge.Fail(gauge.KindOutage, "plat.Get: %d rows for one key", len(rows))
+	}
+	return rows[0], nil
+}
+
+// Scan reads all rows with a prefix.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]gauge.Row, error) {
+	return c.rows(ctx, "/table/rows?prefix="+url.QueryEscape(prefix))
+}
+
+func (c *Client) rows(ctx context.Context, path string) ([]gauge.Row, error) {
+	var body rowsBody
+	if err := c.read(ctx, path, &body); err != nil {
+		return nil, err
+	}
+	return body.Rows, nil
+}
+
+// Commit sends a transaction. A lost answer is of kind unknown.
+func (c *Client) Commit(ctx context.Context, t gauge.Txn) error {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return gauge.Fail(gauge.KindInternal, "plat.Commit").Because(err)
+	}
+	_, err = c.call(ctx, http.MethodPost, "/table/commit", body)
+	return err
+}
+
+// Fetch reads an object.
+func (c *Client) Fetch(ctx context.Context, name string) ([]byte, error) {
+	b, err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(name), nil)
+	return b, asRead(err)
+}
+
+// Store writes an object.
+func (c *Client) Store(ctx context.Context, name string, body []byte) error {
+	_, err := c.call(ctx, http.MethodPut, "/objects/"+url.PathEscape(name), body)
+	return err
+}
+
+// List reads the host list.
+func (c *Client) List(ctx context.Context) (gauge.Sightings, error) {
+	var body hostsBody
+	if err := c.read(ctx, "/hosts", &body); err != nil {
+		return nil, err
+	}
+	return body.Hosts, nil
+}
+
+// Reboot asks for a reboot, once per token.
+func (c *Client) Reboot(ctx context.Context, host, token string) error {
+	body, err := json.Marshal(tokenBody{Token: token})
+	if err != nil {
+		return gauge.Fail(gauge.KindInternal, "plat.Reboot").Because(err)
+	}
+	_, err = c.call(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/reboot", body)
+	return err
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	b, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return asRead(err)
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return gauge.Fail(gauge.KindOutage, "plat: answer of %s", path).Because(err)
+	}
+	return nil
+}
+
+// asRead turns a lost answer into an outage: a read has no effect to be unsure
+// about.
+func asRead(err error) error {
+	if gauge.Is(err, gauge.KindUnknown) {
+		return gauge.Fail(gauge.KindOutage, "read got no answer").Because(err)
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.conf.Timeout)
+	defer cancel()
+	req, resp := new(fasthttp.Request), new(fasthttp.Response)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.conf.Addr + path)
+	if c.conf.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.conf.Key)
+	}
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	sent, err := c.pool.Do(ctx, c.conf.Addr, req, resp, false)
+	if err != nil {
+		// One silent connection often means that all old ones are.
+		c.pool.Drop(c.conf.Addr)
+		if sent {
+			return nil, gauge.Fail(gauge.KindUnknown, "plat: %s %s", method, path).Because(err)
+		}
+		return nil, gauge.Fail(gauge.KindOutage, "plat: %s %s", method, path).Because(err)
+	}
+	return resp.Body(), statusError(resp.StatusCode(), method, path, resp.Body())
+}
+
+func statusError(status int, method, path string, body []byte) error {
+	switch status {
+	case http.StatusOK, http.StatusNoContent, http.StatusCreated:
+		return nil
+	case http.StatusConflict:
+		return gauge.Fail(gauge.KindConflict, "plat: %s", body)
+	case http.StatusNotFound:
+		return gauge.Fail(gauge.KindMissing, "plat: %s", path)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return gauge.Fail(gauge.KindOutage, "plat: %s %s: status %d", method, path, status)
+	default:
+		// The service may have done it before it failed.
+		return gauge.Fail(gauge.KindUnknown, "plat: %s %s: status %d", method, path, status)
+	}
+}
--- /dev/null
+++ b/internal/schema/layout.go
@@ -0,0 +1,125 @@
+package schema
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// The layouts below are the wire form of the record files. A field is never
+// given another meaning: a new meaning is a new schema version.
+
+// needs is what a host must have.
+type needs struct {
+	Cores  int `yaml:"cores"`
+	Memory int `yaml:"memory"`
+	Accels int `yaml:"accels"`
+}
+
+func poolOne(unmarshal func(any) error, r *gauge.Record) error {
+	var v struct {
+		head    `yaml:",inline"`
+		Hosts   int          `yaml:"hosts"`
+		Prefer  gauge.Prefer `yaml:"prefer"`
+		Zones   []string     `yaml:"zones"`
+		Reserve int          `yaml:"reserve"`
+		Floor   int          `yaml:"floor"`
+	}
+	if err := unmarshal(&v); err != nil {
+		return err
+	}
+	r.Pool = &gauge.Pool{Hosts: v.Hosts, Prefer: v.Prefer, Zones: v.Zones, Reserve: v.Reserve, Floor: v.Floor}
+	r.Pool.Defaults()
+	return nil
+}
+
+// poolTwo has the promise as a group of its own and what a host must have.
+func poolTwo(unmarshal func(any) error, r *gauge.Record) error {
+	var v struct {
+		head    `yaml:",inline"`
+		Promise struct {
+			Hosts     int          `yaml:"hosts"`
+			Objective float64      `yaml:"objective"`
+			Domain    gauge.Domain `yaml:"domain"`
+		} `yaml:"promise"`
+		Prefer  gauge.Prefer `yaml:"prefer"`
+		Zones   []string     `yaml:"zones"`
+		Reserve int          `yaml:"reserve"`
+		Floor   int          `yaml:"floor"`
+		Needs   needs        `yaml:"needs"`
+	}
+	if err := unmarshal(&v); err != nil {
+		return err
+	}
+	r.Pool = &gauge.Pool{
+		Hosts: v.Promise.Hosts, Objective: v.Promise.Objective, Domain: v.Promise.Domain,
+		Prefer: v.Prefer, Zones: v.Zones, Reserve: v.Reserve, Floor: v.Floor,
+		Cores: v.Needs.Cores, Memory: v.Needs.Memory, Accels: v.Needs.Accels,
+	}
+	r.Pool.Defaults()
+	return nil
+}
+
+func serviceOne(unmarshal func(any) error, r *gauge.Record) error {
+	var v struct {
+		head  `yaml:",inline"`
+		Pool  string        `yaml:"pool"`
+		Quick time.Duration `yaml:"quick"`
+		Limit time.Duration `yaml:"limit"`
+		Queue int           `yaml:"queue"`
+		Body  int           `yaml:"body"`
+		Tries int           `yaml:"tries"`
+	}
+	if err := unmarshal(&v); err != nil {
+		return err
+	}
+	r.Service = &gauge.Service{
+		Pool: v.Pool, Quick: v.Quick, Limit: v.Limit, Queue: v.Queue, Body: v.Body, Tries: v.Tries,
+	}
+	r.Service.Defaults()
+	return nil
+}
+
+func teamOne(unmarshal func(any) error, r *gauge.Record) error {
+	var v struct {
+		head  `yaml:",inline"`
+		Quota int `yaml:"quota"`
+	}
+	if err := unmarshal(&v); err != nil {
+		return err
+	}
+	r.Team = &gauge.Team{Quota: v.Quota}
+	return nil
+}
+
+func jobOne(unmarshal func(any) error, r *gauge.Record) error {
+	var v struct {
+		head       `yaml:",inline"`
+		Pool       string `yaml:"pool"`
+		Copies     int    `yaml:"copies"`
+		Needs      needs  `yaml:"needs"`
+		Checkpoint bool   `yaml:"checkpoint"`
+	}
+	if err := unmarshal(&v); err != nil {
+		return err
+	}
+	r.Job = &gauge.Job{
+		Pool: v.Pool, Copies: v.Copies, Checkpoint: v.Checkpoint,
+		Cores: v.Needs.Cores, Memory: v.Needs.Memory, Accels: v.Needs.Accels,
+	}
+	r.Job.Defaults()
+	return nil
+}
+
+func waveOne(unmarshal func(any) error, r *gauge.Record) error {
+	var v struct {
+		head   `yaml:",inline"`
+		Pools  []string `yaml:"pools"`
+		Paused bool     `yaml:"paused"`
+	}
+	if err := unmarshal(&v); err != nil {
+		return err
+	}
+	r.Wave = &gauge.Wave{Pools: v.Pools, Paused: v.Paused}
+	return nil
+}
--- /dev/null
+++ b/job.go
@@ -0,0 +1,24 @@
+package sapphiregauge
+
+// Job is work that a pool must carry: so many copies, each on one host.
+type Job struct {
+	Pool       string `json:"pool"`
+	Copies     int    `json:"copies"`
+	Cores      int    `json:"cores"`
+	Memory     int    `json:"memory"` // GiB
+	Accels     int    `json:"accels"`
+	Checkpoint bool   `json:"checkpoint"` // it can be stopped and go on elsewhere
+}
+
+// Defaults fills what an operator left out.
+func (j *Job) Defaults() { defaultTo(&j.Copies, 1) }
+
+func (j *Job) validate(fs *Faults) {
+	if j.Pool == "" {
+		fs.Add("pool", "is missing")
+	}
+	atLeast(fs, "copies", j.Copies, 1)
+	atLeast(fs, "cores", j.Cores, 0)
+	atLeast(fs, "memory", j.Memory, 0)
+	atLeast(fs, "accels", j.Accels, 0)
+}
--- /dev/null
+++ b/pool.go
@@ -0,0 +1,87 @@
+package sapphiregauge
+
+// Prefer says which measure a pool's operators weigh most.
+type Prefer string
+
+// The preferences.
+const (
+	PreferBuffer Prefer = "buffer" // hold back as few spare hosts as possible
+	PreferSpeed  Prefer = "speed"  // finish waves and changes as soon as possible
+)
+
+// Domain is what fails together.
+type Domain string
+
+// The failure domains.
+const (
+	DomainRack Domain = "rack"
+	DomainZone Domain = "zone"
+)
+
+// Of returns the domain that a host is in. Racks of two zones may have the
+// same name.
+func (d Domain) Of(h Host) string {
+	if d == DomainZone {
+		return h.Zone
+	}
+	return h.Zone + "/" + h.Rack
+}
+
+// Pool is a set of hosts with a promised capacity.
+type Pool struct {
+	Hosts     int      `json:"hosts"`     // hosts that must be able to work at any moment
+	Objective float64  `json:"objective"` // share of requests answered well, 0..1
+	Prefer    Prefer   `json:"prefer"`
+	Domain    Domain   `json:"domain"`           // the promise holds through the loss of the worst one
+	Reserve   int      `json:"reserve"`          // slots of each worker that long work may not take
+	Floor     int      `json:"floor"`            // slots of each worker that quick work may not take
+	Zones     []string `json:"zones,omitempty"`  // data centres to take hosts from; empty: any
+	Cores     int      `json:"cores,omitempty"`  // least cores of a host
+	Memory    int      `json:"memory,omitempty"` // least GiB of a host
+	Accels    int      `json:"accels,omitempty"` // least accelerators of a host
+}
+
+const (
+	defaultObjective = 0.999
+	defaultReserve   = 2
+	defaultFloor     = 1
+)
+
+// Defaults fills what an operator left out.
+func (p *Pool) Defaults() {
+	defaultTo(&p.Reserve, defaultReserve)
+	defaultTo(&p.Floor, defaultFloor)
+	defaultTo(&p.Objective, defaultObjective)
+	defaultTo(&p.Prefer, PreferBuffer)
+	defaultTo(&p.Domain, DomainRack)
+}
+
+func (p *Pool) validate(fs *Faults) {
+	atLeast(fs, "hosts", p.Hosts, 0)
+	if p.Objective <= 0 || p.Objective >= 1 {
+		fs.Add("objective", "is %v, must lie between 0 and 1", p.Objective)
+	}
+	atLeast(fs, "reserve", p.Reserve, 0)
+	atLeast(fs, "floor", p.Floor, 0)
+	oneOf(fs, "domain", p.Domain, DomainRack, DomainZone)
+	oneOf(fs, "prefer", p.Prefer, PreferBuffer, PreferSpeed)
+	atLeast(fs, "cores", p.Cores, 0)
+	atLeast(fs, "memory", p.Memory, 0)
+	atLeast(fs, "accels", p.Accels, 0)
+}
+
+// Fits tells whether a host is of the kind the pool asks for.
+func (p *Pool) Fits(h Host) bool {
+	if h.Cores < p.Cores || h.Memory < p.Memory || h.Accels < p.Accels {
+		return false
+	}
+	if len(p.Zones) == 0 {
+		return true
+	}
+	for _, z := range p.Zones {
+		if z == h.Zone {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/service.go
@@ -0,0 +1,58 @@
+package sapphiregauge
+
+import "time"
+
+// Service is what callers ask for. Its requests run on the hosts of one pool.
+type Service struct {
+	Pool  string        `json:"pool"`
+	Quick time.Duration `json:"quick"` // a quick request that runs longer counts as long
+	Limit time.Duration `json:"limit"` // longest deadline a caller may ask for
+	Queue int           `json:"queue"` // requests that may wait at one entry
+	Body  int           `json:"body"`  // bytes of a request or answer
+	Tries int           `json:"tries"` // distinct workers a repeatable request is tried on
+}
+
+const (
+	defaultQuick = 2 * time.Second
+	defaultLimit = time.Minute
+	defaultQueue = 256
+	defaultBody  = 1 << 20
+	defaultTries = 3
+	mostBody     = 16 << 20
+	mostTries    = 8
+	mostQueue    = 1 << 16
+)
+
+// Defaults fills what an operator left out.
+func (s *Service) Defaults() {
+	defaultTo(&s.Quick, defaultQuick)
+	defaultTo(&s.Limit, defaultLimit)
+	defaultTo(&s.Queue, defaultQueue)
+	defaultTo(&s.Body, defaultBody)
+	defaultTo(&s.Tries, defaultTries)
+}
+
+func defaultTo[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (s *Service) validate(fs *Faults) {
+	if s.Pool == "" {
+		fs.Add("pool", "is missing")
+	}
+	if s.Quick <= 0 {
+		fs.Add("quick", "is %s, must be above 0", s.Quick)
+	}
+	if s.Limit < s.Quick {
+		fs.Add("limit", "is %s, must not be below quick (%s)", s.Limit, s.Quick)
+	}
+	atLeast(fs, "queue", s.Queue, 1)
+	atMost(fs, "queue", s.Queue, mostQueue)
+	atLeast(fs, "body", s.Body, 1)
+	atMost(fs, "body", s.Body, mostBody)
+	atLeast(fs, "tries", s.Tries, 1)
+	atMost(fs, "tries", s.Tries, mostTries)
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,131 @@
+package sapphiregauge
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Change is what one revision brings: records and hosts as they are from then
+// on. A record with Gone set is dropped.
+type Change struct {
+	Revision   int64    `json:"revision"`
+	Submission string   `json:"submission,omitempty"`
+	Records    []Record `json:"records,omitempty"`
+	Hosts      []Host   `json:"hosts,omitempty"`
+}
+
+// State is all that is in force at one revision. It is never changed: Apply
+// makes the next one.
+type State struct {
+	Revision int64
+	Records  map[RecordID]Record
+	ByHost   map[string]Host
+}
+
+// Apply returns the state after a change. Only the next revision fits; any
+// other is refused, so that nothing is skipped and nothing is taken back.
+func (s State) Apply(c Change) (State, error) {
+	if c.Revision != s.Revision+1 {
+		return s, Fail(KindConflict, "state is at revision %d, change is revision %d", s.Revision, c.Revision)
+	}
+	next := State{Revision: c.Revision, Records: s.Records, ByHost: s.ByHost}
+	if len(c.Records) > 0 {
+		next.Records = mergeRecords(s.Records, c.Records)
+	}
+	if len(c.Hosts) > 0 {
+		next.ByHost = mergeHosts(s.ByHost, c.Hosts)
+	}
+	return next, nil
+}
+
+func mergeRecords(old map[RecordID]Record, changed []Record) map[RecordID]Record {
+	next := make(map[RecordID]Record, len(old)+len(changed))
+	maps.Copy(next, old)
+	for _, r := range changed {
+		if r.Gone {
+			delete(next, r.ID())
+			continue
+		}
+		next[r.ID()] = r
+	}
+	return next
+}
+
+func mergeHosts(old map[string]Host, changed []Host) map[string]Host {
+	next := make(map[string]Host, len(old)+len(changed))
+	maps.Copy(next, old)
+	for _, h := range changed {
+		next[h.ID] = h
+	}
+	return next
+}
+
+// Pool looks a pool up; nil if there is none.
+func (s State) Pool(name string) *Pool {
+	return s.Records[RecordID{RecordPool, name}].Pool
+}
+
+// Service looks a service up; nil if there is none.
+func (s State) Service(name string) *Service {
+	return s.Records[RecordID{RecordService, name}].Service
+}
+
+// Team looks a team up; nil if there is none.
+func (s State) Team(name string) *Team {
+	return s.Records[RecordID{RecordTeam, name}].Team
+}
+
+// Names lists the records of a kind, sorted.
+func (s State) Names(k RecordKind) []string {
+	var names []string
+	for id := range s.Records {
+		if id.Kind == k {
+			names = append(names, id.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Hosts lists all hosts, sorted by id.
+func (s State) Hosts() Hosts {
+	hs := make(Hosts, 0, len(s.ByHost))
+	for _, h := range s.ByHost {
+		hs = append(hs, h)
+	}
+	slices.SortFunc(hs, func(a, b Host) int { return strings.Compare(a.ID, b.ID) })
+	return hs
+}
+
+// Validate checks what the records of a state say of each other.
+func (s State) Validate() Faults {
+	var fs Faults
+	for id, r := range s.Records {
+		for _, f := range s.refersTo(r) {
+			f.Record = id.String()
+			fs = append(fs, f)
+		}
+	}
+	slices.SortFunc(fs, func(a, b Fault) int { return strings.Compare(a.String(), b.String()) })
+	return fs
+}
+
+func (s State) refersTo(r Record) Faults {
+	var fs Faults
+	var pools []string
+	switch {
+	case r.Service != nil:
+		pools = []string{r.Service.Pool}
+	case r.Job != nil:
+		pools = []string{r.Job.Pool}
+	case r.Wave != nil:
+		pools = r.Wave.Pools
+	}
+	for _, p := range pools {
+		if s.Pool(p) == nil {
+			fs.Add("pool", "there is no pool %q", p)
+		}
+	}
+	return fs
+}
