Lease slots by need, pushed when they come free

Change: the owner remembers wants and pushes slots that come free; a holder's reserve is bounded by what is free; renewals name everything, asks between them only changes; the bound to a fair part holds only while somebody starves.

The race detector is on in the end-to-end test's processes.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -32,8 +32,11 @@
 	Seed  uint64
 }
 
-// Method is the name under which asks go over the mesh.
-const Method = "ask"
+// The names under which the messages go over the mesh.
+const (
+	MethodAsk   = "ask"
+	MethodGrant = "grant"
+)
 
 const (
 	defaultTerm  = 3 * time.Second
@@ -52,6 +55,9 @@
 	Grants []slots.Grant `msgpack:"g"`
 }
 
+// nothing is the answer to a message that needs none.
+type nothing struct{}
+
 // Broker has the desks and owners of this entry.
 type Broker struct {
 	conf Config
@@ -178,7 +184,8 @@
 	return out
 }
 
-// Run makes rounds until ctx ends.
+// Run makes rounds until ctx ends: leases are renewed at each tick, and changes
+// told as soon as there are some.
 func (b *Broker) Run(ctx context.Context) {
 	tick := time.NewTicker(b.conf.Round)
 	defer tick.Stop()
@@ -189,24 +196,26 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			b.review(b.conf.View())
+			b.round(ctx, &group, (*desk.Desk).Renew)
 		case <-b.kick:
 			time.Sleep(soon)
+			b.round(ctx, &group, (*desk.Desk).Ask)
 		}
-		b.round(ctx, &group)
 	}
 }
 
-func (b *Broker) round(ctx context.Context, group *conc.WaitGroup) {
+// round sends what the desks have to say, one message per owner.
+func (b *Broker) round(ctx context.Context, group *conc.WaitGroup, say func(*desk.Desk) (slots.Ask, bool)) {
 	view := b.conf.View()
-	b.review(view)
 	byOwner := make(map[string]*asks)
 	addrs := make(map[string]string)
 	for pool, d := range b.all() {
-		m := peers.Owner(view.Live, pool)
-		a, ok := d.Ask()
+		a, ok := say(d)
 		if !ok {
 			continue
 		}
+		m := peers.Owner(view.Live, pool)
 		if byOwner[m.ID] == nil {
 			byOwner[m.ID] = &asks{}
 			addrs[m.ID] = m.Peer
@@ -214,11 +223,13 @@
 		byOwner[m.ID].Asks = append(byOwner[m.ID].Asks, a)
 	}
 	for id, msg := range byOwner {
-		if id == b.conf.Self.ID {
-			b.take(b.answer(*msg, view))
-			continue
-		}
-		group.Go(func() { b.send(ctx, addrs[id], msg) })
+		group.Go(func() {
+			if id == b.conf.Self.ID {
+				b.take(b.answer(ctx, *msg, view))
+				return
+			}
+			b.send(ctx, addrs[id], msg)
+		})
 	}
 }
 
@@ -232,16 +243,13 @@
 	return out
 }
 
+// send asks an owner. A message that is lost is made good by the next renewal.
 func (b *Broker) send(ctx context.Context, addr string, msg *asks) {
 	ctx, cancel := context.WithTimeout(ctx, b.conf.Round)
 	defer cancel()
 	var back grants
-	if err := b.conf.Peers.Call(ctx, addr, Method, msg, &back); err != nil {
-		for _, a := range msg.Asks {
-			if d := b.Desk(a.Pool); d != nil {
-				d.Lost()
-			}
-		}
+	if err := b.conf.Peers.Call(ctx, addr, MethodAsk, msg, &back); err != nil {
+		b.conf.Logs.V(1).Info("owner does not answer", "addr", addr, "reason", err.Error())
 		return
 	}
 	b.take(back)
@@ -250,36 +258,57 @@
 func (b *Broker) take(g grants) {
 	for _, one := range g.Grants {
 		if d := b.Desk(one.Pool); d != nil {
-			d.Answer(one)
+			d.Grant(one)
 		}
 	}
 }
 
-// Handle answers another entry's asks.
-func (b *Broker) Handle(_ context.Context, body []byte) (any, error) {
+// HandleAsk answers another entry's asks.
+func (b *Broker) HandleAsk(ctx context.Context, body []byte) (any, error) {
 	var msg asks
 	if err := frame.Decode(body, &msg); err != nil {
 		return nil, err
 	}
-	back := b.answer(msg, b.conf.View())
+	back := b.answer(ctx, msg, b.conf.View())
 	return &back, nil
 }
 
-func (b *Broker) answer(msg asks, view member.View) grants {
+// HandleGrant takes in what an owner gives without being asked now.
+func (b *Broker) HandleGrant(_ context.Context, body []byte) (any, error) {
+	var msg grants
+	if err := frame.Decode(body, &msg); err != nil {
+		return nil, err
+	}
+	b.take(msg)
+	return &nothing{}, nil
+}
+
+func (b *Broker) answer(ctx context.Context, msg asks, view member.View) grants {
 	var out grants
+	others := make(map[string]*grants)
 	for _, a := range msg.Asks {
-		out.Grants = append(out.Grants, b.answerOne(a, view))
+		g, pushes := b.answerOne(a, view)
+		out.Grants = append(out.Grants, g)
+		for _, p := range pushes {
+			if others[p.Holder] == nil {
+				others[p.Holder] = &grants{}
+			}
+			others[p.Holder].Grants = append(others[p.Holder].Grants, p.Grant)
+		}
+	}
+	for holder, g := range others {
+		b.push(ctx, holder, g, view)
 	}
 	return out
 }
 
-func (b *Broker) answerOne(a slots.Ask, view member.View) slots.Grant {
+func (b *Broker) answerOne(a slots.Ask, view member.View) (slots.Grant, []slots.Push) {
 	b.mu.RLock()
 	f, ok := b.fleets[a.Pool]
 	b.mu.RUnlock()
 	if !ok || peers.Owner(view.Live, a.Pool).ID != b.conf.Self.ID {
 		b.disown(a.Pool)
-		return slots.Grant{Pool: a.Pool, Seq: a.Seq, Not: true}
+		return slots.Grant{Pool: a.Pool, Seq: a.Seq, Not: true}, nil
 	}
 	f.Same, f.Known = view.Same, view.Known
 	o := b.own(a.Pool, f.limit)
@@ -289,6 +318,24 @@
 	return o.slots.Ask(b.conf.Clock(), a)
 }
 
+// push sends slots that came free to an entry that waits for some.
+func (b *Broker) push(ctx context.Context, holder string, g *grants, view member.View) {
+	if holder == b.name() {
+		b.take(*g)
+		return
+	}
+	for _, m := range view.Live {
+		if m.ID+"/"+m.Run != holder {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.conf.Round)
+			defer cancel()
+			_ = b.conf.Peers.Call(ctx, m.Peer, MethodGrant, g, &nothing{})
+		}()
+	}
+}
+
 // own returns the owner of a pool, made anew if this entry was not the owner
 // all the time up to now: then it waits out the leases of the owner before it.
 // A paused entry wakes with old leases in its memory, while another may have
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -36,6 +36,8 @@
 	ejects *eject.Ejector
 	budget *retry.Budget
 	hosts  int
+
+	renewed time.Time // when the last full ask was made
 }
 
 // Counts is what a desk is doing now.
@@ -160,13 +162,21 @@
 	}
 }
 
-// Release gives a place back and passes it on.
+// Release gives a place back and passes it on, here or, while slots are scarce,
+// to another entry.
 func (d *Desk) Release(p *gauge.Place) {
+	if d.release(p) {
+		d.conf.Kick()
+	}
+}
+
+func (d *Desk) release(p *gauge.Place) (scarce bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.queue.Finished(d.conf.Clock(), p.Class)
 	d.slots.Done(p)
 	d.pump()
+	return d.slots.Short()
 }
 
 // Turn makes a quick place count as long.
@@ -198,31 +208,45 @@
 	return d.budget.Pause(n), true
 }
 
-// Ask makes the ask of this round; false if there is nothing to ask for or an
-// ask is still open.
-func (d *Desk) Ask() (slots.Ask, bool) {
+// Renew makes the ask that renews the lease; false if there is nothing to renew
+// or to wait for.
+func (d *Desk) Renew() (slots.Ask, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	quick, long := d.queue.Len(gauge.ClassQuick), d.queue.Len(gauge.ClassLong)
-	if d.slots.Open() || (d.slots.Idles() && quick+long == 0) {
+	if d.slots.Idles() && quick+long == 0 {
 		return slots.Ask{}, false
 	}
-	return d.slots.Ask(d.conf.Clock(), quick, long), true
+	now := d.conf.Clock()
+	d.renewed = now
+	return d.slots.Full(now, quick, long), true
 }
 
-// Answer takes in the owner's answer.
-func (d *Desk) Answer(g slots.Grant) {
+// firstAgain is how soon a desk without a lease may ask again for one.
+const firstAgain = 100 * time.Millisecond
+
+// Ask makes an ask between two renewals; false if there is nothing to tell.
+func (d *Desk) Ask() (slots.Ask, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.slots.Answer(g)
-	d.pump()
+	now := d.conf.Clock()
+	quick, long := d.queue.Len(gauge.ClassQuick), d.queue.Len(gauge.ClassLong)
+	if a, ok := d.slots.Change(now, quick, long); ok {
+		return a, true
+	}
+	if d.slots.Leased(now) || quick+long == 0 || now.Sub(d.renewed) < firstAgain {
+		return slots.Ask{}, false
+	}
+	d.renewed = now
+	return d.slots.Full(now, quick, long), true
 }
 
-// Lost notes that an ask got no answer.
-func (d *Desk) Lost() {
+// Grant takes in what the owner gives.
+func (d *Desk) Grant(g slots.Grant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.slots.Lost()
+	d.slots.Grant(g)
+	d.pump()
 }
 
 // Counts returns what the desk is doing now.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,8 @@
 		Clock: c.Clock, Logs: c.Logs.WithName("ctrl"), Every: c.Round,
 	})
 	e.mesh.Handle(member.Method, e.member.Handle)
-	e.mesh.Handle(broker.Method, e.broker.Handle)
+	e.mesh.Handle(broker.MethodAsk, e.broker.HandleAsk)
+	e.mesh.Handle(broker.MethodGrant, e.broker.HandleGrant)
 	e.mesh.Handle(stateMethod, e.handState)
 	e.routes()
 	return e
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -8,8 +8,8 @@
 package hold
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	gauge "sapphiregauge"
@@ -29,12 +29,19 @@
 	targets map[string]gauge.Target // hosts that may be given new work
 	until   time.Time
 	seq     uint64
-	asked   time.Time // when the open ask was sent; zero: none is open
-	most    int       // others are short: hold no more; 0: no bound
+	full    uint64    // seq of the last full ask
+	asked   time.Time // when it was sent
+	renewed bool      // it was answered
+	most    int       // others are short: use no more; 0: no bound
+	keep    int       // idle slots of a class that may be kept
+	wanted  tally     // wants that the owner knows of
 	turned  []*gauge.Place
 	used    int
 }
 
+// tally counts slots by class.
+type tally struct{ quick, long int }
+
 // lot is the slots of one worker.
 type lot struct {
 	quick, long         int
@@ -67,7 +74,7 @@
 // Take returns a place on the host with the most idle slots; a host or rack of
 // an earlier attempt only if there is no other rack.
 func (h *Holder) Take(now time.Time, class gauge.Class, earlier gauge.Attempts, skip func(string) bool) (*gauge.Place, bool) {
-	if !now.Before(h.until) {
+	if !now.Before(h.until) || (h.most > 0 && h.used >= h.most) {
 		return nil, false
 	}
 	best, rank := "", 0
@@ -142,35 +149,61 @@
 // Idles tells whether there is nothing to renew.
 func (h *Holder) Idles() bool { return len(h.lots) == 0 }
 
-// Open tells whether an ask was sent that has no answer yet.
-func (h *Holder) Open() bool { return !h.asked.IsZero() }
-
-// Ask makes the next ask, given how many requests wait. It gives back idle
-// slots that are more than a reserve of a quarter of those in use.
-func (h *Holder) Ask(now time.Time, waitingQuick, waitingLong int) slots.Ask {
+// Full makes an ask that names everything and renews the lease.
+func (h *Holder) Full(now time.Time, waitingQuick, waitingLong int) slots.Ask {
 	if !now.Before(h.until) {
 		h.lapse()
 	}
 	h.applyTurned()
-	h.giveBack(gauge.ClassQuick, waitingQuick)
-	h.giveBack(gauge.ClassLong, waitingLong)
+	h.giveBack(waitingQuick, waitingLong)
+	h.wanted = h.wants(waitingQuick, waitingLong)
 	h.seq++
-	h.asked = now
+	h.full, h.asked, h.renewed = h.seq, now, false
 	return slots.Ask{
-		Holder: h.conf.Name, Pool: h.conf.Pool, Seq: h.seq, Have: h.list(),
-		Quick: h.want(gauge.ClassQuick, waitingQuick),
-		Long:  h.want(gauge.ClassLong, waitingLong),
+		Holder: h.conf.Name, Pool: h.conf.Pool, Seq: h.seq, Full: true, Have: h.list(),
+		Quick: h.wanted.quick, Long: h.wanted.long,
+	}
+}
+
+// Change makes an ask that tells what has changed since the one before; false
+// if nothing has, or if a full ask has to come first.
+func (h *Holder) Change(now time.Time, waitingQuick, waitingLong int) (slots.Ask, bool) {
+	if !h.Leased(now) {
+		return slots.Ask{}, false
 	}
+	back := h.giveBack(waitingQuick, waitingLong)
+	want := h.wants(waitingQuick, waitingLong)
+	more := tally{want.quick - h.wanted.quick, want.long - h.wanted.long}
+	if len(back) == 0 && more == (tally{}) {
+		return slots.Ask{}, false
+	}
+	h.wanted = want
+	h.seq++
+	return slots.Ask{
+		Holder: h.conf.Name, Pool: h.conf.Pool, Seq: h.seq, Have: back,
+		Quick: more.quick, Long: more.long,
+	}, true
 }
 
+// Leased tells whether a lease is in force that changes can be made under.
+func (h *Holder) Leased(now time.Time) bool { return h.renewed && now.Before(h.until) }
+
+// Short tells whether slots are scarce, so that those that come free are to be
+// given back at once.
+func (h *Holder) Short() bool { return h.most > 0 || h.keep == 0 }
+
 // lapse forgets idle slots after the lease ran out; those in use are named on,
 // since they are occupied whatever the lease says.
 func (h *Holder) lapse() {
 	for host, l := range h.lots {
 		l.quick, l.long = l.usedQuick, l.usedLong
-		if l.empty() {
-			delete(h.lots, host)
-		}
+		h.prune(host, l)
+	}
+}
+
+func (h *Holder) prune(host string, l *lot) {
+	if l.empty() {
+		delete(h.lots, host)
 	}
 }
 
@@ -188,13 +221,19 @@
 }
 
 const (
-	leastReserve = 2
+	leastReserve = 1
 	reservePart  = 4 // one idle slot for so many in use
 )
 
-// reserve is how many idle slots are worth having, so that a request needs not
-// wait for a round trip.
-func reserve(used int) int { return max(leastReserve, used/reservePart) }
+// reserve is how many idle slots of a class are worth having, so that a request
+// needs not wait for a round trip; no more than the owner lets this entry keep.
+// Without demand there is none: the slots are of more use elsewhere.
+func (h *Holder) reserve(used, waiting int) int {
+	if used+waiting == 0 {
+		return 0
+	}
+	return min(max(leastReserve, used/reservePart), h.keep)
+}
 
 func (h *Holder) count(c gauge.Class) (used, idle int) {
 	for host, l := range h.lots {
@@ -210,103 +249,100 @@
 	return used, idle
 }
 
+func (h *Holder) wants(waitingQuick, waitingLong int) tally {
+	return tally{h.want(gauge.ClassQuick, waitingQuick), h.want(gauge.ClassLong, waitingLong)}
+}
+
 func (h *Holder) want(c gauge.Class, waiting int) int {
 	used, idle := h.count(c)
-	if used+waiting == 0 {
-		return 0 // no demand: nothing to hold back from the others
+	return max(0, waiting+h.reserve(used, waiting)-idle)
+}
+
+// giveBack drops idle slots and returns them: all on hosts that take no new
+// work, what is over twice the reserve, and what is over the owner's bound.
+func (h *Holder) giveBack(waitingQuick, waitingLong int) []slots.Lot {
+	back := make(map[string]slots.Lot)
+	h.giveBackOf(gauge.ClassQuick, waitingQuick, back)
+	h.giveBackOf(gauge.ClassLong, waitingLong, back)
+	out := make([]slots.Lot, 0, len(back))
+	for _, host := range sorted(back) {
+		out = append(out, back[host])
 	}
-	return max(0, waiting+reserve(used)-idle)
+	return out
 }
 
-// giveBack drops idle slots: all on hosts that take no new work, and what is
-// over twice the reserve or over the bound that the owner set.
-func (h *Holder) giveBack(c gauge.Class, waiting int) {
-	for host, l := range h.lots {
+func (h *Holder) giveBackOf(c gauge.Class, waiting int, back map[string]slots.Lot) {
+	for _, host := range sorted(h.lots) {
 		if _, serves := h.targets[host]; !serves {
-			h.drop(host, l, c, l.idle(c))
+			h.drop(host, c, h.lots[host].idle(c), back)
 		}
 	}
 	used, idle := h.count(c)
-	keep := waiting + 2*reserve(used)
-	if used+waiting == 0 {
-		keep = 0
-	}
-	over := max(0, idle-keep)
+	over := max(0, idle-waiting-2*h.reserve(used, waiting))
 	if h.most > 0 {
 		over = max(over, min(idle, h.Held()-h.most))
 	}
-	for _, host := range h.hosts() {
+	for _, host := range sorted(h.lots) {
 		if over <= 0 {
 			return
 		}
-		l := h.lots[host]
-		n := min(over, l.idle(c))
-		h.drop(host, l, c, n)
+		n := min(over, h.lots[host].idle(c))
+		h.drop(host, c, n, back)
 		over -= n
 	}
 }
 
-func (h *Holder) drop(host string, l *lot, c gauge.Class, n int) {
+func (h *Holder) drop(host string, c gauge.Class, n int, back map[string]slots.Lot) {
+	if n <= 0 {
+		return
+	}
+	l, b := h.lots[host], back[host]
+	b.Host = host
 	if c == gauge.ClassLong {
 		l.long -= n
+		b.Long += n
 	} else {
 		l.quick -= n
+		b.Quick += n
 	}
-	if l.empty() {
-		delete(h.lots, host)
-	}
+	back[host] = b
+	h.prune(host, l)
 }
 
-func (h *Holder) hosts() []string {
-	out := make([]string, 0, len(h.lots))
-	for host := range h.lots {
-		out = append(out, host)
-	}
-	slices.Sort(out)
-	return out
-}
+func sorted[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 func (h *Holder) list() []slots.Lot {
 	out := make([]slots.Lot, 0, len(h.lots))
-	for host, l := range h.lots {
-		if l.quick+l.long > 0 {
+	for _, host := range sorted(h.lots) {
+		if l := h.lots[host]; l.quick+l.long > 0 {
 			out = append(out, slots.Lot{Host: host, Quick: l.quick, Long: l.long})
 		}
 	}
-	slices.SortFunc(out, func(a, b slots.Lot) int { return strings.Compare(a.Host, b.Host) })
 	return out
 }
 
-// Answer takes in the answer to the open ask; any other came too late and is
-// dropped, since slots may have been given back after it was sent.
-func (h *Holder) Answer(g slots.Grant) {
-	if g.Seq != h.seq || h.asked.IsZero() {
+// Grant takes in what the owner gives. What it gave before it saw the last full
+// ask is dropped: that ask did not name it, so the owner has it back. Each grant
+// is to be passed here once at most.
+func (h *Holder) Grant(g slots.Grant) {
+	if g.Not || g.Seq < h.full || h.full == 0 {
 		return
 	}
-	sent := h.asked
-	h.asked = time.Time{}
-	if g.Not {
-		return
+	if g.Full && g.Seq == h.full {
+		h.until = h.asked.Add(g.Term)
+		h.renewed = true
 	}
-	h.until = sent.Add(g.Term)
-	h.most = g.Cap
-	for _, l := range h.lots {
-		l.quick, l.long = 0, 0
-	}
-	for _, g := range g.Lots {
-		l := h.lots[g.Host]
+	h.most, h.keep = g.Cap, g.Free
+	for _, add := range g.Lots {
+		l := h.lots[add.Host]
 		if l == nil {
 			l = &lot{}
-			h.lots[g.Host] = l
-		}
-		l.quick, l.long = g.Quick, g.Long
-	}
-	for host, l := range h.lots {
-		if l.empty() {
-			delete(h.lots, host)
+			h.lots[add.Host] = l
 		}
+		l.quick += add.Quick
+		l.long += add.Long
+		h.wanted.quick -= add.Quick
+		h.wanted.long -= add.Long
 	}
+	h.wanted = tally{max(0, h.wanted.quick), max(0, h.wanted.long)}
 }
-
-// Lost notes that the open ask got no answer.
-func (h *Holder) Lost() { h.asked = time.Time{} }
--- a/test/whole/site_test.go
+++ b/test/whole/site_test.go
@@ -50,7 +50,7 @@
 		panic(err)
 	}
 	bin = dir
-	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	build := exec.Command("go", "build", "-race", "-o", dir, "../../cmd/...")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -86,7 +86,12 @@
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		<-p.done
-		if text, err := os.ReadFile(log.Name()); err == nil && t.Failed() {
+		text, err := os.ReadFile(log.Name())
+		assert.Check(t, err)
+		if strings.Contains(string(text), "DATA RACE") {
+			t.Errorf("%s has a data race", name)
+		}
+		if t.Failed() {
 			t.Logf("%s %v:\n%s", name, args, text)
 		}
 	})
