--- /dev/null
+++ b/error_test.go
@@ -0,0 +1,49 @@
+package sapphiregauge_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+)
+
+// Symptom: a caller repeats a print job since it was told "not run", and gets
+// two.
+// Sequence: a first attempt is sent and its answer lost; the next finds no
+// place, and the request is refused.
+// Cause: a refusal that looks only at the last attempt.
+func TestOnlyWhatWasNeverSentIsToldNotRun(t *testing.T) {
+	unsent := gauge.Attempt{}
+	refused := gauge.Attempt{Sent: true, Refused: true}
+	lost := gauge.Attempt{Sent: true, Kind: gauge.KindUnknown}
+	for _, tt := range []struct {
+		name     string
+		attempts gauge.Attempts
+		kind     gauge.Kind
+		ran      gauge.Ran
+	}{
+		{"no attempt", nil, gauge.KindFull, gauge.RanNo},
+		{"never sent", gauge.Attempts{unsent, unsent}, gauge.KindFull, gauge.RanNo},
+		{"proved refusal", gauge.Attempts{refused}, gauge.KindFull, gauge.RanNo},
+		{"lost, then not sent", gauge.Attempts{lost, unsent}, gauge.KindUnknown, gauge.RanUnknown},
+		{"refused, then lost", gauge.Attempts{refused, lost}, gauge.KindUnknown, gauge.RanUnknown},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			err := gauge.Refuse(tt.attempts, gauge.KindFull, "no place", time.Second)
+			assert.Equal(t, err.Kind, tt.kind)
+			assert.Equal(t, err.Ran(), tt.ran)
+		})
+	}
+}
+
+// No error that was not made by Refuse may claim that a request did not run,
+// and each has an answer of its own.
+func TestFailNeverClaimsNotRun(t *testing.T) {
+	for _, k := range gauge.Kinds() {
+		assert.Assert(t, gauge.Fail(k, "x").Ran() != gauge.RanNo, k)
+		assert.Assert(t, k.Answer().Status >= 400, k)
+		assert.Equal(t, k.Answer() == gauge.KindInternal.Answer(), k == gauge.KindInternal, k)
+	}
+}
