Keep waves from chasing each other, one step a host

Cause: random orders of rounds by controllers found three faults. (1) Two waves over one pool reboot its hosts for ever: a host remembered only its last wave, so each wave undid the other's mark. (2) A host that came back in a plan was taken out again by the same plan, two rows of it in one revision; the same for a free host whose description changed. (3) A leaving host whose boot count in its row was old counted as rebooted.

Ruled out: doubled reboot requests by two controllers (the token is the same, the platform reboots once).

Change: a host keeps the revision at which its last maintenance began; a wave is due where that is before the wave's first revision. One step a host and plan. Only a rebooting host comes back from a reboot, with the count read after all entries had stopped sending.

--- a/host.go
+++ b/host.go
@@ -43,9 +43,11 @@
 	State  HostState `json:"state"`
 	Goal   Goal      `json:"goal,omitempty"`
 	Next   string    `json:"next,omitempty"`
-	Wave   string    `json:"wave,omitempty"` // last wave that is at work or done here
-	Done   bool      `json:"done,omitempty"` // that wave is done here
-	Boots  int       `json:"boots"`          // boot count when the reboot was asked for
+	Wave   string    `json:"wave,omitempty"`  // last wave that came over the host
+	Done   bool      `json:"done,omitempty"`  // that wave is done here
+	Begun  int64     `json:"begun,omitempty"` // revision at which it began here
+	Waved  int64     `json:"waved,omitempty"` // Begun of the last wave that is done here
+	Boots  int       `json:"boots"`           // boot count when the reboot was asked for
 	Epoch  int64     `json:"epoch"`
 	Since  int64     `json:"since"` // revision of the last change
 }
@@ -115,14 +117,13 @@
 // Sightings is the platform's list.
 type Sightings []Sighting
 
-// ByID finds a line of the list.
-func (ss Sightings) ByID(id string) (Sighting, bool) {
+// ByID returns the lines by host.
+func (ss Sightings) ByID() map[string]Sighting {
+	m := make(map[string]Sighting, len(ss))
 	for _, s := range ss {
-		if s.ID == id {
-			return s, true
-		}
+		m[s.ID] = s
 	}
-	return Sighting{}, false
+	return m
 }
 
 // Platform is the part of the platform that lists and reboots hosts. Reboot is
--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -152,6 +152,7 @@
 		if there && sub.Basis > 0 && old.Revision > sub.Basis {
 			stale = append(stale, fmt.Sprintf("%s was changed by revision %d:\n%s", r.ID(), old.Revision, diff(r.ID(), r.Source, old.Source)))
 		}
+		r.Born = old.Born
 		change.Records = append(change.Records, r)
 		res.Changed = append(res.Changed, r.ID().String())
 		res.Diff += diff(r.ID(), old.Source, r.Source)
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -51,6 +51,11 @@
 	conf Config
 	held map[string]gauge.Check
 
+	// The platform's list in this round and when it was read.
+	list gauge.Sightings
+	seen map[string]gauge.Sighting
+	read time.Time
+
 	// What was seen when: kept in memory only. After a takeover the waits begin
 	// anew, which delays a step and never hastens one.
 	quit   map[string]moment // when a host's leaving was found confirmed
@@ -111,6 +116,8 @@
 	if s.Revision == 0 {
 		return
 	}
+	c.list, c.read = c.conf.Sighted()
+	c.seen = c.list.ByID()
 	c.notice(s)
 	c.unit(ctx, fleetUnit, c.conf.Planner.Fleet)
 	for _, pool := range s.Names(gauge.RecordPool) {
@@ -152,16 +159,11 @@
 
 // act plans and carries out one round of a unit.
 func (c *Controller) act(ctx context.Context, unit string, check gauge.Check, decide func(plan.Input) plan.Plan) error {
-	list, read := c.conf.Sighted()
-	if c.conf.Clock().Sub(read) > stale {
+	if c.conf.Clock().Sub(c.read) > stale {
 		return gauge.Fail(gauge.KindOutage, "the platform's host list is too old to act on")
 	}
 	s := c.conf.State()
-	p := decide(plan.Input{
-		State: s, List: list,
-		Quit: func(h gauge.Host) bool { return c.hasQuit(h, list, read) },
-		Lost: c.isLost,
-	})
+	p := decide(plan.Input{State: s, List: c.list, Seen: c.seen, Quit: c.hasQuit, Lost: c.isLost})
 	c.setWaits(unit, p.Waits)
 	if err := c.write(ctx, s, check, p.Steps); err != nil {
 		return err
@@ -205,14 +207,14 @@
 }
 
 // reboot asks the platform for the reboots whose rows are written already. The
-// token names the host and the boot that is to end, so that asking again, by
+// token names the host and when its maintenance began, so that asking again, by
 // this or another controller, reboots once.
 func (c *Controller) reboot(ctx context.Context, steps []plan.Step) error {
 	for _, st := range steps {
 		if !st.Reboot || st.Why != "" {
 			continue // a new intent is in force only from the next round on
 		}
-		token := fmt.Sprintf("%s/%s/%d", st.Host.ID, st.Host.Wave, st.Host.Boots)
+		token := fmt.Sprintf("%s/%d", st.Host.ID, st.Host.Begun)
 		if err := c.conf.Platform.Reboot(ctx, st.Host.ID, token); err != nil {
 			return err
 		}
@@ -241,13 +243,13 @@
 
 // hasQuit tells whether the list's reading of a host was taken after every
 // entry had stopped sending to it.
-func (c *Controller) hasQuit(h gauge.Host, list gauge.Sightings, read time.Time) bool {
+func (c *Controller) hasQuit(h gauge.Host) bool {
 	m, ok := c.quit[h.ID]
 	if !ok || m.epoch != h.Epoch {
 		return false
 	}
-	s, ok := list.ByID(h.ID)
-	return ok && read.Add(-s.Age).After(m.at)
+	s, ok := c.seen[h.ID]
+	return ok && c.read.Add(-s.Age).After(m.at)
 }
 
 func (c *Controller) isLost(h gauge.Host) bool {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -75,7 +75,7 @@
 	for _, h := range r.Hosts {
 		s.ByHost[h.ID] = h
 	}
-	return s
+	return s.Indexed()
 }
 
 // mine tells whether a single duty is this entry's: duties spread over the live
--- a/internal/plan/fleet.go
+++ b/internal/plan/fleet.go
@@ -13,7 +13,11 @@
 	var out Plan
 	out.Steps = enrol(in)
 	out.Steps = append(out.Steps, freed(in)...)
-	a := newAssign(in)
+	moved := make(map[string]bool)
+	for _, s := range out.Steps {
+		moved[s.Host.ID] = true
+	}
+	a := newAssign(in, moved)
 	for _, pool := range a.short() {
 		for a.missing(pool) > 0 {
 			chain := a.chain(pool)
@@ -78,17 +82,18 @@
 	steps   []Step
 }
 
-func newAssign(in Input) *assign {
+func newAssign(in Input, moved map[string]bool) *assign {
 	a := &assign{
 		in: in, live: make(map[string]bool), pools: make(map[string]*gauge.Pool),
 		members: make(map[string]gauge.Hosts), want: make(map[string]int),
 		names: in.State.Names(gauge.RecordPool),
 	}
-	for _, s := range in.List {
-		a.live[s.ID] = s.Status == gauge.StatusLive
+	for id, s := range in.Seen {
+		a.live[id] = s.Status == gauge.StatusLive
 	}
 	for _, h := range in.State.Hosts() {
 		switch {
+		case moved[h.ID]: // one step a host
 		case h.State == gauge.HostLeaving && h.Goal == gauge.GoalMove:
 			a.members[h.Next] = append(a.members[h.Next], h)
 		case h.State == gauge.HostFree && a.live[h.ID]:
@@ -136,9 +141,8 @@
 }
 
 func underWave(s gauge.State, pool string, members gauge.Hosts) bool {
-	for _, name := range s.Names(gauge.RecordWave) {
-		w := s.Records[gauge.RecordID{Kind: gauge.RecordWave, Name: name}].Wave
-		if w.Covers(pool) && !w.Paused && len(dueIn(name, members)) > 0 {
+	for _, w := range wavesOver(s, pool) {
+		if !w.Wave.Paused && len(dueIn(w, members)) > 0 {
 			return true
 		}
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -26,6 +26,7 @@
 type Input struct {
 	State gauge.State
 	List  gauge.Sightings
+	Seen  map[string]gauge.Sighting // the list by host
 	// Quit tells whether surely no entry sends new work to a leaving host any
 	// more, and the list was read after that.
 	Quit func(gauge.Host) bool
@@ -67,8 +68,9 @@
 // and the waves that cover it.
 func (p *Planner) Pool(in Input, pool string) Plan {
 	var out Plan
-	hosts := in.State.Hosts().InPool(pool)
-	seen := byID(in.List)
+	hosts := slices.Clone(in.State.InPool(pool))
+	seen := in.Seen
+	moved := make(map[string]bool) // one step a host: the next is planned on what came of it
 	for i, h := range hosts {
 		next, why := life(in, h, seen[h.ID])
 		if why == "" {
@@ -79,27 +81,21 @@
 			next.State = gauge.HostFree // no longer counted here
 		}
 		hosts[i] = next
+		moved[h.ID] = true
 	}
 	out.Steps = append(out.Steps, p.again(hosts, seen)...)
-	p.waves(in, pool, hosts, seen, &out)
+	p.waves(in, pool, hosts, moved, &out)
 	return out
 }
 
-func byID(list gauge.Sightings) map[string]gauge.Sighting {
-	m := make(map[string]gauge.Sighting, len(list))
-	for _, s := range list {
-		m[s.ID] = s
-	}
-	return m
-}
-
 // life moves one host on. Why is empty if nothing is to happen.
 func life(in Input, h gauge.Host, s gauge.Sighting) (next gauge.Host, why string) {
 	next = h
 	live := s.Status == gauge.StatusLive
 	switch {
-	case live && s.Boots > h.Boots && (h.State == gauge.HostRebooting || (h.State == gauge.HostLeaving && h.Goal == gauge.GoalReboot)):
+	case h.State == gauge.HostRebooting && live && s.Boots > h.Boots:
 		next.State, next.Goal, next.Done, next.Boots = gauge.HostServing, "", true, s.Boots
+		next.Waved = h.Begun
 		return next, "is back from its reboot"
 	case h.State == gauge.HostServing && s.ID != "" && s.Status != gauge.StatusLive:
 		next.State = gauge.HostFailed
@@ -144,42 +140,60 @@
 	return out
 }
 
-// waves takes hosts out for the waves that cover the pool, in the order of the
-// waves' names; a host is in one wave at a time.
-func (p *Planner) waves(in Input, pool string, hosts gauge.Hosts, seen map[string]gauge.Sighting, out *Plan) {
+// waves takes hosts out for the waves that cover the pool, the oldest first. A
+// reboot counts for every wave that was declared before it began: two waves over
+// one pool don't reboot a host twice, and never undo each other's marks.
+func (p *Planner) waves(in Input, pool string, hosts gauge.Hosts, moved map[string]bool, out *Plan) {
 	rec := in.State.Pool(pool)
 	if rec == nil {
 		return
 	}
 	room := newRoom(rec, hosts)
-	for _, name := range in.State.Names(gauge.RecordWave) {
-		w := in.State.Records[gauge.RecordID{Kind: gauge.RecordWave, Name: name}].Wave
-		if !w.Covers(pool) {
-			continue
-		}
-		due := dueIn(name, hosts)
+	for _, w := range wavesOver(in.State, pool) {
+		due := dueIn(w, hosts)
 		if len(due) == 0 {
 			continue
 		}
-		if w.Paused {
-			out.Waits = append(out.Waits, Wait{Wave: name, Pool: pool, Reason: "paused by its record"})
-			return
+		due = slices.DeleteFunc(due, func(h gauge.Host) bool { return moved[h.ID] })
+		if w.Wave.Paused {
+			out.Waits = append(out.Waits, Wait{Wave: w.Name, Pool: pool, Reason: "paused by its record"})
+			continue
 		}
-		steps, reason := p.takeOut(name, due, hosts, seen, room)
+		begun := mark{wave: w.Name, revision: in.State.Revision}
+		steps, reason := p.takeOut(begun, due, hosts, in.Seen, room)
 		out.Steps = append(out.Steps, steps...)
 		if reason != "" {
-			out.Waits = append(out.Waits, Wait{Wave: name, Pool: pool, Reason: reason})
+			out.Waits = append(out.Waits, Wait{Wave: w.Name, Pool: pool, Reason: reason})
 		}
 		return // the next wave begins when this one is done here
 	}
 }
 
+// mark is what a wave leaves on a host.
+type mark struct {
+	wave     string
+	revision int64
+}
+
+// wavesOver lists the waves that cover a pool, the oldest first.
+func wavesOver(s gauge.State, pool string) []gauge.Record {
+	var out []gauge.Record
+	for _, name := range s.Names(gauge.RecordWave) {
+		r := s.Records[gauge.RecordID{Kind: gauge.RecordWave, Name: name}]
+		if r.Wave.Covers(pool) {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b gauge.Record) int { return cmp.Compare(a.Born, b.Born) })
+	return out
+}
+
 // Due tells whether a wave still has to come over a host.
-func Due(wave string, h gauge.Host) bool { return h.Wave != wave || !h.Done }
+func Due(wave gauge.Record, h gauge.Host) bool { return h.Waved < wave.Born }
 
 // dueIn lists the hosts that a wave has still to come over, those under way
 // and those that failed among them.
-func dueIn(wave string, hosts gauge.Hosts) gauge.Hosts {
+func dueIn(wave gauge.Record, hosts gauge.Hosts) gauge.Hosts {
 	var due gauge.Hosts
 	for _, h := range hosts {
 		if Due(wave, h) && h.State != gauge.HostFree {
@@ -192,7 +206,7 @@
 // takeOut chooses the hosts that leave now: rack by rack, since the loss of a
 // rack of which a part is under maintenance anyway costs less, and within a
 // rack those with the least work first.
-func (p *Planner) takeOut(wave string, due, all gauge.Hosts, seen map[string]gauge.Sighting, r *room) ([]Step, string) {
+func (p *Planner) takeOut(begun mark, due, all gauge.Hosts, seen map[string]gauge.Sighting, r *room) ([]Step, string) {
 	out := 0
 	busy := make(map[string]int)
 	for _, h := range all {
@@ -223,8 +237,9 @@
 		}
 		out++
 		h.State, h.Goal = gauge.HostLeaving, gauge.GoalReboot
-		h.Wave, h.Done, h.Boots = wave, false, seen[h.ID].Boots
-		steps = append(steps, Step{Host: h, Why: "leaves for wave " + wave})
+		h.Wave, h.Begun = begun.wave, begun.revision
+		h.Done = false
+		steps = append(steps, Step{Host: h, Why: "leaves for wave " + begun.wave})
 	}
 	if len(steps) == 0 && out == 0 {
 		return nil, fmt.Sprintf("%d hosts serve, the worst failure takes %d, %d are promised: none can be spared", r.total, r.worst(), r.pool.Hosts)
--- a/internal/revlog/revlog.go
+++ b/internal/revlog/revlog.go
@@ -108,7 +108,7 @@
 	if s.ByHost, err = l.hosts(ctx); err != nil {
 		return s, err
 	}
-	return l.CatchUp(ctx, s)
+	return l.CatchUp(ctx, s.Indexed())
 }
 
 // CatchUp applies the changes between a state and the head.
@@ -221,6 +221,9 @@
 	c.Revision = rev
 	for i := range c.Records {
 		c.Records[i].Revision = rev
+		if c.Records[i].Born == 0 {
+			c.Records[i].Born = rev
+		}
 	}
 	for i := range c.Hosts {
 		c.Hosts[i].Since = rev
--- a/record.go
+++ b/record.go
@@ -34,6 +34,7 @@
 	Name     string     `json:"name"`
 	Source   string     `json:"source"`
 	Revision int64      `json:"revision"` // that brought it into force
+	Born     int64      `json:"born"`     // revision of its first version
 	Gone     bool       `json:"gone,omitempty"`
 	Pool     *Pool      `json:"pool,omitempty"`
 	Service  *Service   `json:"service,omitempty"`
--- a/state.go
+++ b/state.go
@@ -21,6 +21,27 @@
 	Revision int64
 	Records  map[RecordID]Record
 	ByHost   map[string]Host
+
+	pools map[string]Hosts // by pool, sorted; nil: not worked out
+}
+
+// Indexed returns the state with its hosts sorted by pool, which makes InPool
+// cheap. Apply keeps that up.
+func (s State) Indexed() State {
+	s.pools = make(map[string]Hosts)
+	for _, h := range s.Hosts() {
+		s.pools[h.Pool] = append(s.pools[h.Pool], h)
+	}
+	return s
+}
+
+// InPool returns the hosts of one pool, sorted by id; those of no pool for "".
+// The caller must not change them.
+func (s State) InPool(pool string) Hosts {
+	if s.pools != nil {
+		return s.pools[pool]
+	}
+	return s.Hosts().InPool(pool)
 }
 
 // Apply returns the state after a change. Only the next revision fits; any
@@ -29,16 +50,48 @@
 	if c.Revision != s.Revision+1 {
 		return s, Fail(KindConflict, "state is at revision %d, change is revision %d", s.Revision, c.Revision)
 	}
-	next := State{Revision: c.Revision, Records: s.Records, ByHost: s.ByHost}
+	next := State{Revision: c.Revision, Records: s.Records, ByHost: s.ByHost, pools: s.pools}
 	if len(c.Records) > 0 {
 		next.Records = mergeRecords(s.Records, c.Records)
 	}
 	if len(c.Hosts) > 0 {
 		next.ByHost = mergeHosts(s.ByHost, c.Hosts)
+		next.pools = mergePools(s, c.Hosts)
 	}
 	return next, nil
 }
 
+// mergePools works the index out again for the pools that changed hosts were
+// or are in.
+func mergePools(s State, changed []Host) map[string]Hosts {
+	if s.pools == nil {
+		return nil
+	}
+	next := maps.Clone(s.pools)
+	moved := make(map[string]Host, len(changed))
+	touched := make(map[string]bool)
+	for _, h := range changed {
+		moved[h.ID] = h
+		touched[h.Pool] = true
+		if old, ok := s.ByHost[h.ID]; ok {
+			touched[old.Pool] = true
+		}
+	}
+	for pool := range touched {
+		next[pool] = slices.DeleteFunc(slices.Clone(next[pool]), func(h Host) bool {
+			_, gone := moved[h.ID]
+			return gone
+		})
+	}
+	for _, h := range moved {
+		next[h.Pool] = append(next[h.Pool], h)
+	}
+	for pool := range touched {
+		slices.SortFunc(next[pool], func(a, b Host) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return next
+}
+
 func mergeRecords(old map[RecordID]Record, changed []Record) map[RecordID]Record {
 	next := make(map[RecordID]Record, len(old)+len(changed))
 	maps.Copy(next, old)
