--- a/internal/plan/fleet.go
+++ b/internal/plan/fleet.go
@@ -150,8 +150,8 @@
 }
 
 // missing is how many hosts a pool lacks. A failed host counts as there until
-// it is given up, so that a host that is briefly away moves nothing; but not
-// while the pool has less than it promised.
+// it is given up, so that a host that is briefly away moves nothing; but not if
+// the next failure would then break the promise.
 func (a *assign) missing(pool string) int {
 	members, serving := 0, 0
 	for _, h := range a.members[pool] {
@@ -160,7 +160,11 @@
 			serving++
 		}
 	}
-	return max(a.want[pool]-members, a.pools[pool].Hosts-serving)
+	if a.pools[pool].Hosts == 0 {
+		return 0
+	}
+	worst := max(1, worstOf(a.pools[pool], a.members[pool]))
+	return max(a.want[pool]-members, a.pools[pool].Hosts+worst-serving)
 }
 
 // short lists the pools that lack hosts, those that lack the largest part of
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -67,27 +67,41 @@
 // Pool plans for the hosts of one pool: those that failed, left or came back,
 // and the waves that cover it.
 func (p *Planner) Pool(in Input, pool string) Plan {
-	var out Plan
+	out := p.Lives(in, pool)
 	hosts := slices.Clone(in.State.InPool(pool))
-	seen := in.Seen
 	moved := make(map[string]bool) // one step a host: the next is planned on what came of it
+	for _, s := range out.Steps {
+		moved[s.Host.ID] = true
+	}
 	for i, h := range hosts {
-		next, why := life(in, h, seen[h.ID])
-		if why == "" {
-			continue
-		}
-		out.Steps = append(out.Steps, Step{Host: next, Reboot: next.State == gauge.HostRebooting && h.State != gauge.HostRebooting, Why: why})
-		if next.Pool != pool {
-			next.State = gauge.HostFree // no longer counted here
+		for _, s := range out.Steps {
+			if s.Host.ID == h.ID {
+				hosts[i] = s.Host
+			}
 		}
-		hosts[i] = next
-		moved[h.ID] = true
 	}
-	out.Steps = append(out.Steps, p.again(hosts, seen)...)
+	hosts = slices.DeleteFunc(hosts, func(h gauge.Host) bool { return h.Pool != pool })
 	p.waves(in, pool, hosts, moved, &out)
 	return out
 }
 
+// Lives plans for the hosts of a pool without looking at waves: what failed,
+// came back, or has no work any more.
+func (p *Planner) Lives(in Input, pool string) Plan {
+	var out Plan
+	for _, h := range in.State.InPool(pool) {
+		s := in.Seen[h.ID]
+		next, why := life(in, h, s)
+		switch {
+		case why != "":
+			out.Steps = append(out.Steps, Step{Host: next, Reboot: next.State == gauge.HostRebooting, Why: why})
+		case askAgain(h, s):
+			out.Steps = append(out.Steps, Step{Host: h, Reboot: true})
+		}
+	}
+	return out
+}
+
 // life moves one host on. Why is empty if nothing is to happen.
 func life(in Input, h gauge.Host, s gauge.Sighting) (next gauge.Host, why string) {
 	next = h
@@ -126,18 +140,11 @@
 	return h, "is drained and moved"
 }
 
-// again asks once more for reboots that the platform shows no sign of: the
-// controller before may have died between writing the row and asking. The token
-// is the same, so a reboot asked for twice happens once.
-func (p *Planner) again(hosts gauge.Hosts, seen map[string]gauge.Sighting) []Step {
-	var out []Step
-	for _, h := range hosts {
-		s := seen[h.ID]
-		if h.State == gauge.HostRebooting && s.Status == gauge.StatusLive && s.Boots == h.Boots {
-			out = append(out, Step{Host: h, Reboot: true})
-		}
-	}
-	return out
+// askAgain tells whether the platform shows no sign of a reboot: the controller
+// before may have died between writing the row and asking. The token is the
+// same, so a reboot asked for twice happens once.
+func askAgain(h gauge.Host, s gauge.Sighting) bool {
+	return h.State == gauge.HostRebooting && s.Status == gauge.StatusLive && s.Boots == h.Boots
 }
 
 // waves takes hosts out for the waves that cover the pool, the oldest first. A
