Move a host once a plan; prove the owners' shares; measure slopes

Change: a host with a step is not moved again by the same plan. Heartbeats pass the own data centre's entries on only to other data centres. Tests of the membership: shares of one key never add up to more than the whole under one-way cuts; an outage kills nobody. Benchmarks of what an entry does over three sizes.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -159,24 +159,22 @@
 	now := k.conf.Clock()
 	k.mu.Lock()
 	k.set.Look(now)
-	beat := k.set.Beat(now, k.conf.Revision())
-	to := k.set.Neighbours(now)
-	k.mu.Unlock()
-	addrs := make([]string, len(to))
-	for i, m := range to {
-		addrs[i] = m.Peer
+	sends := make(map[string]peers.Beat)
+	for _, m := range k.set.Neighbours(now) {
+		sends[m.Peer] = k.set.Beat(now, k.conf.Revision(), m.Zone)
 	}
-	if len(addrs) == 0 {
+	if len(sends) == 0 {
 		// While the table is out, a fresh entry can learn of the others only so.
-		addrs = k.conf.Seeds
+		for _, addr := range k.conf.Seeds {
+			sends[addr] = k.set.Beat(now, k.conf.Revision(), "")
+		}
 	}
+	delete(sends, k.own.Peer)
+	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 2*k.conf.Beat)
 	defer cancel()
 	var group conc.WaitGroup
-	for _, addr := range addrs {
-		if addr == k.own.Peer {
-			continue
-		}
+	for addr, beat := range sends {
 		group.Go(func() {
 			var back peers.Beat
 			if err := k.conf.Peers.Call(ctx, addr, Method, &beat, &back); err == nil {
@@ -196,7 +194,7 @@
 	k.heard(b)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	back := k.set.Beat(k.conf.Clock(), k.conf.Revision())
+	back := k.set.Beat(k.conf.Clock(), k.conf.Revision(), b.From.Zone)
 	return &back, nil
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -230,11 +230,11 @@
 	return len(s.known) == 0
 }
 
-// Beat makes this entry's heartbeat.
-func (s *Set) Beat(now time.Time, revision int64) Beat {
+// Beat makes this entry's heartbeat for an entry in a data centre.
+func (s *Set) Beat(now time.Time, revision int64, zone string) Beat {
 	b := Beat{From: s.conf.Self, Revision: revision, View: s.view}
-	if len(s.known) < s.conf.Mesh {
-		return b // everybody talks to everybody: nothing to pass on
+	if len(s.known) < s.conf.Mesh || zone == s.conf.Self.Zone {
+		return b // these hear each other directly: nothing to pass on
 	}
 	for id, p := range s.known {
 		if p.member.Zone != s.conf.Self.Zone || now.Sub(p.beaten) > s.conf.Silence {
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,167 @@
+package peers_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/fixed"
+	"sapphiregauge/internal/peers"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed.Run{Checks: "60", Steps: "40"}.Set()
+	os.Exit(m.Run())
+}
+
+func entry(i int) gauge.Member {
+	return gauge.Member{ID: fmt.Sprint("e", i), Run: "r", Zone: fmt.Sprint("z", i%3)}
+}
+
+// group is some entries that have read each other's rows; links[a][b] tells
+// whether b hears a.
+type group struct {
+	now   time.Time
+	sets  []*peers.Set
+	links [][]bool
+}
+
+func newGroup(n, mesh int) *group {
+	g := &group{now: time.Unix(1000, 0)}
+	var rows []gauge.Member
+	for i := range n {
+		rows = append(rows, entry(i))
+	}
+	for i := range n {
+		s := peers.New(peers.Config{Self: entry(i), Mesh: mesh})
+		s.Rows(g.now, rows)
+		g.sets = append(g.sets, s)
+		g.links = append(g.links, make([]bool, n))
+		for j := range n {
+			g.links[i][j] = true
+		}
+	}
+	return g
+}
+
+func (g *group) rows() {
+	var rows []gauge.Member
+	for i := range g.sets {
+		m := entry(i)
+		m.Beat = g.now.Unix()
+		rows = append(rows, m)
+	}
+	for _, s := range g.sets {
+		s.Rows(g.now, rows)
+	}
+}
+
+func (g *group) beat() {
+	for i, s := range g.sets {
+		s.Look(g.now)
+		for _, m := range s.Neighbours(g.now) {
+			var j int
+			_, _ = fmt.Sscanf(m.ID, "e%d", &j)
+			if g.links[i][j] {
+				g.sets[j].Heard(g.now, s.Beat(g.now, 1, m.Zone))
+			}
+			if g.links[i][j] && g.links[j][i] {
+				s.Heard(g.now, g.sets[j].Beat(g.now, 1, entry(i).Zone))
+			}
+		}
+	}
+}
+
+// Symptom: two entries each hand out all slots of a pool.
+// Sequence: links between entries are cut, also in one direction only, and
+// healed, in any order.
+// Cause: each owner takes the live entries that it sees for all there are.
+func TestSharesOfOneKeyNeverExceedTheWhole(t *testing.T) {
+	for _, mesh := range []int{16, 2} {
+		rapid.Check(t, func(t *rapid.T) {
+			const n = 6
+			g := newGroup(n, mesh)
+			pick := func() int { return rapid.IntRange(0, n-1).Draw(t, "i") }
+			t.Repeat(map[string]func(*rapid.T){
+				"cut":  func(*rapid.T) { g.links[pick()][pick()] = false },
+				"heal": func(*rapid.T) { g.links[pick()][pick()] = true },
+				"run": func(*rapid.T) {
+					for range 8 { // longer than the silence: every view is settled
+						g.now = g.now.Add(time.Second)
+						g.rows()
+						g.beat()
+						g.beat()
+					}
+				},
+				"": func(t *rapid.T) {
+					total, known := 0, n
+					for i, s := range g.sets {
+						_, live := s.Look(g.now)
+						if peers.Owner(live, "pool").ID == entry(i).ID {
+							same, k := s.Share(g.now)
+							total += same
+							known = k
+						}
+					}
+					if total > known {
+						t.Fatalf("%d of %d shares are handed out", total, known)
+					}
+				},
+			})
+		})
+	}
+}
+
+// With all links whole, every entry sees all and one owner has the whole, also
+// where entries hear of others only through a third.
+func TestAllAgreeWhenAllIsWell(t *testing.T) {
+	for _, mesh := range []int{16, 2} {
+		g := newGroup(9, mesh)
+		for range 6 {
+			g.now = g.now.Add(time.Second)
+			g.beat()
+			g.beat()
+		}
+		for _, s := range g.sets {
+			_, live := s.Look(g.now)
+			assert.Equal(t, len(live), 9)
+			same, known := s.Share(g.now)
+			assert.Equal(t, same, 9)
+			assert.Equal(t, known, 9)
+		}
+	}
+}
+
+// Symptom: after the table was out for an hour all entries take each other for
+// dead.
+// Sequence: rows can't be read or written; they come back; an entry that was
+// cut off from its peers too writes its row a moment later than it is read.
+// Cause: counting the outage as silence.
+func TestOutageKillsNobody(t *testing.T) {
+	g := newGroup(2, 16)
+	s := g.sets[0]
+	old := []gauge.Member{entry(0), entry(1)}
+	g.now = g.now.Add(time.Hour)
+	assert.Equal(t, len(s.Rows(g.now, old)), 0)
+	g.now = g.now.Add(10 * time.Second)
+	assert.Equal(t, len(s.Rows(g.now, old)), 0, "the term begins with the end of the outage")
+	g.now = g.now.Add(6 * time.Second)
+	assert.Equal(t, len(s.Rows(g.now, old)), 1, "unchanged for a term of readable table: gone")
+}
+
+// An entry that can reach neither the table nor a peer hands out nothing and is
+// not ready.
+func TestEntryAloneHasNoShare(t *testing.T) {
+	g := newGroup(3, 16)
+	g.now = g.now.Add(20 * time.Second)
+	same, _ := g.sets[0].Share(g.now)
+	assert.Equal(t, same, 0)
+	assert.Assert(t, !g.sets[0].Linked(g.now))
+}
--- a/internal/plan/fleet.go
+++ b/internal/plan/fleet.go
@@ -79,6 +79,7 @@
 	free    gauge.Hosts
 	want    map[string]int
 	names   []string
+	moved   map[string]bool // hosts with a step: one a plan
 	steps   []Step
 }
 
@@ -86,14 +87,14 @@
 	a := &assign{
 		in: in, live: make(map[string]bool), pools: make(map[string]*gauge.Pool),
 		members: make(map[string]gauge.Hosts), want: make(map[string]int),
-		names: in.State.Names(gauge.RecordPool),
+		names: in.State.Names(gauge.RecordPool), moved: moved,
 	}
 	for id, s := range in.Seen {
 		a.live[id] = s.Status == gauge.StatusLive
 	}
 	for _, h := range in.State.Hosts() {
 		switch {
-		case moved[h.ID]: // one step a host
+		case moved[h.ID]:
 		case h.State == gauge.HostLeaving && h.Goal == gauge.GoalMove:
 			a.members[h.Next] = append(a.members[h.Next], h)
 		case h.State == gauge.HostFree && a.live[h.ID]:
@@ -233,7 +234,7 @@
 func (a *assign) movable(pool string) gauge.Hosts {
 	var out gauge.Hosts
 	for _, h := range a.members[pool] {
-		if h.Serves() && h.Pool == pool && a.live[h.ID] {
+		if h.Serves() && h.Pool == pool && a.live[h.ID] && !a.moved[h.ID] {
 			out = append(out, h)
 		}
 	}
@@ -276,6 +277,7 @@
 func (a *assign) follow(chain []move) {
 	for _, m := range chain {
 		a.remove(m.host)
+		a.moved[m.host.ID] = true
 		h := m.host
 		why := "goes to pool " + m.to
 		if h.State == gauge.HostFree {
--- /dev/null
+++ b/test/size/size_test.go
@@ -0,0 +1,369 @@
+// Package size_test measures how what an entry does grows with the size of the
+// fleet. docs/CAPACITY.md is worked out from these slopes; run with
+//
+//	go test ./test/size -run xxx -bench . -benchtime 200x
+package size_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/vmihailenco/msgpack/v5"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/claim"
+	"sapphiregauge/internal/follow"
+	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/member"
+	"sapphiregauge/internal/memdb"
+	"sapphiregauge/internal/peers"
+	"sapphiregauge/internal/plan"
+	"sapphiregauge/internal/revlog"
+	"sapphiregauge/internal/slots"
+)
+
+const perZone = 8 // entries in a data centre
+
+func memberOf(i int) gauge.Member {
+	return gauge.Member{
+		ID: fmt.Sprintf("entry-%03d", i), Run: "00000000-0000-0000-0000-000000000000",
+		Peer: "10.0.0.1:8081", HTTP: "10.0.0.1:8080", Zone: fmt.Sprint("zone-", i/perZone),
+	}
+}
+
+// BenchmarkBeats is one second of heartbeats of one entry: a beat to each
+// neighbour and the answers.
+func BenchmarkBeats(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		b.Run(fmt.Sprint("entries=", n), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			set := peers.New(peers.Config{Self: memberOf(0)})
+			var rows []gauge.Member
+			for i := range n {
+				rows = append(rows, memberOf(i))
+			}
+			set.Rows(now, rows)
+			own := peers.Beat{From: memberOf(1)}
+			for i := 1; i < perZone; i++ {
+				own.Own = append(own.Own, memberOf(i).ID)
+			}
+			own.Same = own.Own
+			bytes, calls := 0, 0
+			for b.Loop() {
+				set.Look(now)
+				for _, to := range set.Neighbours(now) {
+					beat := set.Beat(now, 7, to.Zone)
+					body, _ := msgpack.Marshal(&beat)
+					answer := own
+					answer.From = to
+					if to.Zone == memberOf(0).Zone {
+						answer.Own, answer.Same = nil, nil
+					}
+					back, _ := msgpack.Marshal(&answer)
+					var heard peers.Beat
+					_ = frame.Decode(back, &heard)
+					set.Heard(now, heard)
+					bytes += len(body) + len(back) + 2*frameHead
+					calls++
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "B/s")
+			b.ReportMetric(float64(calls)/float64(b.N), "calls/s")
+		})
+	}
+}
+
+// frameHead is what a frame and the packets' headers add to a body.
+const frameHead = 20 + 40
+
+// BenchmarkOwner is one renewal of one holder in one pool.
+func BenchmarkOwner(b *testing.B) {
+	for _, hosts := range []int{10, 50, 200} {
+		for _, holders := range []int{8, 128} {
+			b.Run(fmt.Sprintf("hosts=%d/entries=%d", hosts, holders), func(b *testing.B) {
+				now := time.Unix(1000, 0)
+				f := slots.Fleet{Same: 1, Known: 1, Reserve: 2, Floor: 1}
+				for i := range hosts {
+					f.Hosts = append(f.Hosts, slots.Room{Host: fmt.Sprintf("host-%04d", i), Slots: 8})
+				}
+				o := slots.New(slots.Config{Pool: "p", Term: time.Hour, Limit: time.Minute, Start: now.Add(-2 * time.Hour)})
+				o.Set(f)
+				seq, bytes := uint64(0), 0
+				for b.Loop() {
+					seq++
+					a := slots.Ask{Holder: fmt.Sprintf("entry-%03d/%s", int(seq)%holders, memberOf(0).Run), Pool: "pool-001", Seq: seq, Full: true, Quick: 1}
+					share := max(1, hosts*8/holders/2)
+					for i := range min(share, hosts) {
+						a.Have = append(a.Have, slots.Lot{Host: f.Hosts[(int(seq)+i)%hosts].Host, Quick: 1})
+					}
+					g, _ := o.Ask(now, a)
+					x, _ := msgpack.Marshal(&a)
+					y, _ := msgpack.Marshal(&g)
+					bytes += len(x) + len(y) + 2*frameHead
+				}
+				b.ReportMetric(float64(bytes)/float64(b.N), "B/renewal")
+			})
+		}
+	}
+}
+
+func fleet(hosts, pools int) gauge.State {
+	s := gauge.State{Revision: 1, Records: make(map[gauge.RecordID]gauge.Record), ByHost: make(map[string]gauge.Host)}
+	for i := range pools {
+		name := fmt.Sprintf("pool-%03d", i)
+		p := &gauge.Pool{Hosts: hosts / pools * 8 / 10}
+		p.Defaults()
+		source := "kind: pool\nschema: 2\nname: " + name + "\npromise:\n  hosts: 40\n  objective: 0.999\nprefer: buffer\n"
+		s.Records[gauge.RecordID{Kind: gauge.RecordPool, Name: name}] = gauge.Record{Kind: gauge.RecordPool, Name: name, Schema: 2, Source: source, Pool: p}
+		svc := &gauge.Service{Pool: name}
+		svc.Defaults()
+		s.Records[gauge.RecordID{Kind: gauge.RecordService, Name: name}] = gauge.Record{Kind: gauge.RecordService, Name: name, Schema: 1, Source: source, Service: svc}
+	}
+	for i := range hosts {
+		h := gauge.Host{
+			ID: fmt.Sprintf("host-%05d", i), Addr: "10.0.0.1:9000", Zone: fmt.Sprint("zone-", i/4%16), Rack: fmt.Sprint("rack-", i/4),
+			Cores: 16, Memory: 64, Slots: 8, Conns: 64, State: gauge.HostServing, Pool: fmt.Sprintf("pool-%03d", i%pools),
+		}
+		s.ByHost[h.ID] = h
+	}
+	return s.Indexed()
+}
+
+func listOf(s gauge.State) gauge.Sightings {
+	var out gauge.Sightings
+	for _, h := range s.Hosts() {
+		out = append(out, gauge.Sighting{ID: h.ID, Addr: h.Addr, Zone: h.Zone, Rack: h.Rack, Slots: 8, Status: gauge.StatusLive})
+	}
+	return out
+}
+
+func sizes() []size { return []size{{59, 5}, {590, 12}, {5900, 117}} }
+
+type size struct{ hosts, pools int }
+
+// BenchmarkState is the memory of the state in force and the time of adopting
+// one change.
+func BenchmarkState(b *testing.B) {
+	for _, n := range sizes() {
+		b.Run(fmt.Sprint("hosts=", n.hosts), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s := fleet(n.hosts, n.pools)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			h := s.ByHost["host-00003"]
+			body, _ := json.Marshal(h)
+			for b.Loop() {
+				h.Epoch++
+				next, err := s.Apply(gauge.Change{Revision: s.Revision + 1, Hosts: []gauge.Host{h}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				s = next
+			}
+			b.ReportMetric(float64(len(body)), "B/host")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KiB")
+		})
+	}
+}
+
+// BenchmarkPlan is one round of planning: the fleet's, and all pools'.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range sizes() {
+		s := fleet(n.hosts, n.pools)
+		list := listOf(s)
+		in := plan.Input{State: s, List: list, Seen: list.ByID(), Quit: func(gauge.Host) bool { return true }, Lost: func(gauge.Host) bool { return false }}
+		p := plan.New(plan.Config{})
+		b.Run(fmt.Sprintf("hosts=%d/fleet", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				p.Fleet(in)
+			}
+		})
+		b.Run(fmt.Sprintf("hosts=%d/pools", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				for _, name := range s.Names(gauge.RecordPool) {
+					p.Pool(in, name)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("hosts=%d/list", n.hosts), func(b *testing.B) {
+			body, _ := json.Marshal(list)
+			for b.Loop() {
+				var l gauge.Sightings
+				_ = json.Unmarshal(body, &l)
+				l.ByID()
+			}
+			b.ReportMetric(float64(len(body)), "B/list")
+		})
+	}
+}
+
+// counted is a table that counts reads and writes and takes a while.
+type counted struct {
+	gauge.Table
+	takes         time.Duration
+	reads, writes atomic.Int64
+}
+
+func (c *counted) Get(ctx context.Context, key string) (gauge.Row, error) {
+	c.reads.Add(1)
+	return c.Table.Get(ctx, key)
+}
+
+func (c *counted) Scan(ctx context.Context, prefix string) ([]gauge.Row, error) {
+	c.reads.Add(1)
+	return c.Table.Scan(ctx, prefix)
+}
+
+func (c *counted) Commit(ctx context.Context, t gauge.Txn) error {
+	c.writes.Add(1)
+	time.Sleep(c.takes)
+	return c.Table.Commit(ctx, t)
+}
+
+// BenchmarkClaims is how many claims one transaction carries, at a table that
+// takes 5 ms for each.
+func BenchmarkClaims(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			t := &counted{Table: memdb.New(), takes: 5 * time.Millisecond}
+			c := claim.New(claim.Config{Entry: "e/1", Table: t, Objects: memdb.New(), Clock: time.Now})
+			began := time.Now()
+			var group sync.WaitGroup
+			each := max(1, b.N/callers)
+			for range callers {
+				group.Go(func() {
+					for range each {
+						k, _ := gauge.Key(time.Now(), "t", uuid.Must(uuid.NewV7()).String())
+						if _, mine, err := c.Claim(context.Background(), k, gauge.ClaimRunning, 1, nil); err != nil || !mine {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			group.Wait()
+			commits, writes := c.Counts()
+			b.ReportMetric(float64(writes)/float64(commits), "claims/commit")
+			b.ReportMetric(float64(writes)/time.Since(began).Seconds(), "claims/s")
+		})
+	}
+}
+
+// direct is gauge.Peers without a network.
+type direct struct {
+	mu    sync.RWMutex
+	nodes map[string]*member.Keeper
+	delay time.Duration
+}
+
+func (d *direct) Call(ctx context.Context, addr, _ string, req, resp any) error {
+	d.mu.RLock()
+	k := d.nodes[addr]
+	d.mu.RUnlock()
+	if k == nil {
+		return gauge.Fail(gauge.KindOutage, "no node")
+	}
+	body, err := frame.Encode(req)
+	if err != nil {
+		return err
+	}
+	time.Sleep(d.delay)
+	back, err := k.Handle(ctx, body)
+	if err != nil {
+		return err
+	}
+	time.Sleep(d.delay)
+	raw, err := frame.Encode(back)
+	if err != nil {
+		return err
+	}
+	return frame.Decode(raw, resp)
+}
+
+// BenchmarkInForce is the time from an acceptance until all entries have it in
+// force, with the word from peers and with polls alone, and the reads of the
+// table a second. Entries are in one process, 1.5 ms apart.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		for _, push := range []bool{true, false} {
+			b.Run(fmt.Sprintf("entries=%d/push=%t", n, push), func(b *testing.B) { inForce(b, n, push) })
+		}
+	}
+}
+
+func inForce(b *testing.B, n int, push bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	table := &counted{Table: memdb.New(), takes: 2 * time.Millisecond}
+	log := revlog.New(table)
+	net := &direct{nodes: make(map[string]*member.Keeper), delay: 1500 * time.Microsecond}
+	followers := make([]*follow.Follower, n)
+	var group sync.WaitGroup
+	for i := range n {
+		self := memberOf(i)
+		self.Peer = fmt.Sprint("node-", i)
+		var keeper *member.Keeper
+		followers[i] = follow.New(follow.Config{
+			Log: revlog.New(table), Clock: time.Now, Logs: logr.Discard(),
+			Adopted: func(gauge.State) {
+				if push {
+					go keeper.Tell(ctx)
+				}
+			},
+		})
+		keeper = member.New(member.Config{
+			Self: self, Table: table, Peers: net, Clock: time.Now, Logs: logr.Discard(),
+			Revision: func() int64 { return followers[i].State().Revision },
+			Newer: func(r int64) {
+				if push {
+					followers[i].Wake(r)
+				}
+			},
+		})
+		net.mu.Lock()
+		net.nodes[self.Peer] = keeper
+		net.mu.Unlock()
+		group.Go(func() { keeper.Run(ctx) })
+		group.Go(func() { followers[i].Run(ctx) })
+	}
+	time.Sleep(4 * time.Second) // all have met
+	reads, began := table.reads.Load(), time.Now()
+	var total, worst time.Duration
+	rounds := 0
+	for time.Since(began) < 5*time.Second {
+		rounds++
+		state := followers[0].State()
+		t := time.Now()
+		c, err := log.Append(ctx, state.Revision, gauge.Change{Records: []gauge.Record{{Kind: gauge.RecordTeam, Name: "t", Team: &gauge.Team{Quota: rounds}}}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		followers[0].Wake(c.Revision)
+		for i := 0; i < n; {
+			if followers[i].State().Revision >= c.Revision {
+				i++
+				continue
+			}
+			time.Sleep(200 * time.Microsecond)
+		}
+		took := time.Since(t)
+		total += took
+		worst = max(worst, took)
+		time.Sleep(100 * time.Millisecond)
+	}
+	b.ReportMetric(float64(total.Microseconds())/1000/float64(rounds), "mean-ms")
+	b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
+	b.ReportMetric(float64(table.reads.Load()-reads)/time.Since(began).Seconds(), "reads/s")
+	b.ReportMetric(float64(rounds)/time.Since(began).Seconds(), "changes/s")
+	cancel()
+	group.Wait()
+}
