--- /dev/null
+++ b/internal/exch/exch_test.go
@@ -0,0 +1,188 @@
+package exch_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"sapphiregauge/internal/exch"
+)
+
+// server answers each connection with a function that gets the n-th request's
+// body and the connection.
+func server(t *testing.T, answer func(n int64, body string, c net.Conn)) (addr string, conns *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var count, requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			count.Add(1)
+			go func() {
+				br := bufio.NewReader(c)
+				for {
+					req := new(fasthttp.Request)
+					if req.Read(br) != nil {
+						_ = c.Close()
+						return
+					}
+					answer(requests.Add(1), string(req.Body()), c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), &count
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func do(ctx context.Context, p *exch.Pool, addr, body string, fresh bool) (string, bool, error) {
+	req, resp := new(fasthttp.Request), new(fasthttp.Response)
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + addr + "/")
+	req.SetBodyString(body)
+	sent, err := p.Do(ctx, addr, req, resp, fresh)
+	return string(resp.Body()), sent, err
+}
+
+// Symptom: a caller gets the answer to another caller's request.
+// Sequence: a request is given up on; its answer comes late; the next request
+// goes to the same worker.
+// Cause: a connection, or a buffer, that is used again although an answer on it
+// is still to come.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	got, late := make(chan struct{}), make(chan struct{})
+	addr, _ := server(t, func(n int64, body string, c net.Conn) {
+		if n == 1 {
+			close(got)
+			<-late
+		}
+		_, _ = c.Write([]byte(ok(body)))
+	})
+	p := exch.New(exch.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	first := make(chan error)
+	go func() {
+		_, sent, err := do(ctx, p, addr, "first", false)
+		assert.Check(t, sent)
+		first <- err
+	}()
+	<-got
+	cancel()
+	assert.Assert(t, <-first != nil)
+	close(late)
+	for i := range 20 {
+		want := fmt.Sprint("other ", i)
+		answer, _, err := do(context.Background(), p, addr, want, false)
+		assert.NilError(t, err)
+		assert.Equal(t, answer, want)
+	}
+}
+
+// Symptom: every caller gets the answer to the request before.
+// Sequence: a worker sends one answer too many.
+// Cause: a connection that is used again with bytes on it that nobody asked for.
+func TestStrayAnswerReachesNobody(t *testing.T) {
+	addr, _ := server(t, func(n int64, body string, c net.Conn) {
+		text := ok(body)
+		if n == 1 {
+			text += ok("stray")
+		}
+		_, _ = c.Write([]byte(text))
+	})
+	p := exch.New(exch.Config{})
+	for i := range 5 {
+		want := fmt.Sprint(i)
+		got, _, err := do(context.Background(), p, addr, want, false)
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+}
+
+// An answer that is cut short or too long is an error, and none of it is used.
+func TestHalfAnswersAreErrors(t *testing.T) {
+	for _, tt := range []struct{ name, answer string }{
+		{"cut in the head", "HTTP/1.1 200 OK\r\nConte"},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"},
+		{"cut between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+		{"too long", ok(strings.Repeat("x", 2000))},
+		{"no HTTP", "hello\r\n\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			addr, _ := server(t, func(_ int64, _ string, c net.Conn) {
+				_, _ = c.Write([]byte(tt.answer))
+				_ = c.Close()
+			})
+			p := exch.New(exch.Config{Answer: 1000})
+			_, sent, err := do(context.Background(), p, addr, "x", false)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, sent)
+		})
+	}
+}
+
+// Symptom: a print job comes out twice.
+// Sequence: the worker closes the connection after it has read the request.
+// Cause: a client library that repeats by itself.
+func TestNothingIsRepeated(t *testing.T) {
+	var requests atomic.Int64
+	addr, _ := server(t, func(_ int64, _ string, c net.Conn) {
+		requests.Add(1)
+		_ = c.Close()
+	})
+	p := exch.New(exch.Config{})
+	_, sent, err := do(context.Background(), p, addr, "x", true)
+	assert.Assert(t, err != nil && sent)
+	assert.Equal(t, requests.Load(), int64(1))
+}
+
+// Resting connections are used again, but not one that the other end closed,
+// and not for a fresh exchange.
+func TestRestingConnections(t *testing.T) {
+	closed := make(chan struct{})
+	addr, conns := server(t, func(n int64, body string, c net.Conn) {
+		_, _ = c.Write([]byte(ok(body)))
+		if n == 2 {
+			_ = c.Close()
+			close(closed)
+		}
+	})
+	p := exch.New(exch.Config{})
+	for i, want := range []int64{1, 1, 2, 2} {
+		_, _, err := do(context.Background(), p, addr, "x", false)
+		assert.NilError(t, err)
+		assert.Equal(t, conns.Load(), want, "after exchange %d", i+1)
+		if i == 1 {
+			<-closed
+		}
+	}
+	_, _, err := do(context.Background(), p, addr, "x", true)
+	assert.NilError(t, err)
+	assert.Equal(t, conns.Load(), int64(3))
+}
+
+// A worker that can't be reached is told apart from one that did not answer.
+func TestUnsentIsKnown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	_ = l.Close()
+	p := exch.New(exch.Config{})
+	_, sent, err := do(context.Background(), p, addr, "x", false)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !sent)
+}
