Report burn and promises, drive and watch waves; repeats ask for other hosts

Cause: walking through the README by hand, eight requests that a worker fails took a minute each. A repeat may not go to the host it failed on; the entry held idle slots of that host alone, so it asked for no others, and the repeat waited until its deadline, with all that came after it behind it.

Ruled out: the budget of repeats (it was full), ejection (no host was out).

Change: a waiting repeat that can't use idle slots steps aside and is counted as wanting more; a request that was tried on every host of its pool ends at once. Commands wave, watch and report (text, JSON, a page with plots), summed over the live entries.

--- a/cmd/sapphiregauge/get.go
+++ b/cmd/sapphiregauge/get.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strconv"
@@ -51,8 +52,8 @@
 }
 
 // show prints lines of fields as a table; the first line is the head.
-func show(lines ...[]string) error {
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+func show(out io.Writer, lines ...[]string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, l := range lines {
 		if _, err := fmt.Fprintln(w, strings.Join(l, "\t")); err != nil {
 			return err
@@ -72,7 +73,7 @@
 	for _, r := range b.Records {
 		lines = append(lines, []string{r.ID().String(), strconv.Itoa(r.Schema), strconv.FormatInt(r.Revision, 10)})
 	}
-	return show(lines...)
+	return show(os.Stdout, lines...)
 }
 
 func getHosts(ctx context.Context, cl *client.Client) error {
@@ -88,7 +89,7 @@
 			h.ID, h.Zone, h.Rack, h.Pool, string(h.State), string(h.Goal), h.Wave, strconv.FormatBool(h.Done),
 		})
 	}
-	return show(lines...)
+	return show(os.Stdout, lines...)
 }
 
 func getPools(ctx context.Context, cl *client.Client) error {
@@ -105,7 +106,7 @@
 		}
 		lines = append(lines, line)
 	}
-	return show(lines...)
+	return show(os.Stdout, lines...)
 }
 
 func getEntries(ctx context.Context, cl *client.Client) error {
@@ -118,5 +119,5 @@
 		lines = append(lines, []string{id, strconv.FormatInt(r, 10)})
 	}
 	slices.SortFunc(lines[1:], func(x, y []string) int { return strings.Compare(x[0], y[0]) })
-	return show(lines...)
+	return show(os.Stdout, lines...)
 }
--- a/cmd/sapphiregauge/main.go
+++ b/cmd/sapphiregauge/main.go
@@ -63,7 +63,8 @@
 
 func all() []*command {
 	return []*command{
-		newEntry(), newLocal(), newCheck(), newApply(), newGet(), newKey(), newDocs(),
+		newEntry(), newLocal(), newCheck(), newApply(), newGet(), newWave(),
+		newWatch(), newReport(), newKey(), newDocs(),
 	}
 }
 
--- /dev/null
+++ b/cmd/sapphiregauge/report.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/burn"
+	"sapphiregauge/internal/chart"
+	"sapphiregauge/internal/holds"
+	"sapphiregauge/pkg/client"
+)
+
+const usageReport = `Report how the promises were kept, over all live entries.
+
+WHAT is burn (how fast each service uses up its error budget, over 5 and 30
+minutes, 1 and 6 hours) or promises (for each promise whether a breach was seen,
+when, and what it rests on). What entries counted is gone when they are
+replaced. --format is text, json or, for burn, html with plots; --out names a
+file to write.`
+
+func newReport() *command {
+	t := newTarget()
+	what, format, out := "", "text", ""
+	c := &command{sub: sub("report", usageReport), settings: t.list()}
+	c.sub.AddPositionalValue(&what, "WHAT", 1, true, "burn or promises")
+	c.sub.String(&format, "", "format", "text, json or html")
+	c.sub.String(&out, "", "out", "file to write; missing: the terminal")
+	c.run = func(ctx context.Context) error { return runReport(ctx, t, what, format, out) }
+	return c
+}
+
+func runReport(ctx context.Context, t *target, what, format, out string) error {
+	cl := t.client()
+	defer cl.Close()
+	w := io.Writer(os.Stdout)
+	if out != "" {
+		f, err := os.Create(out) //nolint:gosec // the operator names the file to write
+		if err != nil {
+			return eris.Wrap(err, "report: --out")
+		}
+		defer func() { _ = f.Close() }()
+		w = f
+	}
+	switch what {
+	case "burn":
+		return reportBurn(ctx, cl, w, format)
+	case "promises":
+		return reportPromises(ctx, cl, w, format)
+	}
+	return gauge.Fail(gauge.KindInvalid, "WHAT: %q is neither burn nor promises", what)
+}
+
+func reportBurn(ctx context.Context, cl *client.Client, w io.Writer, format string) error {
+	var lines []burn.Line
+	if err := cl.Get(ctx, "/reports/burn", &lines); err != nil {
+		return err
+	}
+	switch format {
+	case "json":
+		return json.NewEncoder(w).Encode(lines)
+	case "html":
+		return burnPage(w, lines)
+	case "text":
+	default:
+		return gauge.Fail(gauge.KindInvalid, "--format: %q is none of text, json, html", format)
+	}
+	table := [][]string{{"SERVICE", "POOL", "OBJECTIVE", "5m", "30m", "1h", "6h", "ALERT"}}
+	for _, l := range lines {
+		table = append(table, []string{
+			l.Service, l.Pool, strconv.FormatFloat(l.Objective, 'g', -1, 64),
+			rate(l.Rate5m), rate(l.Rate30m), rate(l.Rate1h), rate(l.Rate6h), string(l.Alert),
+		})
+	}
+	return show(w, table...)
+}
+
+func rate(r float64) string { return strconv.FormatFloat(r, 'f', 2, 64) }
+
+//go:embed report.html
+var burnTemplate string
+
+// burnPage writes the report as a page of its own, without anything to load.
+func burnPage(w io.Writer, lines []burn.Line) error {
+	type row struct {
+		burn.Line
+		Plot template.HTML
+	}
+	var rows []row
+	for _, l := range lines {
+		svg, err := chart.Burn(l)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, row{l, template.HTML(svg)}) //nolint:gosec // drawn here from numbers and a checked name
+	}
+	t, err := template.New("burn").Funcs(template.FuncMap{"rate": rate}).Parse(burnTemplate)
+	if err != nil {
+		return eris.Wrap(err, "report: page")
+	}
+	return t.Execute(w, rows)
+}
+
+func reportPromises(ctx context.Context, cl *client.Client, w io.Writer, format string) error {
+	var lines []holds.Line
+	if err := cl.Get(ctx, "/reports/promises", &lines); err != nil {
+		return err
+	}
+	if format == "json" {
+		return json.NewEncoder(w).Encode(lines)
+	}
+	if format != "text" {
+		return gauge.Fail(gauge.KindInvalid, "--format: %q is neither text nor json", format)
+	}
+	table := [][]string{{"PROMISE", "HELD", "LOOKED AT", "LAST BREACH", "EVIDENCE"}}
+	for _, l := range lines {
+		table = append(table, []string{string(l.Promise), held(l), strconv.FormatInt(l.Checks, 10), last(l), l.Evidence})
+	}
+	return show(w, table...)
+}
+
+func held(l holds.Line) string {
+	switch {
+	case l.Checks == 0:
+		return "not seen"
+	case l.Breaches == 0:
+		return "yes"
+	default:
+		return fmt.Sprintf("no, %d times", l.Breaches)
+	}
+}
+
+func last(l holds.Line) string {
+	if l.Last.IsZero() {
+		return "-"
+	}
+	return l.Last.UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,66 @@
+package burn_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/burn"
+)
+
+func state(objective float64) gauge.State {
+	return gauge.State{Records: map[gauge.RecordID]gauge.Record{
+		{Kind: gauge.RecordPool, Name: "p"}:    {Pool: &gauge.Pool{Objective: objective}},
+		{Kind: gauge.RecordService, Name: "s"}: {Service: &gauge.Service{Pool: "p"}},
+	}}
+}
+
+// A tenth of all answers is bad for the last ten minutes of a quiet six hours:
+// the short windows burn at 100 times the budget, the long ones at less.
+func TestRatesOverWindows(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := burn.New(func() time.Time { return now })
+	for minute := range burn.Minutes {
+		for i := range 100 {
+			var err error
+			if minute >= burn.Minutes-10 && i < 10 {
+				err = gauge.Fail(gauge.KindUnknown, "x")
+			}
+			b.Note("s", err)
+		}
+		b.Note("s", gauge.Fail(gauge.KindInvalid, "the caller's fault"))
+		now = now.Add(time.Minute)
+	}
+	now = now.Add(-time.Minute)
+	l := burn.Report(state(0.999), b.Series())[0]
+	near := func(got, want float64) {
+		t.Helper()
+		assert.Assert(t, got > want*0.99 && got < want*1.01, "%v, not %v", got, want)
+	}
+	near(l.Rate5m, 100)
+	near(l.Rate30m, 100.0/3)
+	near(l.Rate1h, 100.0/6)
+	near(l.Rate6h, 100.0/36)
+	assert.Equal(t, l.Alert, burn.AlertPage)
+}
+
+// Counts that are older than the window are forgotten, also if nothing came
+// meanwhile, and entries add up although their clocks differ by a minute.
+func TestOldCountsAndSums(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := burn.New(func() time.Time { return now })
+	b.Note("s", errors.New("a defect"))
+	now = now.Add(7 * time.Hour)
+	b.Note("s", nil)
+	first := b.Series()
+	assert.Equal(t, first[0].Rate(burn.Minutes, 0.9), 0.0)
+	later := burn.New(func() time.Time { return now.Add(time.Minute) })
+	later.Note("s", gauge.Fail(gauge.KindFull, "x"))
+	sum := burn.Sum(first, later.Series())
+	last := len(sum[0].Counts) - 1
+	assert.Equal(t, sum[0].Counts[last], burn.Count{Bad: 1})
+	assert.Equal(t, sum[0].Counts[last-1], burn.Count{Good: 1})
+}
--- /dev/null
+++ b/internal/chart/chart.go
@@ -0,0 +1,62 @@
+// Package chart draws a service's answers over the last hours as an SVG.
+package chart
+
+import (
+	"bytes"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/burn"
+)
+
+const (
+	width  = 18 * vg.Centimeter
+	height = 6 * vg.Centimeter
+	// smoothed is over how many minutes the burn rate is drawn.
+	smoothed = 5
+)
+
+// Burn draws the burn rate of one service, smoothed over five minutes, with the
+// rates over which alerts are raised.
+func Burn(l burn.Line) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = l.Service
+	p.Y.Label.Text = "burn rate"
+	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04", Time: func(t float64) time.Time { return time.Unix(int64(t), 0).UTC() }}
+	p.Y.Min = 0
+	line, err := plotter.NewLine(points(l))
+	if err != nil {
+		return nil, gauge.Fail(gauge.KindInternal, "chart.Burn").Because(err)
+	}
+	p.Add(plotter.NewGrid(), line)
+	for _, rate := range []float64{burn.PageRate, burn.TicketRate} {
+		bound := plotter.NewFunction(func(float64) float64 { return rate })
+		bound.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
+		p.Add(bound)
+	}
+	p.Y.Max = max(p.Y.Max, burn.PageRate+1)
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return nil, gauge.Fail(gauge.KindInternal, "chart.Burn").Because(err)
+	}
+	return out.Bytes(), nil
+}
+
+func points(l burn.Line) plotter.XYs {
+	out := make(plotter.XYs, len(l.Counts))
+	first := l.Minute - int64(len(l.Counts)) + 1
+	for i := range l.Counts {
+		s := burn.Series{Counts: l.Counts[:i+1]}
+		out[i].X = float64((first + int64(i)) * 60)
+		out[i].Y = s.Rate(smoothed, l.Objective)
+	}
+	return out
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -36,6 +36,7 @@
 	ejects *eject.Ejector
 	budget *retry.Budget
 	hosts  int
+	picky  int // waiting repeats that can't use what is idle
 
 	renewed time.Time // when the last full ask was made
 }
@@ -118,6 +119,7 @@
 	if !ok {
 		return nil, gauge.Refuse(it.Earlier, gauge.KindFull, "no worker comes free in time", max(wait, leastAgain))
 	}
+	d.pump() // those before it may be repeats that can't use what is idle
 	return nil, nil
 }
 
@@ -147,19 +149,55 @@
 	return <-it.Ready
 }
 
-// pump gives idle slots to those that wait.
+// pump gives idle slots to those that wait. A repeat can't use slots of the
+// hosts that it was tried on: it steps aside for those behind it, and is counted,
+// so that slots of other hosts are asked for although some are idle. Without
+// that it would wait next to idle slots until its deadline.
 func (d *Desk) pump() {
 	now := d.conf.Clock()
+	d.picky = 0
 	for _, c := range []gauge.Class{gauge.ClassQuick, gauge.ClassLong} {
+		var aside []*queue.Item
 		for it := d.queue.Next(c); it != nil; it = d.queue.Next(c) {
 			p, ok := d.take(now, it)
-			if !ok {
+			if !ok && len(it.Earlier) == 0 {
 				break
 			}
 			d.queue.Remove(it)
-			it.Ready <- p
+			if ok {
+				it.Ready <- p
+				continue
+			}
+			aside = append(aside, it)
+		}
+		for _, it := range aside {
+			d.queue.Return(it)
 		}
+		d.picky += len(aside)
+	}
+}
+
+// waiting is how many requests wait for slots of each class. For those that
+// can't use the idle ones, as many more are wanted.
+func (d *Desk) waiting() (quick, long int) {
+	quick, long = d.queue.Len(gauge.ClassQuick), d.queue.Len(gauge.ClassLong)
+	if d.picky == 0 {
+		return quick, long
+	}
+	if quick > 0 {
+		quick += d.slots.Idle(gauge.ClassQuick)
 	}
+	if long > 0 {
+		long += d.slots.Idle(gauge.ClassLong)
+	}
+	return quick, long
+}
+
+// Untried tells whether there is a host that a request was not tried on.
+func (d *Desk) Untried(tried gauge.Attempts) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return tried.Hosts() < d.hosts
 }
 
 // Release gives a place back and passes it on, here or, while slots are scarce,
@@ -213,7 +251,7 @@
 func (d *Desk) Renew() (slots.Ask, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	quick, long := d.queue.Len(gauge.ClassQuick), d.queue.Len(gauge.ClassLong)
+	quick, long := d.waiting()
 	if d.slots.Idles() && quick+long == 0 {
 		return slots.Ask{}, false
 	}
@@ -230,7 +268,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.conf.Clock()
-	quick, long := d.queue.Len(gauge.ClassQuick), d.queue.Len(gauge.ClassLong)
+	quick, long := d.waiting()
 	if a, ok := d.slots.Change(now, quick, long); ok {
 		return a, true
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
@@ -15,9 +16,11 @@
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/apply"
 	"sapphiregauge/internal/broker"
+	"sapphiregauge/internal/burn"
 	"sapphiregauge/internal/claim"
 	"sapphiregauge/internal/ctrl"
 	"sapphiregauge/internal/follow"
+	"sapphiregauge/internal/holds"
 	"sapphiregauge/internal/lease"
 	"sapphiregauge/internal/member"
 	"sapphiregauge/internal/mesh"
@@ -68,9 +71,12 @@
 	orphan *orphan.Finder
 	ctrl   *ctrl.Controller
 	meter  *meter.Meter
+	burn   *burn.Book
+	holds  *holds.Book
 	log    *revlog.Log
 	app    *fiber.App
 
+	filled   map[string]bool // pools that have had what they were promised; of watch alone
 	draining atomic.Bool
 	sighted  atomic.Pointer[sighted]
 }
@@ -87,7 +93,10 @@
 func New(c Config) *Entry {
 	c.Self.HTTP = c.HTTP.Addr().String()
 	c.Self.Peer = c.Peer.Addr().String()
-	e := &Entry{conf: c, meter: meter.New(), log: revlog.New(c.Table)}
+	e := &Entry{
+		conf: c, meter: meter.New(), log: revlog.New(c.Table),
+		burn: burn.New(c.Clock), holds: holds.New(c.Clock), filled: make(map[string]bool),
+	}
 	e.sighted.Store(&sighted{})
 	e.mesh = mesh.New(mesh.Config{Key: c.PeerKey, Limit: frameLimit})
 	e.follow = follow.New(follow.Config{
@@ -107,7 +116,7 @@
 	e.sender = send.New(send.Config{Answer: answerLimit, Clock: c.Clock})
 	e.path = serve.New(serve.Config{
 		Clock: c.Clock, Logs: c.Logs.WithName("serve"), State: e.follow.State, Desk: e.broker.Desk,
-		Send: e.sender, Claims: e.claims, Meter: e.meter, Lives: e.lives,
+		Send: e.sender, Claims: e.claims, Meter: e.meter, Burn: e.burn, Holds: e.holds, Lives: e.lives,
 	})
 	e.apply = apply.New(apply.Config{Log: e.log, State: e.follow.State, Decoder: schema.New()})
 	e.orphan = orphan.New(orphan.Config{
@@ -125,6 +134,7 @@
 	e.mesh.Handle(broker.MethodAsk, e.broker.HandleAsk)
 	e.mesh.Handle(broker.MethodGrant, e.broker.HandleGrant)
 	e.mesh.Handle(stateMethod, e.handState)
+	e.mesh.Handle(reportMethod, e.handReport)
 	e.routes()
 	return e
 }
@@ -135,10 +145,16 @@
 
 func (e *Entry) revision() int64 { return e.follow.State().Revision }
 
+// forceLimit is within how long a change is to be in force everywhere.
+const forceLimit = 5 * time.Second
+
 // adopted is called with each new state in force, in order.
-func (e *Entry) adopted(s gauge.State) {
+func (e *Entry) adopted(s gauge.State, behind time.Duration) {
 	e.broker.Adopt(s)
 	e.meter.Set("", "revision", float64(s.Revision))
+	evidence := fmt.Sprintf("revision %d in force here at most %s after its acceptance", s.Revision, behind.Round(time.Millisecond))
+	e.holds.Note(holds.InForce, behind <= forceLimit, evidence)
+	e.holds.Note(holds.Leaving, behind <= forceLimit, evidence)
 	// The word goes on from each entry that adopts, so that it also reaches
 	// those that the accepting entry has no link to.
 	go e.member.Tell(context.Background())
@@ -189,7 +205,9 @@
 	time.Sleep(e.conf.Drain)
 	ctx, cancel := context.WithTimeout(context.Background(), e.conf.Stop)
 	defer cancel()
-	if err := e.path.Drain(ctx); err != nil {
+	err := e.path.Drain(ctx)
+	e.holds.Note(holds.Graceful, err == nil, "shutdown")
+	if err != nil {
 		e.conf.Logs.Error(err, "stopped before all requests were done")
 	}
 	if err := e.app.ShutdownWithContext(ctx); err != nil {
@@ -235,6 +253,7 @@
 		e.meter.Set(c.Pool, "hosts_serving", float64(c.Hosts))
 		e.meter.Set(c.Pool, "hosts_ejected", float64(c.Ejected))
 	}
+	e.look()
 	e.meter.Set("", "peer_bytes", float64(e.mesh.Bytes()))
 	commits, writes := e.claims.Counts()
 	e.meter.Set("", "claim_commits", float64(commits))
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,8 +25,10 @@
 	// Ask fetches the newest state that any live peer holds; used only while
 	// the table does not answer.
 	Ask func(ctx context.Context) (gauge.State, error)
-	// Adopted is called after each step forward, one call at a time.
-	Adopted func(gauge.State)
+	// Adopted is called after each step forward, one call at a time. Behind is
+	// how long the state may have been in force elsewhere before: the time since
+	// it was last confirmed that there is no newer one; 0 for the first.
+	Adopted func(s gauge.State, behind time.Duration)
 }
 
 const defaultEvery = time.Second
@@ -103,8 +105,13 @@
 	if err != nil {
 		return err
 	}
+	before := f.proved
 	f.proved = f.conf.Clock()
-	f.adopt(next)
+	behind := f.proved.Sub(before)
+	if before.IsZero() {
+		behind = 0
+	}
+	f.adopt(next, behind)
 	return nil
 }
 
@@ -123,7 +130,7 @@
 // adopt takes a state only if it is newer: an older one comes from a table
 // restored from a copy or from a peer that is behind, and would undo what is
 // in force.
-func (f *Follower) adopt(next gauge.State) {
+func (f *Follower) adopt(next gauge.State, behind time.Duration) {
 	if next.Revision <= f.State().Revision {
 		return
 	}
@@ -131,6 +138,6 @@
 	f.since = f.conf.Clock()
 	f.conf.Logs.Info("configuration in force", "revision", next.Revision)
 	if f.conf.Adopted != nil {
-		f.conf.Adopted(next)
+		f.conf.Adopted(next, behind)
 	}
 }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -137,6 +137,13 @@
 // Used returns the slots in use.
 func (h *Holder) Used() int { return h.used }
 
+// Idle returns the slots of a class that are leased and not in use, on hosts
+// that may be given work.
+func (h *Holder) Idle(c gauge.Class) int {
+	_, idle := h.count(c)
+	return idle
+}
+
 // Held returns the slots leased.
 func (h *Holder) Held() int {
 	n := 0
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -4,13 +4,16 @@
 package query
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/gofiber/fiber/v3"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/burn"
 	"sapphiregauge/internal/desk"
 	"sapphiregauge/internal/front"
+	"sapphiregauge/internal/holds"
 )
 
 // Config sets up Queries.
@@ -18,6 +21,20 @@
 	State   func() gauge.State
 	Entries func() map[string]int64 // revision in force by live entry
 	Counts  func() []desk.Counts
+	Burn    func(ctx context.Context) []burn.Line
+	Holds   func(ctx context.Context) []holds.Line
+	Waves   func() []Wave
+}
+
+// Wave is how far a wave is in one pool.
+type Wave struct {
+	Name   string `json:"name"`
+	Pool   string `json:"pool"`
+	Hosts  int    `json:"hosts"`
+	Done   int    `json:"done"`
+	Out    int    `json:"out"` // leaving or rebooting
+	Failed int    `json:"failed"`
+	Waits  string `json:"waits,omitempty"` // why it does not go on, as far as the asked entry knows
 }
 
 // Queries answers questions.
@@ -35,6 +52,9 @@
 	r.Get("/hosts", q.hosts)
 	r.Get("/entries", q.entries)
 	r.Get("/pools", q.pools)
+	r.Get("/waves", func(c fiber.Ctx) error { return c.JSON(q.conf.Waves()) })
+	r.Get("/reports/burn", func(c fiber.Ctx) error { return c.JSON(q.conf.Burn(c.Context())) })
+	r.Get("/reports/promises", func(c fiber.Ctx) error { return c.JSON(q.conf.Holds(c.Context())) })
 }
 
 type recordsBody struct {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -72,6 +72,9 @@
 	return wait, true
 }
 
+// Return puts back a request that was taken out but got no place.
+func (q *Queue) Return(it *Item) { heap.Push(q.lane(it.Class), it) }
+
 // Next returns the request of a class whose turn it is, without taking it out;
 // nil if none waits.
 func (q *Queue) Next(c gauge.Class) *Item {
--- a/internal/serve/async.go
+++ b/internal/serve/async.go
@@ -68,7 +68,7 @@
 		return
 	}
 	resp, _, err := p.run(ctx, t)
-	p.conf.Meter.Request(t.req.Service, t.req.Class, p.conf.Clock().Sub(t.began), err)
+	p.ended(t, err)
 	store, stop := context.WithTimeout(context.Background(), storeFor)
 	defer stop()
 	if err := p.conf.Claims.Finish(store, moved, outcomeOf(resp, err)); err != nil {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/holds"
 )
 
 // quotaWait is how long a request may wait for its team's quota to be lent
@@ -66,6 +67,9 @@
 		p.sizeMu.Unlock()
 	}
 	p.conf.Meter.Attempt(t.svc.Pool, err)
+	if err == nil {
+		p.conf.Holds.Note(holds.Whole, true, "the last answer was whole and bore its request's id")
+	}
 	if judged, failed := verdict(a, err); judged && t.desk.Outcome(place.Target.Host, failed) {
 		p.conf.Meter.Ejected(t.svc.Pool)
 		p.conf.Logs.Info("worker ejected", "target", place.Target.Host, "pool", t.svc.Pool)
@@ -97,7 +101,7 @@
 	if tried.MayHaveRun() && !t.req.Repeatable {
 		return final(tried, err)
 	}
-	if len(tried) >= t.svc.Tries {
+	if len(tried) >= t.svc.Tries || !t.desk.Untried(tried) {
 		return exhausted(tried, err)
 	}
 	pause, ok := t.desk.Repeat(len(tried))
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -11,8 +11,10 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/broker"
+	"sapphiregauge/internal/burn"
 	"sapphiregauge/internal/claim"
 	"sapphiregauge/internal/desk"
+	"sapphiregauge/internal/holds"
 	"sapphiregauge/internal/meter"
 	"sapphiregauge/internal/sizer"
 )
@@ -26,6 +28,8 @@
 	Send   gauge.Dispatcher
 	Claims *claim.Claims
 	Meter  *meter.Meter
+	Burn   *burn.Book
+	Holds  *holds.Book
 	// Lives tells whether an entry (id/run) may still be running requests.
 	Lives func(entry string) bool
 }
@@ -99,10 +103,19 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	resp, err := p.once(ctx, t)
-	p.conf.Meter.Request(r.Service, r.Class, p.conf.Clock().Sub(t.began), err)
+	p.ended(t, err)
 	return resp, err
 }
 
+// ended counts a request's final answer.
+func (p *Path) ended(t *task, err error) {
+	p.conf.Meter.Request(t.req.Service, t.req.Class, p.conf.Clock().Sub(t.began), err)
+	p.conf.Burn.Note(t.req.Service, err)
+	if err != nil && gauge.AsError(err).Ran() == gauge.RanNo {
+		p.conf.Holds.Note(holds.NotRun, true, "the last refusal ("+string(gauge.KindOf(err))+") was of a request of which no byte was accepted")
+	}
+}
+
 // admit checks the request against what is in force.
 func (p *Path) admit(r *gauge.Request) (*task, error) {
 	s := p.conf.State()
@@ -159,6 +172,7 @@
 func (p *Path) claim(ctx context.Context, key gauge.ClaimKey, state gauge.ClaimState, r *gauge.Request, a *gauge.Accepted) (claim.Held, bool, error) {
 	held, mine, err := p.conf.Claims.Claim(ctx, key, state, hashOf(r), a)
 	if err == nil {
+		p.conf.Holds.Note(holds.Once, true, "the last claim was confirmed before anything was sent")
 		return held, mine, nil
 	}
 	if held.Claim.Token != "" {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -14,9 +14,11 @@
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/burn"
 	"sapphiregauge/internal/claim"
 	"sapphiregauge/internal/desk"
 	"sapphiregauge/internal/flaky"
+	"sapphiregauge/internal/holds"
 	"sapphiregauge/internal/memdb"
 	"sapphiregauge/internal/meter"
 	"sapphiregauge/internal/serve"
@@ -175,6 +177,7 @@
 		Send:   g.worker,
 		Claims: claim.New(claim.Config{Entry: name, Table: table, Objects: g.db, Clock: time.Now}),
 		Meter:  meter.New(), Lives: g.lives,
+		Burn: burn.New(time.Now), Holds: holds.New(time.Now),
 	})
 }
 
--- a/test/size/size_test.go
+++ b/test/size/size_test.go
@@ -314,7 +314,7 @@
 		var keeper *member.Keeper
 		followers[i] = follow.New(follow.Config{
 			Log: revlog.New(table), Clock: time.Now, Logs: logr.Discard(),
-			Adopted: func(gauge.State) {
+			Adopted: func(gauge.State, time.Duration) {
 				if push {
 					go keeper.Tell(ctx)
 				}
