Name jobs that can never run; give up on unacknowledged data; one way for

defaults and rounds

Change: packages fill, ticks and place; TCP_USER_TIMEOUT and closer keepalive towards workers and platform; a test of the rule by which quick work is no longer believed.

Measured: go test ./... passes. Not measured: dropped packets.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -14,6 +14,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/desk"
+	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/frame"
 	"sapphiregauge/internal/member"
 	"sapphiregauge/internal/peers"
@@ -88,12 +89,8 @@
 
 // New makes a Broker without desks.
 func New(c Config) *Broker {
-	if c.Term == 0 {
-		c.Term = defaultTerm
-	}
-	if c.Round == 0 {
-		c.Round = defaultRound
-	}
+	fill.Zero(&c.Term, defaultTerm)
+	fill.Zero(&c.Round, defaultRound)
 	return &Broker{
 		conf: c, kick: make(chan struct{}, 1),
 		desks: make(map[string]*desk.Desk), owners: make(map[string]*owner),
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 )
 
 // Config sets up Claims.
@@ -47,12 +48,8 @@
 
 // New makes Claims.
 func New(c Config) *Claims {
-	if c.Timeout == 0 {
-		c.Timeout = defaultTimeout
-	}
-	if c.Inline == 0 {
-		c.Inline = defaultInline
-	}
+	fill.Zero(&c.Timeout, defaultTimeout)
+	fill.Zero(&c.Inline, defaultInline)
 	return &Claims{conf: c, group: &group{table: c.Table, timeout: c.Timeout}}
 }
 
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -14,9 +14,11 @@
 	"github.com/go-logr/logr"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/lease"
 	"sapphiregauge/internal/plan"
 	"sapphiregauge/internal/revlog"
+	"sapphiregauge/internal/ticks"
 )
 
 // Config sets up a Controller.
@@ -73,12 +75,8 @@
 
 // New makes a Controller.
 func New(c Config) *Controller {
-	if c.Every == 0 {
-		c.Every = defaultEvery
-	}
-	if c.Patience == 0 {
-		c.Patience = defaultPatience
-	}
+	fill.Zero(&c.Every, defaultEvery)
+	fill.Zero(&c.Patience, defaultPatience)
 	return &Controller{
 		conf: c, held: make(map[string]gauge.Check), quit: make(map[string]moment),
 		failed: make(map[string]moment), waits: make(map[string][]plan.Wait),
@@ -86,18 +84,7 @@
 }
 
 // Run makes rounds until ctx ends.
-func (c *Controller) Run(ctx context.Context) {
-	tick := time.NewTicker(c.conf.Every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			c.Round(ctx)
-		}
-	}
-}
+func (c *Controller) Run(ctx context.Context) { ticks.Every(ctx, c.conf.Every, c.Round) }
 
 // Waits lists what the units of this entry wait for.
 func (c *Controller) Waits() []plan.Wait {
--- a/internal/eject/eject.go
+++ b/internal/eject/eject.go
@@ -4,7 +4,11 @@
 // output.
 package eject
 
-import "time"
+import (
+	"time"
+
+	"sapphiregauge/internal/fill"
+)
 
 // Config sets up an Ejector.
 type Config struct {
@@ -43,18 +47,10 @@
 
 // New makes an Ejector without judgements.
 func New(c Config) *Ejector {
-	if c.Least == 0 {
-		c.Least = defaultLeast
-	}
-	if c.Share == 0 {
-		c.Share = defaultShare
-	}
-	if c.First == 0 {
-		c.First = defaultFirst
-	}
-	if c.Most == 0 {
-		c.Most = defaultMost
-	}
+	fill.Zero(&c.Least, defaultLeast)
+	fill.Zero(&c.Share, defaultShare)
+	fill.Zero(&c.First, defaultFirst)
+	fill.Zero(&c.Most, defaultMost)
 	return &Ejector{conf: c, hosts: make(map[string]*score)}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,11 +26,13 @@
 	"sapphiregauge/internal/mesh"
 	"sapphiregauge/internal/meter"
 	"sapphiregauge/internal/orphan"
+	"sapphiregauge/internal/place"
 	"sapphiregauge/internal/plan"
 	"sapphiregauge/internal/revlog"
 	"sapphiregauge/internal/schema"
 	"sapphiregauge/internal/send"
 	"sapphiregauge/internal/serve"
+	"sapphiregauge/internal/ticks"
 )
 
 // Config sets up an Entry.
@@ -118,7 +120,7 @@
 		Clock: c.Clock, Logs: c.Logs.WithName("serve"), State: e.follow.State, Desk: e.broker.Desk,
 		Send: e.sender, Claims: e.claims, Meter: e.meter, Burn: e.burn, Holds: e.holds, Lives: e.lives,
 	})
-	e.apply = apply.New(apply.Config{Log: e.log, State: e.follow.State, Decoder: schema.New()})
+	e.apply = apply.New(apply.Config{Log: e.log, State: e.follow.State, Decoder: schema.New(), Notices: place.New().Never})
 	e.orphan = orphan.New(orphan.Config{
 		Logs: c.Logs.WithName("orphan"), Every: c.Row, Mine: func() bool { return e.mine("orphans") },
 		Entries: e.claims.Entries, Lives: e.lives, Takeover: e.path.Takeover, Sweep: e.sweep,
@@ -151,6 +153,9 @@
 // adopted is called with each new state in force, in order.
 func (e *Entry) adopted(s gauge.State, behind time.Duration) {
 	e.broker.Adopt(s)
+	for _, n := range place.New().Never(s) {
+		e.conf.Logs.V(1).Info(n)
+	}
 	e.meter.Set("", "revision", float64(s.Revision))
 	evidence := fmt.Sprintf("revision %d in force here at most %s after its acceptance", s.Revision, behind.Round(time.Millisecond))
 	e.holds.Note(holds.InForce, behind <= forceLimit, evidence)
@@ -223,24 +228,16 @@
 	e.conf.Logs.Info("entry stopped")
 }
 
-// watch reads the platform's host list.
-func (e *Entry) watch(ctx context.Context) {
-	tick := time.NewTicker(e.conf.Watch)
-	defer tick.Stop()
-	for {
-		asked := e.conf.Clock()
-		list, err := e.conf.Platform.List(ctx)
-		if err == nil {
-			e.sighted.Store(&sighted{list: list, at: asked})
-			e.broker.Seen(list)
-		}
-		e.measure()
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+// watch reads the platform's host list again and again.
+func (e *Entry) watch(ctx context.Context) { ticks.Every(ctx, e.conf.Watch, e.readList) }
+
+func (e *Entry) readList(ctx context.Context) {
+	asked := e.conf.Clock()
+	if list, err := e.conf.Platform.List(ctx); err == nil {
+		e.sighted.Store(&sighted{list: list, at: asked})
+		e.broker.Seen(list)
 	}
+	e.measure()
 }
 
 // measure sets the metrics that tell a state.
--- a/internal/exch/exch.go
+++ b/internal/exch/exch.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 )
 
 // Config sets up a Pool.
@@ -33,8 +34,8 @@
 	defaultIdle    = 20 * time.Second
 	defaultAnswer  = 1 << 20
 	defaultResting = 16
-	keepProbe      = 5 * time.Second
-	keepCount      = 3
+	keepProbe      = time.Second
+	keepCount      = 4
 	bufferSize     = 4 << 10
 )
 
@@ -55,18 +56,10 @@
 
 // New makes a Pool.
 func New(c Config) *Pool {
-	if c.Dial == 0 {
-		c.Dial = defaultDial
-	}
-	if c.Idle == 0 {
-		c.Idle = defaultIdle
-	}
-	if c.Answer == 0 {
-		c.Answer = defaultAnswer
-	}
-	if c.Resting == 0 {
-		c.Resting = defaultResting
-	}
+	fill.Zero(&c.Dial, defaultDial)
+	fill.Zero(&c.Idle, defaultIdle)
+	fill.Zero(&c.Answer, defaultAnswer)
+	fill.Zero(&c.Resting, defaultResting)
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
@@ -131,6 +124,7 @@
 	}
 	d := net.Dialer{
 		Timeout:         p.conf.Dial,
+		Control:         control,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepProbe, Interval: keepProbe, Count: keepCount},
 	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/revlog"
 )
 
@@ -46,9 +47,7 @@
 
 // New makes a Follower with nothing in force.
 func New(c Config) *Follower {
-	if c.Every == 0 {
-		c.Every = defaultEvery
-	}
+	fill.Zero(&c.Every, defaultEvery)
 	f := &Follower{conf: c, wake: make(chan struct{}, 1)}
 	f.state.Store(&gauge.State{})
 	return f
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,8 +13,10 @@
 	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/frame"
 	"sapphiregauge/internal/peers"
+	"sapphiregauge/internal/ticks"
 )
 
 // Config sets up a Keeper.
@@ -60,12 +62,8 @@
 
 // New makes a Keeper that knows this entry alone.
 func New(c Config) *Keeper {
-	if c.Beat == 0 {
-		c.Beat = defaultBeat
-	}
-	if c.Row == 0 {
-		c.Row = defaultRow
-	}
+	fill.Zero(&c.Beat, defaultBeat)
+	fill.Zero(&c.Row, defaultRow)
 	silence := 3 * c.Beat
 	return &Keeper{conf: c, own: c.Self, set: peers.New(peers.Config{Self: c.Self, Silence: silence, Term: 3 * c.Row})}
 }
@@ -74,21 +72,8 @@
 func (k *Keeper) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
-	group.Go(func() { every(ctx, k.conf.Row, k.rows) })
-	group.Go(func() { every(ctx, k.conf.Beat, k.beats) })
-}
-
-func every(ctx context.Context, d time.Duration, do func(context.Context)) {
-	tick := time.NewTicker(d)
-	defer tick.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
+	group.Go(func() { ticks.Every(ctx, k.conf.Row, k.rows) })
+	group.Go(func() { ticks.Every(ctx, k.conf.Beat, k.beats) })
 }
 
 // Join reads the rows and writes the own one once, so that the entry knows
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/frame"
 )
 
@@ -54,15 +55,9 @@
 
 // New makes a Node that handles nothing yet.
 func New(c Config) *Node {
-	if c.Limit == 0 {
-		c.Limit = defaultLimit
-	}
-	if c.Dial == 0 {
-		c.Dial = defaultDial
-	}
-	if c.Quiet == 0 {
-		c.Quiet = defaultQuiet
-	}
+	fill.Zero(&c.Limit, defaultLimit)
+	fill.Zero(&c.Dial, defaultDial)
+	fill.Zero(&c.Quiet, defaultQuiet)
 	return &Node{
 		conf: c, handlers: make(map[string]Handler),
 		links: make(map[string]*link), served: make(map[net.Conn]bool),
--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -9,6 +9,8 @@
 	"github.com/go-logr/logr"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
+	"sapphiregauge/internal/ticks"
 )
 
 // Config sets up a Finder.
@@ -36,25 +38,12 @@
 
 // New makes a Finder.
 func New(c Config) *Finder {
-	if c.Every == 0 {
-		c.Every = defaultEvery
-	}
+	fill.Zero(&c.Every, defaultEvery)
 	return &Finder{conf: c}
 }
 
 // Run looks until ctx ends.
-func (f *Finder) Run(ctx context.Context) {
-	tick := time.NewTicker(f.conf.Every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.Look(ctx)
-		}
-	}
-}
+func (f *Finder) Run(ctx context.Context) { ticks.Every(ctx, f.conf.Every, f.Look) }
 
 // Look looks once. Should two entries look at once, the claim's row decides
 // between them.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/fill"
 )
 
 // Config sets up a Set.
@@ -68,15 +69,9 @@
 
 // New makes a Set that knows this entry alone.
 func New(c Config) *Set {
-	if c.Silence == 0 {
-		c.Silence = defaultSilence
-	}
-	if c.Term == 0 {
-		c.Term = defaultTerm
-	}
-	if c.Mesh == 0 {
-		c.Mesh = defaultMesh
-	}
+	fill.Zero(&c.Silence, defaultSilence)
+	fill.Zero(&c.Term, defaultTerm)
+	fill.Zero(&c.Mesh, defaultMesh)
 	s := &Set{conf: c, known: make(map[string]*peer)}
 	s.view = s.hash(nil)
 	return s
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -14,6 +14,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/exch"
+	"sapphiregauge/internal/fill"
 )
 
 // Config sets up a Client.
@@ -37,9 +38,7 @@
 
 // New makes a Client.
 func New(c Config) *Client {
-	if c.Timeout == 0 {
-		c.Timeout = defaultTimeout
-	}
+	fill.Zero(&c.Timeout, defaultTimeout)
 	return &Client{conf: c, pool: exch.New(exch.Config{Answer: answerLimit, Clock: c.Clock})}
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -6,6 +6,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"sapphiregauge/internal/fill"
 )
 
 // Config sets up a Budget.
@@ -37,21 +39,11 @@
 // New makes a Budget that starts full: after a restart the first failures are
 // no storm yet.
 func New(c Config) *Budget {
-	if c.Earn == 0 {
-		c.Earn = defaultEarn
-	}
-	if c.Most == 0 {
-		c.Most = defaultMost
-	}
-	if c.Trickle == 0 {
-		c.Trickle = defaultTrickle
-	}
-	if c.First == 0 {
-		c.First = defaultFirst
-	}
-	if c.Last == 0 {
-		c.Last = defaultLast
-	}
+	fill.Zero(&c.Earn, defaultEarn)
+	fill.Zero(&c.Most, defaultMost)
+	fill.Zero(&c.Trickle, defaultTrickle)
+	fill.Zero(&c.First, defaultFirst)
+	fill.Zero(&c.Last, defaultLast)
 	return &Budget{conf: c, saved: c.Most, last: c.Start}
 }
 
--- /dev/null
+++ b/internal/sizer/sizer_test.go
@@ -0,0 +1,28 @@
+package sizer_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/sizer"
+)
+
+// Symptom: quick work waits although slots are kept for it.
+// Sequence: a team declares its overnight runs as quick.
+// Cause: believing what is declared.
+func TestWhoDeclaresWronglyIsCountedAsLong(t *testing.T) {
+	s := sizer.New()
+	for range 20 {
+		s.Ended("desk", "liar", true)
+		s.Ended("desk", "honest", false)
+	}
+	assert.Equal(t, s.Class("desk", "liar", gauge.ClassQuick), gauge.ClassLong)
+	assert.Equal(t, s.Class("desk", "honest", gauge.ClassQuick), gauge.ClassQuick)
+	assert.Equal(t, s.Class("other", "liar", gauge.ClassQuick), gauge.ClassQuick)
+	for range 20 {
+		s.Ended("desk", "liar", false)
+	}
+	assert.Equal(t, s.Class("desk", "liar", gauge.ClassQuick), gauge.ClassQuick, "believed again")
+}
--- a/job.go
+++ b/job.go
@@ -1,5 +1,7 @@
 package sapphiregauge
 
+import "sapphiregauge/internal/fill"
+
 // Job is work that a pool must carry: so many copies, each on one host.
 type Job struct {
 	Pool       string `json:"pool"`
@@ -11,7 +13,7 @@
 }
 
 // Defaults fills what an operator left out.
-func (j *Job) Defaults() { defaultTo(&j.Copies, 1) }
+func (j *Job) Defaults() { fill.Zero(&j.Copies, 1) }
 
 func (j *Job) validate(fs *Faults) {
 	if j.Pool == "" {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -15,6 +15,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/exch"
+	"sapphiregauge/internal/fill"
 )
 
 // Config sets up a Client.
@@ -35,9 +36,7 @@
 
 // New makes a Client.
 func New(c Config) *Client {
-	if c.Limit == 0 {
-		c.Limit = defaultLimit
-	}
+	fill.Zero(&c.Limit, defaultLimit)
 	return &Client{conf: c, pool: exch.New(exch.Config{Answer: c.Limit})}
 }
 
--- a/pool.go
+++ b/pool.go
@@ -1,5 +1,7 @@
 package sapphiregauge
 
+import "sapphiregauge/internal/fill"
+
 // Prefer says which measure a pool's operators weigh most.
 type Prefer string
 
@@ -49,11 +51,11 @@
 
 // Defaults fills what an operator left out.
 func (p *Pool) Defaults() {
-	defaultTo(&p.Reserve, defaultReserve)
-	defaultTo(&p.Floor, defaultFloor)
-	defaultTo(&p.Objective, defaultObjective)
-	defaultTo(&p.Prefer, PreferBuffer)
-	defaultTo(&p.Domain, DomainRack)
+	fill.Zero(&p.Reserve, defaultReserve)
+	fill.Zero(&p.Floor, defaultFloor)
+	fill.Zero(&p.Objective, defaultObjective)
+	fill.Zero(&p.Prefer, PreferBuffer)
+	fill.Zero(&p.Domain, DomainRack)
 }
 
 func (p *Pool) validate(fs *Faults) {
--- a/service.go
+++ b/service.go
@@ -1,6 +1,10 @@
 package sapphiregauge
 
-import "time"
+import (
+	"time"
+
+	"sapphiregauge/internal/fill"
+)
 
 // Service is what callers ask for. Its requests run on the hosts of one pool.
 type Service struct {
@@ -25,18 +29,11 @@
 
 // Defaults fills what an operator left out.
 func (s *Service) Defaults() {
-	defaultTo(&s.Quick, defaultQuick)
-	defaultTo(&s.Limit, defaultLimit)
-	defaultTo(&s.Queue, defaultQueue)
-	defaultTo(&s.Body, defaultBody)
-	defaultTo(&s.Tries, defaultTries)
-}
-
-func defaultTo[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	fill.Zero(&s.Quick, defaultQuick)
+	fill.Zero(&s.Limit, defaultLimit)
+	fill.Zero(&s.Queue, defaultQueue)
+	fill.Zero(&s.Body, defaultBody)
+	fill.Zero(&s.Tries, defaultTries)
 }
 
 func (s *Service) validate(fs *Faults) {
