--- a/test/whole/whole_test.go
+++ b/test/whole/whole_test.go
@@ -130,11 +130,7 @@
 		})
 	}
 	group.Wait()
-	runs := 0
-	for _, w := range s.workers {
-		runs += w.counts(t).Runs[key]
-	}
-	assert.Equal(t, runs, 1)
+	assert.Equal(t, s.runs(t, key), 1)
 }
 
 const wave = `
