End the requests of callers that leave

Cause: the HTTP library does not tell a handler that its caller has gone; the request kept its place and its worker until its deadline.

What may run only once goes on to its end, for its caller to come back. The look at resting connections towards workers is the same code now.

Measured: TestCallerThatLeavesEndsItsRequest passes with the race detector; the handler's context had no end before.

--- a/internal/exch/exch.go
+++ b/internal/exch/exch.go
@@ -18,6 +18,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/fill"
+	"sapphiregauge/internal/peek"
 )
 
 // Config sets up a Pool.
@@ -138,8 +139,11 @@
 	}, nil
 }
 
-// wake takes the connection that rested shortest; those over the bound are
-// closed, since tables between the two ends forget idle connections.
+// wake takes the connection that rested shortest. Those over the bound are
+// closed, since tables between the two ends forget idle connections; so are
+// those that the other end closed, or on which there are bytes that nobody asked
+// for. A close that arrives later is not seen, so the caller may rely on this
+// only for repeatable work.
 func (p *Pool) wake(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,7 +152,7 @@
 		c := cs[len(cs)-1]
 		cs = cs[:len(cs)-1]
 		p.idle[addr] = cs
-		if p.conf.Clock().Sub(c.rested) < p.conf.Idle && !c.closedByPeer() {
+		if p.conf.Clock().Sub(c.rested) < p.conf.Idle && peek.Look(c.Conn) == peek.Quiet {
 			return c
 		}
 		_ = c.Close()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,7 +63,15 @@
 	if r.Async {
 		return f.accept(c, r)
 	}
-	resp, err := f.conf.Serve(c.Context(), r)
+	ctx := c.Context()
+	if r.Repeatable {
+		// What may run only once runs to its end: its caller comes back for the
+		// answer with the same key.
+		there, cancel := whileThere(ctx, c.RequestCtx().Conn())
+		defer cancel()
+		ctx = there
+	}
+	resp, err := f.conf.Serve(ctx, r)
 	if err != nil {
 		return Problem(c, err)
 	}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,76 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/front"
+)
+
+func app(serve func(ctx context.Context, r *gauge.Request) (gauge.Response, error)) *fiber.App {
+	a := fiber.New(fiber.Config{Immutable: true})
+	front.New(front.Config{
+		Serve: serve, Clock: time.Now,
+		Accept: func(context.Context, *gauge.Request) (gauge.ClaimKey, error) { return gauge.ClaimKey{ID: "k"}, nil },
+		Lookup: func(context.Context, string, string) (gauge.Response, error) {
+			return gauge.Response{}, gauge.Fail(gauge.KindMissing, "x")
+		},
+	}).Register(a)
+	return a
+}
+
+// Symptom: workers are busy for callers that are long gone.
+// Sequence: a caller sends a request and closes its connection.
+// Cause: a handler that learns nothing of its connection.
+func TestCallerThatLeavesEndsItsRequest(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan error, 1)
+	a := app(func(ctx context.Context, _ *gauge.Request) (gauge.Response, error) {
+		close(began)
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return gauge.Response{}, gauge.Refuse(nil, gauge.KindCancelled, "left", 0)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = a.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	defer func() { _ = a.Shutdown() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "POST /v1/services/s HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+	assert.NilError(t, err)
+	<-began
+	assert.NilError(t, c.Close())
+	assert.Equal(t, <-ended, context.Canceled)
+}
+
+// Every fault of a request's headers is named, and nothing is served.
+func TestHeadersAreChecked(t *testing.T) {
+	a := app(func(context.Context, *gauge.Request) (gauge.Response, error) {
+		t.Error("served")
+		return gauge.Response{}, nil
+	})
+	req := httptest.NewRequest(http.MethodPost, "/v1/services/s", strings.NewReader("x"))
+	req.Header.Set("X-Class", "soon")
+	req.Header.Set("X-Repeatable", "maybe")
+	req.Header.Set("X-Timeout", "-1s")
+	resp, err := a.Test(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(bufio.NewReader(resp.Body))
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	assert.Equal(t, resp.Header.Get("X-Ran"), string(gauge.RanNo))
+	for _, field := range []string{"X-Class", "X-Repeatable", "X-Timeout", "Idempotency-Key"} {
+		assert.Assert(t, strings.Contains(string(body), field), string(body))
+	}
+}
