--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -74,3 +74,38 @@
 		assert.Assert(t, strings.Contains(string(body), field), string(body))
 	}
 }
+
+// FuzzHeaders sends any headers: what reaches the service is sound.
+func FuzzHeaders(f *testing.F) {
+	f.Add("team", "quick", "yes", "1s", "respond-async", "key")
+	f.Add("a/b", "long", "no", "-1h", ",,", "01890a5d-ac96-774b-bcce-b302099a8057")
+	f.Add("\x00", "", "", "999999h", "respond-async;x", "")
+	f.Fuzz(func(t *testing.T, team, class, repeatable, timeout, prefer, key string) {
+		a := app(func(_ context.Context, r *gauge.Request) (gauge.Response, error) {
+			if r.Class != gauge.ClassQuick && r.Class != gauge.ClassLong {
+				t.Errorf("class %q", r.Class)
+			}
+			if r.ID == "" || strings.ContainsAny(r.Team, "/\x00") {
+				t.Errorf("id %q, team %q", r.ID, r.Team)
+			}
+			return gauge.Response{Status: http.StatusOK}, nil
+		})
+		req := httptest.NewRequest(http.MethodPost, "/v1/services/s/x", strings.NewReader("x"))
+		for name, value := range map[string]string{
+			"X-Team": team, "X-Class": class, "X-Repeatable": repeatable,
+			"X-Timeout": timeout, "Prefer": prefer, "Idempotency-Key": key,
+		} {
+			if !strings.ContainsAny(value, "\r\n\x00") {
+				req.Header.Set(name, value)
+			}
+		}
+		resp, err := a.Test(req)
+		if err != nil {
+			return // the HTTP library refused it
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode >= http.StatusInternalServerError {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	})
+}
--- /dev/null
+++ b/internal/revlog/fuzz_test.go
@@ -0,0 +1,42 @@
+package revlog_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/claim"
+	"sapphiregauge/internal/memdb"
+	"sapphiregauge/internal/revlog"
+)
+
+// FuzzRows puts any bytes into the rows of the table: reading them gives an
+// error or something sound, never a panic, and nothing is adopted that is not
+// the next revision.
+func FuzzRows(f *testing.F) {
+	f.Add([]byte(`{"revision":1}`), []byte(`{"revision":1,"hosts":[{"id":"a"}]}`), []byte(`{"token":"x","state":"done","result":{}}`))
+	f.Add([]byte(`{"revision":-5}`), []byte(`{"revision":9007199254740993}`), []byte(`{"state":7}`))
+	f.Add([]byte(``), []byte(`null`), []byte(`[]`))
+	f.Fuzz(func(t *testing.T, head, row, held []byte) {
+		ctx := context.Background()
+		db := memdb.New()
+		key := gauge.ClaimKey{Team: "t", ID: "k", Day: "d"}
+		_ = db.Commit(ctx, gauge.Txn{Puts: []gauge.Put{
+			{Key: "head", Value: append([]byte{}, head...)},
+			{Key: "rev/00000000000000000001", Value: append([]byte{}, row...)},
+			{Key: "rec/pool/a", Value: append([]byte{}, row...)},
+			{Key: "host/a", Value: append([]byte{}, row...)},
+			{Key: "claim/d/t/k", Value: append([]byte{}, held...)},
+		}})
+		l := revlog.New(db)
+		if s, err := l.Load(ctx); err == nil {
+			_ = s.Validate()
+		}
+		if s, err := l.CatchUp(ctx, gauge.State{}); err == nil && s.Revision > 1 {
+			t.Fatalf("revision %d was adopted", s.Revision)
+		}
+		c := claim.New(claim.Config{Entry: "e", Table: db, Objects: db, Clock: time.Now})
+		_, _ = c.Read(ctx, key)
+	})
+}
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -35,6 +35,9 @@
 	ranNo          = "no"
 )
 
+// lastStatus is the highest status that HTTP knows.
+const lastStatus = 599
+
 // Sender implements gauge.Dispatcher.
 type Sender struct {
 	conf Config
@@ -103,6 +106,11 @@
 		Host:   t.Host,
 		Body:   resp.Body(), // resp is not reused: the body is ours
 	}
+	if out.Status < http.StatusOK || out.Status > lastStatus {
+		s.pool.Drop(t.Addr)
+		a.Kind = gauge.KindUnknown
+		return gauge.Response{}, a, gauge.Fail(a.Kind, "worker %s answered with status %d, which is none", t.Host, out.Status)
+	}
 	if out.Status >= http.StatusInternalServerError {
 		a.Kind = gauge.KindFailed
 		return out, a, gauge.Fail(a.Kind, "worker %s answered with status %d", t.Host, out.Status)
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -25,7 +25,7 @@
 	Clock gauge.Clock
 }
 
-// Fault is a way for the table and object store to fail.
+// fault is a way for the table and object store to fail.
 type fault string
 
 const (
@@ -106,13 +106,11 @@
 	if err != nil {
 		return fail(c, err)
 	}
-	return c.JSON(map[string]gauge.Sightings{"hosts": hosts})
+	return c.JSON(hostsBody{Hosts: hosts})
 }
 
 func (s *Server) reboot(c fiber.Ctx) error {
-	var body struct {
-		Token string `json:"token"`
-	}
+	var body rebootBody
 	if err := json.Unmarshal(c.Body(), &body); err != nil {
 		return c.Status(http.StatusBadRequest).SendString(err.Error())
 	}
@@ -127,7 +125,7 @@
 	if err := json.Unmarshal(c.Body(), &seen); err != nil {
 		return c.Status(http.StatusBadRequest).SendString(err.Error())
 	}
-	return c.JSON(map[string]bool{"reboot": s.hosts.Report(seen)})
+	return c.JSON(reportBody{Reboot: s.hosts.Report(seen)})
 }
 
 func (s *Server) row(c fiber.Ctx) error {
@@ -135,7 +133,7 @@
 	if err != nil {
 		return fail(c, err)
 	}
-	return c.JSON(map[string][]gauge.Row{"rows": {r}})
+	return c.JSON(rowsBody{Rows: []gauge.Row{r}})
 }
 
 func (s *Server) rows(c fiber.Ctx) error {
@@ -143,7 +141,7 @@
 	if err != nil {
 		return fail(c, err)
 	}
-	return c.JSON(map[string][]gauge.Row{"rows": rows})
+	return c.JSON(rowsBody{Rows: rows})
 }
 
 func (s *Server) commit(c fiber.Ctx) error {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -103,7 +103,7 @@
 	})
 }
 
-// Counts is what a worker has done so far.
+// counts is what a worker has done so far.
 type counts struct {
 	Running int            `json:"running"`
 	Peak    int            `json:"peak"`
