Count moves, what a wave has still to do, and breaches; log each request's end

Change: moves_total, wave_due and breaches_* beside those that were there; one line at debug level for each request's end.

The metrics were not looked at in a running site.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -32,6 +32,7 @@
 	Confirmed func(revision int64) bool           // every entry has it in force or is gone
 	Mine      func(unit string) bool              // whether this entry is to control a unit
 	Wake      func(revision int64)
+	Moved     func(pool string) // a host came into a pool
 	Clock     gauge.Clock
 	Logs      logr.Logger
 	Every     time.Duration // between two rounds; default 1 s
@@ -185,6 +186,9 @@
 		return err
 	}
 	for _, st := range steps {
+		if st.Host.Pool != "" && st.Host.Pool != s.ByHost[st.Host.ID].Pool {
+			c.conf.Moved(st.Host.Pool)
+		}
 		if st.Why != "" {
 			c.conf.Logs.Info("host "+st.Why, "host", st.Host.ID, "pool", st.Host.Pool, "state", string(st.Host.State), "revision", done.Revision)
 		}
--- a/internal/ctrl/site_test.go
+++ b/internal/ctrl/site_test.go
@@ -95,7 +95,7 @@
 		State:     func() gauge.State { return e.state },
 		Sighted:   func() (gauge.Sightings, time.Time) { return e.list, e.read },
 		Confirmed: s.confirmed, Mine: func(unit string) bool { return s.mine(e, unit) },
-		Wake: func(int64) {}, Clock: func() time.Time { return s.now }, Logs: logr.Discard(),
+		Wake: func(int64) {}, Moved: func(string) {}, Clock: func() time.Time { return s.now }, Logs: logr.Discard(),
 	})
 	s.entries = append(s.entries, e)
 	return e
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,7 +129,7 @@
 		Log: e.log, Platform: c.Platform, Planner: plan.New(plan.Config{}), State: e.follow.State,
 		Leases:    lease.New(lease.Config{Entry: e.name(), Table: c.Table, Lives: e.lives}),
 		Sighted:   func() (gauge.Sightings, time.Time) { s := e.sighted.Load(); return s.list, s.at },
-		Confirmed: e.member.Confirmed, Mine: e.mine, Wake: e.follow.Wake,
+		Confirmed: e.member.Confirmed, Mine: e.mine, Wake: e.follow.Wake, Moved: e.meter.Moved,
 		Clock: c.Clock, Logs: c.Logs.WithName("ctrl"), Every: c.Round,
 	})
 	e.mesh.Handle(member.Method, e.member.Handle)
@@ -251,6 +251,12 @@
 		e.meter.Set(c.Pool, "hosts_ejected", float64(c.Ejected))
 	}
 	e.look()
+	for _, w := range e.waves() {
+		e.meter.Set(w.Pool, "wave_due", float64(w.Hosts-w.Done))
+	}
+	for _, l := range e.holds.Lines() {
+		e.meter.Set("", "breaches_"+string(l.Promise), float64(l.Breaches))
+	}
 	e.meter.Set("", "peer_bytes", float64(e.mesh.Bytes()))
 	commits, writes := e.claims.Counts()
 	e.meter.Set("", "claim_commits", float64(commits))
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -20,6 +20,7 @@
 	seconds  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	ejected  *prometheus.CounterVec
+	moves    *prometheus.CounterVec
 	values   *prometheus.GaugeVec
 }
 
@@ -42,12 +43,15 @@
 		ejected: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: prefix + "ejections_total", Help: "Workers that were ejected for failing.",
 		}, []string{"pool"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: prefix + "moves_total", Help: "Hosts that this entry's controllers gave to a pool, by that pool.",
+		}, []string{"pool"}),
 		values: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: prefix + "state", Help: "What this entry holds now, by pool and what is counted.",
 		}, []string{"pool", "what"}),
 	}
 	m.Registry.MustRegister(
-		m.requests, m.seconds, m.attempts, m.ejected, m.values,
+		m.requests, m.seconds, m.attempts, m.ejected, m.moves, m.values,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
@@ -74,6 +78,9 @@
 // Ejected counts a worker's ejection.
 func (m *Meter) Ejected(pool string) { m.ejected.WithLabelValues(pool).Inc() }
 
+// Moved counts a host that came into a pool.
+func (m *Meter) Moved(pool string) { m.moves.WithLabelValues(pool).Inc() }
+
 // Set notes how much of something there is now.
 func (m *Meter) Set(pool, what string, value float64) {
 	m.values.WithLabelValues(pool, what).Set(value)
--- a/internal/serve/async.go
+++ b/internal/serve/async.go
@@ -68,7 +68,7 @@
 		return
 	}
 	resp, _, err := p.run(ctx, t)
-	p.ended(t, err)
+	p.ended(t, resp, err)
 	store, stop := context.WithTimeout(context.Background(), storeFor)
 	defer stop()
 	if err := p.conf.Claims.Finish(store, moved, outcomeOf(resp, err)); err != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -103,12 +103,14 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	resp, err := p.once(ctx, t)
-	p.ended(t, err)
+	p.ended(t, resp, err)
 	return resp, err
 }
 
-// ended counts a request's final answer.
-func (p *Path) ended(t *task, err error) {
+// ended counts a request's final answer and logs it.
+func (p *Path) ended(t *task, resp gauge.Response, err error) {
+	p.conf.Logs.V(1).Info("request ended", "request", t.req.ID, "service", t.req.Service, "team", t.req.Team,
+		"class", string(t.req.Class), "kind", string(kindOf(err)), "target", resp.Host, "revision", p.conf.State().Revision)
 	p.conf.Meter.Request(t.req.Service, t.req.Class, p.conf.Clock().Sub(t.began), err)
 	p.conf.Burn.Note(t.req.Service, err)
 	if err != nil && gauge.AsError(err).Ran() == gauge.RanNo {
@@ -116,6 +118,14 @@
 	}
 }
 
+// kindOf is empty for an answer.
+func kindOf(err error) gauge.Kind {
+	if err == nil {
+		return ""
+	}
+	return gauge.KindOf(err)
+}
+
 // admit checks the request against what is in force.
 func (p *Path) admit(r *gauge.Request) (*task, error) {
 	s := p.conf.State()
