--- /dev/null
+++ b/internal/ctrl/site_test.go
@@ -0,0 +1,273 @@
+package ctrl_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/ctrl"
+	"sapphiregauge/internal/lease"
+	"sapphiregauge/internal/memdb"
+	"sapphiregauge/internal/plan"
+	"sapphiregauge/internal/revlog"
+)
+
+// machine is a host as it really is.
+type machine struct {
+	seen    gauge.Sighting
+	running []int           // revision that the entry had in force when it sent the task
+	tokens  map[string]bool // one for each reboot
+	boots   int             // when it last began to leave for a wave
+	down    bool
+	booting bool
+}
+
+// entry is an entry with its own view of what is in force, and a controller.
+type entry struct {
+	name  string
+	state gauge.State
+	list  gauge.Sightings
+	read  time.Time
+	ctrl  *ctrl.Controller
+	dead  bool
+}
+
+// site is a fleet with some entries on made-up time, one step at a time.
+type site struct {
+	now      time.Time
+	db       *memdb.DB
+	table    *outs
+	log      *revlog.Log
+	machines map[string]*machine
+	entries  []*entry
+	last     gauge.State
+	mine     func(e *entry, unit string) bool
+}
+
+// outs is a table that can be out.
+type outs struct {
+	gauge.Table
+	out bool
+}
+
+func (o *outs) Get(ctx context.Context, key string) (gauge.Row, error) {
+	if o.out {
+		return gauge.Row{}, gauge.Fail(gauge.KindOutage, "out")
+	}
+	return o.Table.Get(ctx, key)
+}
+
+func (o *outs) Commit(ctx context.Context, t gauge.Txn) error {
+	if o.out {
+		return gauge.Fail(gauge.KindOutage, "out")
+	}
+	return o.Table.Commit(ctx, t)
+}
+
+func newSite(entries, hosts, perRack int) *site {
+	db := memdb.New()
+	s := &site{now: time.Unix(1_000_000, 0), db: db, table: &outs{Table: db}, machines: make(map[string]*machine)}
+	s.log = revlog.New(s.table)
+	s.mine = func(*entry, string) bool { return true }
+	for i := range hosts {
+		id := fmt.Sprintf("h%02d", i)
+		s.machines[id] = &machine{tokens: make(map[string]bool), seen: gauge.Sighting{
+			ID: id, Zone: "z", Rack: fmt.Sprint("r", i/perRack), Slots: 8, Status: gauge.StatusLive,
+		}}
+	}
+	for i := range entries {
+		s.addEntry(fmt.Sprintf("e%d", i), s.table)
+	}
+	return s
+}
+
+func (s *site) addEntry(name string, table gauge.Table) *entry {
+	e := &entry{name: name}
+	log := revlog.New(table)
+	e.ctrl = ctrl.New(ctrl.Config{
+		Log: log, Platform: s, Planner: plan.New(plan.Config{}),
+		Leases:    lease.New(lease.Config{Entry: name, Table: table, Lives: s.lives}),
+		State:     func() gauge.State { return e.state },
+		Sighted:   func() (gauge.Sightings, time.Time) { return e.list, e.read },
+		Confirmed: s.confirmed, Mine: func(unit string) bool { return s.mine(e, unit) },
+		Wake: func(int64) {}, Clock: func() time.Time { return s.now }, Logs: logr.Discard(),
+	})
+	s.entries = append(s.entries, e)
+	return e
+}
+
+func (s *site) lives(name string) bool {
+	for _, e := range s.entries {
+		if e.name == name {
+			return !e.dead
+		}
+	}
+	return false
+}
+
+// confirmed asks all entries, also those taken for dead: they may only be
+// paused, and package peers forgets them only after the term.
+func (s *site) confirmed(revision int64) bool {
+	for _, e := range s.entries {
+		if e.state.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *site) List(context.Context) (gauge.Sightings, error) {
+	var out gauge.Sightings
+	for _, m := range s.machines {
+		seen := m.seen
+		seen.Used = len(m.running)
+		switch {
+		case m.down:
+			seen.Status = gauge.StatusGone
+		case m.booting:
+			seen.Status = gauge.StatusBooting
+		}
+		out = append(out, seen)
+	}
+	return out, nil
+}
+
+func (s *site) Reboot(_ context.Context, host, token string) error {
+	m := s.machines[host]
+	if m.tokens[token] {
+		return nil
+	}
+	m.tokens[token] = true
+	m.booting = true
+	return nil
+}
+
+func (s *site) records(t assert.TestingT, records ...gauge.Record) {
+	state, err := s.log.Load(context.Background())
+	assert.NilError(t, err)
+	_, err = s.log.Append(context.Background(), state.Revision, gauge.Change{Records: records})
+	assert.NilError(t, err)
+}
+
+func pool(name string, hosts int, prefer gauge.Prefer) gauge.Record {
+	p := &gauge.Pool{Hosts: hosts, Prefer: prefer}
+	p.Defaults()
+	return gauge.Record{Kind: gauge.RecordPool, Schema: 1, Name: name, Pool: p}
+}
+
+func wave(name string, pools ...string) gauge.Record {
+	return gauge.Record{Kind: gauge.RecordWave, Schema: 1, Name: name, Wave: &gauge.Wave{Pools: pools}}
+}
+
+func (s *site) adopt(e *entry) {
+	if next, err := s.log.CatchUp(context.Background(), e.state); err == nil {
+		e.state = next
+	}
+}
+
+func (s *site) look(e *entry) { e.list, _ = s.List(context.Background()); e.read = s.now }
+
+// spare is how many serving hosts a pool has over its promise after the worst
+// rack is lost; negative if it has too few.
+func spare(st gauge.State, name string) int {
+	counts, total, worst := make(map[string]int), 0, 0
+	for _, h := range st.Hosts().InPool(name) {
+		if h.Serves() {
+			total++
+			counts[h.Rack]++
+			worst = max(worst, counts[h.Rack])
+		}
+	}
+	return total - worst - st.Pool(name).Hosts
+}
+
+// check holds each new revision against the promises.
+func (s *site) check(t *rapid.T) {
+	out := s.table.out
+	s.table.out = false
+	defer func() { s.table.out = out }()
+	for {
+		c, err := s.log.Change(context.Background(), s.last.Revision+1)
+		if gauge.Is(err, gauge.KindMissing) {
+			return
+		}
+		assert.NilError(t, err)
+		next, err := s.last.Apply(c)
+		assert.NilError(t, err)
+		s.checkChange(t, s.last, next, c)
+		s.last = next
+	}
+}
+
+func (s *site) checkChange(t *rapid.T, before, after gauge.State, c gauge.Change) {
+	taken, once := make(map[string]bool), make(map[string]bool)
+	for _, h := range c.Hosts {
+		if once[h.ID] {
+			t.Fatalf("%s is changed twice by one revision", h.ID)
+		}
+		once[h.ID] = true
+		old := before.ByHost[h.ID]
+		if old.Serves() && h.State == gauge.HostLeaving {
+			taken[old.Pool] = true
+		}
+		if old.Pool != "" && old.Pool != h.Pool {
+			if old.State == gauge.HostServing {
+				t.Fatalf("%s left pool %s while it served there", h.ID, old.Pool)
+			}
+			if old.State == gauge.HostLeaving && len(s.machines[h.ID].running) > 0 {
+				t.Fatalf("%s left pool %s with tasks running", h.ID, old.Pool)
+			}
+		}
+		if h.Begun != old.Begun {
+			s.machines[h.ID].boots = s.machines[h.ID].seen.Boots
+		}
+		if h.Waved != old.Waved && s.machines[h.ID].seen.Boots <= s.machines[h.ID].boots {
+			t.Fatalf("%s counts as done for wave %s but was not rebooted", h.ID, h.Wave)
+		}
+		if h.State == gauge.HostRebooting && old.State != h.State && len(s.machines[h.ID].running) > 0 {
+			t.Fatalf("%s is to reboot with tasks running", h.ID)
+		}
+	}
+	for name := range taken {
+		if after.Pool(name) != nil && spare(after, name) < 0 {
+			t.Fatalf("pool %s keeps its promise no more: spare %d", name, spare(after, name))
+		}
+	}
+}
+
+// settle lets everything go well until nothing changes any more.
+func (s *site) settle(rounds int) {
+	for range rounds {
+		for _, m := range s.machines {
+			if m.booting {
+				m.booting = false
+				m.seen.Boots++
+			}
+		}
+		for _, e := range s.entries {
+			s.adopt(e)
+			s.now = s.now.Add(time.Second)
+			s.look(e)
+			if !e.dead {
+				e.ctrl.Round(context.Background())
+			}
+		}
+	}
+}
+
+func (s *site) done(name, wave string) (done, all int) {
+	st, _ := s.log.Load(context.Background())
+	w := st.Records[gauge.RecordID{Kind: gauge.RecordWave, Name: wave}]
+	for _, h := range st.Hosts().InPool(name) {
+		all++
+		if !plan.Due(w, h) {
+			done++
+		}
+	}
+	return done, all
+}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -43,7 +43,7 @@
 		conf: c, stop: make(chan struct{}), runs: make(map[string]int),
 		app: fiber.New(fiber.Config{Immutable: true, BodyLimit: bodyLimit}),
 	}
-	w.app.Get("/work/status", w.status)
+	w.app.Get("/stand/status", w.status)
 	w.app.All("/*", w.run)
 	return w
 }
