--- /dev/null
+++ b/cmd/sapphiregauge/assemble.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/boot"
+	"sapphiregauge/internal/mesh"
+	"sapphiregauge/internal/meter"
+	"sapphiregauge/internal/node"
+	"sapphiregauge/platform"
+)
+
+// assemble connects the pieces of an entry.
+func assemble(s platform.Settings, _ *hostSettings, log logr.Logger) *parts {
+	p := &parts{settings: s, meter: meter.New()}
+	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Timeout: tableTimeout, Clock: steady})
+	p.workers = platform.NewWorkers(platform.WorkersConfig{Timeout: workerTimeout, Clock: steady})
+	var machines gauge.Machines
+	if s.Machines != "" {
+		p.machines = platform.NewMachines(platform.MachinesConfig{Addr: s.Machines, Timeout: machineTimeout, Clock: steady})
+		machines = p.machines
+	}
+	p.mesh = mesh.New(mesh.Config{})
+	p.node = node.New(node.Config{
+		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: p.table, Workers: p.workers, Machines: machines,
+		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call,
+		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep,
+	})
+	p.front = platform.NewFront(platform.FrontConfig{Jobs: p.node.Jobs(), Site: p.node.Site, Ready: p.node.Ready})
+	return p
+}
+
+// steady is the steady clock as a time, for those that only take differences.
+func steady() time.Time { return time.Unix(0, int64(boot.Now())) }
--- /dev/null
+++ b/cmd/sapphiregauge/host.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"sapphiregauge/internal/boot"
+	"sapphiregauge/internal/conf"
+	"sapphiregauge/internal/logs"
+	"sapphiregauge/internal/mesh"
+	"sapphiregauge/internal/meter"
+	"sapphiregauge/internal/node"
+	"sapphiregauge/platform"
+)
+
+const usageHost = `Run an entry on the users' machines.
+
+Its settings come from the file that the platform places there; see platform/.
+All entries are equal: each takes jobs from callers, and owns some of the pools
+for as long as it renews their leases.
+
+SIGTERM stops it gracefully: it isn't ready any more and gives up its pools at
+once, goes on answering callers until shortly before the platform would kill it,
+and exits.`
+
+type hostSettings struct {
+	metrics int
+}
+
+func newHost() *command {
+	s := &hostSettings{metrics: 9464}
+	return &command{
+		sub: sub("host", usageHost),
+		settings: conf.List{
+			{Flag: "metrics", Help: "port of /metrics; 0: none", Dest: &s.metrics},
+		},
+		run: func(ctx context.Context) error { return runHost(ctx, s) },
+	}
+}
+
+const (
+	// tableTimeout bounds a call to the table. A slow spell makes a transaction
+	// of 9 ms take 60 times as long, and an answer that comes is better than one
+	// given up.
+	tableTimeout = 900 * time.Millisecond
+	// workerTimeout bounds a call to a worker, which answers within some ms.
+	workerTimeout = 800 * time.Millisecond
+	// machineTimeout bounds a call to the machine service.
+	machineTimeout = 1500 * time.Millisecond
+	// stopMargin is kept between the end of serving and the platform's kill.
+	stopMargin = 1500 * time.Millisecond
+	// closeWait bounds the wait for calls in flight at the very end.
+	closeWait = 800 * time.Millisecond
+	// releaseWait bounds giving up the leases.
+	releaseWait = time.Second
+)
+
+// parts are the connected pieces of a running entry.
+type parts struct {
+	settings platform.Settings
+	node     *node.Node
+	front    *platform.Front
+	mesh     *mesh.Node
+	meter    *meter.Meter
+	table    *platform.Table
+	workers  *platform.Workers
+	machines *platform.Machines
+}
+
+func runHost(ctx context.Context, s *hostSettings) error {
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return eris.Wrap(err, "host")
+	}
+	out := logs.NewBounded(os.Stdout)
+	log := logs.New(out, false).WithValues("entry", settings.Name)
+	started := boot.Now()
+	log.Info("start", "zone", settings.Zone, "version", version)
+	p := assemble(settings, s, log)
+	err = p.serve(ctx, s)
+	log.Info("stop", "ran", boot.Now()-started, "dropped", out.Dropped())
+	out.Close()
+	return err
+}
+
+func (p *parts) serve(ctx context.Context, s *hostSettings) error {
+	front, err := net.Listen("tcp", p.settings.Front)
+	if err != nil {
+		return eris.Wrap(err, "host: address for clients")
+	}
+	ready, err := net.Listen("tcp", p.settings.Ready)
+	if err != nil {
+		return eris.Wrap(err, "host: address for the readiness check")
+	}
+	peer, err := net.Listen("tcp", p.peerAddr())
+	if err != nil {
+		return eris.Wrap(err, "host: address for other entries")
+	}
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group conc.WaitGroup
+	group.Go(func() { _ = p.front.Serve(front) })
+	group.Go(func() { _ = p.front.ServeReady(ready) })
+	group.Go(func() { _ = p.mesh.Serve(run, peer) })
+	group.Go(func() { p.node.Run(run) })
+	p.serveMetrics(s)
+	<-ctx.Done()
+	p.wind()
+	stop()
+	p.mesh.Close()
+	group.Wait()
+	return nil
+}
+
+func (p *parts) peerAddr() string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
+}
+
+// wind stops an entry so that no caller's request is cut off: other entries take
+// its pools at once, callers are asked to go elsewhere, and it serves on until
+// the platform has had time to look away.
+func (p *parts) wind() {
+	began := boot.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
+	p.node.Release(ctx)
+	cancel()
+	p.front.Wind()
+	left := p.settings.Grace - stopMargin - (boot.Now() - began)
+	if left > 0 {
+		time.Sleep(left)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	_ = p.front.Close(ctx)
+}
+
+func (p *parts) serveMetrics(s *hostSettings) {
+	if s.metrics == 0 {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(p.meter.Registry, promhttp.HandlerOpts{}))
+	server := &http.Server{
+		Addr: net.JoinHostPort(p.settings.IP, strconv.Itoa(s.metrics)), Handler: mux, ReadHeaderTimeout: time.Second,
+	}
+	go func() { _ = server.ListenAndServe() }()
+}
+
+// newStart names one start of a process.
+func newStart() string { return uuid.NewString()[:8] }
--- a/cmd/sapphiregauge/main.go
+++ b/cmd/sapphiregauge/main.go
@@ -63,7 +63,7 @@
 
 func all() []*command {
 	return []*command{
-		newEntry(), newLocal(), newCheck(), newApply(), newGet(), newWave(),
+		newHost(), newEntry(), newLocal(), newCheck(), newApply(), newGet(), newWave(),
 		newWatch(), newReport(), newKey(), newDocs(),
 	}
 }
--- a/error.go
+++ b/error.go
@@ -34,6 +34,16 @@
 	KindReused    Kind = "reused"     // the idempotency key belongs to another request
 	KindInternal  Kind = "internal"   // a defect of ours
 	KindNever     Kind = "impossible" // no host could ever hold it
+	KindGone      Kind = "gone"       // there is no such job, or no longer
+	KindCompacted Kind = "compacted"  // the table no longer knows the changes asked for
+	KindFenced    Kind = "fenced"     // somebody with a newer fencing token has taken over
+	KindStale     Kind = "stale"      // the run isn't newer than one that ended there
+	KindLate      Kind = "late"       // the order's deadline had passed when it came
+	KindNoRoom    Kind = "no room"    // the worker has not enough capacity free
+	KindTicket    Kind = "ticket"     // the advice service's ticket is missing or over
+	KindReplaced  Kind = "replaced"   // another life of the worker answers at its address
+	KindUnhealthy Kind = "unhealthy"  // the worker refuses since it is in trouble
+	KindBusy      Kind = "busy"       // the machine is not up, or leaves
 )
 
 // Ran says whether a request was run by a worker.
@@ -77,6 +87,18 @@
 	KindReused:    {Status: http.StatusUnprocessableEntity, Ran: RanNo},
 	KindInternal:  {Status: http.StatusInternalServerError, Ran: RanUnknown},
 	KindNever:     {Status: http.StatusUnprocessableEntity, Ran: RanNo},
+	KindGone:      {Status: http.StatusGone, Ran: RanNo},
+	// The kinds below arise between entries, workers and the platform; a caller
+	// that meets one is told no more than that it may ask again.
+	KindCompacted: {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindFenced:    {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindStale:     {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindLate:      {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindNoRoom:    {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindTicket:    {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindReplaced:  {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindUnhealthy: {Status: http.StatusBadGateway, Ran: RanUnknown},
+	KindBusy:      {Status: http.StatusConflict, Ran: RanNo},
 }
 
 // Answer looks the kind up in the table. An unlisted kind counts as internal.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -22,6 +22,7 @@
 	ejected  *prometheus.CounterVec
 	moves    *prometheus.CounterVec
 	values   *prometheus.GaugeVec
+	calls    *prometheus.HistogramVec
 }
 
 const prefix = "sapphiregauge_"
@@ -50,7 +51,12 @@
 			Name: prefix + "state", Help: "What this entry holds now, by pool and what is counted.",
 		}, []string{"pool", "what"}),
 	}
+	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: prefix + "call_seconds", Help: "Calls to the table and to workers, by what was asked.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+	}, []string{"call"})
 	m.Registry.MustRegister(
+		m.calls,
 		m.requests, m.seconds, m.attempts, m.ejected, m.moves, m.values,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -81,6 +87,11 @@
 // Moved counts a host that came into a pool.
 func (m *Meter) Moved(pool string) { m.moves.WithLabelValues(pool).Inc() }
 
+// Call counts a call to the table or to a worker.
+func (m *Meter) Call(call string, took time.Duration) {
+	m.calls.WithLabelValues(call).Observe(took.Seconds())
+}
+
 // Set notes how much of something there is now.
 func (m *Meter) Set(pool, what string, value float64) {
 	m.values.WithLabelValues(pool, what).Set(value)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,275 @@
+// Package node puts one entry together: it follows the configuration, the list
+// of workers and the leases, claims pools that are without an owner, runs those
+// that it owns, and passes notices of jobs on to the owners of the others.
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/intake"
+	"sapphiregauge/internal/mesh"
+	"sapphiregauge/internal/owner"
+	"sapphiregauge/internal/terms"
+	"sapphiregauge/internal/watch"
+)
+
+// Config sets up a Node.
+type Config struct {
+	Name     string // of this entry's host
+	Start    string // differs between two starts of one host
+	Addr     string // ip:port for other entries
+	Store    gauge.Parted
+	Workers  gauge.Workers
+	Machines gauge.Machines // nil: the platform has no machine service
+	Words    gauge.Words
+	Mesh     *mesh.Node
+	Logs     logr.Logger
+	Now      func() time.Duration // steady clock
+	Wall     func() time.Time
+	Count    func(event string, took time.Duration)
+	Longest  time.Duration // longest lease that a worker takes
+	TurnGap  time.Duration // two entries may not order one machine within this
+	Upkeep   time.Duration // length of a machine's upkeep
+}
+
+const (
+	// leaseTerm: an owner that is gone is replaced after this. It renews at least
+	// every 0.6 s, so that it may fail four times.
+	leaseTerm = 3 * time.Second
+	// grantGrace is how far holds may reach beyond the lease's end, so that runs
+	// outlive an outage of the table. A successor waits as long for workers that
+	// don't answer.
+	grantGrace = 6 * time.Second
+	// holdSpan extends a worker's lease: it outlasts the replacement of an owner,
+	// which takes the lease's term and about half a second.
+	holdSpan = 5 * time.Second
+	// claimSpread and claimHeld keep entries from claiming one pool at once, and
+	// spread the pools over them.
+	claimSpread = 300 * time.Millisecond
+	claimHeld   = 400 * time.Millisecond
+	// manageEvery is how often leases are looked at.
+	manageEvery = 50 * time.Millisecond
+	// feedWait is how long a feed waits for a change. A connection that has gone
+	// silent is found out after this and the call's own bound.
+	feedWait = time.Second
+	// leasePause is the time between two looks at the leases, which change with
+	// every write of an owner.
+	leasePause = 500 * time.Millisecond
+	// retryPause is the time between two tries to tell an owner of a job.
+	retryPause  = 250 * time.Millisecond
+	noticeTries = 4
+	noticeWait  = time.Second
+)
+
+// Node is one entry.
+type Node struct {
+	conf   Config
+	holder string
+	intake *intake.Intake
+	site   atomic.Pointer[gauge.Site]
+	offset atomic.Int64 // the table's clock less ours, nanoseconds
+	going  atomic.Bool  // it takes pools
+	group  conc.WaitGroup
+
+	mu      sync.Mutex
+	board   *terms.Board
+	owners  map[string]*owner.Owner
+	busy    map[string]bool // pools that are being claimed
+	workers map[string]gauge.Worker
+	waves   map[int64]gauge.UpkeepOrder
+}
+
+// New makes a Node.
+func New(c Config) *Node {
+	n := &Node{
+		conf: c, holder: c.Name + "/" + c.Start,
+		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
+		workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+	}
+	n.board = terms.New(terms.Config{Self: n.holder, Term: leaseTerm, Spread: claimSpread, Held: claimHeld})
+	n.intake = intake.New(intake.Config{
+		Store: c.Store, Logs: c.Logs, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal,
+	})
+	c.Mesh.Handle(methodNotice, n.handleNotice)
+	return n
+}
+
+// Jobs is what callers can do here.
+func (n *Node) Jobs() gauge.Jobs { return n.intake }
+
+// Site is the newest configuration, nil without one.
+func (n *Node) Site() *gauge.Site { return n.site.Load() }
+
+// Ready tells whether callers should be sent here.
+func (n *Node) Ready() bool { return n.going.Load() && n.Site() != nil }
+
+// Run works until ctx ends, then gives up what it owns; it goes on following the
+// configuration until Stop.
+func (n *Node) Run(ctx context.Context) {
+	n.going.Store(true)
+	n.group.Go(func() { n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, 0, n.toldOperator) })
+	n.group.Go(func() { n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, 0, n.toldWorkers) })
+	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, leasePause, n.toldLeases) })
+	n.group.Go(func() { n.manage(ctx) })
+	n.group.Wait()
+}
+
+// Release gives up the pools that this entry owns and takes no more.
+func (n *Node) Release(ctx context.Context) {
+	n.going.Store(false)
+	n.mu.Lock()
+	owners := make([]*owner.Owner, 0, len(n.owners))
+	for _, o := range n.owners {
+		owners = append(owners, o)
+	}
+	n.mu.Unlock()
+	var group conc.WaitGroup
+	for _, o := range owners {
+		group.Go(func() { o.Close(ctx) })
+	}
+	group.Wait()
+}
+
+func (n *Node) follow(ctx context.Context, table string, parted bool, wait, pause time.Duration, tell func([]gauge.PartRow, bool)) {
+	watch.New(watch.Config{
+		Name: table, Parted: parted, Store: n.conf.Store, Wait: wait, Pause: pause, Logs: n.conf.Logs,
+		Tell: func(rows []gauge.PartRow, whole bool, stamp gauge.Stamp) {
+			n.stamp(stamp)
+			tell(rows, whole)
+		},
+	}).Run(ctx)
+}
+
+// stamp takes in a reading of the table's clock.
+func (n *Node) stamp(s gauge.Stamp) {
+	if s.Now > 0 {
+		n.offset.Store(int64(s.Now - n.conf.Now()))
+	}
+}
+
+// clock is the table's clock now, in milliseconds, late by an answer's way.
+func (n *Node) clock() int64 {
+	return (n.conf.Now() + time.Duration(n.offset.Load())).Milliseconds()
+}
+
+func (n *Node) toldOperator(rows []gauge.PartRow, _ bool) {
+	for _, r := range rows {
+		if r.Dropped {
+			continue
+		}
+		site, wave, err := n.conf.Words.Operator(r)
+		switch {
+		case err != nil:
+			n.conf.Logs.Error(err, "operator's row not read", "key", r.Key, "version", r.Version)
+		case site != nil:
+			n.configure(site)
+		case wave != nil:
+			n.mu.Lock()
+			n.waves[wave.Wave] = *wave
+			n.mu.Unlock()
+			n.conf.Logs.Info("wave seen", "wave", wave.Wave, "machines", len(wave.Machines), "within", wave.Within, "atonce", wave.AtOnce)
+		}
+	}
+}
+
+// configure puts a configuration in force, never an older one.
+func (n *Node) configure(site *gauge.Site) {
+	old := n.site.Load()
+	if old != nil && old.Version >= site.Version {
+		return
+	}
+	n.site.Store(site)
+	n.conf.Logs.Info("configuration in force", "version", site.Version, "queues", len(site.Queues), "pools", len(site.Pools))
+	n.mu.Lock()
+	owners := n.ownersLocked()
+	n.mu.Unlock()
+	for _, o := range owners {
+		o.Configure(site)
+	}
+}
+
+func (n *Node) ownersLocked() []*owner.Owner {
+	os := make([]*owner.Owner, 0, len(n.owners))
+	for _, o := range n.owners {
+		os = append(os, o)
+	}
+	return os
+}
+
+func (n *Node) toldWorkers(rows []gauge.PartRow, whole bool) {
+	n.mu.Lock()
+	if whole {
+		clear(n.workers)
+	}
+	for _, r := range rows {
+		if r.Dropped {
+			delete(n.workers, r.Key)
+			continue
+		}
+		w, err := n.conf.Words.Worker(r)
+		if err != nil {
+			n.conf.Logs.Error(err, "worker's row not read", "worker", r.Key, "version", r.Version)
+			continue
+		}
+		n.workers[w.ID] = *w
+	}
+	list := n.listLocked()
+	owners := n.ownersLocked()
+	n.mu.Unlock()
+	for _, o := range owners {
+		o.List(list)
+	}
+}
+
+func (n *Node) listLocked() []gauge.Worker {
+	list := make([]gauge.Worker, 0, len(n.workers))
+	for _, w := range n.workers {
+		list = append(list, w)
+	}
+	return list
+}
+
+func (n *Node) toldLeases(rows []gauge.PartRow, whole bool) {
+	now := n.conf.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range rows {
+		n.toldLease(r, now)
+	}
+	if whole {
+		n.board.Read()
+	}
+}
+
+func (n *Node) toldLease(r gauge.PartRow, now time.Duration) {
+	if r.Dropped || r.Key != gauge.KeyOwner {
+		return
+	}
+	lease, err := gauge.DecodeLeaseRow(r.Value)
+	if err != nil {
+		n.conf.Logs.Error(err, "lease row not read", "pool", r.Part, "version", r.Version)
+		return
+	}
+	n.board.Tell(r.Part, *lease, r.Version, now)
+}
+
+// depth is how many jobs of a queue have not begun, as its pool's owner told.
+func (n *Node) depth(q *gauge.Queue) (int, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	row, ok := n.board.Holder(q.Pool)
+	if !ok {
+		return 0, false
+	}
+	return row.Depths[q.Name], true
+}
+
+// refusal says why no job of a queue can be taken now.
+func (n *Node) refusal(*gauge.Queue) error { return nil }
--- /dev/null
+++ b/internal/node/notice.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/intake"
+)
+
+// methodNotice tells a pool's owner of a new or cancelled job.
+const methodNotice = "job.notice"
+
+// noticeAnswer is empty: the owner has taken the notice in.
+type noticeAnswer struct{}
+
+// notify tells the owner of a job's pool, in the background. If all tries fail
+// the owner finds the job by its own scan.
+func (n *Node) notify(notice intake.Notice) {
+	if n.deliver(notice) {
+		return
+	}
+	n.group.Go(func() {
+		for try := range noticeTries {
+			if try > 0 {
+				time.Sleep(retryPause)
+			}
+			err := n.sendNotice(notice)
+			if err == nil {
+				return
+			}
+			n.conf.Logs.Info("notice not delivered", "job", notice.ID, "pool", notice.Pool, "try", try+1, "error", err.Error())
+		}
+	})
+}
+
+func (n *Node) sendNotice(notice intake.Notice) error {
+	if n.deliver(notice) {
+		return nil
+	}
+	n.mu.Lock()
+	row, ok := n.board.Holder(notice.Pool)
+	n.mu.Unlock()
+	if !ok || row.Holder == n.holder {
+		return gauge.Fail(gauge.KindOutage, "pool %s has no owner", notice.Pool)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), noticeWait)
+	defer cancel()
+	var answer noticeAnswer
+	return n.conf.Mesh.Call(ctx, row.Addr, methodNotice, &notice, &answer)
+}
+
+// deliver hands a notice to the owner if that is here.
+func (n *Node) deliver(notice intake.Notice) bool {
+	n.mu.Lock()
+	o := n.owners[notice.Pool]
+	n.mu.Unlock()
+	if o == nil {
+		return false
+	}
+	if notice.Cancelled {
+		o.Cancel(notice.ID, notice.Version)
+		return true
+	}
+	return o.Adopt(notice.ID, notice.Queue, notice.Spec, notice.Row, notice.Version)
+}
+
+func (n *Node) handleNotice(_ context.Context, body []byte) (any, error) {
+	var notice intake.Notice
+	if err := frame.Decode(body, &notice); err != nil {
+		return nil, err
+	}
+	if notice.Row == nil && !notice.Cancelled || notice.Spec == nil && !notice.Cancelled {
+		return nil, gauge.Fail(gauge.KindInvalid, "notice of job %s without its content", notice.ID)
+	}
+	if !n.deliver(notice) {
+		return nil, gauge.Fail(gauge.KindFenced, "this entry doesn't own pool %s", notice.Pool)
+	}
+	return noticeAnswer{}, nil
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,328 @@
+// Package owner runs one pool at the entry that holds its lease: it keeps a hold
+// at every worker, sends the orders that sched decides on, and writes what has
+// come of them to the table, each write on condition that the lease is still
+// this entry's.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
+)
+
+// Config sets up an Owner.
+type Config struct {
+	Pool    string
+	Holder  string // this entry and its start
+	Addr    string // for calls from other entries
+	Term    int
+	Fence   gauge.Fence
+	Taken   time.Duration // when the transaction that took the lease was sent
+	Version int64         // of the lease's row
+	Earlier []string      // workers of the owner before
+
+	Lease time.Duration // how long the lease lasts after a renewal
+	Grace time.Duration // how long orders and holds may reach beyond the lease's end
+	Hold  time.Duration // how far a hold extends a worker's lease
+
+	Store   gauge.Parted
+	Workers gauge.Workers
+	Logs    logr.Logger
+	Now     func() time.Duration
+	Wall    func() time.Time
+	Stamp   func(gauge.Stamp) // told of every reading of the table's clock
+	Clock   func() int64      // the table's clock in milliseconds, about
+	Count   func(event string, took time.Duration)
+}
+
+// Owner runs one pool.
+type Owner struct {
+	conf   Config
+	group  conc.WaitGroup
+	cancel context.CancelFunc
+	ctx    context.Context
+	wake   chan struct{} // a change waits to be written
+	done   chan struct{} // closed when the lease is given up or lost
+
+	mu      sync.Mutex
+	core    *sched.Pool
+	until   time.Duration // the lease surely lasts until then
+	version int64         // of the lease's row
+	written chan struct{} // closed at each write, then made anew
+	lost    bool
+	loaded  bool
+	site    *gauge.Site
+	scans   int // of scanLoop alone
+}
+
+const (
+	// startSpan is how late a start may arrive and still be carried out. The
+	// shorter, the sooner an unanswered start is settled; a worker answers within
+	// some milliseconds.
+	startSpan = time.Second
+	// holdWait is how long a worker may keep a hold without news. Each extends
+	// the lease, so it is well below the hold's span.
+	holdWait = time.Second
+	// tickEvery is how often time alone is looked at.
+	tickEvery = 100 * time.Millisecond
+	// renewEvery is how often the lease is renewed without other writes: four
+	// tries within its term.
+	renewEvery = 600 * time.Millisecond
+	// writeGap is the shortest time between two writes; ends that come in
+	// between go together. A write takes some 10 ms, and each is paid for.
+	writeGap = 30 * time.Millisecond
+	// writeAgain is the pause after a write that failed.
+	writeAgain = 150 * time.Millisecond
+	// scanEvery is how often jobs are looked for of which no message came.
+	scanEvery = 1500 * time.Millisecond
+	// scansOfAll: so many scans make one of all queues.
+	scansOfAll = 4
+	// doubtMargin covers the difference between two entries' steady clocks.
+	doubtMargin = 200 * time.Millisecond
+	// holdAgain is the pause after a hold that failed.
+	holdAgain = 200 * time.Millisecond
+	// ackWait bounds how long a hold waits for the ends before to be written.
+	ackWait = 400 * time.Millisecond
+	// batchJobs jobs at most go into a transaction of at most 100 entries: two
+	// for the lease, four for a job that has ended.
+	batchJobs = 24
+)
+
+// New makes an Owner of a pool whose lease was just taken.
+func New(c Config) *Owner {
+	now := c.Now()
+	o := &Owner{
+		conf: c, until: c.Taken + c.Lease, version: c.Version,
+		wake: make(chan struct{}, 1), done: make(chan struct{}), written: make(chan struct{}),
+		core: sched.New(sched.Config{
+			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
+			Logs: c.Logs, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
+		}),
+	}
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+	return o
+}
+
+// Run works until the lease is lost or Close is called.
+func (o *Owner) Run(site *gauge.Site, workers []gauge.Worker) {
+	o.Configure(site)
+	if !o.load() {
+		return
+	}
+	o.List(workers)
+	o.group.Go(o.writeLoop)
+	o.group.Go(o.tickLoop)
+	o.group.Go(o.scanLoop)
+	o.group.Wait()
+}
+
+// Close stops all work. With the lease still held it is given up, so that
+// another entry needn't wait for its end.
+func (o *Owner) Close(ctx context.Context) {
+	o.mu.Lock()
+	held := !o.lost
+	o.lost = true
+	o.mu.Unlock()
+	o.cancel()
+	if held {
+		o.giveUp(ctx)
+	}
+}
+
+// Done is closed when the lease is lost.
+func (o *Owner) Done() <-chan struct{} { return o.done }
+
+// lose takes in that another entry owns the pool now.
+func (o *Owner) lose(why string) {
+	o.mu.Lock()
+	already := o.lost
+	o.lost = true
+	o.mu.Unlock()
+	if already {
+		return
+	}
+	o.conf.Logs.Info("lease lost", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
+	o.cancel()
+	close(o.done)
+}
+
+// Configure takes in a configuration.
+func (o *Owner) Configure(s *gauge.Site) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.site = s
+	o.core.Configure(s)
+}
+
+// List takes in the platform's list of workers.
+func (o *Owner) List(workers []gauge.Worker) {
+	o.mu.Lock()
+	fresh := o.core.Workers(workers)
+	lost := o.lost
+	o.mu.Unlock()
+	if lost {
+		return
+	}
+	for _, w := range fresh {
+		o.group.Go(func() { o.holdLoop(w.ID) })
+	}
+	if len(fresh) > 0 {
+		o.poke() // the lease row has to name them before they are used
+	}
+	o.act(nil)
+}
+
+// mayAdopt tells whether a job that was accepted now surely isn't another
+// owner's: the lease lasts.
+func (o *Owner) mayAdopt() bool { return !o.lost && o.loaded && o.conf.Now() < o.until }
+
+// Adopt takes in a job that another entry, or this one, has just accepted.
+func (o *Owner) Adopt(id, queue string, spec *gauge.JobSpec, row *gauge.JobRow, version int64) bool {
+	now := o.conf.Now()
+	o.mu.Lock()
+	ok := o.mayAdopt()
+	if ok {
+		o.core.Adopt(id, queue, spec, row, version, o.arrival(row, now), now, false)
+	}
+	o.mu.Unlock()
+	if ok {
+		o.act(nil)
+	}
+	return ok
+}
+
+// arrival turns the time of acceptance on the table's clock into ours.
+func (o *Owner) arrival(row *gauge.JobRow, now time.Duration) time.Duration {
+	age := time.Duration(o.conf.Clock()-row.Accepted) * time.Millisecond
+	return now - max(0, age)
+}
+
+// Cancel takes in that a job was cancelled.
+func (o *Owner) Cancel(id string, version int64) {
+	o.mu.Lock()
+	o.core.Cancel(id, version)
+	o.mu.Unlock()
+	o.act(nil)
+}
+
+// Pool is the pool's name.
+func (o *Owner) Pool() string { return o.conf.Pool }
+
+// act does something to the state, sends the orders that follow from it and has
+// changes written.
+func (o *Owner) act(do func(now time.Duration)) {
+	now := o.conf.Now()
+	o.mu.Lock()
+	if do != nil {
+		do(now)
+	}
+	var orders []sched.Order
+	if o.loaded && !o.lost {
+		o.core.Limit(o.until + o.conf.Grace)
+		orders = o.core.Plan(now)
+	}
+	urgent := o.core.Urgent()
+	o.mu.Unlock()
+	for _, order := range orders {
+		o.group.Go(func() { o.send(order) })
+	}
+	if urgent {
+		o.poke()
+	}
+}
+
+func (o *Owner) poke() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send carries out one order. Right before it goes out the lease is looked at
+// again: a process that was paused may wake up here.
+func (o *Owner) send(order sched.Order) {
+	began := o.conf.Now()
+	clock, err := o.order(order, began)
+	now := o.conf.Now()
+	o.conf.Count(string(order.Kind), now-began)
+	if gauge.Is(err, gauge.KindFenced) {
+		o.lose("a worker has seen a newer fencing token")
+		return
+	}
+	o.act(func(now time.Duration) { o.core.Answered(order, clock, err, now) })
+}
+
+func (o *Owner) order(order sched.Order, now time.Duration) (time.Duration, error) {
+	o.mu.Lock()
+	stale := o.lost || now >= o.until+o.conf.Grace
+	o.mu.Unlock()
+	if stale {
+		return 0, gauge.Fail(gauge.KindOutage, "the lease is over")
+	}
+	w := &order.Worker
+	switch order.Kind {
+	case sched.OrderStart:
+		return o.conf.Workers.Start(o.ctx, w, order.Start)
+	case sched.OrderStop:
+		return o.conf.Workers.Stop(o.ctx, w, order.Stop)
+	default:
+		return o.conf.Workers.Pace(o.ctx, w, order.Pace)
+	}
+}
+
+// holdLoop keeps one hold after the other at a worker, until it is over.
+func (o *Owner) holdLoop(id string) {
+	for o.ctx.Err() == nil {
+		now := o.conf.Now()
+		o.mu.Lock()
+		w, call, ok := o.core.Holding(id, now)
+		written := o.written
+		o.mu.Unlock()
+		if !ok {
+			return
+		}
+		rep, err := o.conf.Workers.Hold(o.ctx, &w, call)
+		o.conf.Count("hold", o.conf.Now()-now)
+		if o.ctx.Err() != nil {
+			return
+		}
+		if gauge.Is(err, gauge.KindFenced) {
+			o.lose("a worker has seen a newer fencing token")
+			return
+		}
+		if err != nil {
+			o.act(func(now time.Duration) { o.core.HoldFailed(id, err, now) })
+			o.rest(nil, holdAgain)
+			continue
+		}
+		o.act(func(now time.Duration) { o.core.Report(id, rep, now) })
+		if len(rep.Ended) > 0 {
+			// A hold that doesn't acknowledge them would be answered at once.
+			o.rest(written, ackWait)
+		}
+	}
+}
+
+// rest waits for a while, or until something is closed.
+func (o *Owner) rest(until <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-o.ctx.Done():
+	case <-until:
+	case <-timer.C:
+	}
+}
+
+func (o *Owner) tickLoop() {
+	for o.ctx.Err() == nil {
+		o.act(func(now time.Duration) { o.core.Tick(now, o.conf.Wall()) })
+		o.rest(nil, tickEvery)
+	}
+}
--- /dev/null
+++ b/internal/sched/job.go
@@ -0,0 +1,237 @@
+package sched
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// job is one accepted job and what is known of its tasks.
+type job struct {
+	id        string
+	queue     string
+	spec      *gauge.JobSpec
+	row       gauge.JobRow
+	version   int64         // of the row in the table
+	arrived   time.Duration // when it was accepted, on this entry's clock
+	occs      map[int]*occurrence
+	next      int  // first occurrence that is not yet made
+	begun     bool // some task has started
+	inherited bool // it was there before this owner took over
+
+	changes int  // grows with each change of the row
+	saved   int  // changes that the table has
+	urgent  bool // the changes are worth a write of their own
+	cleaned bool // nothing of it is left to do or to drop
+}
+
+// occurrence is one run through a job's steps.
+type occurrence struct {
+	number int
+	steps  []*stage
+	left   int // tasks that are not done
+}
+
+// stage is one step of one occurrence.
+type stage struct {
+	spec  *gauge.Step
+	tasks []*task
+	left  int
+}
+
+// task is one task; it may have several runs that are not known to be over.
+type task struct {
+	id        gauge.TaskID
+	job       *job
+	stage     *stage
+	done      bool
+	runs      []*run
+	lastRun   int
+	saved     string
+	readyAt   time.Duration // when it last became ready to start
+	awaySince time.Duration // lasting tasks: since when it is not at work
+}
+
+func (t *task) failures() int { return len(t.job.row.Failures[t.key()]) }
+
+// key names the task within its job.
+func (t *task) key() string {
+	return strconv.Itoa(t.id.Occurrence) + "." + strconv.Itoa(t.id.Step) + "." + strconv.Itoa(t.id.Index)
+}
+
+// drop takes a run that is over off the task's list.
+func (t *task) drop(r *run) {
+	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+}
+
+// touch notes that the row has changed.
+func (j *job) touch(urgent bool) {
+	j.changes++
+	j.urgent = j.urgent || urgent
+}
+
+func (j *job) dirty() bool { return j.changes > j.saved }
+
+// open tells whether tasks of the job may still start.
+func (j *job) open() bool { return !j.row.State.Final() }
+
+// occurrence makes an occurrence from what the row says of it.
+func (j *job) occurrence(number int, now time.Duration) *occurrence {
+	if o := j.occs[number]; o != nil {
+		return o
+	}
+	o := &occurrence{number: number}
+	done := j.row.Done[number]
+	for i := range j.spec.Steps {
+		st := &stage{spec: &j.spec.Steps[i]}
+		for k := range st.spec.Count {
+			t := &task{
+				id:  gauge.TaskID{Job: j.id, Occurrence: number, Step: i, Index: k},
+				job: j, stage: st, readyAt: now, awaySince: now,
+			}
+			t.done = i < len(done) && hasBit(done[i], k)
+			t.saved = j.row.Saved[t.key()]
+			t.lastRun = slices.Max(append([]int{0}, j.row.Failures[t.key()]...))
+			if !t.done {
+				st.left++
+			}
+			st.tasks = append(st.tasks, t)
+		}
+		o.left += st.left
+		o.steps = append(o.steps, st)
+	}
+	j.occs[number] = o
+	return o
+}
+
+// task finds a task by its id; nil if the job has none such.
+func (j *job) task(id gauge.TaskID, now time.Duration) *task {
+	if id.Occurrence < j.row.Over || id.Occurrence >= j.spec.Occurrences() || id.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	if id.Index >= j.spec.Steps[id.Step].Count {
+		return nil
+	}
+	return j.occurrence(id.Occurrence, now).steps[id.Step].tasks[id.Index]
+}
+
+// ready tells whether all steps before one are done.
+func (o *occurrence) ready(st *stage) bool {
+	for _, a := range st.spec.After {
+		if o.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finish notes that a task is done, and what follows from it.
+func (j *job) finish(t *task) {
+	o := j.occs[t.id.Occurrence]
+	t.done = true
+	t.stage.left--
+	o.left--
+	if j.row.Done == nil {
+		j.row.Done = make(map[int][][]byte)
+	}
+	bits := j.row.Done[o.number]
+	for len(bits) < len(o.steps) {
+		bits = append(bits, nil)
+	}
+	bits[t.id.Step] = setBit(bits[t.id.Step], t.id.Index)
+	j.row.Done[o.number] = bits
+	delete(j.row.Saved, t.key())
+	delete(j.row.Failures, t.key())
+	j.touch(true)
+	j.advance()
+}
+
+// advance moves the mark of completed occurrences on, and completes the job
+// with the last of them.
+func (j *job) advance() {
+	for {
+		o := j.occs[j.row.Over]
+		if o == nil || o.left > 0 {
+			break
+		}
+		delete(j.occs, j.row.Over)
+		delete(j.row.Done, j.row.Over)
+		j.row.Over++
+	}
+	if j.row.Over >= j.spec.Occurrences() && j.open() {
+		j.row.State = gauge.JobCompleted
+	}
+}
+
+// fail ends the job for good.
+func (j *job) fail() {
+	if j.open() {
+		j.row.State = gauge.JobFailed
+		j.touch(true)
+	}
+}
+
+// cancel ends the job; the table has it already.
+func (j *job) cancel() {
+	if j.open() {
+		j.row.State = gauge.JobCancelled
+	}
+}
+
+// live lists the runs of the job that may exist.
+func (j *job) live() []*run {
+	var rs []*run
+	for _, o := range j.occs {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				rs = append(rs, t.runs...)
+			}
+		}
+	}
+	return rs
+}
+
+// chain is the estimated time of the longest chain of steps that is left.
+func (o *occurrence) chain() time.Duration {
+	ends := make([]time.Duration, len(o.steps))
+	var longest time.Duration
+	for i, st := range o.steps {
+		for _, a := range st.spec.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if st.left > 0 {
+			ends[i] += st.spec.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// whole is the estimated time of the longest chain of all steps.
+func (j *job) whole() time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	var longest time.Duration
+	for i := range j.spec.Steps {
+		st := &j.spec.Steps[i]
+		for _, a := range st.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += st.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func hasBit(bits []byte, i int) bool {
+	return i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0
+}
+
+func setBit(bits []byte, i int) []byte {
+	for len(bits) <= i/8 {
+		bits = append(bits, 0)
+	}
+	bits[i/8] |= 1 << (i % 8)
+	return bits
+}
--- /dev/null
+++ b/internal/sched/plan.go
@@ -0,0 +1,285 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// Plan returns the orders that follow from all that has been taken in.
+func (p *Pool) Plan(now time.Duration) []Order {
+	p.stops(now)
+	p.evacuate(now)
+	p.starts(now)
+	p.pace(now)
+	out := p.orders
+	p.orders = nil
+	return out
+}
+
+// stops orders the end of runs that are to end. A stop that got no answer is
+// sent again: it has no effect twice.
+func (p *Pool) stops(now time.Duration) {
+	for _, w := range p.workers {
+		if w.gone || w.silent {
+			continue
+		}
+		for r := range w.runs {
+			if !r.task.job.open() && !r.task.done {
+				r.stop = true
+			}
+			if r.stop && !r.asked && r.phase != phaseStopping && r.phase != phaseSent {
+				p.stop(r)
+			}
+		}
+	}
+}
+
+func (p *Pool) stop(r *run) {
+	r.asked = true
+	p.conf.Logs.Info("run stops", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID)
+	p.orders = append(p.orders, Order{
+		Kind: OrderStop, Worker: r.worker.info, run: r,
+		Stop: gauge.StopCall{Fence: p.conf.Fence, Task: r.task.id, Run: r.number},
+	})
+}
+
+// evacuate moves lasting tasks away from workers that are to be emptied or that
+// leave, no more of a step at once than may be away.
+func (p *Pool) evacuate(now time.Duration) {
+	for _, w := range p.workers {
+		if !w.empty && !w.info.Draining {
+			continue
+		}
+		if w.silent || w.gone || !w.heard {
+			continue
+		}
+		for r := range w.runs {
+			if r.stop || r.phase != phaseLive {
+				continue
+			}
+			if p.mayLeave(w, r, now) {
+				r.stop = true
+				p.stop(r)
+			}
+		}
+	}
+}
+
+// mayLeave tells whether a run may be stopped so that its worker gets empty.
+func (p *Pool) mayLeave(w *worker, r *run, now time.Duration) bool {
+	st := r.task.stage.spec
+	if !st.Lasts {
+		return st.Checkpoints
+	}
+	if w.info.Draining {
+		return true // it ends there anyway, and sooner is sooner back
+	}
+	if st.MaxAway == 0 {
+		return true
+	}
+	away := 0
+	for _, t := range r.task.stage.tasks {
+		if t != r.task && !t.atWork(now) {
+			away++
+		}
+	}
+	return away < st.MaxAway
+}
+
+// settled is how long a lasting task must have run before it counts as at work:
+// its startup takes about a second, and a report of it some more.
+const settled = 3 * time.Second
+
+// atWork tells whether a lasting task surely serves its users now.
+func (t *task) atWork(now time.Duration) bool {
+	for _, r := range t.runs {
+		if r.phase == phaseLive && !r.stop && !r.worker.silent && !r.worker.info.Draining &&
+			r.progress == atFull && now-r.sent > settled {
+			return true
+		}
+	}
+	return false
+}
+
+// turn is a stage with tasks that may start, and its rank.
+type turn struct {
+	job   *job
+	occ   *occurrence
+	stage *stage
+	rank  rank
+}
+
+// rank orders turns: the lower one starts first.
+type rank struct {
+	lasting  int // 0: lasting tasks, which are few and earn all the time
+	priority int
+	late     int // 0: it can meet its objective; 1: it can't; 2: long past it
+	due      time.Duration
+	id       string
+}
+
+func compare(a, b turn) int {
+	return cmp.Or(
+		cmp.Compare(a.rank.lasting, b.rank.lasting),
+		cmp.Compare(a.rank.priority, b.rank.priority),
+		cmp.Compare(a.rank.late, b.rank.late),
+		cmp.Compare(a.rank.due, b.rank.due),
+		cmp.Compare(a.rank.id, b.rank.id),
+	)
+}
+
+// starts places the tasks whose turn it is.
+func (p *Pool) starts(now time.Duration) {
+	if now >= p.limit {
+		return // another owner may have taken over
+	}
+	turns := p.turns(now)
+	slices.SortFunc(turns, compare)
+	for _, t := range turns {
+		if t.stage.spec.Gang {
+			p.startGang(t, now)
+			continue
+		}
+		p.startEach(t, now)
+	}
+}
+
+func (p *Pool) turns(now time.Duration) []turn {
+	var turns []turn
+	for _, j := range p.jobs {
+		if !j.open() {
+			continue
+		}
+		for _, o := range j.occs {
+			for _, st := range o.steps {
+				if st.waits() && o.ready(st) {
+					turns = append(turns, turn{job: j, occ: o, stage: st, rank: p.rank(j, o, st, now)})
+				}
+			}
+		}
+	}
+	return turns
+}
+
+// waits tells whether a task of the stage is without a run.
+func (st *stage) waits() bool {
+	if st.left == 0 {
+		return false
+	}
+	for _, t := range st.tasks {
+		if !t.done && len(t.runs) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// defaultStretch is used for a queue that the configuration no longer has.
+const defaultStretch = 2
+
+// lateFactor: up to three times the objective a late job is still worth
+// something to its caller.
+const lateFactor = 3
+
+func (p *Pool) rank(j *job, o *occurrence, st *stage, now time.Duration) rank {
+	r := rank{lasting: 1, id: j.id}
+	if st.spec.Lasts {
+		r.lasting = 0
+		if st.spec.Fills {
+			r.lasting = 1
+		}
+	}
+	stretch, target := float64(defaultStretch), time.Duration(0)
+	if q := p.site.QueueByName(j.queue); q != nil {
+		r.priority, stretch, target = q.Priority, q.Stretch, q.Target
+	}
+	objective := time.Duration(stretch*float64(j.whole())) + target
+	r.due = j.arrived + objective
+	left := r.due - now
+	switch {
+	case left < -objective*(lateFactor-1):
+		r.late = 2
+	case left < o.chain()/2:
+		r.late = 1
+	}
+	return r
+}
+
+// startEach starts as many tasks of a stage as there is room for.
+func (p *Pool) startEach(t turn, now time.Duration) {
+	for _, k := range t.stage.tasks {
+		if k.done || len(k.runs) > 0 || p.unknownYet(k) {
+			continue
+		}
+		w := p.place(t.stage, now, nil)
+		if w == nil {
+			return // none of the others fits either
+		}
+		p.start(k, w, k.lastRun+1, now)
+	}
+}
+
+// unknownYet tells whether a run of the task may exist that nobody has told.
+func (p *Pool) unknownYet(t *task) bool { return p.doubtful() && t.job.inherited }
+
+// startGang starts all tasks of a stage or none.
+func (p *Pool) startGang(t turn, now time.Duration) {
+	number := 0
+	for _, k := range t.stage.tasks {
+		if len(k.runs) > 0 || p.unknownYet(k) {
+			return
+		}
+		number = max(number, k.lastRun)
+	}
+	taken := make(map[*worker]gauge.Resources)
+	var places []*worker
+	for range t.stage.tasks {
+		w := p.place(t.stage, now, taken)
+		if w == nil {
+			return
+		}
+		taken[w] = taken[w].Plus(t.stage.spec.Room())
+		places = append(places, w)
+	}
+	for i, k := range t.stage.tasks {
+		p.start(k, places[i], number+1, now)
+	}
+}
+
+// atFull is the progress of a lasting task that serves its users.
+const atFull = 100
+
+// fullSpeed is the percentage that a run starts with.
+const fullSpeed = 100
+
+func (p *Pool) start(t *task, w *worker, number int, now time.Duration) {
+	until := w.grant(now, min(p.conf.Start, p.limit-now))
+	if until == 0 {
+		return
+	}
+	t.lastRun = number
+	r := &run{
+		task: t, worker: w, number: number, phase: phaseSent, room: t.stage.spec.Room(),
+		sent: now, until: until, paced: fullSpeed,
+	}
+	t.runs = append(t.runs, r)
+	w.add(r)
+	if !t.job.begun {
+		t.job.begun = true
+		if t.job.row.State == gauge.JobPending {
+			t.job.row.State = gauge.JobRunning
+			t.job.touch(false)
+		}
+	}
+	p.conf.Logs.Info("run starts", "job", t.job.id, "task", t.id.String(), "run", number, "worker", w.info.ID,
+		"waited", now-t.readyAt, "free", w.free().MilliCPU)
+	p.orders = append(p.orders, Order{
+		Kind: OrderStart, Worker: w.info, run: r,
+		Start: gauge.StartCall{
+			Fence: p.conf.Fence, Task: t.id, Run: number, Payload: t.job.spec.Payload, Until: until, Saved: t.saved,
+		},
+	})
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,280 @@
+package sched
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// Report takes in a worker's answer to a hold.
+func (p *Pool) Report(id string, rep *gauge.WorkerReport, now time.Duration) {
+	w := p.workers[id]
+	if w == nil || w.gone {
+		return
+	}
+	if w.silent {
+		p.conf.Logs.Info("worker back", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
+	}
+	if !w.heard {
+		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
+	}
+	w.silent, w.heard, w.heardAt = false, true, now
+	delete(p.earlier, id)
+	newest := rep.Clock >= w.clock
+	w.read(rep.Clock, now)
+	for _, e := range rep.Ended {
+		if e.Number > w.ends {
+			w.ends = e.Number
+			p.ended(w, e, now)
+		}
+	}
+	if newest {
+		// An older picture may lack what a newer answer has told.
+		p.running(w, rep, now)
+	}
+}
+
+// running compares what a worker runs with what it should run.
+func (p *Pool) running(w *worker, rep *gauge.WorkerReport, now time.Duration) {
+	there := make(map[*run]bool, len(rep.Running))
+	w.odd = 0
+	for _, rr := range rep.Running {
+		r := p.reported(w, rr, rep.Clock, now)
+		if r == nil {
+			w.odd++
+			p.stopOdd(w, rr)
+			continue
+		}
+		there[r] = true
+		r.load, r.progress = rr.Load, rr.Progress
+		if r.phase != phaseStopping {
+			r.phase = phaseLive
+		}
+		r.known = max(r.known, rep.Clock)
+		if rr.Saved != "" {
+			r.task.saved = rr.Saved
+		}
+	}
+	for r := range w.runs {
+		if !there[r] && r.overBy(rep.Clock) {
+			if r.phase == phaseLive {
+				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID)
+			}
+			p.end(r, now)
+		}
+	}
+}
+
+// overBy tells whether a run that a worker doesn't list, as of a reading of its
+// clock, is over for good.
+func (r *run) overBy(clock time.Duration) bool {
+	switch r.phase {
+	case phaseLive, phaseStopping:
+		return clock > r.known
+	default:
+		// The order may still come, but is refused after its own deadline.
+		return clock > r.until
+	}
+}
+
+// reported finds the run that a worker lists, or takes in one that the owner
+// before this one started. Nil: it is of no job that is known here.
+func (p *Pool) reported(w *worker, rr gauge.RunReport, clock, now time.Duration) *run {
+	j := p.jobs[rr.Task.Job]
+	if j == nil {
+		return nil
+	}
+	t := j.task(rr.Task, now)
+	if t == nil {
+		return nil
+	}
+	t.lastRun = max(t.lastRun, rr.Run)
+	if r := w.find(t, rr.Run); r != nil {
+		return r
+	}
+	r := &run{
+		task: t, worker: w, number: rr.Run, phase: phaseLive, room: t.stage.spec.Room(),
+		sent: now, known: clock, progress: rr.Progress, paced: fullSpeed,
+	}
+	p.conf.Logs.Info("run found", "job", j.id, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID, "others", len(t.runs))
+	r.stop = t.done || len(t.runs) > 0
+	t.runs = append(t.runs, r)
+	w.add(r)
+	j.begun = true
+	return r
+}
+
+// stopOdd ends a run of a job that is not open: it was cancelled or has failed,
+// and a start of an earlier owner was carried out late.
+func (p *Pool) stopOdd(w *worker, rr gauge.RunReport) {
+	p.conf.Logs.Info("run of no open job", "job", rr.Task.Job, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID)
+	p.orders = append(p.orders, Order{
+		Kind: OrderStop, Worker: w.info,
+		Stop: gauge.StopCall{Fence: p.conf.Fence, Task: rr.Task, Run: rr.Run},
+	})
+}
+
+// ended takes in the end of a run.
+func (p *Pool) ended(w *worker, e gauge.EndReport, now time.Duration) {
+	j := p.jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	t := j.task(e.Task, now)
+	if t == nil {
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	r := w.find(t, e.Run)
+	var took time.Duration
+	if r != nil {
+		took = now - r.sent
+		p.end(r, now)
+	}
+	p.conf.Logs.Info("run ended", "job", j.id, "task", e.Task.String(), "run", e.Run, "worker", w.info.ID,
+		"end", e.How, "number", e.Number, "known", r != nil, "took", took)
+	if e.Saved != "" && t.stage.spec.Checkpoints && !t.done {
+		t.saved = e.Saved
+		j.save(t, e.Saved)
+	}
+	p.judge(w, j.id, e.How, now)
+	switch {
+	case t.stage.spec.Lasts || t.done:
+	case e.How == gauge.EndDone:
+		p.done(j, t)
+	case e.How == gauge.EndFailed:
+		p.failed(j, t, e.Run)
+	}
+	if t.stage.spec.Gang {
+		p.endGang(t, e)
+	}
+}
+
+// save keeps the checkpoint of a task that isn't running.
+func (j *job) save(t *task, saved string) {
+	if j.row.Saved == nil {
+		j.row.Saved = make(map[string]string)
+	}
+	j.row.Saved[t.key()] = saved
+	j.touch(false)
+}
+
+func (p *Pool) done(j *job, t *task) {
+	if t.stage.spec.Gang {
+		// One end stands for all members.
+		for _, m := range t.stage.tasks {
+			if !m.done {
+				j.finish(m)
+			}
+		}
+	} else {
+		j.finish(t)
+	}
+	for _, r := range t.runs {
+		r.stop = true
+	}
+	if j.row.State == gauge.JobCompleted {
+		p.conf.Logs.Info("job completed", "job", j.id, "pool", p.conf.Name)
+	}
+}
+
+func (p *Pool) failed(j *job, t *task, number int) {
+	if j.row.Failures == nil {
+		j.row.Failures = make(map[string][]int)
+	}
+	for _, n := range j.row.Failures[t.key()] {
+		if n == number {
+			return
+		}
+	}
+	j.row.Failures[t.key()] = append(j.row.Failures[t.key()], number)
+	j.touch(false)
+	if t.failures() >= p.attempts(j) {
+		p.conf.Logs.Info("job failed", "job", j.id, "task", t.id.String(), "failures", t.failures(), "bound", p.attempts(j))
+		j.fail()
+	}
+}
+
+// endGang ends the runs of the other members: they can't work without it.
+func (p *Pool) endGang(t *task, e gauge.EndReport) {
+	for _, m := range t.stage.tasks {
+		for _, r := range m.runs {
+			if r.number == e.Run {
+				r.stop = true
+			}
+		}
+	}
+	if e.Saved == "" {
+		return
+	}
+	for _, m := range t.stage.tasks {
+		m.saved = e.Saved
+	}
+}
+
+// Answered takes in the outcome of an order.
+func (p *Pool) Answered(o Order, clock time.Duration, err error, now time.Duration) {
+	r := o.run
+	if r == nil {
+		return
+	}
+	r.worker.read(clock, now)
+	switch o.Kind {
+	case OrderStart:
+		p.started(r, clock, err, now)
+	case OrderStop:
+		r.asked = false
+		if err == nil {
+			r.phase = phaseStopping
+			r.known = max(r.known, clock)
+		}
+	case OrderPace:
+		r.pacing = false
+		if err != nil {
+			r.paced = unpaced
+		}
+	}
+	if gauge.Is(err, gauge.KindReplaced) {
+		p.over(r.worker, "another life answers at its address", now)
+	}
+	if err != nil {
+		p.conf.Logs.Info("order failed", "order", o.Kind, "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
+			"worker", r.worker.info.ID, "kind", gauge.KindOf(err), "error", err.Error())
+	}
+}
+
+// restAfterRefusal is how long a worker that refused a start gets no other.
+// Several holds fit in, so that what it has free is known again.
+const restAfterRefusal = 500 * time.Millisecond
+
+func (p *Pool) started(r *run, clock time.Duration, err error, now time.Duration) {
+	if !r.worker.runs[r] {
+		return // its end came first
+	}
+	if err == nil {
+		p.alive(r, clock)
+		return
+	}
+	switch gauge.KindOf(err) {
+	case gauge.KindUnknown, gauge.KindInternal:
+		r.phase = phaseUnsure
+	case gauge.KindStale:
+		r.task.lastRun++
+		p.end(r, now)
+	case gauge.KindOutage, gauge.KindLate, gauge.KindReplaced:
+		p.end(r, now)
+	default:
+		p.end(r, now)
+		r.worker.rest = now + restAfterRefusal
+	}
+	if r.task.stage.spec.Gang {
+		p.endGang(r.task, gauge.EndReport{Run: r.number})
+	}
+}
+
+func (p *Pool) alive(r *run, clock time.Duration) {
+	if r.phase == phaseSent {
+		r.phase = phaseLive
+	}
+	r.known = max(r.known, clock)
+}
--- /dev/null
+++ b/internal/sched/save.go
@@ -0,0 +1,138 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	gauge "sapphiregauge"
+)
+
+// Change is one job's row as it is to be written.
+type Change struct {
+	Job     string
+	Queue   string
+	Row     []byte
+	Version int64 // that the table is thought to have
+	Final   bool  // nothing runs any more: spec and marker can go
+	changes int
+}
+
+// Batch is a set of changes, and the ends that the table has once it is written.
+type Batch struct {
+	Changes []Change
+	Urgent  bool
+	ends    map[string]int64
+}
+
+// Batch returns up to `most` changes that the table doesn't have yet; the urgent
+// ones first. Now is the table's clock in milliseconds.
+func (p *Pool) Batch(most int, now int64) (Batch, error) {
+	b := Batch{}
+	dirty := p.dirty(now)
+	all := len(dirty) <= most
+	if !all {
+		dirty = dirty[:most]
+	}
+	for _, j := range dirty {
+		if j.row.State.Final() && j.row.Ended == 0 {
+			j.row.Ended = now
+		}
+		row, err := j.row.Encode()
+		if err != nil {
+			return b, err
+		}
+		b.Urgent = b.Urgent || j.urgent
+		b.Changes = append(b.Changes, Change{
+			Job: j.id, Queue: j.queue, Row: row, Version: j.version,
+			Final: j.row.State.Final() && len(j.live()) == 0, changes: j.changes,
+		})
+	}
+	if all {
+		b.ends = make(map[string]int64, len(p.workers))
+		for id, w := range p.workers {
+			if w.ends > w.kept {
+				b.ends[id] = w.ends
+			}
+		}
+	}
+	return b, nil
+}
+
+// Urgent tells whether a change waits that is worth a write of its own.
+func (p *Pool) Urgent() bool {
+	for _, j := range p.jobs {
+		if j.dirty() && j.urgent {
+			return true
+		}
+	}
+	for _, w := range p.workers {
+		if w.ends > w.kept && !w.gone {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) dirty(now int64) []*job {
+	var dirty []*job
+	for _, j := range p.jobs {
+		if j.dirty() || j.leaves() {
+			dirty = append(dirty, j)
+		}
+	}
+	slices.SortFunc(dirty, func(a, b *job) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.arrived, b.arrived)
+	})
+	return dirty
+}
+
+// leaves tells whether a job that has ended has nothing left but its spec and
+// marker in the table.
+func (j *job) leaves() bool {
+	return j.row.State.Final() && !j.cleaned && len(j.live()) == 0
+}
+
+// Written takes in that a batch is in the table, as of a version.
+func (p *Pool) Written(b Batch, version int64) {
+	for _, c := range b.Changes {
+		j := p.jobs[c.Job]
+		if j == nil {
+			continue
+		}
+		j.version = version
+		j.saved = max(j.saved, c.changes)
+		if !j.dirty() {
+			j.urgent = false
+		}
+		if c.Final {
+			j.cleaned = true
+			delete(p.jobs, c.Job)
+		}
+	}
+	for id, n := range b.ends {
+		if w := p.workers[id]; w != nil {
+			w.kept = max(w.kept, n)
+		}
+	}
+}
+
+// Conflicted takes in rows as the table has them, after a batch was refused. A
+// row that a caller's cancel has changed ends the job here; one that an earlier
+// batch without an answer has changed is simply newer.
+func (p *Pool) Conflicted(id string, row *gauge.JobRow, version int64) {
+	j := p.jobs[id]
+	if j == nil || version <= j.version {
+		return
+	}
+	j.version = version
+	if row.State == gauge.JobCancelled && j.open() {
+		p.conf.Logs.Info("job cancelled", "job", id, "pool", p.conf.Name, "version", version, "seen", "at a write")
+		j.cancel()
+	}
+}
--- /dev/null
+++ b/internal/sched/worker.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// phase is how much is known of a run.
+type phase string
+
+// The phases of a run.
+const (
+	phaseSent     phase = "sent"     // the order is out
+	phaseUnsure   phase = "unsure"   // it got no answer, and may be carried out yet
+	phaseLive     phase = "live"     // the worker has it
+	phaseStopping phase = "stopping" // a stop was answered
+)
+
+// run is one start of a task that may exist on a worker. It leaves the lists
+// only when it is sure that it is over and can't begin any more: another start
+// before that might run the task twice at once.
+type run struct {
+	task     *task
+	worker   *worker
+	number   int
+	phase    phase
+	room     gauge.Resources
+	sent     time.Duration // when it was ordered
+	until    time.Duration // on the worker's clock: an order that comes later is refused
+	known    time.Duration // on the worker's clock: the worker has had it, or its stop, since
+	stop     bool          // it is to end
+	asked    bool          // a stop is on its way
+	progress int           // percent of its work done; 100: a lasting task is at work
+	paced    int           // percent of its speed that it was told to work at
+	load     int           // as reported
+	pacing   bool          // a pace is on its way
+}
+
+// worker is one life of a worker as this owner sees it.
+type worker struct {
+	info   gauge.Worker
+	listed bool // it is on the platform's list
+	noted  bool // the lease row names it: a successor will ask it first
+	heard  bool // it has answered to this owner's fencing token
+	silent bool // its last hold got no answer
+	gone   bool // it is surely over
+
+	runs map[*run]bool
+	used gauge.Resources
+	odd  int // runs there of jobs that this owner doesn't know
+
+	clock   time.Duration // worker's clock ...
+	readAt  time.Duration // ... as read at this time on ours
+	expiry  time.Duration // nothing runs there later than this, on our clock
+	heardAt time.Duration
+
+	ends   int64         // ends up to this number are taken in
+	kept   int64         // ends up to this number are in the table
+	empty  bool          // it is to be emptied for upkeep or a move
+	rest   time.Duration // no starts before this, since it fails or is slow
+	misses int           // failures in a row, of different jobs
+	missed string        // job of the last one
+}
+
+// slowClock is how slow a worker's clock may be: it shows at least this share of
+// the time that passes here. Users' figure.
+const slowClock = 0.98
+
+// ClockAt is the least that the worker's clock may show now.
+func (w *worker) clockAt(now time.Duration) time.Duration {
+	return w.clock + time.Duration(float64(now-w.readAt)*slowClock)
+}
+
+// grant returns a deadline on the worker's clock that has surely passed after
+// a span from now, and notes when that is. A worker whose clock is not yet known
+// gets none.
+func (w *worker) grant(now, span time.Duration) time.Duration {
+	if w.clock == 0 || span <= 0 {
+		return 0
+	}
+	w.expiry = max(w.expiry, now+span)
+	return w.clockAt(now) + time.Duration(float64(span)*slowClock)
+}
+
+// read takes in a reading of the worker's clock.
+func (w *worker) read(clock, now time.Duration) {
+	if clock > 0 && clock >= w.clock {
+		w.clock, w.readAt = clock, now
+	}
+}
+
+func (w *worker) add(r *run) {
+	w.runs[r] = true
+	w.used = w.used.Plus(r.room)
+}
+
+func (w *worker) remove(r *run) {
+	if w.runs[r] {
+		delete(w.runs, r)
+		w.used = w.used.Minus(r.room)
+	}
+}
+
+func (w *worker) free() gauge.Resources { return w.info.Capacity.Minus(w.used) }
+
+// find returns the run of a task with a number; nil if there is none here.
+func (w *worker) find(t *task, number int) *run {
+	for _, r := range t.runs {
+		if r.worker == w && r.number == number {
+			return r
+		}
+	}
+	return nil
+}
+
+// takes tells whether new runs may start here.
+func (w *worker) takes(now time.Duration) bool {
+	return w.listed && w.noted && w.heard && !w.silent && !w.gone && !w.info.Draining &&
+		!w.empty && w.odd == 0 && w.clock > 0 && now >= w.rest
+}
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,124 @@
+// Package terms says which pools this entry should try to own. It is a state
+// machine without input or output over the lease rows that were seen.
+//
+// A lease is over when its row hasn't changed for its term. The time is counted
+// from when the row was first seen, which is later than its holder counts from,
+// so no two entries' clocks are ever compared.
+package terms
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up a Board.
+type Config struct {
+	Self   string        // holder's name of this entry
+	Term   time.Duration // of a lease
+	Spread time.Duration // free pools are claimed within this, in an order that differs by entry
+	Held   time.Duration // more of a wait for each pool that this entry has already
+}
+
+// seen is a lease row as last read.
+type seen struct {
+	row     gauge.LeaseRow
+	version int64
+	at      time.Duration // when this version was first seen
+}
+
+// Claim is an attempt to take a pool's lease.
+type Claim struct {
+	Pool    string
+	Version int64 // of the row as it was seen; 0: there is none
+	Row     gauge.LeaseRow
+}
+
+// Board keeps the lease rows. It is not safe for concurrent use.
+type Board struct {
+	conf Config
+	rows map[string]seen
+	free map[string]time.Duration // since when a pool is seen to be without an owner
+	read bool
+}
+
+// clockMargin covers the difference between two entries' steady clocks over one
+// term.
+const clockMargin = 100 * time.Millisecond
+
+// New makes a Board that has seen nothing.
+func New(c Config) *Board {
+	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration)}
+}
+
+// Tell takes in lease rows, by pool. Whole: there are no others.
+func (b *Board) Tell(pool string, row gauge.LeaseRow, version int64, now time.Duration) {
+	old, known := b.rows[pool]
+	if known && version <= old.version {
+		return
+	}
+	b.rows[pool] = seen{row: row, version: version, at: now}
+}
+
+// Read takes in that the table has been read whole: a pool without a row is free.
+func (b *Board) Read() { b.read = true }
+
+// Holder returns the lease row of a pool; false if there is none.
+func (b *Board) Holder(pool string) (gauge.LeaseRow, bool) {
+	s, ok := b.rows[pool]
+	return s.row, ok && s.row.Holder != ""
+}
+
+// Pools lists those that have a lease row.
+func (b *Board) Pools() []string {
+	names := make([]string, 0, len(b.rows))
+	for n := range b.rows {
+		names = append(names, n)
+	}
+	return names
+}
+
+// Due returns the claims to make now, for pools that this entry has not got.
+func (b *Board) Due(pools []string, held int, now time.Duration) []Claim {
+	if !b.read {
+		return nil
+	}
+	var claims []Claim
+	for _, pool := range pools {
+		if !b.isFree(pool, now) {
+			delete(b.free, pool)
+			continue
+		}
+		since, known := b.free[pool]
+		if !known {
+			since = now
+			b.free[pool] = now
+		}
+		if now-since < b.delay(pool, held+len(claims)) {
+			continue
+		}
+		s := b.rows[pool]
+		claims = append(claims, Claim{Pool: pool, Version: s.version, Row: s.row})
+		delete(b.free, pool) // if it fails, the next try waits again
+	}
+	return claims
+}
+
+func (b *Board) isFree(pool string, now time.Duration) bool {
+	s, ok := b.rows[pool]
+	if !ok || s.row.Holder == "" {
+		return true
+	}
+	return now-s.at > b.conf.Term+clockMargin
+}
+
+// delay differs by entry and pool, so that entries that see a pool free at the
+// same time don't all write, and grows with what the entry has, so that pools
+// are spread.
+func (b *Board) delay(pool string, held int) time.Duration {
+	const steps = 1 << 10
+	share := xxhash.Sum64String(b.conf.Self+"/"+pool) % steps
+	return time.Duration(share)*b.conf.Spread/steps + time.Duration(held)*b.conf.Held
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,126 @@
+// Package watch follows a table: all of it once, then each change. A feed that
+// has lost its history, or an answer that doesn't come, leads back to the start;
+// whoever is told of rows sees each state at least once.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up a Table.
+type Config struct {
+	Name   string
+	Parted bool // its rows are in many parts, else all are in the unnamed one
+	Store  gauge.Parted
+	Wait   time.Duration // how long a feed waits for a change; 0: it is asked each Pause
+	Pause  time.Duration // between two questions
+	Logs   logr.Logger
+	// Tell gets all rows (whole), or those that have changed. Asked is when the
+	// answer came in.
+	Tell func(rows []gauge.PartRow, whole bool, stamp gauge.Stamp)
+}
+
+// Table follows one table.
+type Table struct {
+	conf Config
+	at   int64 // version that has been told
+	read bool  // all rows have been told once
+	lost bool
+}
+
+const (
+	// firstPause and lastPause bound the wait after a failure. They are random in
+	// between, so that entries don't come back together after an outage.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+)
+
+// New makes a Table.
+func New(c Config) *Table { return &Table{conf: c} }
+
+// Run follows until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := t.round(ctx)
+		pause := t.conf.Pause
+		if err != nil && ctx.Err() == nil {
+			pause = t.failed(err)
+		} else if t.lost {
+			t.lost = false
+			t.conf.Logs.Info("dependency regained", "table", t.conf.Name, "version", t.at)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (t *Table) failed(err error) time.Duration {
+	if gauge.Is(err, gauge.KindCompacted) {
+		t.conf.Logs.Info("history lost", "table", t.conf.Name, "version", t.at)
+		t.read = false
+		return 0
+	}
+	if !t.lost {
+		t.lost = true
+		t.conf.Logs.Info("dependency lost", "table", t.conf.Name, "version", t.at, "error", err.Error())
+	}
+	return firstPause + rand.N(lastPause-firstPause)
+}
+
+func (t *Table) round(ctx context.Context) error {
+	if !t.read {
+		return t.readAll(ctx)
+	}
+	rows, stamp, err := t.conf.Store.Feed(ctx, t.conf.Name, t.at, t.conf.Wait)
+	if err != nil {
+		return err
+	}
+	t.at = max(t.at, stamp.Version)
+	if len(rows) > 0 {
+		t.conf.Tell(rows, false, stamp)
+	}
+	return nil
+}
+
+func (t *Table) readAll(ctx context.Context) error {
+	rows, stamp, err := t.conf.Store.Range(ctx, t.conf.Name, "", "", "")
+	if err != nil {
+		return err
+	}
+	if t.conf.Parted {
+		parts, err := t.conf.Store.Parts(ctx, t.conf.Name)
+		if err != nil {
+			return err
+		}
+		for _, part := range parts {
+			if part == "" {
+				continue
+			}
+			more, _, err := t.conf.Store.Range(ctx, t.conf.Name, part, "", "")
+			if err != nil {
+				return err
+			}
+			rows = append(rows, more...)
+		}
+	}
+	t.at, t.read = stamp.Version, true
+	t.conf.Tell(rows, true, stamp)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/leaserow.go
@@ -0,0 +1,70 @@
+package sapphiregauge
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// LeaseRow is the row of a pool's lease. Its owner rewrites it with every
+// transaction, which renews the lease; another entry may take it when it hasn't
+// changed for the lease's term.
+type LeaseRow struct {
+	Holder  string         `msgpack:"h"` // name of the entry and its start; empty: given up
+	Addr    string         `msgpack:"a"` // for calls from other entries
+	Term    int            `msgpack:"t"` // owners before this one
+	Workers []string       `msgpack:"w"` // that may have orders of this owner or, unheard, of an earlier one
+	Depths  map[string]int `msgpack:"d"` // by queue: jobs without a task started
+}
+
+// Encode packs the row.
+func (r *LeaseRow) Encode() ([]byte, error) {
+	b, err := msgpack.Marshal(r)
+	if err != nil {
+		return nil, Fail(KindInternal, "lease row").Because(err)
+	}
+	return b, nil
+}
+
+// DecodeLeaseRow reads what Encode wrote.
+func DecodeLeaseRow(b []byte) (*LeaseRow, error) {
+	r := new(LeaseRow)
+	if err := msgpack.Unmarshal(b, r); err != nil {
+		return nil, Fail(KindInvalid, "lease row").Because(err)
+	}
+	return r, nil
+}
+
+// The product's own tables. Rows of jobs are in the part of their queue, so
+// that an id is taken once however the queue is routed; a lease's row is in the
+// part of its pool.
+const (
+	TableJobs   = "jobs"   // id -> JobRow, kept for some time after the end
+	TableSpecs  = "specs"  // id -> JobSpec, until the end
+	TableOpen   = "open"   // id -> mark: jobs with something left to do
+	TableLeases = "leases" // owner -> LeaseRow
+	KeyOwner    = "owner"
+)
+
+// Mark is the value of an open job's row in TableOpen.
+type Mark struct {
+	Pool      string
+	Cancelled bool
+}
+
+const (
+	markOpen      = "o"
+	markCancelled = "c"
+)
+
+// Encode packs the mark.
+func (m Mark) Encode() []byte {
+	if m.Cancelled {
+		return []byte(markCancelled + m.Pool)
+	}
+	return []byte(markOpen + m.Pool)
+}
+
+// DecodeMark reads what Encode wrote; an empty value is of no pool.
+func DecodeMark(b []byte) Mark {
+	if len(b) == 0 {
+		return Mark{}
+	}
+	return Mark{Pool: string(b[1:]), Cancelled: string(b[:1]) == markCancelled}
+}
--- /dev/null
+++ b/site.go
@@ -0,0 +1,93 @@
+package sapphiregauge
+
+import (
+	"strings"
+	"time"
+)
+
+// Queue takes jobs of one kind from callers.
+type Queue struct {
+	Name        string
+	Host        string
+	Prefix      string // of the path
+	Pool        string // whose workers run its tasks
+	Priority    int    // 0 comes first
+	MaxAttempts int    // a task that failed so often has failed for good
+	Stretch     float64
+	Target      time.Duration // the objective is Stretch times the longest chain, and this
+	Timeout     time.Duration // of a call
+	Advice      *Advice
+}
+
+// Advice is the policy of a queue on which only some workers may run a step.
+type Advice struct {
+	Decision time.Duration // time of one question
+	PerName  time.Duration // more for each worker named
+	Valid    time.Duration // of a ticket
+}
+
+// PoolConf is a pool of workers as the operator has configured it.
+type PoolConf struct {
+	Name    string
+	Guarded bool // its workers refuse what doesn't fit
+	Standby bool // its machines are off, a reserve for other pools
+}
+
+// Site is the operator's configuration of queues and pools, whole. Versions
+// only grow.
+type Site struct {
+	Version int64
+	Queues  []Queue
+	Pools   []PoolConf
+	MaxBody int // bytes of a call's body
+}
+
+// Match finds the queue of a call and what follows the prefix. The longest
+// prefix wins.
+func (s *Site) Match(host, path string) (*Queue, string, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	var best *Queue
+	for i := range s.Queues {
+		q := &s.Queues[i]
+		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best == nil || len(q.Prefix) > len(best.Prefix) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, "", false
+	}
+	return best, path[len(best.Prefix):], true
+}
+
+// QueueByName looks a queue up; nil if there is none.
+func (s *Site) QueueByName(name string) *Queue {
+	for i := range s.Queues {
+		if s.Queues[i].Name == name {
+			return &s.Queues[i]
+		}
+	}
+	return nil
+}
+
+// PoolByName looks a pool up; nil if there is none.
+func (s *Site) PoolByName(name string) *PoolConf {
+	for i := range s.Pools {
+		if s.Pools[i].Name == name {
+			return &s.Pools[i]
+		}
+	}
+	return nil
+}
+
+// UpkeepOrder asks that machines get their upkeep within a time.
+type UpkeepOrder struct {
+	Wave     int64
+	Machines []string
+	Within   time.Duration
+	AtOnce   int
+}
