Carry out waves of upkeep under one lease, emptied by the pools' owners

Change: one more lease is the fleet's; its holder asks owners to empty workers, orders upkeep once nothing runs there, notes it in the table and tells the operator. The first order of a new holder waits out the gap between two holders. Ruled out: each pool's owner ordering its own machines (the bound on machines down at once spans pools).

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -7,6 +7,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/owner"
+	"sapphiregauge/internal/tenure"
 	"sapphiregauge/internal/terms"
 )
 
@@ -35,13 +36,16 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	pools := n.board.Pools()
+	if n.conf.Machines != nil {
+		pools = append(pools, fleetPool)
+	}
 	for _, q := range site.Queues {
 		pools = append(pools, q.Pool)
 	}
 	slices.Sort(pools)
 	pools = slices.Compact(pools)
-	pools = slices.DeleteFunc(pools, func(p string) bool { return n.busy[p] || n.owners[p] != nil })
-	claims := n.board.Due(pools, len(n.owners)+len(n.busy), n.conf.Now())
+	pools = slices.DeleteFunc(pools, func(p string) bool { return n.busy[p] })
+	claims := n.board.Due(pools, len(n.busy), n.conf.Now())
 	for _, c := range claims {
 		n.busy[c.Pool] = true
 	}
@@ -50,29 +54,37 @@
 
 // claim tries to take a pool's lease and, with it, runs the pool.
 func (n *Node) claim(ctx context.Context, c terms.Claim) {
-	o := n.take(ctx, c)
-	n.mu.Lock()
-	delete(n.busy, c.Pool)
-	if o == nil || !n.going.Load() {
+	defer func() {
+		n.mu.Lock()
+		delete(n.busy, c.Pool)
 		n.mu.Unlock()
-		if o != nil {
-			o.Close(ctx)
-		}
-		return
+	}()
+	h := n.take(ctx, c)
+	switch {
+	case h == nil:
+	case c.Pool == fleetPool:
+		n.keep(ctx, h)
+	default:
+		n.own(ctx, c.Pool, h)
 	}
-	n.owners[c.Pool] = o
-	list := n.listLocked()
-	n.mu.Unlock()
-	o.Run(n.Site(), list)
-	n.mu.Lock()
-	delete(n.owners, c.Pool)
-	n.mu.Unlock()
 }
 
+// held is a lease that was just taken.
+type held struct {
+	lease  *tenure.Tenure
+	fence  gauge.Fence
+	term   int
+	before gauge.LeaseRow
+}
+
+// fleetPool is the name under which the lease of the fleet is kept: its holder
+// moves machines and begins their upkeep. No pool has this name.
+const fleetPool = ""
+
 // take writes the lease row on condition that it is as it was seen. The version
 // of that transaction is the fencing token: versions only grow, and no two
 // transactions share one.
-func (n *Node) take(ctx context.Context, c terms.Claim) *owner.Owner {
+func (n *Node) take(ctx context.Context, c terms.Claim) *held {
 	term := c.Row.Term
 	if c.Version > 0 {
 		term++
@@ -100,11 +112,32 @@
 	n.mu.Unlock()
 	n.conf.Logs.Info("lease taken", "pool", c.Pool, "fence", stamp.Version, "term", term, "before", c.Row.Holder,
 		"workers", len(c.Row.Workers), "seen", c.Version)
-	return owner.New(owner.Config{
-		Pool: c.Pool, Holder: n.holder, Addr: n.conf.Addr, Term: term, Fence: gauge.Fence(stamp.Version),
-		Taken: sent, Version: stamp.Version, Earlier: c.Row.Workers,
-		Lease: leaseTerm, Grace: grantGrace, Hold: min(holdSpan, n.conf.Longest),
+	lease := tenure.New(tenure.Config{
+		Key: key, Holder: n.holder, Addr: n.conf.Addr, Term: term, Version: stamp.Version, Taken: sent, Lasts: leaseTerm,
+		Store: n.conf.Store, Now: n.conf.Now,
+	})
+	return &held{lease: lease, fence: gauge.Fence(stamp.Version), term: term, before: c.Row}
+}
+
+// own runs a pool until the lease is lost or given up.
+func (n *Node) own(ctx context.Context, pool string, h *held) {
+	o := owner.New(owner.Config{
+		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers,
+		Grace: grantGrace, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count,
 	})
+	n.mu.Lock()
+	if !n.going.Load() {
+		n.mu.Unlock()
+		o.Close(ctx)
+		return
+	}
+	n.owners[pool] = o
+	list := n.listLocked()
+	n.mu.Unlock()
+	o.Run(n.Site(), list)
+	n.mu.Lock()
+	delete(n.owners, pool)
+	n.mu.Unlock()
 }
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,289 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/waves"
+)
+
+const (
+	// tableWaves keeps which machines of a wave have had their order.
+	tableWaves = "waves"
+	// fleetEvery is how often the fleet's holder looks at its waves.
+	fleetEvery = 200 * time.Millisecond
+	// fleetRenew is how often the fleet's lease is renewed without other writes.
+	fleetRenew = 800 * time.Millisecond
+	// listEvery is how often the machines are listed while there is a wave.
+	listEvery = 500 * time.Millisecond
+	// emptyWait bounds one question to a pool's owner.
+	emptyWait = 600 * time.Millisecond
+	// methodEmpty asks a pool's owner to empty a worker.
+	methodEmpty = "worker.empty"
+)
+
+// waveRow is what the table keeps of a wave.
+type waveRow struct {
+	Begun []string `msgpack:"b"`
+	Done  bool     `msgpack:"d"`
+}
+
+// emptyCall asks to empty a worker; it holds for some seconds.
+type emptyCall struct {
+	Pool   string `msgpack:"p"`
+	Worker string `msgpack:"w"`
+	Force  bool   `msgpack:"f"`
+}
+
+type emptyAnswer struct {
+	Empty bool `msgpack:"e"`
+}
+
+// fleet carries out waves for as long as this entry holds the fleet's lease.
+type fleet struct {
+	node    *Node
+	held    *held
+	keeper  *waves.Keeper
+	renewed time.Duration
+	listed  time.Duration
+	states  map[int64]bool // waves of which the operator was told that they run
+}
+
+// keep runs the fleet until its lease is lost or given up.
+func (n *Node) keep(ctx context.Context, h *held) {
+	f := &fleet{
+		node: n, held: h, states: make(map[int64]bool),
+		keeper: waves.New(waves.Config{
+			Upkeep: n.conf.Upkeep, Gap: n.conf.TurnGap + grantMargin, Start: n.conf.Now(), First: h.term == 0, Logs: n.conf.Logs,
+		}),
+		renewed: n.conf.Now(),
+	}
+	for ctx.Err() == nil && n.going.Load() && !h.lease.Lost() {
+		f.round(ctx)
+		pause(ctx, fleetEvery)
+	}
+	if err := h.lease.GiveUp(ctx, gauge.LeaseRow{}); err != nil {
+		n.conf.Logs.Info("lease not given up", "pool", "fleet", "error", err.Error())
+		return
+	}
+	n.conf.Logs.Info("fleet left", "fence", h.fence)
+}
+
+// grantMargin covers the difference between two entries' steady clocks.
+const grantMargin = 200 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *fleet) round(ctx context.Context) {
+	if f.node.conf.Now()-f.renewed >= fleetRenew {
+		f.commit(ctx, gauge.PartTxn{})
+	}
+	if !f.takeIn(ctx) || !f.keeper.Busy() {
+		return
+	}
+	if !f.list(ctx) {
+		return
+	}
+	steps := f.keeper.Next(f.node.conf.Now())
+	f.ask(ctx, steps.Asks)
+	f.begin(ctx, steps.Begins)
+	for _, number := range steps.Complete {
+		f.complete(ctx, number)
+	}
+}
+
+// commit writes on condition that the fleet's lease is still this entry's.
+func (f *fleet) commit(ctx context.Context, txn gauge.PartTxn) bool {
+	sent := f.node.conf.Now()
+	stamp, _, err := f.held.lease.Commit(ctx, gauge.LeaseRow{}, txn)
+	if err != nil {
+		f.node.conf.Logs.Info("fleet write failed", "kind", gauge.KindOf(err), "error", err.Error())
+		return false
+	}
+	f.renewed = sent
+	f.node.stamp(stamp)
+	return true
+}
+
+// takeIn tells the keeper of waves that it doesn't know.
+func (f *fleet) takeIn(ctx context.Context) bool {
+	f.node.mu.Lock()
+	var fresh []gauge.UpkeepOrder
+	for _, w := range f.node.waves {
+		if !f.keeper.Knows(w.Wave) {
+			fresh = append(fresh, w)
+		}
+	}
+	f.node.mu.Unlock()
+	for _, w := range fresh {
+		row, err := f.readWave(ctx, w.Wave)
+		if err != nil {
+			f.node.conf.Logs.Info("wave not read", "wave", w.Wave, "error", err.Error())
+			return false
+		}
+		f.keeper.Order(w, row.Begun, row.Done, f.node.conf.Now())
+		f.node.conf.Logs.Info("wave taken in", "wave", w.Wave, "machines", len(w.Machines), "begun", len(row.Begun), "done", row.Done)
+	}
+	return true
+}
+
+func waveKey(number int64) gauge.RowKey {
+	return gauge.RowKey{Table: tableWaves, Key: strconv.FormatInt(number, 10)}
+}
+
+func (f *fleet) readWave(ctx context.Context, number int64) (waveRow, error) {
+	var row waveRow
+	key := waveKey(number)
+	rows, _, err := f.node.conf.Store.Range(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
+	if err != nil || len(rows) == 0 {
+		return row, err
+	}
+	return row, msgpack.Unmarshal(rows[0].Value, &row)
+}
+
+// list reads the machines, if the list is old.
+func (f *fleet) list(ctx context.Context) bool {
+	now := f.node.conf.Now()
+	if f.listed > 0 && now-f.listed < listEvery {
+		return true
+	}
+	machines, err := f.node.conf.Machines.List(ctx)
+	if err != nil {
+		f.node.conf.Logs.Info("machines not listed", "error", err.Error())
+		return false
+	}
+	f.listed = now
+	f.keeper.Machines(machines, now)
+	var standby []string
+	if site := f.node.Site(); site != nil {
+		for _, p := range site.Pools {
+			if p.Standby {
+				standby = append(standby, p.Name)
+			}
+		}
+	}
+	f.keeper.Standby(standby)
+	return true
+}
+
+// ask has workers emptied by their pools' owners, all at once.
+func (f *fleet) ask(ctx context.Context, asks []waves.Ask) {
+	var mu sync.Mutex
+	var group conc.WaitGroup
+	for _, a := range asks {
+		group.Go(func() {
+			empty, err := f.node.empty(ctx, emptyCall{Pool: a.Pool, Worker: a.Worker, Force: a.Force})
+			if err != nil {
+				f.node.conf.Logs.Info("machine not emptied", "machine", a.Machine, "pool", a.Pool, "error", err.Error())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			f.keeper.Emptied(a.Machine, empty && err == nil)
+		})
+	}
+	group.Wait()
+}
+
+func (n *Node) empty(ctx context.Context, c emptyCall) (bool, error) {
+	n.mu.Lock()
+	o := n.owners[c.Pool]
+	row, ok := n.board.Holder(c.Pool)
+	n.mu.Unlock()
+	if o != nil {
+		return o.Empty(c.Worker, c.Force), nil
+	}
+	if !ok {
+		return false, gauge.Fail(gauge.KindOutage, "pool %s has no owner", c.Pool)
+	}
+	ctx, cancel := context.WithTimeout(ctx, emptyWait)
+	defer cancel()
+	var answer emptyAnswer
+	err := n.conf.Mesh.Call(ctx, row.Addr, methodEmpty, &c, &answer)
+	return answer.Empty, err
+}
+
+func (n *Node) handleEmpty(_ context.Context, body []byte) (any, error) {
+	var c emptyCall
+	if err := frame.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	o := n.owners[c.Pool]
+	n.mu.Unlock()
+	if o == nil {
+		return nil, gauge.Fail(gauge.KindFenced, "this entry doesn't own pool %s", c.Pool)
+	}
+	return emptyAnswer{Empty: o.Empty(c.Worker, c.Force)}, nil
+}
+
+// begin orders upkeeps, all at once. Each is asked for only while the lease
+// surely lasts.
+func (f *fleet) begin(ctx context.Context, begins []waves.Begin) {
+	duty := gauge.Duty{Holder: f.node.conf.Name, Fence: f.held.fence}
+	results := make([]error, len(begins))
+	var group conc.WaitGroup
+	for i, b := range begins {
+		group.Go(func() {
+			if f.node.conf.Now() >= f.held.lease.Until() {
+				results[i] = gauge.Fail(gauge.KindOutage, "the lease is over")
+				return
+			}
+			results[i] = f.node.conf.Machines.Upkeep(ctx, duty, b.Machine, b.Wave)
+		})
+	}
+	group.Wait()
+	touched := make(map[int64]bool)
+	for i, b := range begins {
+		if gauge.Is(results[i], gauge.KindFenced) {
+			f.held.lease.Lose()
+			f.node.conf.Logs.Info("lease lost", "pool", "fleet", "fence", f.held.fence, "reason", "a machine has seen a newer fencing token")
+			return
+		}
+		f.keeper.Begun(b, results[i], f.node.conf.Now())
+		touched[b.Wave] = true
+	}
+	for number := range touched {
+		f.save(ctx, number, false)
+	}
+}
+
+// save writes how far a wave is, for the operator and for the next holder.
+func (f *fleet) save(ctx context.Context, number int64, done bool) bool {
+	value, err := msgpack.Marshal(&waveRow{Begun: f.keeper.Lists(number), Done: done})
+	if err != nil {
+		f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
+		return false
+	}
+	txn := gauge.PartTxn{Writes: []gauge.RowWrite{{RowKey: waveKey(number), Value: value}}}
+	if done || !f.states[number] {
+		status, err := f.node.conf.Words.WaveStatus(number, done)
+		if err != nil {
+			f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
+			return false
+		}
+		txn.Writes = append(txn.Writes, status)
+	}
+	ok := f.commit(ctx, txn)
+	f.states[number] = f.states[number] || ok
+	return ok
+}
+
+func (f *fleet) complete(ctx context.Context, number int64) {
+	if f.save(ctx, number, true) {
+		f.keeper.Completed(number)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,7 @@
 		Store: c.Store, Logs: c.Logs, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal,
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
+	c.Mesh.Handle(methodEmpty, n.handleEmpty)
 	return n
 }
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -24,7 +24,7 @@
 		if o.ctx.Err() != nil {
 			return false
 		}
-		if o.conf.Now() >= o.until {
+		if o.conf.Now() >= o.conf.Lease.Until() {
 			o.lose("the jobs could not be read in time")
 			return false
 		}
@@ -54,7 +54,7 @@
 
 // scan reads the marks of open jobs and adopts those that are unknown.
 func (o *Owner) scan(inherited bool) (int, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, o.conf.Lease)
+	ctx, cancel := context.WithTimeout(o.ctx, scanWait)
 	defer cancel()
 	parts, err := o.queues(ctx, inherited)
 	if err != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -14,20 +14,17 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/sched"
+	"sapphiregauge/internal/tenure"
 )
 
 // Config sets up an Owner.
 type Config struct {
 	Pool    string
-	Holder  string // this entry and its start
-	Addr    string // for calls from other entries
-	Term    int
+	Lease   *tenure.Tenure
+	Term    int // owners before this one
 	Fence   gauge.Fence
-	Taken   time.Duration // when the transaction that took the lease was sent
-	Version int64         // of the lease's row
-	Earlier []string      // workers of the owner before
+	Earlier []string // workers of the owner before
 
-	Lease time.Duration // how long the lease lasts after a renewal
 	Grace time.Duration // how long orders and holds may reach beyond the lease's end
 	Hold  time.Duration // how far a hold extends a worker's lease
 
@@ -48,14 +45,11 @@
 	cancel context.CancelFunc
 	ctx    context.Context
 	wake   chan struct{} // a change waits to be written
-	done   chan struct{} // closed when the lease is given up or lost
 
 	mu      sync.Mutex
 	core    *sched.Pool
-	until   time.Duration // the lease surely lasts until then
-	version int64         // of the lease's row
 	written chan struct{} // closed at each write, then made anew
-	lost    bool
+	ended   bool          // the lease was lost or given up
 	loaded  bool
 	site    *gauge.Site
 	scans   int // of scanLoop alone
@@ -81,6 +75,8 @@
 	writeAgain = 150 * time.Millisecond
 	// scanEvery is how often jobs are looked for of which no message came.
 	scanEvery = 1500 * time.Millisecond
+	// scanWait bounds one scan: the lease's term.
+	scanWait = 3 * time.Second
 	// scansOfAll: so many scans make one of all queues.
 	scansOfAll = 4
 	// doubtMargin covers the difference between two entries' steady clocks.
@@ -98,8 +94,8 @@
 func New(c Config) *Owner {
 	now := c.Now()
 	o := &Owner{
-		conf: c, until: c.Taken + c.Lease, version: c.Version,
-		wake: make(chan struct{}, 1), done: make(chan struct{}), written: make(chan struct{}),
+		conf: c,
+		wake: make(chan struct{}, 1), written: make(chan struct{}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
 			Logs: c.Logs, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
@@ -125,31 +121,28 @@
 // Close stops all work. With the lease still held it is given up, so that
 // another entry needn't wait for its end.
 func (o *Owner) Close(ctx context.Context) {
-	o.mu.Lock()
-	held := !o.lost
-	o.lost = true
-	o.mu.Unlock()
-	o.cancel()
-	if held {
+	if o.end() {
 		o.giveUp(ctx)
 	}
 }
 
-// Done is closed when the lease is lost.
-func (o *Owner) Done() <-chan struct{} { return o.done }
-
 // lose takes in that another entry owns the pool now.
 func (o *Owner) lose(why string) {
-	o.mu.Lock()
-	already := o.lost
-	o.lost = true
-	o.mu.Unlock()
-	if already {
+	if !o.end() {
 		return
 	}
+	o.conf.Lease.Lose()
 	o.conf.Logs.Info("lease lost", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
+}
+
+// end stops all work; false: it had ended already.
+func (o *Owner) end() bool {
+	o.mu.Lock()
+	already := o.ended
+	o.ended = true
+	o.mu.Unlock()
 	o.cancel()
-	close(o.done)
+	return !already
 }
 
 // Configure takes in a configuration.
@@ -164,9 +157,9 @@
 func (o *Owner) List(workers []gauge.Worker) {
 	o.mu.Lock()
 	fresh := o.core.Workers(workers)
-	lost := o.lost
+	ended := o.ended
 	o.mu.Unlock()
-	if lost {
+	if ended {
 		return
 	}
 	for _, w := range fresh {
@@ -180,7 +173,7 @@
 
 // mayAdopt tells whether a job that was accepted now surely isn't another
 // owner's: the lease lasts.
-func (o *Owner) mayAdopt() bool { return !o.lost && o.loaded && o.conf.Now() < o.until }
+func (o *Owner) mayAdopt() bool { return !o.ended && o.loaded && o.conf.Now() < o.conf.Lease.Until() }
 
 // Adopt takes in a job that another entry, or this one, has just accepted.
 func (o *Owner) Adopt(id, queue string, spec *gauge.JobSpec, row *gauge.JobRow, version int64) bool {
@@ -211,8 +204,13 @@
 	o.act(nil)
 }
 
-// Pool is the pool's name.
-func (o *Owner) Pool() string { return o.conf.Pool }
+// Empty has a worker emptied, for some seconds from now on, and tells whether
+// nothing runs there. Force: what doesn't end by itself is ended.
+func (o *Owner) Empty(worker string, force bool) bool {
+	empty := false
+	o.act(func(now time.Duration) { empty = o.core.Empty(worker, force, now) })
+	return empty
+}
 
 // act does something to the state, sends the orders that follow from it and has
 // changes written.
@@ -223,8 +221,8 @@
 		do(now)
 	}
 	var orders []sched.Order
-	if o.loaded && !o.lost {
-		o.core.Limit(o.until + o.conf.Grace)
+	if o.loaded && !o.ended {
+		o.core.Limit(o.conf.Lease.Until() + o.conf.Grace)
 		orders = o.core.Plan(now)
 	}
 	urgent := o.core.Urgent()
@@ -260,7 +258,7 @@
 
 func (o *Owner) order(order sched.Order, now time.Duration) (time.Duration, error) {
 	o.mu.Lock()
-	stale := o.lost || now >= o.until+o.conf.Grace
+	stale := o.ended || now >= o.conf.Lease.Until()+o.conf.Grace
 	o.mu.Unlock()
 	if stale {
 		return 0, gauge.Fail(gauge.KindOutage, "the lease is over")
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -28,13 +28,9 @@
 
 // pending is one write: the lease row and the changes of jobs.
 type pending struct {
-	batch   sched.Batch
-	txn     gauge.PartTxn
-	workers []string
-}
-
-func leaseKey(pool string) gauge.RowKey {
-	return gauge.RowKey{Table: gauge.TableLeases, Part: pool, Key: gauge.KeyOwner}
+	batch sched.Batch
+	txn   gauge.PartTxn
+	lease gauge.LeaseRow
 }
 
 // write sends one transaction; true: the table has it.
@@ -45,23 +41,26 @@
 		return false
 	}
 	sent := o.conf.Now()
-	stamp, rows, err := o.conf.Store.Commit(o.ctx, p.txn)
+	stamp, rows, err := o.conf.Lease.Commit(o.ctx, p.lease, p.txn)
 	took := o.conf.Now() - sent
 	o.conf.Count("write", took)
-	switch {
-	case err == nil:
-		o.conf.Stamp(stamp)
-		o.wrote(p, stamp, sent)
-		return true
-	case gauge.Is(err, gauge.KindConflict):
+	switch gauge.KindOf(err) {
+	case gauge.KindFenced:
+		o.lose(err.Error())
+		return false
+	case gauge.KindConflict:
 		o.conf.Logs.Info("write refused", "pool", o.conf.Pool, "changes", len(p.batch.Changes), "rows", len(rows), "took", took)
 		o.conflicted(rows)
 		return false
-	default:
-		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "changes", len(p.batch.Changes), "lease", o.until-o.conf.Now(),
+	}
+	if err != nil {
+		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "changes", len(p.batch.Changes), "lease", o.conf.Lease.Until()-o.conf.Now(),
 			"took", took, "kind", gauge.KindOf(err), "error", err.Error())
 		return false
 	}
+	o.conf.Stamp(stamp)
+	o.wrote(p, stamp)
+	return true
 }
 
 func (o *Owner) prepare() (pending, error) {
@@ -71,17 +70,7 @@
 	if err != nil {
 		return pending{}, err
 	}
-	p := pending{batch: batch, workers: o.core.Known()}
-	row := gauge.LeaseRow{
-		Holder: o.conf.Holder, Addr: o.conf.Addr, Term: o.conf.Term, Workers: p.workers, Depths: o.core.Depths(),
-	}
-	value, err := row.Encode()
-	if err != nil {
-		return pending{}, err
-	}
-	key := leaseKey(o.conf.Pool)
-	p.txn.Checks = append(p.txn.Checks, gauge.RowCheck{RowKey: key, Version: o.version})
-	p.txn.Writes = append(p.txn.Writes, gauge.RowWrite{RowKey: key, Value: value})
+	p := pending{batch: batch, lease: o.leaseRow()}
 	for _, c := range batch.Changes {
 		job := gauge.RowKey{Table: gauge.TableJobs, Part: c.Queue, Key: c.Job}
 		p.txn.Checks = append(p.txn.Checks, gauge.RowCheck{RowKey: job, Version: c.Version})
@@ -95,13 +84,15 @@
 	return p, nil
 }
 
+func (o *Owner) leaseRow() gauge.LeaseRow {
+	return gauge.LeaseRow{Workers: o.core.Known(), Depths: o.core.Depths()}
+}
+
 // wrote takes in that a write is in the table.
-func (o *Owner) wrote(p pending, stamp gauge.Stamp, sent time.Duration) {
+func (o *Owner) wrote(p pending, stamp gauge.Stamp) {
 	o.mu.Lock()
-	o.version = stamp.Version
-	o.until = sent + o.conf.Lease
 	o.core.Written(p.batch, stamp.Version)
-	o.core.Noted(p.workers)
+	o.core.Noted(p.lease.Workers)
 	close(o.written)
 	o.written = make(chan struct{})
 	more := o.core.Urgent()
@@ -109,26 +100,12 @@
 	if more {
 		o.poke()
 	}
-	if len(p.batch.Changes) > 0 {
-		o.act(nil)
-	}
+	o.act(nil)
 }
 
-// conflicted takes in the rows as the table has them. A lease row of this holder
-// means that an earlier write without an answer was carried out.
+// conflicted takes in rows of jobs as the table has them.
 func (o *Owner) conflicted(rows []gauge.PartRow) {
 	for _, r := range rows {
-		if r.Table == gauge.TableLeases {
-			lease, err := gauge.DecodeLeaseRow(r.Value)
-			if err != nil || lease.Holder != o.conf.Holder || lease.Term != o.conf.Term {
-				o.lose("the table names another holder")
-				return
-			}
-			o.mu.Lock()
-			o.version = max(o.version, r.Version)
-			o.mu.Unlock()
-			continue
-		}
 		row, err := gauge.DecodeJobRow(r.Value)
 		if err != nil {
 			o.conf.Logs.Error(err, "job row not read", "job", r.Key, "pool", o.conf.Pool)
@@ -141,23 +118,12 @@
 	o.act(nil)
 }
 
-// giveUp writes a lease row without a holder.
+// giveUp lets another entry take the pool at once.
 func (o *Owner) giveUp(ctx context.Context) {
 	o.mu.Lock()
-	row := gauge.LeaseRow{Term: o.conf.Term, Workers: o.core.Known(), Depths: o.core.Depths()}
-	version := o.version
+	row := o.leaseRow()
 	o.mu.Unlock()
-	value, err := row.Encode()
-	if err != nil {
-		o.conf.Logs.Error(err, "lease not given up", "pool", o.conf.Pool)
-		return
-	}
-	key := leaseKey(o.conf.Pool)
-	_, _, err = o.conf.Store.Commit(ctx, gauge.PartTxn{
-		Checks: []gauge.RowCheck{{RowKey: key, Version: version}},
-		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
-	})
-	if err != nil {
+	if err := o.conf.Lease.GiveUp(ctx, row); err != nil {
 		o.conf.Logs.Info("lease not given up", "pool", o.conf.Pool, "error", err.Error())
 		return
 	}
--- /dev/null
+++ b/internal/sched/empty.go
@@ -0,0 +1,23 @@
+package sched
+
+import "time"
+
+// emptyFor is how long a worker gets no starts after it was asked to be empty.
+// The question is repeated several times a second; an order that ends the worker
+// may take some seconds from the answer to its effect.
+const emptyFor = 4 * time.Second
+
+// Empty has a worker emptied and tells whether nothing runs there. A worker that
+// isn't known isn't empty: starts may go there as soon as it is. Force: what
+// doesn't end by itself is ended.
+func (p *Pool) Empty(id string, force bool, now time.Duration) bool {
+	w := p.workers[id]
+	if w == nil {
+		return false
+	}
+	if now >= w.emptyUntil {
+		p.conf.Logs.Info("worker to be emptied", "pool", p.conf.Name, "worker", id, "runs", len(w.runs), "force", force)
+	}
+	w.emptyUntil, w.force = now+emptyFor, force
+	return w.heard && !w.silent && len(w.runs) == 0 && w.odd == 0
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -50,7 +50,7 @@
 // leave, no more of a step at once than may be away.
 func (p *Pool) evacuate(now time.Duration) {
 	for _, w := range p.workers {
-		if !w.empty && !w.info.Draining {
+		if now >= w.emptyUntil && !w.info.Draining {
 			continue
 		}
 		if w.silent || w.gone || !w.heard {
@@ -72,7 +72,7 @@
 func (p *Pool) mayLeave(w *worker, r *run, now time.Duration) bool {
 	st := r.task.stage.spec
 	if !st.Lasts {
-		return st.Checkpoints
+		return st.Checkpoints || w.force
 	}
 	if w.info.Draining {
 		return true // it ends there anyway, and sooner is sooner back
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -55,12 +55,13 @@
 	expiry  time.Duration // nothing runs there later than this, on our clock
 	heardAt time.Duration
 
-	ends   int64         // ends up to this number are taken in
-	kept   int64         // ends up to this number are in the table
-	empty  bool          // it is to be emptied for upkeep or a move
-	rest   time.Duration // no starts before this, since it fails or is slow
-	misses int           // failures in a row, of different jobs
-	missed string        // job of the last one
+	ends       int64         // ends up to this number are taken in
+	kept       int64         // ends up to this number are in the table
+	emptyUntil time.Duration // it gets no starts before, as it is to be emptied for upkeep or a move
+	force      bool          // what does not end by itself there is to be ended
+	rest       time.Duration // no starts before this, since it fails or is slow
+	misses     int           // failures in a row, of different jobs
+	missed     string        // job of the last one
 }
 
 // slowClock is how slow a worker's clock may be: it shows at least this share of
@@ -117,5 +118,5 @@
 // takes tells whether new runs may start here.
 func (w *worker) takes(now time.Duration) bool {
 	return w.listed && w.noted && w.heard && !w.silent && !w.gone && !w.info.Draining &&
-		!w.empty && w.odd == 0 && w.clock > 0 && now >= w.rest
+		now >= w.emptyUntil && w.odd == 0 && w.clock > 0 && now >= w.rest
 }
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,147 @@
+// Package tenure holds one lease: every transaction made with it is conditional
+// on the lease still being this holder's, and renews it.
+package tenure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up a Tenure.
+type Config struct {
+	Key     gauge.RowKey  // of the lease's row
+	Holder  string        // this entry and its start
+	Addr    string        // for calls from other entries
+	Term    int           // holders before this one
+	Version int64         // of the row, as taken
+	Taken   time.Duration // when the transaction that took it was sent
+	Lasts   time.Duration // after a renewal was sent
+	Store   gauge.Parted
+	Now     func() time.Duration
+}
+
+// Tenure is one holder's time with a lease.
+type Tenure struct {
+	conf Config
+
+	mu      sync.Mutex
+	version int64
+	until   time.Duration
+	lost    bool
+}
+
+// New makes a Tenure of a lease that was just taken.
+func New(c Config) *Tenure {
+	return &Tenure{conf: c, version: c.Version, until: c.Taken + c.Lasts}
+}
+
+// Until is when the lease ends unless it is renewed: before that no other entry
+// can have taken it. It counts from before the renewal was sent, whatever time
+// the answer took.
+func (t *Tenure) Until() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.until
+}
+
+// Lost tells whether another holder is known to have it, or it was given up.
+func (t *Tenure) Lost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost
+}
+
+// Lose takes in that another holder has it.
+func (t *Tenure) Lose() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lost = true
+}
+
+// Commit carries out a transaction with the lease's row in it. With KindConflict
+// it returns the other rows as the table has them; KindFenced: another holder
+// has the lease.
+func (t *Tenure) Commit(ctx context.Context, row gauge.LeaseRow, txn gauge.PartTxn) (gauge.Stamp, []gauge.PartRow, error) {
+	txn, err := t.with(row, txn)
+	if err != nil {
+		return gauge.Stamp{}, nil, err
+	}
+	sent := t.conf.Now()
+	stamp, rows, err := t.conf.Store.Commit(ctx, txn)
+	if err == nil {
+		t.mu.Lock()
+		t.version, t.until = stamp.Version, sent+t.conf.Lasts
+		t.mu.Unlock()
+		return stamp, nil, nil
+	}
+	if !gauge.Is(err, gauge.KindConflict) {
+		return stamp, nil, err
+	}
+	others, ok := t.sort(rows)
+	if !ok {
+		t.Lose()
+		return stamp, nil, gauge.Fail(gauge.KindFenced, "the table names another holder").Because(err)
+	}
+	return stamp, others, err
+}
+
+func (t *Tenure) with(row gauge.LeaseRow, txn gauge.PartTxn) (gauge.PartTxn, error) {
+	row.Holder, row.Addr, row.Term = t.conf.Holder, t.conf.Addr, t.conf.Term
+	value, err := row.Encode()
+	if err != nil {
+		return txn, err
+	}
+	t.mu.Lock()
+	check := gauge.RowCheck{RowKey: t.conf.Key, Version: t.version}
+	t.mu.Unlock()
+	txn.Checks = append([]gauge.RowCheck{check}, txn.Checks...)
+	txn.Writes = append([]gauge.RowWrite{{RowKey: t.conf.Key, Value: value}}, txn.Writes...)
+	return txn, nil
+}
+
+// sort takes the lease's row out of those of a refused transaction. A row of
+// this holder with another version means that an earlier transaction, which got
+// no answer, was carried out. False: it is another holder's.
+func (t *Tenure) sort(rows []gauge.PartRow) ([]gauge.PartRow, bool) {
+	var others []gauge.PartRow
+	for _, r := range rows {
+		if r.RowKey != t.conf.Key {
+			others = append(others, r)
+			continue
+		}
+		lease, err := gauge.DecodeLeaseRow(r.Value)
+		if err != nil || lease.Holder != t.conf.Holder || lease.Term != t.conf.Term {
+			return nil, false
+		}
+		t.mu.Lock()
+		t.version = max(t.version, r.Version)
+		t.mu.Unlock()
+	}
+	return others, true
+}
+
+// GiveUp writes the lease's row without a holder, so that another entry needn't
+// wait for its end. Nothing may be done with the lease any more.
+func (t *Tenure) GiveUp(ctx context.Context, row gauge.LeaseRow) error {
+	t.mu.Lock()
+	already := t.lost
+	t.lost = true
+	version := t.version
+	t.mu.Unlock()
+	if already {
+		return nil
+	}
+	row.Holder, row.Addr, row.Term = "", "", t.conf.Term
+	value, err := row.Encode()
+	if err != nil {
+		return err
+	}
+	_, _, err = t.conf.Store.Commit(ctx, gauge.PartTxn{
+		Checks: []gauge.RowCheck{{RowKey: t.conf.Key, Version: version}},
+		Writes: []gauge.RowWrite{{RowKey: t.conf.Key, Value: value}},
+	})
+	return err
+}
--- /dev/null
+++ b/internal/waves/waves.go
@@ -0,0 +1,310 @@
+// Package waves decides which machine is emptied and which begins its upkeep. It
+// is a state machine without input or output. Its promises: no more machines of
+// a wave are down at once than the operator allows, unanswered orders counted;
+// a machine begins its upkeep only when its pool's owner has said that nothing
+// runs there; a wave is completed only when each of its machines that stays has
+// begun.
+package waves
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up a Keeper.
+type Config struct {
+	Upkeep time.Duration // length of a machine's upkeep
+	Gap    time.Duration // an earlier holder's orders may be this recent
+	Start  time.Duration // when this holder took over
+	First  bool          // there was no holder before
+	Logs   logr.Logger
+}
+
+// Keeper carries out waves. It is not safe for concurrent use.
+type Keeper struct {
+	conf     Config
+	waves    map[int64]*wave
+	machines map[string]gauge.Machine
+	listed   time.Duration // when the list was asked for
+	standby  map[string]bool
+}
+
+type wave struct {
+	order gauge.UpkeepOrder
+	seen  time.Duration
+	begun map[string]bool          // in the table
+	down  map[string]time.Duration // since when a machine may be down: the order went out
+	tries map[string]time.Duration // when an order was last sent that may not have been carried out
+	empty map[string]bool          // nothing runs there, as its owner said just now
+	asked map[string]bool          // chosen to be emptied
+	done  bool
+}
+
+// Ask is a machine to be emptied by its pool's owner.
+type Ask struct {
+	Machine string
+	Pool    string
+	Worker  string
+	Force   bool // end what doesn't end by itself
+}
+
+// Begin is an upkeep to order.
+type Begin struct {
+	Wave    int64
+	Machine string
+}
+
+// Steps are what to do next.
+type Steps struct {
+	Asks     []Ask
+	Begins   []Begin
+	Complete []int64
+}
+
+// New makes a Keeper without waves.
+func New(c Config) *Keeper {
+	return &Keeper{conf: c, waves: make(map[int64]*wave), machines: make(map[string]gauge.Machine), standby: make(map[string]bool)}
+}
+
+// Order takes in a wave. Begun lists the machines that have had their order, as
+// the table knows.
+func (k *Keeper) Order(o gauge.UpkeepOrder, begun []string, done bool, now time.Duration) {
+	if k.waves[o.Wave] != nil {
+		return
+	}
+	w := &wave{
+		order: o, seen: now, begun: make(map[string]bool), down: make(map[string]time.Duration),
+		tries: make(map[string]time.Duration), empty: make(map[string]bool), asked: make(map[string]bool), done: done,
+	}
+	for _, m := range begun {
+		w.begun[m] = true
+		// It may be down still: the order was an earlier holder's.
+		w.down[m] = now
+	}
+	k.waves[o.Wave] = w
+}
+
+// Knows tells whether a wave has been taken in.
+func (k *Keeper) Knows(number int64) bool { return k.waves[number] != nil }
+
+// Standby names the pools whose machines run nothing.
+func (k *Keeper) Standby(pools []string) {
+	clear(k.standby)
+	for _, p := range pools {
+		k.standby[p] = true
+	}
+}
+
+// Busy tells whether a wave is not completed.
+func (k *Keeper) Busy() bool {
+	for _, w := range k.waves {
+		if !w.done {
+			return true
+		}
+	}
+	return false
+}
+
+// Machines takes in the list, as asked for at a time.
+func (k *Keeper) Machines(list []gauge.Machine, asked time.Duration) {
+	k.listed = asked
+	clear(k.machines)
+	for _, m := range list {
+		k.machines[m.ID] = m
+	}
+	for _, w := range k.waves {
+		for id, since := range w.down {
+			m, there := k.machines[id]
+			if asked > since+k.conf.Upkeep && (!there || m.State == gauge.MachineUp) {
+				delete(w.down, id)
+			}
+		}
+	}
+}
+
+// Emptied takes in an owner's answer about a machine.
+func (k *Keeper) Emptied(machine string, empty bool) {
+	for _, w := range k.waves {
+		if w.asked[machine] {
+			w.empty[machine] = empty
+		}
+	}
+}
+
+// Begun takes in the outcome of an order.
+func (k *Keeper) Begun(b Begin, err error, now time.Duration) {
+	w := k.waves[b.Wave]
+	if w == nil {
+		return
+	}
+	delete(w.empty, b.Machine)
+	switch {
+	case err == nil:
+		w.begun[b.Machine] = true
+		w.down[b.Machine] = now
+		delete(w.asked, b.Machine)
+	case gauge.Is(err, gauge.KindUnknown):
+		// It may be carried out yet, and counts as down. The same order once
+		// more is answered with "done" if it was.
+		w.down[b.Machine] = now
+	default:
+		delete(w.down, b.Machine)
+	}
+	k.conf.Logs.Info("upkeep ordered", "wave", b.Wave, "machine", b.Machine, "kind", kindOf(err), "begun", len(w.begun), "of", len(w.order.Machines))
+}
+
+func kindOf(err error) gauge.Kind {
+	if err == nil {
+		return "ok"
+	}
+	return gauge.KindOf(err)
+}
+
+// Lists returns the machines that had their order, for the table.
+func (k *Keeper) Lists(number int64) []string {
+	w := k.waves[number]
+	var ids []string
+	for m := range w.begun {
+		ids = append(ids, m)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Completed takes in that the table says a wave is completed.
+func (k *Keeper) Completed(number int64) {
+	k.waves[number].done = true
+	k.conf.Logs.Info("wave completed", "wave", number, "begun", len(k.waves[number].begun))
+}
+
+// Next says what to do now.
+func (k *Keeper) Next(now time.Duration) Steps {
+	var s Steps
+	if !k.conf.First && now < k.conf.Start+k.conf.Gap {
+		return s // the holder before may have ordered just now
+	}
+	numbers := make([]int64, 0, len(k.waves))
+	for n, w := range k.waves {
+		if !w.done {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		k.next(k.waves[n], now, &s)
+	}
+	return s
+}
+
+func (k *Keeper) next(w *wave, now time.Duration, s *Steps) {
+	left := k.left(w)
+	if len(left) == 0 {
+		if k.listed > w.seen {
+			s.Complete = append(s.Complete, w.order.Wave)
+		}
+		return
+	}
+	force := k.behind(w, len(left), now)
+	for _, m := range left {
+		if w.asked[m.ID] && m.State != gauge.MachineUp {
+			delete(w.asked, m.ID)
+		}
+	}
+	k.choose(w, left, force)
+	room := max(1, w.order.AtOnce) - len(w.down)
+	for _, m := range left {
+		if !w.asked[m.ID] {
+			continue
+		}
+		_, tried := w.down[m.ID]
+		if (w.empty[m.ID] || k.standby[m.Pool]) && (room > 0 || tried) {
+			if !tried {
+				room--
+				w.down[m.ID] = now
+			}
+			s.Begins = append(s.Begins, Begin{Wave: w.order.Wave, Machine: m.ID})
+			continue
+		}
+		if !k.standby[m.Pool] {
+			s.Asks = append(s.Asks, Ask{Machine: m.ID, Pool: m.Pool, Worker: m.Worker, Force: force})
+		}
+	}
+}
+
+// left lists the machines that stay and have not begun, in a steady order.
+func (k *Keeper) left(w *wave) []gauge.Machine {
+	var left []gauge.Machine
+	for _, id := range w.order.Machines {
+		m, there := k.machines[id]
+		if there && !w.begun[id] {
+			left = append(left, m)
+		}
+	}
+	slices.SortFunc(left, func(a, b gauge.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	return left
+}
+
+const (
+	// forceAfter: from this share of a wave's time on, work that doesn't end by
+	// itself is ended where the wave would be late without.
+	forceAfter = 0.4
+	// poolShare of a pool's machines at most are emptied or down at once while a
+	// wave is in time: the rest carries the pool's work.
+	poolShare = 0.34
+	// ahead: so many machines more than may be down are emptied beforehand, since
+	// emptying takes about as long as an upkeep.
+	ahead = 1.5
+)
+
+// behind tells whether a wave gets late at the present pace.
+func (k *Keeper) behind(w *wave, left int, now time.Duration) bool {
+	if w.order.Within <= 0 {
+		return false
+	}
+	passed := float64(now-w.seen) / float64(w.order.Within)
+	done := 1 - float64(left)/float64(len(w.order.Machines))
+	return passed > forceAfter && done < passed+(1-passed)*forceAfter
+}
+
+// choose picks machines to be emptied, from the pools with the smallest share
+// away first.
+func (k *Keeper) choose(w *wave, left []gauge.Machine, force bool) {
+	size, away := make(map[string]int), make(map[string]int)
+	for _, m := range k.machines {
+		size[m.Pool]++
+		if m.State != gauge.MachineUp || w.asked[m.ID] {
+			away[m.Pool]++
+		}
+	}
+	most := int(float64(max(1, w.order.AtOnce))*ahead) - len(w.asked)
+	for range left {
+		if most <= 0 {
+			return
+		}
+		best := -1
+		var bestShare float64
+		for i, m := range left {
+			if w.asked[m.ID] || m.State != gauge.MachineUp {
+				continue
+			}
+			share := float64(away[m.Pool]+1) / float64(max(1, size[m.Pool]))
+			if !k.standby[m.Pool] && !force && share > poolShare && away[m.Pool] > 0 {
+				continue
+			}
+			if best < 0 || share < bestShare {
+				best, bestShare = i, share
+			}
+		}
+		if best < 0 {
+			return
+		}
+		w.asked[left[best].ID] = true
+		away[left[best].Pool]++
+		most--
+	}
+}
