Take no job in twice: load before hearing workers, ignore late notices

Cause: (1) an owner was told of the workers' list before it had read its jobs, so that runs on workers were taken for nobody's and their tasks started again; (2) a notice of a job that came after the job's end, or from before the takeover, started it once more (also after its cancel); (3) SIGHUP ended the process. Ruled out: lost writes (rows had all ends), the wait for the earlier owner's workers (all were heard). Change: workers are heard after loading; ended jobs are remembered for a minute and notices older than the fence are dropped; SIGHUP reads the settings again.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -15,7 +15,7 @@
 
 // assemble connects the pieces of an entry.
 func assemble(s platform.Settings, _ *hostSettings, log logr.Logger) *parts {
-	p := &parts{settings: s, meter: meter.New()}
+	p := &parts{settings: s, log: log, meter: meter.New()}
 	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Timeout: tableTimeout, Clock: steady})
 	p.workers = platform.NewWorkers(platform.WorkersConfig{Timeout: workerTimeout, Clock: steady})
 	var machines gauge.Machines
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
@@ -67,6 +70,7 @@
 // parts are the connected pieces of a running entry.
 type parts struct {
 	settings platform.Settings
+	log      logr.Logger
 	node     *node.Node
 	front    *platform.Front
 	mesh     *mesh.Node
@@ -113,7 +117,7 @@
 	group.Go(func() { _ = p.mesh.Serve(run, peer) })
 	group.Go(func() { p.node.Run(run) })
 	p.serveMetrics(s)
-	<-ctx.Done()
+	p.reloadUntil(ctx)
 	p.wind()
 	stop()
 	p.mesh.Close()
@@ -121,6 +125,29 @@
 	return nil
 }
 
+// reloadUntil reads the settings again at each SIGHUP, until ctx ends. Without
+// it the signal would end the process. What a running entry was started with
+// stays: addresses and bounds that have changed are logged and hold from its next
+// start.
+func (p *parts) reloadUntil(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		fresh, err := platform.ReadSettings()
+		if err != nil {
+			p.log.Error(err, "settings not read, the old ones hold")
+			continue
+		}
+		p.log.Info("reload", "changed", fresh != p.settings)
+	}
+}
+
 func (p *parts) peerAddr() string {
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -52,7 +52,8 @@
 	ended   bool          // the lease was lost or given up
 	loaded  bool
 	site    *gauge.Site
-	scans   int // of scanLoop alone
+	listed  []gauge.Worker // newest list
+	scans   int            // of scanLoop alone
 }
 
 const (
@@ -108,9 +109,15 @@
 // Run works until the lease is lost or Close is called.
 func (o *Owner) Run(site *gauge.Site, workers []gauge.Worker) {
 	o.Configure(site)
+	o.mu.Lock()
+	o.listed = workers
+	o.mu.Unlock()
 	if !o.load() {
 		return
 	}
+	o.mu.Lock()
+	workers = o.listed
+	o.mu.Unlock()
 	o.List(workers)
 	o.group.Go(o.writeLoop)
 	o.group.Go(o.tickLoop)
@@ -156,12 +163,13 @@
 // List takes in the platform's list of workers.
 func (o *Owner) List(workers []gauge.Worker) {
 	o.mu.Lock()
+	o.listed = workers
+	if !o.loaded || o.ended {
+		o.mu.Unlock()
+		return // a report would be of jobs that aren't known yet
+	}
 	fresh := o.core.Workers(workers)
-	ended := o.ended
 	o.mu.Unlock()
-	if ended {
-		return
-	}
 	for _, w := range fresh {
 		o.group.Go(func() { o.holdLoop(w.ID) })
 	}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -91,7 +91,7 @@
 // wrote takes in that a write is in the table.
 func (o *Owner) wrote(p pending, stamp gauge.Stamp) {
 	o.mu.Lock()
-	o.core.Written(p.batch, stamp.Version)
+	o.core.Written(p.batch, stamp.Version, o.conf.Now())
 	o.core.Noted(p.lease.Workers)
 	close(o.written)
 	o.written = make(chan struct{})
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	gauge "sapphiregauge"
 )
@@ -99,7 +100,7 @@
 }
 
 // Written takes in that a batch is in the table, as of a version.
-func (p *Pool) Written(b Batch, version int64) {
+func (p *Pool) Written(b Batch, version int64, now time.Duration) {
 	for _, c := range b.Changes {
 		j := p.jobs[c.Job]
 		if j == nil {
@@ -113,6 +114,7 @@
 		if c.Final {
 			j.cleaned = true
 			delete(p.jobs, c.Job)
+			p.past[c.Job] = now
 		}
 	}
 	for id, n := range b.ends {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -37,6 +37,7 @@
 	site    *gauge.Site
 	limit   time.Duration // no grant reaches beyond this
 	jobs    map[string]*job
+	past    map[string]time.Duration // jobs that ended here, and when
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
 	orders  []Order
@@ -65,7 +66,7 @@
 // New makes a Pool without jobs and workers.
 func New(c Config) *Pool {
 	p := &Pool{
-		conf: c, jobs: make(map[string]*job), workers: make(map[string]*worker),
+		conf: c, jobs: make(map[string]*job), past: make(map[string]time.Duration), workers: make(map[string]*worker),
 		earlier: make(map[string]bool), site: &gauge.Site{},
 	}
 	for _, id := range c.Earlier {
@@ -139,8 +140,12 @@
 // Adopt takes in a job that the table has. Arrived is when it was accepted.
 // Inherited: it was there before this owner took over, so that runs of it may
 // exist. A job that is known already is left as it is.
+//
+// A notice of a job may come late: after the job has ended here, or from before
+// this owner took over, when the job is one that was read from the table or has
+// ended. Taken in then, the job would run a second time.
 func (p *Pool) Adopt(id, queue string, spec *gauge.JobSpec, row *gauge.JobRow, version int64, arrived, now time.Duration, inherited bool) {
-	if p.jobs[id] != nil {
+	if p.Knows(id) || (!inherited && version <= int64(p.conf.Fence)) {
 		return
 	}
 	j := &job{
@@ -177,8 +182,16 @@
 	}
 }
 
-// Knows tells whether a job has been adopted.
-func (p *Pool) Knows(id string) bool { return p.jobs[id] != nil }
+// Knows tells whether a job has been adopted, also if it has ended since.
+func (p *Pool) Knows(id string) bool {
+	_, past := p.past[id]
+	return past || p.jobs[id] != nil
+}
+
+// pastFor is how long it is remembered that a job has ended here: well beyond
+// the last try to deliver a notice of it, and any reading of the table that was
+// under way.
+const pastFor = time.Minute
 
 // Cancel takes in that a job's row says it is cancelled, as of a version.
 func (p *Pool) Cancel(id string, version int64) {
@@ -307,6 +320,11 @@
 	if now > p.conf.Doubt {
 		clear(p.earlier)
 	}
+	for id, ended := range p.past {
+		if now > ended+pastFor {
+			delete(p.past, id)
+		}
+	}
 }
 
 // occur makes the occurrences that are due.
--- /dev/null
+++ b/internal/sched/twice_test.go
@@ -0,0 +1,249 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
+)
+
+// Symptom: a job that was completed runs a second time, seconds later.
+// Sequence: the notice of a new job to the pool's owner gets no answer and is
+// sent again; meanwhile the job was found by a scan, ran and ended.
+// Cause: an owner that forgets a job with its end takes the late notice for a
+// new job.
+func TestLateNoticeOfAnEndedJobIsIgnored(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	id := g.adopt(1, false, step(1))
+	starts := g.starts()
+	assert.Equal(t, len(starts), 1)
+	g.ok(starts)
+	g.pass(time.Second)
+	g.hear("w1", nil, g.end("w1", starts[0].Start.Task, 1, gauge.EndDone))
+	g.save(500)
+
+	g.adopt(1, false, step(1))
+
+	assert.Assert(t, g.pool.Knows(id))
+	assert.Equal(t, len(g.starts()), 0)
+}
+
+// Symptom: a job that was cancelled starts on the new owner.
+// Sequence: the old owner dies; the job is cancelled; a new owner takes over,
+// sees it cancelled and drops it; the notice of its hand-in arrives at last.
+// Cause: a notice from before the takeover says nothing that the new owner
+// hasn't read from the table.
+func TestNoticeFromBeforeTheTakeoverIsIgnored(t *testing.T) {
+	g := newRig(t, after())
+	g.list("w1")
+	g.hear("w1", nil)
+	g.pool.Adopt(jobID(1), queueName, &gauge.JobSpec{Steps: []gauge.Step{step(1)}},
+		&gauge.JobRow{State: gauge.JobPending}, fence-1, g.now, g.now, false)
+	assert.Equal(t, len(g.starts()), 0)
+}
+
+// Symptom: after an owner's death a task has two runs at once.
+// Sequence: the owner starts a task on w2 and dies; the new owner hears w1 but
+// not yet w2, and starts the task on w1.
+// Cause: a task that no worker has told of counts as not running.
+func TestInheritedTaskWaitsForEveryWorkerOfTheOwnerBefore(t *testing.T) {
+	g := newRig(t, after("w1", "w2"))
+	g.adopt(1, true, step(1))
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	assert.Equal(t, len(g.starts()), 0)
+
+	task := gauge.TaskID{Job: jobID(1)}
+	g.hear("w2", []gauge.RunReport{{Task: task, Run: 1}})
+	assert.Equal(t, len(g.starts()), 0, "it runs on w2")
+}
+
+// The same with w2 never heard of: once everything that the owner before may
+// have granted has surely run out, the task starts, and under a number that
+// can't be one of the earlier owner's.
+func TestInheritedTaskStartsWhenAllGrantsHaveRunOut(t *testing.T) {
+	g := newRig(t, after("w1", "w2"))
+	g.adopt(1, true, step(1))
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	g.silent("w2")
+	g.pass(5 * time.Second)
+	g.hear("w1", nil)
+	assert.Equal(t, len(g.starts()), 0)
+	g.pass(1100 * time.Millisecond)
+	g.hear("w1", nil)
+	starts := g.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].Start.Run > 1000, "run %d", starts[0].Start.Run)
+}
+
+// A job that was accepted after the takeover can't run anywhere yet.
+func TestNewJobDoesNotWaitForWorkersOfTheOwnerBefore(t *testing.T) {
+	g := newRig(t, after("w1", "w2"))
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	assert.Equal(t, len(g.starts()), 1)
+}
+
+// Symptom: a task has two runs at once after a start got no answer.
+// Sequence: the start is held up on its way; a report that was made before it
+// arrives lacks the run; the task starts elsewhere; the first start arrives.
+// Cause: a run that isn't listed yet counts as refused.
+func TestUnansweredStartIsOnlyGivenUpWhenItWouldBeRefused(t *testing.T) {
+	g := newRig(t)
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	g.hear("w2", nil)
+	g.adopt(1, false, step(1))
+	start := g.starts()[0]
+	on := start.Worker.ID
+	g.pool.Answered(start, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.pass(300 * time.Millisecond)
+	g.hear(on, nil)
+	assert.Equal(t, len(g.starts()), 0)
+
+	g.pass(800 * time.Millisecond)
+	g.hear(on, nil) // its clock is past the start's own deadline
+	assert.Equal(t, len(g.starts()), 1)
+}
+
+// The same start was carried out after all: the run is taken in.
+func TestUnansweredStartThatIsListedGoesOn(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	start := g.starts()[0]
+	g.pool.Answered(start, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.pass(2 * time.Second)
+	g.hear("w1", []gauge.RunReport{running(start)})
+	assert.Equal(t, len(g.plan()), 0)
+}
+
+// Symptom: a task has two runs at once though its start was answered.
+// Sequence: a report is made, then the start is carried out and answered; the
+// answer overtakes the report, which lacks the run.
+// Cause: reports are taken in the order of their arrival.
+func TestReportFromBeforeAStartDoesNotEndItsRun(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	before := g.clock()
+	starts := g.starts()
+	g.pass(50 * time.Millisecond)
+	g.ok(starts)
+	g.hearAt("w1", before, nil)
+	assert.Equal(t, len(g.starts()), 0)
+}
+
+// Symptom: a task runs on a worker that is cut off, and on another.
+// Sequence: the worker stops answering and loses its entry in the list; its
+// lease has not run out.
+// Cause: a worker that isn't heard counts as gone.
+func TestSilentWorkersTaskWaitsForItsLease(t *testing.T) {
+	g := newRig(t)
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	g.hear("w2", nil)
+	g.adopt(1, false, step(1))
+	starts := g.starts()
+	g.ok(starts)
+	on, other := starts[0].Worker.ID, "w1"
+	if on == "w1" {
+		other = "w2"
+	}
+	_, call, _ := g.pool.Holding(on, g.now)
+	assert.Assert(t, call.Until > 0)
+	g.silent(on)
+	_, call, _ = g.pool.Holding(on, g.now)
+	assert.Equal(t, call.Until, time.Duration(0), "a silent worker gets no extension")
+	g.list(other)
+	g.pass(4900 * time.Millisecond)
+	g.hear(other, nil)
+	assert.Equal(t, len(g.starts()), 0)
+	g.pass(200 * time.Millisecond)
+	g.hear(other, nil)
+	starts = g.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Worker.ID, other)
+}
+
+// Another life of the worker answers at its address: the one meant is over, and
+// the task needn't wait for the lease.
+func TestReplacedWorkersTaskStartsAtOnce(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	g.ok(g.starts())
+	g.list("w2")
+	g.hear("w2", nil)
+	g.pool.HoldFailed("w1", gauge.Fail(gauge.KindReplaced, "status 421"), g.now)
+	starts := g.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Worker.ID, "w2")
+}
+
+// Symptom: a worker forgets an end that no table has, and the task runs again.
+// Sequence: a hold acknowledges ends as soon as they are seen; the owner dies
+// before it has written them.
+// Cause: the acknowledgement runs ahead of the write.
+func TestEndsAreAcknowledgedOnlyWhenTheTableHasThem(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(2))
+	starts := g.starts()
+	g.ok(starts)
+	g.pass(time.Second)
+	g.hear("w1", []gauge.RunReport{running(starts[1])}, g.end("w1", starts[0].Start.Task, 1, gauge.EndDone))
+	_, call, _ := g.pool.Holding("w1", g.now)
+	assert.Equal(t, call.LastSeen, int64(0))
+	g.save(500)
+	_, call, _ = g.pool.Holding("w1", g.now)
+	assert.Equal(t, call.LastSeen, int64(1))
+}
+
+// Symptom: a job fails although its task failed only once.
+// Sequence: an end "failed" is written but the owner dies before it is
+// acknowledged; the next owner is told of it again.
+// Cause: ends are counted, not told apart.
+func TestAFailureToldTwiceCountsOnce(t *testing.T) {
+	g := newRig(t, after())
+	task := gauge.TaskID{Job: jobID(1)}
+	row := &gauge.JobRow{State: gauge.JobRunning, Failures: map[string][]int{"0.0.0": {1}}}
+	g.pool.Adopt(task.Job, queueName, &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, row, 50, 0, 0, true)
+	g.list("w1")
+	g.hear("w1", nil, g.end("w1", task, 1, gauge.EndFailed))
+	state, _ := g.pool.State(task.Job)
+	assert.Equal(t, state, gauge.JobRunning)
+	assert.Equal(t, len(g.starts()), 1)
+}
+
+// Symptom: a cancelled job's tasks start.
+// Sequence: the notice of the cancel is lost; the owner's next write of the
+// job's row is refused, as the row has changed.
+// Cause: the owner writes its own row over the cancel.
+func TestCancelSeenAtAWriteEndsTheJob(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	id := g.adopt(1, false, step(2))
+	g.ok(g.starts())
+	g.pool.Conflicted(id, &gauge.JobRow{State: gauge.JobCancelled}, 900)
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 2)
+	b, err := g.pool.Batch(10, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Changes), 1)
+	assert.Equal(t, b.Changes[0].Version, int64(900))
+	row, err := gauge.DecodeJobRow(b.Changes[0].Row)
+	assert.NilError(t, err)
+	assert.Equal(t, row.State, gauge.JobCancelled)
+}
