Move machines between pools by demand; gather lasting tasks, pack the others

Cause: in its turn a queue asks for about 250 cores of a pool of 144; half of its jobs were late, while four fifths of the other pools' machines were idle. Change: owners tell what their pools could use (cores of timely and late work, arrivals of the last half second); the fleet's holder divides the machines and moves them, emptied first, the surplus to standby. Lasting tasks share few workers, other tasks fill the fullest worker, so that machines get empty.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -27,7 +27,7 @@
 	p.node = node.New(node.Config{
 		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: p.table, Workers: p.workers, Machines: machines,
 		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call,
-		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep,
+		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate,
 	})
 	p.front = platform.NewFront(platform.FrontConfig{Jobs: p.node.Jobs(), Site: p.node.Site, Ready: p.node.Ready})
 	return p
--- /dev/null
+++ b/internal/node/calls.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/owner"
+)
+
+// methodLoad asks a pool's owner what the pool has to do.
+const methodLoad = "pool.load"
+
+// loadWait bounds that question.
+const loadWait = 400 * time.Millisecond
+
+type loadCall struct {
+	Pool string `msgpack:"p"`
+}
+
+// ownerOf returns a pool's owner if it is here, else its address.
+func (n *Node) ownerOf(pool string) (*owner.Owner, string, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o := n.owners[pool]; o != nil {
+		return o, "", nil
+	}
+	row, ok := n.board.Holder(pool)
+	if !ok || row.Holder == n.holder {
+		return nil, "", gauge.Fail(gauge.KindOutage, "pool %s has no owner", pool)
+	}
+	return nil, row.Addr, nil
+}
+
+// local returns a pool's owner here, for a call of another entry.
+func (n *Node) local(pool string) (*owner.Owner, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o := n.owners[pool]; o != nil {
+		return o, nil
+	}
+	return nil, gauge.Fail(gauge.KindFenced, "this entry doesn't own pool %s", pool)
+}
+
+// load asks what a pool has to do.
+func (n *Node) load(ctx context.Context, pool string) (gauge.PoolLoad, error) {
+	var l gauge.PoolLoad
+	o, addr, err := n.ownerOf(pool)
+	if err != nil {
+		return l, err
+	}
+	if o != nil {
+		return o.Load(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadWait)
+	defer cancel()
+	err = n.conf.Mesh.Call(ctx, addr, methodLoad, &loadCall{Pool: pool}, &l)
+	return l, err
+}
+
+func (n *Node) handleLoad(_ context.Context, body []byte) (any, error) {
+	var c loadCall
+	if err := frame.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	o, err := n.local(c.Pool)
+	if err != nil {
+		return nil, err
+	}
+	l := o.Load()
+	return &l, nil
+}
+
+// empty asks a pool's owner to empty a worker; true: nothing runs there.
+func (n *Node) empty(ctx context.Context, c emptyCall) (bool, error) {
+	o, addr, err := n.ownerOf(c.Pool)
+	if err != nil {
+		return false, err
+	}
+	if o != nil {
+		return o.Empty(c.Worker, c.Force), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, emptyWait)
+	defer cancel()
+	var answer emptyAnswer
+	err = n.conf.Mesh.Call(ctx, addr, methodEmpty, &c, &answer)
+	return answer.Empty, err
+}
+
+func (n *Node) handleEmpty(_ context.Context, body []byte) (any, error) {
+	var c emptyCall
+	if err := frame.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	o, err := n.local(c.Pool)
+	if err != nil {
+		return nil, err
+	}
+	return emptyAnswer{Empty: o.Empty(c.Worker, c.Force)}, nil
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	gauge "sapphiregauge"
-	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/sizing"
 	"sapphiregauge/internal/waves"
 )
 
@@ -18,11 +18,14 @@
 	// tableWaves keeps which machines of a wave have had their order.
 	tableWaves = "waves"
 	// fleetEvery is how often the fleet's holder looks at its waves.
-	fleetEvery = 200 * time.Millisecond
+	fleetEvery = 100 * time.Millisecond
 	// fleetRenew is how often the fleet's lease is renewed without other writes.
 	fleetRenew = 800 * time.Millisecond
-	// listEvery is how often the machines are listed while there is a wave.
-	listEvery = 500 * time.Millisecond
+	// listEvery is how often the machines are listed.
+	listEvery = 400 * time.Millisecond
+	// firstWait is how long after the very first start machines are left where
+	// they are: until then not all of them are listed.
+	firstWait = 2 * time.Second
 	// emptyWait bounds one question to a pool's owner.
 	emptyWait = 600 * time.Millisecond
 	// methodEmpty asks a pool's owner to empty a worker.
@@ -51,6 +54,8 @@
 	node    *Node
 	held    *held
 	keeper  *waves.Keeper
+	sizer   *sizing.Sizer
+	from    time.Duration // no machine is ordered before this
 	renewed time.Duration
 	listed  time.Duration
 	states  map[int64]bool // waves of which the operator was told that they run
@@ -63,8 +68,13 @@
 		keeper: waves.New(waves.Config{
 			Upkeep: n.conf.Upkeep, Gap: n.conf.TurnGap + grantMargin, Start: n.conf.Now(), First: h.term == 0, Logs: n.conf.Logs,
 		}),
+		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
 		renewed: n.conf.Now(),
 	}
+	f.from = n.conf.Now() + firstWait
+	if h.term > 0 {
+		f.from = n.conf.Now() + n.conf.TurnGap + grantMargin // the holder before may have ordered just now
+	}
 	for ctx.Err() == nil && n.going.Load() && !h.lease.Lost() {
 		f.round(ctx)
 		pause(ctx, fleetEvery)
@@ -92,18 +102,17 @@
 	if f.node.conf.Now()-f.renewed >= fleetRenew {
 		f.commit(ctx, gauge.PartTxn{})
 	}
-	if !f.takeIn(ctx) || !f.keeper.Busy() {
-		return
-	}
-	if !f.list(ctx) {
+	if !f.takeIn(ctx) || !f.list(ctx) {
 		return
 	}
-	steps := f.keeper.Next(f.node.conf.Now())
+	f.loads(ctx)
+	steps := f.keeper.Next(f.node.conf.Now(), f.sizer.Moving, f.sizer.Pressed)
 	f.ask(ctx, steps.Asks)
 	f.begin(ctx, steps.Begins)
 	for _, number := range steps.Complete {
 		f.complete(ctx, number)
 	}
+	f.resize(ctx)
 }
 
 // commit writes on condition that the fleet's lease is still this entry's.
@@ -177,6 +186,7 @@
 		}
 	}
 	f.keeper.Standby(standby)
+	f.sizer.Machines(machines, standby, now)
 	return true
 }
 
@@ -198,38 +208,6 @@
 	group.Wait()
 }
 
-func (n *Node) empty(ctx context.Context, c emptyCall) (bool, error) {
-	n.mu.Lock()
-	o := n.owners[c.Pool]
-	row, ok := n.board.Holder(c.Pool)
-	n.mu.Unlock()
-	if o != nil {
-		return o.Empty(c.Worker, c.Force), nil
-	}
-	if !ok {
-		return false, gauge.Fail(gauge.KindOutage, "pool %s has no owner", c.Pool)
-	}
-	ctx, cancel := context.WithTimeout(ctx, emptyWait)
-	defer cancel()
-	var answer emptyAnswer
-	err := n.conf.Mesh.Call(ctx, row.Addr, methodEmpty, &c, &answer)
-	return answer.Empty, err
-}
-
-func (n *Node) handleEmpty(_ context.Context, body []byte) (any, error) {
-	var c emptyCall
-	if err := frame.Decode(body, &c); err != nil {
-		return nil, err
-	}
-	n.mu.Lock()
-	o := n.owners[c.Pool]
-	n.mu.Unlock()
-	if o == nil {
-		return nil, gauge.Fail(gauge.KindFenced, "this entry doesn't own pool %s", c.Pool)
-	}
-	return emptyAnswer{Empty: o.Empty(c.Worker, c.Force)}, nil
-}
-
 // begin orders upkeeps, all at once. Each is asked for only while the lease
 // surely lasts.
 func (f *fleet) begin(ctx context.Context, begins []waves.Begin) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	Longest  time.Duration // longest lease that a worker takes
 	TurnGap  time.Duration // two entries may not order one machine within this
 	Upkeep   time.Duration // length of a machine's upkeep
+	Migrate  time.Duration // length of a machine's move
 }
 
 const (
@@ -99,6 +100,7 @@
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
+	c.Mesh.Handle(methodLoad, n.handleLoad)
 	return n
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -220,6 +220,13 @@
 	return empty
 }
 
+// Load tells what the pool has to do.
+func (o *Owner) Load() gauge.PoolLoad {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Load(o.conf.Now())
+}
+
 // act does something to the state, sends the orders that follow from it and has
 // changes written.
 func (o *Owner) act(do func(now time.Duration)) {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -56,6 +56,9 @@
 	scoreRack = 1000.0
 	// scoreSpread keeps lasting tasks of one step on different workers.
 	scoreSpread = 100.0
+	// scoreTogether gathers lasting tasks of different steps on few workers, so
+	// that the others can move to another pool or have their upkeep at once.
+	scoreTogether = 5.0
 	// scoreApart keeps tasks that fill away from those with a bound on their
 	// tail, which they disturb.
 	scoreApart = 10.0
@@ -66,7 +69,7 @@
 func (p *Pool) score(w *worker, st *stage, on int) float64 {
 	score := 0.0
 	if w.info.Capacity.MilliCPU > 0 {
-		score = float64(w.free().MilliCPU) / float64(w.info.Capacity.MilliCPU)
+		score = -float64(w.free().MilliCPU) / float64(w.info.Capacity.MilliCPU)
 	}
 	if st.spec.DataRack != "" && w.info.HasLabel(st.spec.DataRack) {
 		score += scoreRack
@@ -74,6 +77,9 @@
 	if st.spec.Lasts {
 		score -= scoreSpread * float64(on)
 		score -= scoreApart * float64(w.disturbers(st.spec.Fills))
+		if w.lasting() > 0 {
+			score += scoreTogether
+		}
 	}
 	return score
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,6 +41,7 @@
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
 	orders  []Order
+	arrived float64 // core-seconds of all jobs adopted so far
 }
 
 // OrderKind is what is ordered.
@@ -153,6 +154,7 @@
 		occs: make(map[int]*occurrence), next: row.Over,
 	}
 	p.jobs[id] = j
+	p.arrived += work(spec)
 	if inherited {
 		j.begun = len(row.Done) > 0 || row.Over > 0
 	}
--- /dev/null
+++ b/internal/sizing/share.go
@@ -0,0 +1,62 @@
+package sizing
+
+import "sort"
+
+// need is what a pool would use, in machines.
+type need struct {
+	base   int // for lasting tasks and what comes meanwhile
+	timely int // more, for jobs that can meet their objective
+	late   int // more, for those that can't
+}
+
+// share divides the machines there are: each pool gets its base, then what is
+// left goes to timely work and the rest of that to late work, in proportion
+// where it isn't enough for all.
+func share(needs map[string]need, pools []string, supply int) map[string]int {
+	got := make(map[string]int, len(pools))
+	for _, part := range []func(need) int{
+		func(n need) int { return n.base },
+		func(n need) int { return n.timely },
+		func(n need) int { return n.late },
+	} {
+		asked := make([]int, len(pools))
+		for i, p := range pools {
+			asked[i] = part(needs[p])
+		}
+		for i, n := range divide(asked, supply) {
+			got[pools[i]] += n
+			supply -= n
+		}
+	}
+	return got
+}
+
+// divide gives each what it asks for, or a proportional part if that is more
+// than there is; the largest remainders are rounded up.
+func divide(asked []int, supply int) []int {
+	sum := 0
+	for _, a := range asked {
+		sum += a
+	}
+	if sum <= supply {
+		return asked
+	}
+	got := make([]int, len(asked))
+	if supply <= 0 {
+		return got
+	}
+	order := make([]int, len(asked))
+	left := supply
+	for i, a := range asked {
+		got[i] = a * supply / sum
+		left -= got[i]
+		order[i] = i
+	}
+	sort.SliceStable(order, func(x, y int) bool {
+		return asked[order[x]]*supply%sum > asked[order[y]]*supply%sum
+	})
+	for _, i := range order[:left] {
+		got[i]++
+	}
+	return got
+}
--- /dev/null
+++ b/internal/sizing/sizing.go
@@ -0,0 +1,404 @@
+// Package sizing decides which machine moves to which pool. It is a state
+// machine without input or output.
+//
+// The pattern it answers: demand moves from pool to pool within seconds, and is
+// several times a pool's mean in its turn, so that no fixed split serves it;
+// machines in pools are paid for, those on standby aren't. A move takes one to
+// two seconds and ends all that runs on the machine, so machines are emptied
+// first and those with lasting tasks stay.
+package sizing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up a Sizer.
+type Config struct {
+	Migrate time.Duration // length of a move
+	Logs    logr.Logger
+}
+
+// Move is a machine on its way to another pool.
+type Move struct {
+	Machine string
+	From    string
+	To      string
+	Worker  string
+	Empty   bool // nothing runs there any more: order it
+	chosen  time.Duration
+	unsure  bool // an order got no answer: it has to be asked again until it has one
+	ordered time.Duration
+}
+
+// Sizer decides on moves. It is not safe for concurrent use.
+type Sizer struct {
+	conf     Config
+	loads    map[string]load
+	machines map[string]gauge.Machine
+	standby  []string
+	moves    map[string]*Move
+	wanted   map[string]want
+	came     map[string]arrivals
+	logged   map[string]int
+	later    func(machine string) bool
+}
+
+type load struct {
+	gauge.PoolLoad
+	at time.Duration
+}
+
+// want is how many machines a pool should have, and since when it should have
+// fewer than it has.
+type want struct {
+	count int
+	below time.Duration
+}
+
+// New makes a Sizer.
+func New(c Config) *Sizer {
+	return &Sizer{
+		conf: c, loads: make(map[string]load), machines: make(map[string]gauge.Machine),
+		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), logged: make(map[string]int),
+	}
+}
+
+const (
+	// headroom over what is asked now: cores are never all usable, since tasks
+	// don't fit exactly, and estimates are off by half.
+	headroom = 1.25
+	// least machines a pool keeps: work that comes meanwhile starts at once, and
+	// lasting tasks find another place.
+	least = 3
+	// shrinkAfter is how long a pool must have too many machines before it gives
+	// some away.
+	shrinkAfter = 2500 * time.Millisecond
+	// staleAfter: an older load says nothing.
+	staleAfter = 2 * time.Second
+	// giveUpAfter ends a move whose machine doesn't get empty.
+	giveUpAfter = 4 * time.Second
+	// settleAfter is how long after a move's order the list may still be old.
+	settleAfter = 400 * time.Millisecond
+)
+
+// Load takes in what an owner told.
+func (s *Sizer) Load(l gauge.PoolLoad, now time.Duration) {
+	old, ok := s.loads[l.Pool]
+	if ok && l.Arrived >= old.Arrived {
+		s.came[l.Pool] = s.came[l.Pool].add(l.Arrived-old.Arrived, now)
+	}
+	s.loads[l.Pool] = load{PoolLoad: l, at: now}
+}
+
+// Machines takes in the list, as asked for at a time, and the pools on standby.
+func (s *Sizer) Machines(list []gauge.Machine, standby []string, asked time.Duration) {
+	clear(s.machines)
+	for _, m := range list {
+		s.machines[m.ID] = m
+	}
+	s.standby = standby
+	for id, v := range s.moves {
+		m, there := s.machines[id]
+		switch {
+		case !there, m.Pool == v.To && m.State == gauge.MachineUp:
+			delete(s.moves, id)
+		case v.unsure || v.ordered > 0 && asked < v.ordered+settleAfter:
+		case v.ordered > 0 && m.State == gauge.MachineUp && m.Pool == v.From:
+			delete(s.moves, id) // refused, or lost with a restart: choose anew
+		}
+	}
+}
+
+// Moving tells whether a machine is on its way.
+func (s *Sizer) Moving(machine string) bool { return s.moves[machine] != nil }
+
+// Pressed tells whether a pool has too few machines for its work now.
+func (s *Sizer) Pressed(pool string) bool {
+	return s.loads[pool].Timely.Waiting > 0 || s.missing(pool) > 0
+}
+
+// Emptied takes in an owner's answer about a machine.
+func (s *Sizer) Emptied(machine string, empty bool) {
+	if v := s.moves[machine]; v != nil {
+		v.Empty = empty
+	}
+}
+
+// Ordered takes in the outcome of an order.
+func (s *Sizer) Ordered(machine string, err error, now time.Duration) {
+	v := s.moves[machine]
+	if v == nil {
+		return
+	}
+	v.unsure = gauge.Is(err, gauge.KindUnknown)
+	v.ordered = now
+	if err != nil && !v.unsure {
+		delete(s.moves, machine)
+	}
+	s.conf.Logs.Info("machine moved", "machine", machine, "from", v.From, "to", v.To, "error", errText(err))
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Next returns the machines to empty and the moves to order. Taken machines are
+// in the hands of a wave; those that one will take later are better left alone.
+func (s *Sizer) Next(now time.Duration, taken, later func(machine string) bool) []Move {
+	s.later = later
+	s.expire(now)
+	if len(s.machines) == 0 {
+		return nil
+	}
+	pools := s.pools()
+	s.want(pools, now)
+	s.choose(pools, now, taken)
+	out := make([]Move, 0, len(s.moves))
+	for _, v := range s.moves {
+		if v.ordered == 0 || v.unsure {
+			out = append(out, *v)
+		}
+	}
+	slices.SortFunc(out, func(a, b Move) int { return cmp.Compare(a.Machine, b.Machine) })
+	return out
+}
+
+func (s *Sizer) expire(now time.Duration) {
+	for id, v := range s.moves {
+		if v.ordered == 0 && now-v.chosen > giveUpAfter {
+			s.conf.Logs.Info("move given up", "machine", id, "from", v.From, "to", v.To)
+			delete(s.moves, id)
+		}
+	}
+}
+
+// pools lists those with a fresh load, in a steady order.
+func (s *Sizer) pools() []string {
+	var names []string
+	for n := range s.loads {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// want works out how many machines each pool should have.
+func (s *Sizer) want(pools []string, now time.Duration) {
+	needs := make(map[string]need, len(pools))
+	for _, pool := range pools {
+		needs[pool] = s.need(pool, now)
+	}
+	counts := share(needs, pools, s.supply())
+	for _, pool := range pools {
+		w := s.wanted[pool]
+		w.count = counts[pool]
+		switch {
+		case now-s.loads[pool].at > staleAfter:
+			w = want{count: s.has(pool)} // nothing is known: it stays as it is
+		case w.count >= s.has(pool):
+			w.below = 0
+		case w.below == 0:
+			w.below = now
+		}
+		s.wanted[pool] = w
+		s.log(pool, needs[pool], now)
+	}
+}
+
+func (s *Sizer) log(pool string, n need, now time.Duration) {
+	count := s.wanted[pool].count
+	if s.logged[pool] == count {
+		return
+	}
+	s.logged[pool] = count
+	l := s.loads[pool]
+	s.conf.Logs.Info("pool wants", "pool", pool, "machines", count, "has", s.has(pool), "base", n.base, "timely", n.timely,
+		"late", n.late, "lasting", l.Lasting, "busy", l.Timely.Busy, "waiting", l.Timely.Waiting,
+		"rate", s.came[pool].rate(now), "age", now-l.at)
+}
+
+// need works out what a pool would use, in machines.
+func (s *Sizer) need(pool string, now time.Duration) need {
+	l, cores := s.loads[pool], s.cores(pool)
+	timely := max(l.Timely.Cores(), s.came[pool].rate(now))
+	n := need{base: max(least, ceil(l.Lasting*headroom/cores)+1)}
+	n.timely = max(0, ceil((l.Lasting+timely*headroom)/cores)-n.base)
+	n.late = ceil(l.Late.Cores() / cores)
+	return n
+}
+
+func ceil(f float64) int { return int(math.Ceil(f)) }
+
+// supply counts the machines that can serve.
+func (s *Sizer) supply() int {
+	n := 0
+	for _, m := range s.machines {
+		if m.State != gauge.MachineDown {
+			n++
+		}
+	}
+	return n
+}
+
+// defaultCores is used for a pool without machines.
+const defaultCores = 16
+
+// cores is what one machine of a pool has, on average.
+func (s *Sizer) cores(pool string) float64 {
+	sum, n := 0.0, 0
+	for _, m := range s.machines {
+		if m.Pool == pool && m.Capacity.MilliCPU > 0 {
+			sum += float64(m.Capacity.MilliCPU) / 1000
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultCores
+	}
+	return sum / float64(n)
+}
+
+// has counts the machines of a pool that stay there or are on their way to it.
+func (s *Sizer) has(pool string) int {
+	n := 0
+	for id, m := range s.machines {
+		to := m.Pool
+		if v := s.moves[id]; v != nil {
+			to = v.To
+		}
+		if to == pool && m.State != gauge.MachineDown {
+			n++
+		}
+	}
+	return n
+}
+
+// choose picks machines for pools that want more, from standby and then from
+// pools with too many, and sends what nobody wants to standby.
+func (s *Sizer) choose(pools []string, now time.Duration, taken func(string) bool) {
+	short := slices.Clone(pools)
+	slices.SortFunc(short, func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.missing(b), s.missing(a)), cmp.Compare(a, b))
+	})
+	for _, pool := range short {
+		for s.missing(pool) > 0 {
+			if s.redirect(pool) {
+				continue
+			}
+			m, ok := s.spare(pools, pool, now, taken)
+			if !ok {
+				break
+			}
+			s.move(m, pool, now)
+		}
+	}
+	if len(s.standby) == 0 {
+		return
+	}
+	for _, pool := range pools {
+		w := s.wanted[pool]
+		for w.below > 0 && now-w.below > shrinkAfter && s.missing(pool) < 0 {
+			m, ok := s.idle(pool, taken, s.later)
+			if !ok {
+				break
+			}
+			s.move(m, s.home(m), now)
+		}
+	}
+}
+
+// missing is how many machines a pool wants more than it has.
+func (s *Sizer) missing(pool string) int { return s.wanted[pool].count - s.has(pool) }
+
+func (s *Sizer) move(m gauge.Machine, to string, now time.Duration) {
+	standby := slices.Contains(s.standby, m.Pool)
+	s.moves[m.ID] = &Move{Machine: m.ID, From: m.Pool, To: to, Worker: m.Worker, Empty: standby, chosen: now}
+	s.conf.Logs.Info("move chosen", "machine", m.ID, "from", m.Pool, "to", to)
+}
+
+// redirect sends a machine that is to go to standby, and isn't ordered yet, to a
+// pool that wants it: there and back would take two moves.
+func (s *Sizer) redirect(pool string) bool {
+	var best *Move
+	for _, v := range s.moves {
+		if v.ordered > 0 || v.From == pool || !slices.Contains(s.standby, v.To) {
+			continue
+		}
+		if best == nil || v.Machine < best.Machine {
+			best = v
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.To = pool
+	s.conf.Logs.Info("move redirected", "machine", best.Machine, "from", best.From, "to", pool)
+	return true
+}
+
+// home is the standby pool that a machine goes to.
+func (s *Sizer) home(gauge.Machine) string { return s.standby[0] }
+
+// spare finds a machine for a pool: on standby, else in a pool with too many.
+func (s *Sizer) spare(pools []string, to string, now time.Duration, taken func(string) bool) (gauge.Machine, bool) {
+	for _, pool := range s.standby {
+		if m, ok := s.idle(pool, taken, s.later); ok {
+			return m, true
+		}
+	}
+	for _, pool := range pools {
+		if pool == to || s.missing(pool) >= 0 || now-s.loads[pool].at > staleAfter {
+			continue
+		}
+		if m, ok := s.idle(pool, taken, s.later); ok {
+			return m, true
+		}
+	}
+	return gauge.Machine{}, false
+}
+
+// idle finds the machine of a pool that is the least work to empty. None with
+// lasting tasks: these would have to move, and their users would notice.
+func (s *Sizer) idle(pool string, taken, later func(string) bool) (gauge.Machine, bool) {
+	runs := make(map[string]gauge.WorkerLoad)
+	for _, w := range s.loads[pool].Workers {
+		runs[w.ID] = w
+	}
+	var best gauge.Machine
+	found := false
+	for id, m := range s.machines {
+		if m.Pool != pool || m.State != gauge.MachineUp || s.moves[id] != nil || taken(id) {
+			continue
+		}
+		w := runs[m.Worker]
+		if w.Lasting > 0 {
+			continue
+		}
+		if !found || better(m, w, best, runs[best.Worker], later) {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+// better tells whether one machine is a better choice than another: one that no
+// wave waits for, then the one with less to end, then the lower id.
+func better(a gauge.Machine, onA gauge.WorkerLoad, b gauge.Machine, onB gauge.WorkerLoad, later func(string) bool) bool {
+	if later(a.ID) != later(b.ID) {
+		return later(b.ID)
+	}
+	if onA.Runs != onB.Runs {
+		return onA.Runs < onB.Runs
+	}
+	return a.ID < b.ID
+}
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -32,6 +32,8 @@
 	machines map[string]gauge.Machine
 	listed   time.Duration // when the list was asked for
 	standby  map[string]bool
+	taken    func(machine string) bool
+	pressed  func(pool string) bool
 }
 
 type wave struct {
@@ -127,6 +129,26 @@
 	}
 }
 
+// Takes tells whether a wave has chosen a machine, or it is down for one.
+func (k *Keeper) Takes(machine string) bool {
+	for _, w := range k.waves {
+		if _, down := w.down[machine]; down || w.asked[machine] && !w.done {
+			return true
+		}
+	}
+	return false
+}
+
+// Waits tells whether a machine has its upkeep still to come.
+func (k *Keeper) Waits(machine string) bool {
+	for _, w := range k.waves {
+		if !w.done && !w.begun[machine] && slices.Contains(w.order.Machines, machine) {
+			return true
+		}
+	}
+	return false
+}
+
 // Emptied takes in an owner's answer about a machine.
 func (k *Keeper) Emptied(machine string, empty bool) {
 	for _, w := range k.waves {
@@ -182,8 +204,10 @@
 	k.conf.Logs.Info("wave completed", "wave", number, "begun", len(k.waves[number].begun))
 }
 
-// Next says what to do now.
-func (k *Keeper) Next(now time.Duration) Steps {
+// Next says what to do now. Taken machines are on their way to another pool;
+// pressed pools have too few machines as it is.
+func (k *Keeper) Next(now time.Duration, taken, pressed func(name string) bool) Steps {
+	k.taken, k.pressed = taken, pressed
 	var s Steps
 	if !k.conf.First && now < k.conf.Start+k.conf.Gap {
 		return s // the holder before may have ordered just now
@@ -289,11 +313,11 @@
 		best := -1
 		var bestShare float64
 		for i, m := range left {
-			if w.asked[m.ID] || m.State != gauge.MachineUp {
+			if w.asked[m.ID] || m.State != gauge.MachineUp || k.taken(m.ID) {
 				continue
 			}
 			share := float64(away[m.Pool]+1) / float64(max(1, size[m.Pool]))
-			if !k.standby[m.Pool] && !force && share > poolShare && away[m.Pool] > 0 {
+			if !k.standby[m.Pool] && !force && (k.pressed(m.Pool) || share > poolShare && away[m.Pool] > 0) {
 				continue
 			}
 			if best < 0 || share < bestShare {
