Replace owners sooner, settle unanswered starts at once, plan at less cost

Change: leases of 2 s; the fleet's holder orders only shortly after a renewal and notes when, so that a successor waits less; orders are given up after 300 ms and settled by a look and a stop; idle tasks are counted, free room is measured once a plan, plans are 4 ms apart. Ruled out: lost renewals by the table (writes took 10 ms until the owner was out of processor time).

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -17,7 +17,7 @@
 func assemble(s platform.Settings, _ *hostSettings, log logr.Logger) *parts {
 	p := &parts{settings: s, log: log, meter: meter.New()}
 	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Timeout: tableTimeout, Clock: steady})
-	p.workers = platform.NewWorkers(platform.WorkersConfig{Timeout: workerTimeout, Clock: steady})
+	p.workers = platform.NewWorkers(platform.WorkersConfig{Hold: holdTimeout, Order: orderTimeout, Clock: steady})
 	var machines gauge.Machines
 	if s.Machines != "" {
 		p.machines = platform.NewMachines(platform.MachinesConfig{Addr: s.Machines, Timeout: machineTimeout, Clock: steady})
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -55,8 +55,12 @@
 	// of 9 ms take 60 times as long, and an answer that comes is better than one
 	// given up.
 	tableTimeout = 900 * time.Millisecond
-	// workerTimeout bounds a call to a worker, which answers within some ms.
-	workerTimeout = 800 * time.Millisecond
+	// holdTimeout bounds a hold, its wait aside: a worker that doesn't answer gets
+	// no extension, so it isn't taken for silent lightly.
+	holdTimeout = 800 * time.Millisecond
+	// orderTimeout bounds an order. A worker answers within some ms, and an order
+	// without an answer is settled by another.
+	orderTimeout = 300 * time.Millisecond
 	// machineTimeout bounds a call to the machine service.
 	machineTimeout = 1500 * time.Millisecond
 	// stopMargin is kept between the end of serving and the platform's kill.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -20,7 +21,7 @@
 	// fleetEvery is how often the fleet's holder looks at its waves.
 	fleetEvery = 100 * time.Millisecond
 	// fleetRenew is how often the fleet's lease is renewed without other writes.
-	fleetRenew = 800 * time.Millisecond
+	fleetRenew = 400 * time.Millisecond
 	// listEvery is how often the machines are listed.
 	listEvery = 400 * time.Millisecond
 	// firstWait is how long after the very first start machines are left where
@@ -56,6 +57,7 @@
 	keeper  *waves.Keeper
 	sizer   *sizing.Sizer
 	from    time.Duration // no machine is ordered before this
+	ordered atomic.Int64  // when a machine was last ordered, the table's clock in milliseconds
 	renewed time.Duration
 	listed  time.Duration
 	states  map[int64]bool // waves of which the operator was told that they run
@@ -66,26 +68,59 @@
 	f := &fleet{
 		node: n, held: h, states: make(map[int64]bool),
 		keeper: waves.New(waves.Config{
-			Upkeep: n.conf.Upkeep, Gap: n.conf.TurnGap + grantMargin, Start: n.conf.Now(), First: h.term == 0, Logs: n.conf.Logs,
+			Upkeep: n.conf.Upkeep, Logs: n.conf.Logs,
 		}),
 		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
 		renewed: n.conf.Now(),
 	}
 	f.from = n.conf.Now() + firstWait
 	if h.term > 0 {
-		f.from = n.conf.Now() + n.conf.TurnGap + grantMargin // the holder before may have ordered just now
+		f.from = n.turnFrom(h)
 	}
 	for ctx.Err() == nil && n.going.Load() && !h.lease.Lost() {
 		f.round(ctx)
 		pause(ctx, fleetEvery)
 	}
-	if err := h.lease.GiveUp(ctx, gauge.LeaseRow{}); err != nil {
+	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
 		n.conf.Logs.Info("lease not given up", "pool", "fleet", "error", err.Error())
 		return
 	}
 	n.conf.Logs.Info("fleet left", "fence", h.fence)
 }
 
+// turnFrom is when this holder may order its first machine: the bound between
+// two holders after the last order of the one before. If that one gave the lease
+// up, its row says when that was. If its lease ran out, it ordered for orderSpan
+// after its last renewal at the most, and the row was seen unchanged for the
+// lease's term since.
+func (n *Node) turnFrom(h *held) time.Duration {
+	now := n.conf.Now()
+	if h.before.Holder != "" {
+		return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-leaseTerm)
+	}
+	if h.before.Ordered == 0 {
+		return now
+	}
+	since := time.Duration(n.clock()-h.before.Ordered) * time.Millisecond
+	return now + max(0, n.conf.TurnGap+grantMargin-since)
+}
+
+// mayOrder tells whether machines may be ordered now: the lease was renewed
+// lately.
+func (f *fleet) mayOrder() bool {
+	if f.node.conf.Now() >= f.held.lease.Until()-leaseTerm+orderSpan {
+		return false
+	}
+	f.ordered.Store(f.node.clock())
+	return true
+}
+
+// orderSpan is how long after a renewal the fleet's holder orders machines: two
+// renewals may fail. The shorter, the sooner a successor may begin.
+const orderSpan = 1200 * time.Millisecond
+
+func (f *fleet) row() gauge.LeaseRow { return gauge.LeaseRow{Ordered: f.ordered.Load()} }
+
 // grantMargin covers the difference between two entries' steady clocks.
 const grantMargin = 200 * time.Millisecond
 
@@ -106,6 +141,9 @@
 		return
 	}
 	f.loads(ctx)
+	if f.node.conf.Now() < f.from {
+		return
+	}
 	steps := f.keeper.Next(f.node.conf.Now(), f.sizer.Moving, f.sizer.Pressed)
 	f.ask(ctx, steps.Asks)
 	f.begin(ctx, steps.Begins)
@@ -118,7 +156,7 @@
 // commit writes on condition that the fleet's lease is still this entry's.
 func (f *fleet) commit(ctx context.Context, txn gauge.PartTxn) bool {
 	sent := f.node.conf.Now()
-	stamp, _, err := f.held.lease.Commit(ctx, gauge.LeaseRow{}, txn)
+	stamp, _, err := f.held.lease.Commit(ctx, f.row(), txn)
 	if err != nil {
 		f.node.conf.Logs.Info("fleet write failed", "kind", gauge.KindOf(err), "error", err.Error())
 		return false
@@ -216,7 +254,7 @@
 	var group conc.WaitGroup
 	for i, b := range begins {
 		group.Go(func() {
-			if f.node.conf.Now() >= f.held.lease.Until() {
+			if !f.mayOrder() {
 				results[i] = gauge.Fail(gauge.KindOutage, "the lease is over")
 				return
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,20 +41,21 @@
 }
 
 const (
-	// leaseTerm: an owner that is gone is replaced after this. It renews at least
-	// every 0.6 s, so that it may fail four times.
-	leaseTerm = 3 * time.Second
+	// leaseTerm: an owner that is gone is replaced after this. With the table
+	// slowed 60 times a renewal is known 1.6 s after the one before was sent.
+	leaseTerm = 2 * time.Second
 	// grantGrace is how far holds may reach beyond the lease's end, so that runs
 	// outlive an outage of the table. A successor waits as long for workers that
 	// don't answer.
 	grantGrace = 6 * time.Second
 	// holdSpan extends a worker's lease: it outlasts the replacement of an owner,
-	// which takes the lease's term and about half a second.
-	holdSpan = 5 * time.Second
+	// which takes the lease's term and about a second, from up to a second after
+	// the last hold.
+	holdSpan = 4500 * time.Millisecond
 	// claimSpread and claimHeld keep entries from claiming one pool at once, and
 	// spread the pools over them.
-	claimSpread = 300 * time.Millisecond
-	claimHeld   = 400 * time.Millisecond
+	claimSpread = 200 * time.Millisecond
+	claimHeld   = 150 * time.Millisecond
 	// manageEvery is how often leases are looked at.
 	manageEvery = 50 * time.Millisecond
 	// feedWait is how long a feed waits for a change. A connection that has gone
@@ -62,7 +63,7 @@
 	feedWait = time.Second
 	// leasePause is the time between two looks at the leases, which change with
 	// every write of an owner.
-	leasePause = 500 * time.Millisecond
+	leasePause = 300 * time.Millisecond
 	// retryPause is the time between two tries to tell an owner of a job.
 	retryPause  = 250 * time.Millisecond
 	noticeTries = 4
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -37,9 +37,6 @@
 
 // resize moves machines between pools.
 func (f *fleet) resize(ctx context.Context) {
-	if f.node.conf.Now() < f.from {
-		return
-	}
 	moves := f.sizer.Next(f.node.conf.Now(), f.keeper.Takes, f.keeper.Waits)
 	var mu sync.Mutex
 	var group conc.WaitGroup
@@ -71,7 +68,7 @@
 
 // order moves one machine, while the lease surely lasts.
 func (f *fleet) order(ctx context.Context, m sizing.Move) error {
-	if f.node.conf.Now() >= f.held.lease.Until() {
+	if !f.mayOrder() {
 		return gauge.Fail(gauge.KindOutage, "the lease is over")
 	}
 	err := f.node.conf.Machines.Move(ctx, gauge.Duty{Holder: f.node.conf.Name, Fence: f.held.fence}, m.Machine, m.To)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -46,14 +46,16 @@
 	ctx    context.Context
 	wake   chan struct{} // a change waits to be written
 
-	mu      sync.Mutex
-	core    *sched.Pool
-	written chan struct{} // closed at each write, then made anew
-	ended   bool          // the lease was lost or given up
-	loaded  bool
-	site    *gauge.Site
-	listed  []gauge.Worker // newest list
-	scans   int            // of scanLoop alone
+	mu       sync.Mutex
+	core     *sched.Pool
+	written  chan struct{} // closed at each write, then made anew
+	ended    bool          // the lease was lost or given up
+	planned  time.Duration // when the last plan was made
+	planning bool          // one is due at the end of the gap
+	loaded   bool
+	site     *gauge.Site
+	listed   []gauge.Worker // newest list
+	scans    int            // of scanLoop alone
 }
 
 const (
@@ -66,9 +68,12 @@
 	holdWait = time.Second
 	// tickEvery is how often time alone is looked at.
 	tickEvery = 100 * time.Millisecond
+	// planGap is the least time between two plans. Under load several ends go
+	// into one plan: each plan looks at every job that waits.
+	planGap = 4 * time.Millisecond
 	// renewEvery is how often the lease is renewed without other writes: four
 	// tries within its term.
-	renewEvery = 600 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
 	// writeGap is the shortest time between two writes; ends that come in
 	// between go together. A write takes some 10 ms, and each is paid for.
 	writeGap = 30 * time.Millisecond
@@ -77,7 +82,7 @@
 	// scanEvery is how often jobs are looked for of which no message came.
 	scanEvery = 1500 * time.Millisecond
 	// scanWait bounds one scan: the lease's term.
-	scanWait = 3 * time.Second
+	scanWait = 2 * time.Second
 	// scansOfAll: so many scans make one of all queues.
 	scansOfAll = 4
 	// doubtMargin covers the difference between two entries' steady clocks.
@@ -227,14 +232,29 @@
 	return o.core.Load(o.conf.Now())
 }
 
-// act does something to the state, sends the orders that follow from it and has
-// changes written.
+// act does something to the state, and has what follows from it done.
 func (o *Owner) act(do func(now time.Duration)) {
 	now := o.conf.Now()
 	o.mu.Lock()
 	if do != nil {
 		do(now)
 	}
+	wait := o.planned + planGap - now
+	if wait > 0 && !o.planning {
+		o.planning = true
+		time.AfterFunc(wait, o.plan)
+	}
+	o.mu.Unlock()
+	if wait <= 0 {
+		o.plan()
+	}
+}
+
+// plan sends the orders that follow from the state and has changes written.
+func (o *Owner) plan() {
+	now := o.conf.Now()
+	o.mu.Lock()
+	o.planned, o.planning = now, false
 	var orders []sched.Order
 	if o.loaded && !o.ended {
 		o.core.Limit(o.conf.Lease.Until() + o.conf.Grace)
@@ -280,6 +300,8 @@
 	}
 	w := &order.Worker
 	switch order.Kind {
+	case sched.OrderLook:
+		return 0, o.look(order)
 	case sched.OrderStart:
 		return o.conf.Workers.Start(o.ctx, w, order.Start)
 	case sched.OrderStop:
@@ -289,6 +311,16 @@
 	}
 }
 
+// look asks a worker what runs there, without waiting for an end.
+func (o *Owner) look(order sched.Order) error {
+	rep, err := o.conf.Workers.Hold(o.ctx, &order.Worker, order.Look)
+	if err != nil {
+		return err
+	}
+	o.act(func(now time.Duration) { o.core.Report(order.Worker.ID, rep, now) })
+	return nil
+}
+
 // holdLoop keeps one hold after the other at a worker, until it is over.
 func (o *Owner) holdLoop(id string) {
 	for o.ctx.Err() == nil {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -17,9 +17,10 @@
 	version   int64         // of the row in the table
 	arrived   time.Duration // when it was accepted, on this entry's clock
 	occs      map[int]*occurrence
-	next      int  // first occurrence that is not yet made
-	begun     bool // some task has started
-	inherited bool // it was there before this owner took over
+	next      int           // first occurrence that is not yet made
+	chain     time.Duration // estimated time of the longest chain of steps
+	begun     bool          // some task has started
+	inherited bool          // it was there before this owner took over
 
 	changes int  // grows with each change of the row
 	saved   int  // changes that the table has
@@ -38,7 +39,8 @@
 type stage struct {
 	spec  *gauge.Step
 	tasks []*task
-	left  int
+	left  int // tasks that are not done
+	idle  int // of these, tasks without a run
 }
 
 // task is one task; it may have several runs that are not known to be over.
@@ -61,9 +63,21 @@
 	return strconv.Itoa(t.id.Occurrence) + "." + strconv.Itoa(t.id.Step) + "." + strconv.Itoa(t.id.Index)
 }
 
-// drop takes a run that is over off the task's list.
-func (t *task) drop(r *run) {
+// attach notes a run that may exist.
+func (t *task) attach(r *run) {
+	if len(t.runs) == 0 && !t.done {
+		t.stage.idle--
+	}
+	t.runs = append(t.runs, r)
+}
+
+// detach takes a run that is over off the task's list.
+func (t *task) detach(r *run) {
+	before := len(t.runs)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	if before > 0 && len(t.runs) == 0 && !t.done {
+		t.stage.idle++
+	}
 }
 
 // touch notes that the row has changed.
@@ -96,6 +110,7 @@
 			t.lastRun = slices.Max(append([]int{0}, j.row.Failures[t.key()]...))
 			if !t.done {
 				st.left++
+				st.idle++
 			}
 			st.tasks = append(st.tasks, t)
 		}
@@ -130,6 +145,9 @@
 // finish notes that a task is done, and what follows from it.
 func (j *job) finish(t *task) {
 	o := j.occs[t.id.Occurrence]
+	if len(t.runs) == 0 {
+		t.stage.idle--
+	}
 	t.done = true
 	t.stage.left--
 	o.left--
@@ -209,12 +227,12 @@
 	return longest
 }
 
-// whole is the estimated time of the longest chain of all steps.
-func (j *job) whole() time.Duration {
-	ends := make([]time.Duration, len(j.spec.Steps))
+// longest is the estimated time of the longest chain of a job's steps.
+func longest(spec *gauge.JobSpec) time.Duration {
+	ends := make([]time.Duration, len(spec.Steps))
 	var longest time.Duration
-	for i := range j.spec.Steps {
-		st := &j.spec.Steps[i]
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
 		for _, a := range st.After {
 			ends[i] = max(ends[i], ends[a])
 		}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,44 +1,63 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	gauge "sapphiregauge"
 )
 
-// place picks the worker for one task of a stage; nil if none has room. Taken is
-// what is set aside on workers in the same round.
-func (p *Pool) place(st *stage, now time.Duration, taken map[*worker]gauge.Resources) *worker {
+// rooms are the workers that take starts, for one round of them.
+type rooms struct {
+	workers []*worker
+	most    gauge.Resources // no worker has more of any kind free
+}
+
+func (p *Pool) rooms(now time.Duration) *rooms {
+	r := &rooms{}
+	for _, w := range p.workers {
+		if w.takes(now) {
+			r.workers = append(r.workers, w)
+		}
+	}
+	slices.SortFunc(r.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	r.measure()
+	return r
+}
+
+// measure works out anew what is free at most: what doesn't fit in that needn't
+// be tried on each worker.
+func (r *rooms) measure() {
+	r.most = gauge.Resources{}
+	for _, w := range r.workers {
+		f := w.free()
+		r.most.MilliCPU = max(r.most.MilliCPU, f.MilliCPU)
+		r.most.MemoryMB = max(r.most.MemoryMB, f.MemoryMB)
+		r.most.Accels = max(r.most.Accels, f.Accels)
+	}
+}
+
+// place picks the worker for one task of a stage; nil if none has room. On counts
+// the stage's runs by worker; taken is what is set aside in the same round.
+func (r *rooms) place(st *stage, on map[*worker]int, taken map[*worker]gauge.Resources) *worker {
 	var best *worker
 	var bestScore float64
 	need := st.spec.Room()
-	on := st.perWorker()
-	for w := range p.candidates(st, now) {
-		if !w.free().Minus(taken[w]).Holds(need) {
+	for _, w := range r.workers {
+		if !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) {
 			continue
 		}
 		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker {
 			continue
 		}
-		score := p.score(w, st, on[w])
-		if best == nil || score > bestScore || (score == bestScore && w.info.ID < best.info.ID) {
-			best, bestScore = w, score
+		if s := w.score(st, on[w]); best == nil || s > bestScore {
+			best, bestScore = w, s
 		}
 	}
 	return best
 }
 
-// candidates are the workers that take starts and carry the label.
-func (p *Pool) candidates(st *stage, now time.Duration) func(yield func(*worker) bool) {
-	return func(yield func(*worker) bool) {
-		for _, w := range p.workers {
-			if w.takes(now) && w.info.HasLabel(st.spec.Label) && !yield(w) {
-				return
-			}
-		}
-	}
-}
-
 // perWorker counts the stage's runs by worker.
 func (st *stage) perWorker() map[*worker]int {
 	on := make(map[*worker]int)
@@ -64,9 +83,9 @@
 	scoreApart = 10.0
 )
 
-// score says how well a worker suits: the larger the better. Free processor time
-// counts, as tasks on one worker disturb each other.
-func (p *Pool) score(w *worker, st *stage, on int) float64 {
+// score says how well a worker suits: the larger the better. The fullest that
+// has room is the best, so that others stay empty and can move to another pool.
+func (w *worker) score(st *stage, on int) float64 {
 	score := 0.0
 	if w.info.Capacity.MilliCPU > 0 {
 		score = -float64(w.free().MilliCPU) / float64(w.info.Capacity.MilliCPU)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -22,21 +22,21 @@
 // stops orders the end of runs that are to end. A stop that got no answer is
 // sent again: it has no effect twice.
 func (p *Pool) stops(now time.Duration) {
-	for _, w := range p.workers {
-		if w.gone || w.silent {
+	for r := range p.halts {
+		if r.worker.gone || r.worker.silent || r.asked || r.phase == phaseStopping || r.phase == phaseSent {
 			continue
 		}
-		for r := range w.runs {
-			if !r.task.job.open() && !r.task.done {
-				r.stop = true
-			}
-			if r.stop && !r.asked && r.phase != phaseStopping && r.phase != phaseSent {
-				p.stop(r)
-			}
+		if now < r.again {
+			continue
 		}
+		r.again = now + stopAgain
+		p.stop(r)
 	}
 }
 
+// stopAgain is the least time between two stops of one run.
+const stopAgain = 200 * time.Millisecond
+
 func (p *Pool) stop(r *run) {
 	r.asked = true
 	p.conf.Logs.Info("run stops", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID)
@@ -61,7 +61,8 @@
 				continue
 			}
 			if p.mayLeave(w, r, now) {
-				r.stop = true
+				p.halt(r)
+				r.again = now + stopAgain
 				p.stop(r)
 			}
 		}
@@ -136,14 +137,21 @@
 	if now >= p.limit {
 		return // another owner may have taken over
 	}
+	room := p.rooms(now)
+	if len(room.workers) == 0 {
+		return
+	}
 	turns := p.turns(now)
 	slices.SortFunc(turns, compare)
 	for _, t := range turns {
+		if !room.most.Holds(t.stage.spec.Room()) {
+			continue
+		}
 		if t.stage.spec.Gang {
-			p.startGang(t, now)
+			p.startGang(t, room, now)
 			continue
 		}
-		p.startEach(t, now)
+		p.startEach(t, room, now)
 	}
 }
 
@@ -155,7 +163,7 @@
 		}
 		for _, o := range j.occs {
 			for _, st := range o.steps {
-				if st.waits() && o.ready(st) {
+				if st.idle > 0 && o.ready(st) {
 					turns = append(turns, turn{job: j, occ: o, stage: st, rank: p.rank(j, o, st, now)})
 				}
 			}
@@ -164,19 +172,6 @@
 	return turns
 }
 
-// waits tells whether a task of the stage is without a run.
-func (st *stage) waits() bool {
-	if st.left == 0 {
-		return false
-	}
-	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // defaultStretch is used for a queue that the configuration no longer has.
 const defaultStretch = 2
 
@@ -196,7 +191,7 @@
 	if q := p.site.QueueByName(j.queue); q != nil {
 		r.priority, stretch, target = q.Priority, q.Stretch, q.Target
 	}
-	objective := time.Duration(stretch*float64(j.whole())) + target
+	objective := time.Duration(stretch*float64(j.chain)) + target
 	r.due = j.arrived + objective
 	left := r.due - now
 	switch {
@@ -209,24 +204,27 @@
 }
 
 // startEach starts as many tasks of a stage as there is room for.
-func (p *Pool) startEach(t turn, now time.Duration) {
+func (p *Pool) startEach(t turn, room *rooms, now time.Duration) {
+	on := t.stage.perWorker()
 	for _, k := range t.stage.tasks {
 		if k.done || len(k.runs) > 0 || p.unknownYet(k) {
 			continue
 		}
-		w := p.place(t.stage, now, nil)
+		w := room.place(t.stage, on, nil)
 		if w == nil {
-			return // none of the others fits either
+			break // none of the others fits either
 		}
 		p.start(k, w, k.lastRun+1, now)
+		on[w]++
 	}
+	room.measure()
 }
 
 // unknownYet tells whether a run of the task may exist that nobody has told.
 func (p *Pool) unknownYet(t *task) bool { return p.doubtful() && t.job.inherited }
 
 // startGang starts all tasks of a stage or none.
-func (p *Pool) startGang(t turn, now time.Duration) {
+func (p *Pool) startGang(t turn, room *rooms, now time.Duration) {
 	number := 0
 	for _, k := range t.stage.tasks {
 		if len(k.runs) > 0 || p.unknownYet(k) {
@@ -235,18 +233,21 @@
 		number = max(number, k.lastRun)
 	}
 	taken := make(map[*worker]gauge.Resources)
+	on := t.stage.perWorker()
 	var places []*worker
 	for range t.stage.tasks {
-		w := p.place(t.stage, now, taken)
+		w := room.place(t.stage, on, taken)
 		if w == nil {
 			return
 		}
+		on[w]++
 		taken[w] = taken[w].Plus(t.stage.spec.Room())
 		places = append(places, w)
 	}
 	for i, k := range t.stage.tasks {
 		p.start(k, places[i], number+1, now)
 	}
+	room.measure()
 }
 
 // atFull is the progress of a lasting task that serves its users.
@@ -265,7 +266,7 @@
 		task: t, worker: w, number: number, phase: phaseSent, room: t.stage.spec.Room(),
 		sent: now, until: until, paced: fullSpeed,
 	}
-	t.runs = append(t.runs, r)
+	t.attach(r)
 	w.add(r)
 	if !t.job.begun {
 		t.job.begun = true
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -56,6 +56,11 @@
 		}
 	}
 	for r := range w.runs {
+		if !there[r] && r.phase == phaseUnsure {
+			// Once a stop is answered the start can't be carried out any more,
+			// which is known sooner than that its own deadline has passed.
+			p.halt(r)
+		}
 		if !there[r] && r.overBy(rep.Clock) {
 			if r.phase == phaseLive {
 				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID)
@@ -97,9 +102,12 @@
 		sent: now, known: clock, progress: rr.Progress, paced: fullSpeed,
 	}
 	p.conf.Logs.Info("run found", "job", j.id, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID, "others", len(t.runs))
-	r.stop = t.done || len(t.runs) > 0
-	t.runs = append(t.runs, r)
+	surplus := t.done || len(t.runs) > 0 || !j.open()
+	t.attach(r)
 	w.add(r)
+	if surplus {
+		p.halt(r)
+	}
 	j.begun = true
 	return r
 }
@@ -171,7 +179,7 @@
 		j.finish(t)
 	}
 	for _, r := range t.runs {
-		r.stop = true
+		p.halt(r)
 	}
 	if j.row.State == gauge.JobCompleted {
 		p.conf.Logs.Info("job completed", "job", j.id, "pool", p.conf.Name)
@@ -192,6 +200,7 @@
 	if t.failures() >= p.attempts(j) {
 		p.conf.Logs.Info("job failed", "job", j.id, "task", t.id.String(), "failures", t.failures(), "bound", p.attempts(j))
 		j.fail()
+		p.haltJob(j)
 	}
 }
 
@@ -200,7 +209,7 @@
 	for _, m := range t.stage.tasks {
 		for _, r := range m.runs {
 			if r.number == e.Run {
-				r.stop = true
+				p.halt(r)
 			}
 		}
 	}
@@ -227,6 +236,9 @@
 		if err == nil {
 			r.phase = phaseStopping
 			r.known = max(r.known, clock)
+			if r.unsure {
+				p.look(r.worker)
+			}
 		}
 	case OrderPace:
 		r.pacing = false
@@ -257,7 +269,8 @@
 	}
 	switch gauge.KindOf(err) {
 	case gauge.KindUnknown, gauge.KindInternal:
-		r.phase = phaseUnsure
+		r.phase, r.unsure = phaseUnsure, true
+		p.look(r.worker)
 	case gauge.KindStale:
 		r.task.lastRun++
 		p.end(r, now)
@@ -272,6 +285,14 @@
 	}
 }
 
+// look asks what runs on a worker: a run that was never there has no end that a
+// waiting hold would tell.
+func (p *Pool) look(w *worker) {
+	p.orders = append(p.orders, Order{
+		Kind: OrderLook, Worker: w.info, Look: gauge.HoldCall{Fence: p.conf.Fence, LastSeen: w.kept},
+	})
+}
+
 func (p *Pool) alive(r *run, clock time.Duration) {
 	if r.phase == phaseSent {
 		r.phase = phaseLive
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -136,5 +136,6 @@
 	if row.State == gauge.JobCancelled && j.open() {
 		p.conf.Logs.Info("job cancelled", "job", id, "pool", p.conf.Name, "version", version, "seen", "at a write")
 		j.cancel()
+		p.haltJob(j)
 	}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,7 +41,8 @@
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
 	orders  []Order
-	arrived float64 // core-seconds of all jobs adopted so far
+	halts   map[*run]bool // runs that are to end
+	arrived float64       // core-seconds of all jobs adopted so far
 }
 
 // OrderKind is what is ordered.
@@ -52,6 +53,7 @@
 	OrderStart OrderKind = "start"
 	OrderStop  OrderKind = "stop"
 	OrderPace  OrderKind = "pace"
+	OrderLook  OrderKind = "look" // what runs there now?
 )
 
 // Order is one call to a worker. Its outcome is to be told by Answered.
@@ -61,13 +63,14 @@
 	Start  gauge.StartCall
 	Stop   gauge.StopCall
 	Pace   gauge.PaceCall
+	Look   gauge.HoldCall
 	run    *run
 }
 
 // New makes a Pool without jobs and workers.
 func New(c Config) *Pool {
 	p := &Pool{
-		conf: c, jobs: make(map[string]*job), past: make(map[string]time.Duration), workers: make(map[string]*worker),
+		conf: c, jobs: make(map[string]*job), past: make(map[string]time.Duration), halts: make(map[*run]bool), workers: make(map[string]*worker),
 		earlier: make(map[string]bool), site: &gauge.Site{},
 	}
 	for _, id := range c.Earlier {
@@ -151,7 +154,7 @@
 	}
 	j := &job{
 		id: id, queue: queue, spec: spec, row: *row, version: version, arrived: arrived, inherited: inherited,
-		occs: make(map[int]*occurrence), next: row.Over,
+		occs: make(map[int]*occurrence), next: row.Over, chain: longest(spec),
 	}
 	p.jobs[id] = j
 	p.arrived += work(spec)
@@ -206,6 +209,20 @@
 	}
 	p.conf.Logs.Info("job cancelled", "job", id, "pool", p.conf.Name, "version", version)
 	j.cancel()
+	p.haltJob(j)
+}
+
+// halt has a run end.
+func (p *Pool) halt(r *run) {
+	r.stop = true
+	p.halts[r] = true
+}
+
+// haltJob has all runs of a job end that is over.
+func (p *Pool) haltJob(j *job) {
+	for _, r := range j.live() {
+		p.halt(r)
+	}
 }
 
 // State tells how far a job is; false if it isn't known here.
@@ -295,7 +312,8 @@
 // end takes a run off all lists: it is over, and can't begin any more.
 func (p *Pool) end(r *run, now time.Duration) {
 	r.worker.remove(r)
-	r.task.drop(r)
+	delete(p.halts, r)
+	r.task.detach(r)
 	r.task.readyAt = now
 	if len(r.task.runs) == 0 {
 		r.task.awaySince = now
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -121,11 +121,34 @@
 	g.adopt(1, false, step(1))
 	start := g.starts()[0]
 	g.pool.Answered(start, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	assert.Equal(t, len(only(g.plan(), sched.OrderLook)), 1, "the worker is asked at once")
 	g.pass(2 * time.Second)
 	g.hear("w1", []gauge.RunReport{running(start)})
 	assert.Equal(t, len(g.plan()), 0)
 }
 
+// A run that isn't listed is stopped, and with the stop's answer it is settled:
+// the start, should it come yet, is refused.
+func TestUnansweredStartThatIsNotListedIsSettledByAStop(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	start := g.starts()[0]
+	g.pass(300 * time.Millisecond)
+	g.pool.Answered(start, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.hear("w1", nil)
+	orders := g.plan()
+	assert.Equal(t, len(only(orders, sched.OrderStart)), 0)
+	g.ok(only(orders, sched.OrderStop))
+	assert.Equal(t, len(only(g.plan(), sched.OrderLook)), 1)
+	g.pass(10 * time.Millisecond)
+	g.hear("w1", nil)
+	starts := g.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Start.Run, 2)
+}
+
 // Symptom: a task has two runs at once though its start was answered.
 // Sequence: a report is made, then the start is carried out and answered; the
 // answer overtakes the report, which lacks the run.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -30,6 +30,8 @@
 	until    time.Duration // on the worker's clock: an order that comes later is refused
 	known    time.Duration // on the worker's clock: the worker has had it, or its stop, since
 	stop     bool          // it is to end
+	unsure   bool          // its start got no answer
+	again    time.Duration // no stop is sent before
 	asked    bool          // a stop is on its way
 	progress int           // percent of its work done; 100: a lasting task is at work
 	paced    int           // percent of its speed that it was told to work at
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -19,9 +19,6 @@
 // Config sets up a Keeper.
 type Config struct {
 	Upkeep time.Duration // length of a machine's upkeep
-	Gap    time.Duration // an earlier holder's orders may be this recent
-	Start  time.Duration // when this holder took over
-	First  bool          // there was no holder before
 	Logs   logr.Logger
 }
 
@@ -209,9 +206,6 @@
 func (k *Keeper) Next(now time.Duration, taken, pressed func(name string) bool) Steps {
 	k.taken, k.pressed = taken, pressed
 	var s Steps
-	if !k.conf.First && now < k.conf.Start+k.conf.Gap {
-		return s // the holder before may have ordered just now
-	}
 	numbers := make([]int64, 0, len(k.waves))
 	for n, w := range k.waves {
 		if !w.done {
