Have a holder that can't write to the table hand its pool over

Cause: while the table turned single entries away, their pools were without a working owner for 2.7 s; after a restart of all entries each lease was waited out from when it was first seen. Change: an owner whose writes fail for 0.5 s asks another entry whether it can take over, stops its orders, and offers the lease; SIGTERM does the same. Lease rows carry the table's clock, so that a restarted entry sees their age. Orders under way to a worker are bounded to three. Ruled out: shorter terms (a renewal takes up to 1.6 s on a slow table).

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -89,7 +89,7 @@
 	if c.Version > 0 {
 		term++
 	}
-	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Depths: c.Row.Depths}
+	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Depths: c.Row.Depths, Renewed: n.clock()}
 	value, err := row.Encode()
 	if err != nil {
 		n.conf.Logs.Error(err, "lease not claimed", "pool", c.Pool)
@@ -106,15 +106,15 @@
 		n.toldLeases(rows, false)
 		return nil
 	}
-	n.stamp(stamp)
+	n.stamp(stamp, sent)
 	n.mu.Lock()
-	n.board.Tell(c.Pool, row, stamp.Version, n.conf.Now())
+	n.board.Tell(c.Pool, row, stamp.Version, n.conf.Now(), 0)
 	n.mu.Unlock()
 	n.conf.Logs.Info("lease taken", "pool", c.Pool, "fence", stamp.Version, "term", term, "before", c.Row.Holder,
 		"workers", len(c.Row.Workers), "seen", c.Version)
 	lease := tenure.New(tenure.Config{
 		Key: key, Holder: n.holder, Addr: n.conf.Addr, Term: term, Version: stamp.Version, Taken: sent, Lasts: leaseTerm,
-		Store: n.conf.Store, Now: n.conf.Now,
+		Store: n.conf.Store, Now: n.conf.Now, Clock: n.clock,
 	})
 	return &held{lease: lease, fence: gauge.Fence(stamp.Version), term: term, before: c.Row}
 }
@@ -127,6 +127,7 @@
 		Store: n.conf.Store, Workers: n.conf.Workers, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count,
 	})
+	o.OnStuck(stuckAfter, func() { n.leave(ctx, o) })
 	n.mu.Lock()
 	if !n.going.Load() {
 		n.mu.Unlock()
@@ -141,3 +142,16 @@
 	delete(n.owners, pool)
 	n.mu.Unlock()
 }
+
+// leave has another entry take a pool whose owner here can't write to the table.
+// Without one that can the owner goes on.
+func (n *Node) leave(ctx context.Context, o *owner.Owner) {
+	to := n.successor(ctx, o.Pool())
+	if to == "" {
+		pause(ctx, offerAgain)
+		return
+	}
+	if o.Quit("writes fail here") {
+		n.offer(ctx, to, offerCall{Pool: o.Pool(), Holder: n.holder})
+	}
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -59,6 +59,7 @@
 	from    time.Duration // no machine is ordered before this
 	ordered atomic.Int64  // when a machine was last ordered, the table's clock in milliseconds
 	renewed time.Duration
+	offered time.Duration // when the lease was last offered
 	listed  time.Duration
 	states  map[int64]bool // waves of which the operator was told that they run
 }
@@ -79,6 +80,9 @@
 	}
 	for ctx.Err() == nil && n.going.Load() && !h.lease.Lost() {
 		f.round(ctx)
+		if f.leave(ctx) {
+			return
+		}
 		pause(ctx, fleetEvery)
 	}
 	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
@@ -121,6 +125,24 @@
 
 func (f *fleet) row() gauge.LeaseRow { return gauge.LeaseRow{Ordered: f.ordered.Load()} }
 
+// leave has another entry take the fleet over when writes fail here; true: it
+// was offered.
+func (f *fleet) leave(ctx context.Context) bool {
+	now := f.node.conf.Now()
+	if now-f.renewed < fleetRenew+stuckAfter || now-f.offered < offerAgain {
+		return false
+	}
+	f.offered = now
+	to := f.node.successor(ctx, fleetPool)
+	if to == "" {
+		return false
+	}
+	f.held.lease.Lose()
+	f.node.conf.Logs.Info("fleet left", "fence", f.held.fence, "reason", "writes fail here")
+	f.node.offer(ctx, to, offerCall{Pool: fleetPool, Holder: f.node.holder, Ordered: f.ordered.Load()})
+	return true
+}
+
 // grantMargin covers the difference between two entries' steady clocks.
 const grantMargin = 200 * time.Millisecond
 
@@ -162,7 +184,7 @@
 		return false
 	}
 	f.renewed = sent
-	f.node.stamp(stamp)
+	f.node.stamp(stamp, sent)
 	return true
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,8 +76,9 @@
 	holder string
 	intake *intake.Intake
 	site   atomic.Pointer[gauge.Site]
-	offset atomic.Int64 // the table's clock less ours, nanoseconds
-	going  atomic.Bool  // it takes pools
+	offset atomic.Int64                    // the table's clock less ours, nanoseconds
+	going  atomic.Bool                     // it takes pools
+	ctx    atomic.Pointer[context.Context] // of the running entry
 	group  conc.WaitGroup
 
 	mu      sync.Mutex
@@ -102,6 +103,8 @@
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
 	c.Mesh.Handle(methodLoad, n.handleLoad)
+	c.Mesh.Handle(methodProbe, n.handleProbe)
+	c.Mesh.Handle(methodOffer, n.handleOffer)
 	return n
 }
 
@@ -117,6 +120,7 @@
 // Run works until ctx ends, then gives up what it owns; it goes on following the
 // configuration until Stop.
 func (n *Node) Run(ctx context.Context) {
+	n.ctx.Store(&ctx)
 	n.going.Store(true)
 	n.group.Go(func() { n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, 0, n.toldOperator) })
 	n.group.Go(func() { n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, 0, n.toldWorkers) })
@@ -136,28 +140,42 @@
 	n.mu.Unlock()
 	var group conc.WaitGroup
 	for _, o := range owners {
-		group.Go(func() { o.Close(ctx) })
+		group.Go(func() { n.handOver(ctx, o) })
 	}
 	group.Wait()
 }
 
+// handOver gives a pool up and has another entry take it at once.
+func (n *Node) handOver(ctx context.Context, o *owner.Owner) {
+	to := n.successor(ctx, o.Pool())
+	if o.Close(ctx) && to != "" {
+		n.offer(ctx, to, offerCall{Pool: o.Pool()})
+	}
+}
+
+// context is that of the running entry.
+func (n *Node) context() context.Context { return *n.ctx.Load() }
+
 func (n *Node) follow(ctx context.Context, table string, parted bool, wait, pause time.Duration, tell func([]gauge.PartRow, bool)) {
 	watch.New(watch.Config{
-		Name: table, Parted: parted, Store: n.conf.Store, Wait: wait, Pause: pause, Logs: n.conf.Logs,
-		Tell: func(rows []gauge.PartRow, whole bool, stamp gauge.Stamp) {
-			n.stamp(stamp)
-			tell(rows, whole)
-		},
+		Name: table, Parted: parted, Store: n.conf.Store, Wait: wait, Pause: pause, Logs: n.conf.Logs, Now: n.conf.Now,
+		Tell: tell, Stamp: n.stamp,
 	}).Run(ctx)
 }
 
-// stamp takes in a reading of the table's clock.
-func (n *Node) stamp(s gauge.Stamp) {
-	if s.Now > 0 {
-		n.offset.Store(int64(s.Now - n.conf.Now()))
+// stamp takes in a reading of the table's clock, from a call that was sent at a
+// time. One that took long says little, and the clocks don't drift within a day
+// by as much.
+func (n *Node) stamp(s gauge.Stamp, sent time.Duration) {
+	now := n.conf.Now()
+	if s.Now > 0 && (now-sent < stampWithin || n.offset.Load() == 0) {
+		n.offset.Store(int64(s.Now - now))
 	}
 }
 
+// stampWithin: a reading from an answer that took longer is not used.
+const stampWithin = 100 * time.Millisecond
+
 // clock is the table's clock now, in milliseconds, late by an answer's way.
 func (n *Node) clock() int64 {
 	return (n.conf.Now() + time.Duration(n.offset.Load())).Milliseconds()
@@ -261,7 +279,15 @@
 		n.conf.Logs.Error(err, "lease row not read", "pool", r.Part, "version", r.Version)
 		return
 	}
-	n.board.Tell(r.Part, *lease, r.Version, now)
+	n.board.Tell(r.Part, *lease, r.Version, now, n.clockIfKnown())
+}
+
+// clockIfKnown is the table's clock, 0 before it was read once.
+func (n *Node) clockIfKnown() int64 {
+	if n.offset.Load() == 0 {
+		return 0
+	}
+	return n.clock()
 }
 
 // depth is how many jobs of a queue have not begun, as its pool's owner told.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -33,18 +33,20 @@
 	Logs    logr.Logger
 	Now     func() time.Duration
 	Wall    func() time.Time
-	Stamp   func(gauge.Stamp) // told of every reading of the table's clock
-	Clock   func() int64      // the table's clock in milliseconds, about
+	Stamp   func(s gauge.Stamp, sent time.Duration) // told of every reading of the table's clock
+	Clock   func() int64                            // the table's clock in milliseconds, about
 	Count   func(event string, took time.Duration)
 }
 
 // Owner runs one pool.
 type Owner struct {
-	conf   Config
-	group  conc.WaitGroup
-	cancel context.CancelFunc
-	ctx    context.Context
-	wake   chan struct{} // a change waits to be written
+	conf       Config
+	group      conc.WaitGroup
+	cancel     context.CancelFunc
+	ctx        context.Context
+	wake       chan struct{} // a change waits to be written
+	stuck      func()
+	stuckAfter time.Duration
 
 	mu       sync.Mutex
 	core     *sched.Pool
@@ -52,6 +54,7 @@
 	ended    bool          // the lease was lost or given up
 	planned  time.Duration // when the last plan was made
 	planning bool          // one is due at the end of the gap
+	lanes    map[string]chan struct{}
 	loaded   bool
 	site     *gauge.Site
 	listed   []gauge.Worker // newest list
@@ -71,6 +74,8 @@
 	// planGap is the least time between two plans. Under load several ends go
 	// into one plan: each plan looks at every job that waits.
 	planGap = 4 * time.Millisecond
+	// ordersAtOnce to one worker; an order takes some milliseconds.
+	ordersAtOnce = 3
 	// renewEvery is how often the lease is renewed without other writes: four
 	// tries within its term.
 	renewEvery = 400 * time.Millisecond
@@ -101,7 +106,7 @@
 	now := c.Now()
 	o := &Owner{
 		conf: c,
-		wake: make(chan struct{}, 1), written: make(chan struct{}),
+		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), written: make(chan struct{}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
 			Logs: c.Logs, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
@@ -130,14 +135,27 @@
 	o.group.Wait()
 }
 
-// Close stops all work. With the lease still held it is given up, so that
-// another entry needn't wait for its end.
-func (o *Owner) Close(ctx context.Context) {
-	if o.end() {
-		o.giveUp(ctx)
+// Close stops all work and gives the lease up, so that another entry needn't wait
+// for its end. False: it wasn't given up.
+func (o *Owner) Close(ctx context.Context) bool { return o.end() && o.giveUp(ctx) }
+
+// Quit stops all work without a word to the table. False: it had ended already.
+func (o *Owner) Quit(why string) bool {
+	if !o.end() {
+		return false
 	}
+	o.conf.Lease.Lose()
+	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
+	return true
 }
 
+// OnStuck has something done, again and again, while writes have failed for some
+// time. It is set before Run.
+func (o *Owner) OnStuck(after time.Duration, do func()) { o.stuckAfter, o.stuck = after, do }
+
+// Pool is the pool's name.
+func (o *Owner) Pool() string { return o.conf.Pool }
+
 // lose takes in that another entry owns the pool now.
 func (o *Owner) lose(why string) {
 	if !o.end() {
@@ -263,13 +281,31 @@
 	urgent := o.core.Urgent()
 	o.mu.Unlock()
 	for _, order := range orders {
-		o.group.Go(func() { o.send(order) })
+		lane := o.lane(order.Worker.ID)
+		o.group.Go(func() {
+			lane <- struct{}{}
+			defer func() { <-lane }()
+			o.send(order)
+		})
 	}
 	if urgent {
 		o.poke()
 	}
 }
 
+// lane bounds the orders under way to one worker: each takes a connection, and
+// new ones are paid for.
+func (o *Owner) lane(worker string) chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.lanes[worker]
+	if l == nil {
+		l = make(chan struct{}, ordersAtOnce)
+		o.lanes[worker] = l
+	}
+	return l
+}
+
 func (o *Owner) poke() {
 	select {
 	case o.wake <- struct{}{}:
@@ -323,6 +359,11 @@
 
 // holdLoop keeps one hold after the other at a worker, until it is over.
 func (o *Owner) holdLoop(id string) {
+	defer func() {
+		o.mu.Lock()
+		delete(o.lanes, id)
+		o.mu.Unlock()
+	}()
 	for o.ctx.Err() == nil {
 		now := o.conf.Now()
 		o.mu.Lock()
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -10,11 +10,20 @@
 
 // writeLoop writes what has changed, and renews the lease with every write.
 func (o *Owner) writeLoop() {
+	var failing time.Duration // since when
 	for o.ctx.Err() == nil {
+		began := o.conf.Now()
 		if !o.write() {
+			if failing == 0 {
+				failing = began
+			}
+			if o.stuck != nil && o.conf.Now()-failing > o.stuckAfter {
+				o.stuck()
+			}
 			o.rest(nil, writeAgain)
 			continue
 		}
+		failing = 0
 		o.rest(nil, writeGap)
 		timer := time.NewTimer(renewEvery)
 		select {
@@ -58,7 +67,7 @@
 			"took", took, "kind", gauge.KindOf(err), "error", err.Error())
 		return false
 	}
-	o.conf.Stamp(stamp)
+	o.conf.Stamp(stamp, sent)
 	o.wrote(p, stamp)
 	return true
 }
@@ -119,13 +128,14 @@
 }
 
 // giveUp lets another entry take the pool at once.
-func (o *Owner) giveUp(ctx context.Context) {
+func (o *Owner) giveUp(ctx context.Context) bool {
 	o.mu.Lock()
 	row := o.leaseRow()
 	o.mu.Unlock()
 	if err := o.conf.Lease.GiveUp(ctx, row); err != nil {
 		o.conf.Logs.Info("lease not given up", "pool", o.conf.Pool, "error", err.Error())
-		return
+		return false
 	}
 	o.conf.Logs.Info("lease given up", "pool", o.conf.Pool, "fence", o.conf.Fence)
+	return true
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -21,6 +21,7 @@
 	Lasts   time.Duration // after a renewal was sent
 	Store   gauge.Parted
 	Now     func() time.Duration
+	Clock   func() int64 // the table's clock in milliseconds, about
 }
 
 // Tenure is one holder's time with a lease.
@@ -90,6 +91,7 @@
 
 func (t *Tenure) with(row gauge.LeaseRow, txn gauge.PartTxn) (gauge.PartTxn, error) {
 	row.Holder, row.Addr, row.Term = t.conf.Holder, t.conf.Addr, t.conf.Term
+	row.Renewed = t.conf.Clock()
 	value, err := row.Encode()
 	if err != nil {
 		return txn, err
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -2,8 +2,9 @@
 // machine without input or output over the lease rows that were seen.
 //
 // A lease is over when its row hasn't changed for its term. The time is counted
-// from when the row was first seen, which is later than its holder counts from,
-// so no two entries' clocks are ever compared.
+// from when the row was first seen, which is later than its holder counts from.
+// An entry that has just started would wait a term for a holder that may be long
+// gone; it goes by the table's clock, with which each renewal is marked.
 package terms
 
 import (
@@ -27,6 +28,7 @@
 	row     gauge.LeaseRow
 	version int64
 	at      time.Duration // when this version was first seen
+	age     time.Duration // how old the renewal was then, by the table's clock
 }
 
 // Claim is an attempt to take a pool's lease.
@@ -48,18 +50,28 @@
 // term.
 const clockMargin = 100 * time.Millisecond
 
+// tableMargin covers the error with which a holder and this entry know the
+// table's clock: each takes readings only from answers that took less than a
+// tenth of a second.
+const tableMargin = 300 * time.Millisecond
+
 // New makes a Board that has seen nothing.
 func New(c Config) *Board {
 	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration)}
 }
 
-// Tell takes in lease rows, by pool. Whole: there are no others.
-func (b *Board) Tell(pool string, row gauge.LeaseRow, version int64, now time.Duration) {
+// Tell takes in a lease row. Clock is the table's clock when it was read, at the
+// most, in milliseconds; 0: not known.
+func (b *Board) Tell(pool string, row gauge.LeaseRow, version int64, now time.Duration, clock int64) {
 	old, known := b.rows[pool]
 	if known && version <= old.version {
 		return
 	}
-	b.rows[pool] = seen{row: row, version: version, at: now}
+	s := seen{row: row, version: version, at: now}
+	if clock > 0 && row.Renewed > 0 {
+		s.age = time.Duration(clock-row.Renewed) * time.Millisecond
+	}
+	b.rows[pool] = s
 }
 
 // Read takes in that the table has been read whole: a pool without a row is free.
@@ -111,7 +123,8 @@
 	if !ok || s.row.Holder == "" {
 		return true
 	}
-	return now-s.at > b.conf.Term+clockMargin
+	passed := now - s.at
+	return passed > b.conf.Term+clockMargin || passed+s.age > b.conf.Term+clockMargin+tableMargin
 }
 
 // delay differs by entry and pool, so that entries that see a pool free at the
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -21,9 +21,11 @@
 	Wait   time.Duration // how long a feed waits for a change; 0: it is asked each Pause
 	Pause  time.Duration // between two questions
 	Logs   logr.Logger
-	// Tell gets all rows (whole), or those that have changed. Asked is when the
-	// answer came in.
-	Tell func(rows []gauge.PartRow, whole bool, stamp gauge.Stamp)
+	Now    func() time.Duration
+	// Tell gets all rows (whole), or those that have changed.
+	Tell func(rows []gauge.PartRow, whole bool)
+	// Stamp gets each reading of the table's clock, with when it was asked for.
+	Stamp func(s gauge.Stamp, sent time.Duration)
 }
 
 // Table follows one table.
@@ -76,22 +78,26 @@
 	if !t.read {
 		return t.readAll(ctx)
 	}
+	sent := t.conf.Now()
 	rows, stamp, err := t.conf.Store.Feed(ctx, t.conf.Name, t.at, t.conf.Wait)
 	if err != nil {
 		return err
 	}
+	t.conf.Stamp(stamp, sent)
 	t.at = max(t.at, stamp.Version)
 	if len(rows) > 0 {
-		t.conf.Tell(rows, false, stamp)
+		t.conf.Tell(rows, false)
 	}
 	return nil
 }
 
 func (t *Table) readAll(ctx context.Context) error {
+	sent := t.conf.Now()
 	rows, stamp, err := t.conf.Store.Range(ctx, t.conf.Name, "", "", "")
 	if err != nil {
 		return err
 	}
+	t.conf.Stamp(stamp, sent)
 	if t.conf.Parted {
 		parts, err := t.conf.Store.Parts(ctx, t.conf.Name)
 		if err != nil {
@@ -109,7 +115,7 @@
 		}
 	}
 	t.at, t.read = stamp.Version, true
-	t.conf.Tell(rows, true, stamp)
+	t.conf.Tell(rows, true)
 	return nil
 }
 
--- a/leaserow.go
+++ b/leaserow.go
@@ -11,6 +11,7 @@
 	Term    int            `msgpack:"t"` // owners before this one
 	Workers []string       `msgpack:"w"` // that may have orders of this owner or, unheard, of an earlier one
 	Depths  map[string]int `msgpack:"d"` // by queue: jobs without a task started
+	Renewed int64          `msgpack:"n"` // when this was sent, the table's clock in milliseconds, up to 0.1 s early
 	Ordered int64          `msgpack:"o"` // the fleet's: when a machine was last ordered, the table's clock in milliseconds
 }
 
