Test the whole path against stand-ins that speak the platform's wire

Found by it: an owner went on after its entry's context had ended (the test of killed owners hung); owners now end with it.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -121,7 +121,7 @@
 
 // own runs a pool until the lease is lost or given up.
 func (n *Node) own(ctx context.Context, pool string, h *held) {
-	o := owner.New(owner.Config{
+	o := owner.New(ctx, owner.Config{
 		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers,
 		Grace: grantGrace, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,8 +101,9 @@
 	batchJobs = 24
 )
 
-// New makes an Owner of a pool whose lease was just taken.
-func New(c Config) *Owner {
+// New makes an Owner of a pool whose lease was just taken. With ctx all its work
+// ends, and the lease is left to run out.
+func New(ctx context.Context, c Config) *Owner {
 	now := c.Now()
 	o := &Owner{
 		conf: c,
@@ -112,7 +113,7 @@
 			Logs: c.Logs, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
 		}),
 	}
-	o.ctx, o.cancel = context.WithCancel(context.Background())
+	o.ctx, o.cancel = context.WithCancel(ctx)
 	return o
 }
 
--- /dev/null
+++ b/test/machines/machines_test.go
@@ -0,0 +1,226 @@
+// Package machines_test runs whole entries against stand-ins of the platform.
+package machines_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sapphiregauge/platform/fakes"
+)
+
+func TestJobsAreServedFromHandInToCompleted(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 3)
+	s.ready()
+	var jobs []int
+	for n := range 12 {
+		assert.Assert(t, s.submit(n, twoSteps(30)))
+		assert.Assert(t, s.submit(n, twoSteps(30)), "handed in again it is the same job")
+		jobs = append(jobs, n)
+	}
+	s.completed(jobs)
+	s.clean()
+	for n := range 12 {
+		assert.Equal(t, s.journal.Starts(fmt.Sprintf("%016x.0.1.1", n)), 1)
+	}
+	status, out, _ := s.call(s.entries[0], http.MethodGet, queuePath, nil)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, out["queueDepth"], 0.0)
+}
+
+func TestCallsThatCannotBeServed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1)
+	s.ready()
+	e := s.entries[0]
+	bad := map[string]any{"spec": "x", "steps": []any{map[string]any{"count": 0}}}
+	for _, tt := range []struct {
+		name   string
+		method string
+		path   string
+		body   any
+		want   int
+		reason string
+	}{
+		{"unknown queue", http.MethodPost, "/nothing/" + fmt.Sprintf("%016x", 1), twoSteps(1), http.StatusNotFound, "queue"},
+		{"no tasks", http.MethodPost, jobPath(1), bad, http.StatusBadRequest, "steps[0].count"},
+		{"no steps", http.MethodPost, jobPath(1), map[string]any{"spec": "x"}, http.StatusBadRequest, "steps"},
+		{"id too short", http.MethodPost, queuePath + "abc", twoSteps(1), http.StatusBadRequest, "id"},
+		{"unknown job", http.MethodGet, jobPath(99), nil, http.StatusGone, "no job"},
+		{"cancel of an unknown job", http.MethodDelete, jobPath(99), nil, http.StatusGone, "no job"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			status, out, _ := s.call(e, tt.method, tt.path, tt.body)
+			assert.Equal(t, status, tt.want)
+			assert.Assert(t, contains(out["reason"], tt.reason), "%v", out)
+		})
+	}
+}
+
+func contains(text any, part string) bool {
+	s, _ := text.(string)
+	for i := 0; i+len(part) <= len(s); i++ {
+		if s[i:i+len(part)] == part {
+			return true
+		}
+	}
+	return false
+}
+
+func TestWithoutConfigurationCallsAreRefusedWithRetryAfter(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 0)
+	s.table.Drop("op", "config")
+	e := s.start("e-0")
+	status, _, header := s.call(e, http.MethodPost, jobPath(1), twoSteps(1))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, header.Get("Retry-After") != "")
+}
+
+func TestCancelledJobStopsAndStaysCancelled(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 2)
+	s.ready()
+	lasting := map[string]any{
+		"spec":  fakes.Work{CPU: 500}.Payload(),
+		"steps": []any{map[string]any{"count": 2, "cpu": 500, "memMb": 10, "longRunning": true}},
+	}
+	assert.Assert(t, s.submit(1, lasting))
+	s.waitFor("tasks started", func() bool { return s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 1)) == 1 })
+	status, _, _ := s.call(s.entries[1], http.MethodDelete, jobPath(1), nil)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, s.state(1), "cancelled")
+	s.waitFor("spec dropped", func() bool { return s.table.Value("specs", queueName, fmt.Sprintf("%016x", 1)) == nil })
+	assert.Assert(t, s.submit(1, lasting), "a late repeat of the hand-in")
+	assert.Equal(t, s.state(1), "cancelled")
+	s.clean()
+}
+
+// Symptom: jobs are lost, or run twice, when an owner dies.
+// Sequence: jobs run; each entry is killed in turn, without giving anything up,
+// and another takes its place.
+// Cause: state that only the dead owner had.
+func TestKilledOwnersLoseAndDoubleNothing(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 3)
+	s.ready()
+	var jobs []int
+	for round := range 2 {
+		for n := range 6 {
+			id := 10*round + n
+			assert.Assert(t, s.submit(id, twoSteps(400)))
+			jobs = append(jobs, id)
+		}
+		old := s.entries[0]
+		old.kill()
+		<-old.done
+		old.mesh.Close()
+		s.entries = s.entries[1:]
+		s.start(fmt.Sprintf("n-%d", round))
+		s.ready()
+	}
+	s.completed(jobs)
+	s.clean()
+}
+
+// faulty makes a share of the calls misbehave, the same ones on each run for the
+// same order of calls.
+func faulty(seed uint64, share float64, kinds ...fakes.Fault) func(string) fakes.Fault {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, seed))
+	return func(string) fakes.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.Float64() >= share {
+			return fakes.FaultNone
+		}
+		return kinds[r.IntN(len(kinds))]
+	}
+}
+
+// Symptom: a job is lost, runs twice, runs although it was refused, or a worker
+// gets more than it holds.
+// Sequence: a tenth to a third of all calls to the table, or to the workers, is
+// refused, breaks before or after it took effect, or is carried out late.
+// Cause: a call without an answer is taken for done, or for not done.
+func TestFaultsOfEveryCallLoseAndDoubleNothing(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name    string
+		table   float64
+		workers float64
+		kinds   []fakes.Fault
+	}{
+		{"table refuses", 0.3, 0, []fakes.Fault{fakes.FaultRefuse}},
+		{"table's answers lost", 0.3, 0, []fakes.Fault{fakes.FaultLost, fakes.FaultHalf}},
+		{"table's calls lost", 0.3, 0, []fakes.Fault{fakes.FaultDrop}},
+		{"table late", 0.15, 0, []fakes.Fault{fakes.FaultLate}},
+		{"workers refuse", 0, 0.3, []fakes.Fault{fakes.FaultRefuse}},
+		{"workers' answers lost", 0, 0.3, []fakes.Fault{fakes.FaultLost, fakes.FaultHalf}},
+		{"workers late", 0, 0.2, []fakes.Fault{fakes.FaultLate}},
+		{"all at once", 0.1, 0.1, []fakes.Fault{fakes.FaultRefuse, fakes.FaultLost, fakes.FaultDrop, fakes.FaultLate, fakes.FaultHalf}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, 3)
+			s.ready()
+			s.table.Set(faulty(1, tt.table, tt.kinds...))
+			s.machines.Each(func(w *fakes.Worker) { w.Set(faulty(2, tt.workers, tt.kinds...)) })
+			var jobs, refused []int
+			for n := range 10 {
+				if s.submit(n, twoSteps(100)) {
+					jobs = append(jobs, n)
+				} else {
+					refused = append(refused, n)
+				}
+			}
+			s.completed(jobs)
+			s.table.Set(nil)
+			for _, n := range refused {
+				assert.Equal(t, s.state(n), "410", "refused, so it never runs")
+				assert.Equal(t, s.journal.Starts(fmt.Sprintf("%016x.0.0.0", n)), 0)
+			}
+			s.clean()
+		})
+	}
+}
+
+// A wave is done while lasting tasks go on, no more machines down than allowed.
+func TestWaveIsCarriedOut(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 5)
+	s.ready()
+	lasting := map[string]any{
+		"spec": fakes.Work{CPU: 500}.Payload(),
+		"steps": []any{map[string]any{
+			"count": 2, "cpu": 500, "memMb": 10, "longRunning": true, "maxUnavailable": 1, "antiAffinity": 1,
+		}},
+	}
+	assert.Assert(t, s.submit(1, lasting))
+	s.waitFor("tasks started", func() bool { return s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 1)) == 1 })
+	s.table.Wave(1, []string{"m-0", "m-1", "m-2", "m-3", "m-4"}, 20, 2)
+	s.waitFor("wave completed", func() bool { return s.table.WaveDone(1) })
+	assert.Equal(t, s.machines.Begun(1), 5)
+	s.clean()
+}
+
+// History that the table has dropped makes a follower read all anew.
+func TestConfigurationFollowsAfterHistoryIsLost(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1)
+	s.ready()
+	s.table.Forget()
+	s.table.Configure(7, []fakes.Queue{
+		{Name: queueName, Host: queueHost, Prefix: queuePath, Pool: poolName},
+		{Name: "r-new", Host: queueHost, Prefix: "/new/", Pool: poolName},
+	})
+	s.waitFor("configuration 7", func() bool { return s.entries[0].node.Site().Version == 7 })
+	s.table.Configure(6, nil)
+	s.table.Configure(8, []fakes.Queue{{Name: queueName, Host: queueHost, Prefix: queuePath, Pool: poolName}})
+	s.waitFor("configuration 8", func() bool { return s.entries[0].node.Site().Version == 8 })
+}
--- /dev/null
+++ b/test/machines/site_test.go
@@ -0,0 +1,203 @@
+package machines_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"sapphiregauge/internal/boot"
+	"sapphiregauge/internal/mesh"
+	"sapphiregauge/internal/node"
+	"sapphiregauge/platform"
+	"sapphiregauge/platform/fakes"
+)
+
+// site is a small deployment: entries of the product on loopback, everything
+// else a stand-in.
+type site struct {
+	t        *testing.T
+	table    *fakes.Table
+	machines *fakes.Machines
+	journal  *fakes.Journal
+	entries  []*entry
+	client   http.Client
+}
+
+// entry is one entry, with its own connections.
+type entry struct {
+	node  *node.Node
+	front *platform.Front
+	mesh  *mesh.Node
+	addr  string
+	kill  context.CancelFunc
+	done  chan struct{}
+}
+
+const (
+	queueName = "r-sheets"
+	queueHost = "garage.example"
+	queuePath = "/sheets/"
+	poolName  = "brakes"
+	spareName = "spare"
+	// patience bounds each wait of a test; nothing is decided by it.
+	patience = 60 * time.Second
+)
+
+func newSite(t *testing.T, entries, hosts int) *site {
+	t.Helper()
+	s := &site{t: t, table: fakes.NewTable(), journal: fakes.NewJournal()}
+	s.client = http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	s.machines = fakes.NewMachines(s.table, s.journal)
+	t.Cleanup(s.table.Close)
+	t.Cleanup(s.machines.Close)
+	for i := range hosts {
+		s.machines.Add(fmt.Sprintf("m-%d", i), poolName)
+	}
+	s.table.Configure(1, []fakes.Queue{{Name: queueName, Host: queueHost, Prefix: queuePath, Pool: poolName}}, spareName)
+	for i := range entries {
+		s.start(fmt.Sprintf("e-%d", i))
+	}
+	return s
+}
+
+func (s *site) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	return l
+}
+
+func (s *site) start(name string) *entry {
+	e := &entry{mesh: mesh.New(mesh.Config{}), done: make(chan struct{})}
+	peer, front := s.listen(), s.listen()
+	e.addr = front.Addr().String()
+	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), Timeout: 900 * time.Millisecond, Clock: time.Now})
+	workers := platform.NewWorkers(platform.WorkersConfig{Hold: 800 * time.Millisecond, Order: 300 * time.Millisecond, Clock: time.Now})
+	e.node = node.New(node.Config{
+		Name: name, Start: "1", Addr: peer.Addr().String(), Store: table, Workers: workers,
+		Machines: platform.NewMachines(platform.MachinesConfig{Addr: s.machines.Addr(), Timeout: time.Second, Clock: time.Now}),
+		Words:    platform.Words{}, Mesh: e.mesh, Logs: logr.Discard(), Now: boot.Now, Wall: time.Now,
+		Count: func(string, time.Duration) {}, Longest: 10 * time.Second, TurnGap: time.Second, Upkeep: 200 * time.Millisecond,
+	})
+	e.front = platform.NewFront(platform.FrontConfig{Jobs: e.node.Jobs(), Site: e.node.Site, Ready: e.node.Ready})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.kill = cancel
+	go func() { _ = e.front.Serve(front) }()
+	go func() { _ = e.mesh.Serve(ctx, peer) }()
+	go func() {
+		e.node.Run(ctx)
+		close(e.done)
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		e.mesh.Close()
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		_ = e.front.Close(ctx)
+		table.Close()
+		workers.Close()
+	})
+	s.entries = append(s.entries, e)
+	return e
+}
+
+// call sends one call of a client to an entry.
+func (s *site) call(e *entry, method, path string, body any) (int, map[string]any, http.Header) {
+	var b bytes.Buffer
+	if body != nil {
+		assert.NilError(s.t, json.NewEncoder(&b).Encode(body))
+	}
+	req, err := http.NewRequest(method, "http://"+e.addr+path, &b)
+	assert.NilError(s.t, err)
+	req.Host = queueHost
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, _ := io.ReadAll(resp.Body)
+	var out map[string]any
+	_ = json.Unmarshal(raw, &out)
+	return resp.StatusCode, out, resp.Header
+}
+
+func jobPath(n int) string { return queuePath + fmt.Sprintf("%016x", n) }
+
+// steps are two steps of two tasks each, the second after the first.
+func twoSteps(millis int) map[string]any {
+	spec := fakes.Work{Millis: millis, CPU: 500}.Payload()
+	one := map[string]any{"count": 2, "cpu": 500, "memMb": 100, "estimateMs": millis}
+	two := map[string]any{"count": 2, "cpu": 500, "memMb": 100, "estimateMs": millis, "after": []int{0}}
+	return map[string]any{"spec": spec, "steps": []any{one, two}}
+}
+
+// submit hands a job in as a client does: again after no answer, 502 or 504.
+// False: it was refused.
+func (s *site) submit(n int, body any) bool {
+	for try := 0; ; try++ {
+		status, out, _ := s.call(s.entries[(n+try)%len(s.entries)], http.MethodPost, jobPath(n), body)
+		switch status {
+		case http.StatusOK:
+			return true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			return false
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+		default:
+			s.t.Fatalf("job %d: status %d %v", n, status, out)
+		}
+	}
+}
+
+func (s *site) state(n int) string {
+	status, out, _ := s.call(s.entries[n%len(s.entries)], http.MethodGet, jobPath(n), nil)
+	if status != http.StatusOK {
+		return strconv.Itoa(status)
+	}
+	return out["state"].(string)
+}
+
+// waitFor waits until something holds.
+func (s *site) waitFor(what string, holds func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
+}
+
+func (s *site) ready() {
+	s.t.Helper()
+	s.waitFor("entries ready", func() bool {
+		for _, e := range s.entries {
+			if !e.node.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *site) completed(jobs []int) {
+	s.t.Helper()
+	for _, n := range jobs {
+		s.waitFor(fmt.Sprintf("job %d completed", n), func() bool { return s.state(n) == "completed" })
+	}
+}
+
+func (s *site) clean() {
+	s.t.Helper()
+	faults := s.journal.Faults()
+	assert.Equal(s.t, len(faults), 0, "%v", faults)
+}
