Go on with the queues whose part of the table answers

Change: queues that can't be read are read later, and what workers tell of unknown jobs is left with them until then; one queue a transaction, one that fails waits; giving up repeats after a renewal of its own; offers go to the entry with the fewest leases. Ruled out: handing the pool over (every entry meets the same busy part).

--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -38,19 +41,20 @@
 	Ready bool `msgpack:"r"`
 }
 
-// peers lists the addresses of other entries that hold leases.
+// peers lists the addresses of other entries that hold leases, those with the
+// fewest first.
 func (n *Node) peers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	seen := map[string]bool{n.conf.Addr: true, "": true}
-	var addrs []string
+	held := make(map[string]int)
 	for _, pool := range n.board.Pools() {
-		row, _ := n.board.Holder(pool)
-		if !seen[row.Addr] {
-			seen[row.Addr] = true
-			addrs = append(addrs, row.Addr)
+		row, ok := n.board.Holder(pool)
+		if ok && row.Addr != n.conf.Addr {
+			held[row.Addr]++
 		}
 	}
+	addrs := slices.Sorted(maps.Keys(held))
+	slices.SortStableFunc(addrs, func(a, b string) int { return cmp.Compare(held[a], held[b]) })
 	return addrs
 }
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -2,24 +2,31 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	gauge "sapphiregauge"
 )
 
 // load reads the pool's open jobs, once the lease is held: whatever an earlier
-// owner has written is in the table by now, and it can write no more. False: the
-// lease was lost meanwhile.
+// owner has written is in the table by now, and it can write no more. Queues in
+// parts of the table that don't answer are read later. False: the lease was lost
+// meanwhile.
 func (o *Owner) load() bool {
 	began := o.conf.Now()
 	for {
-		n, err := o.scan(true)
+		queues, err := o.conf.Store.Parts(o.ctx, gauge.TableOpen)
 		if err == nil {
-			o.mu.Lock()
-			o.loaded = true
-			o.mu.Unlock()
-			o.conf.Logs.Info("pool loaded", "pool", o.conf.Pool, "fence", o.conf.Fence, "jobs", n, "took", o.conf.Now()-began)
-			return true
+			n := o.loadQueues(queues)
+			if len(o.missing) == 0 || len(o.missing) < len(queues) {
+				o.mu.Lock()
+				o.loaded = true
+				o.mu.Unlock()
+				o.conf.Logs.Info("pool loaded", "pool", o.conf.Pool, "fence", o.conf.Fence, "jobs", n,
+					"missing", len(o.missing), "took", o.conf.Now()-began)
+				return true
+			}
 		}
 		if o.ctx.Err() != nil {
 			return false
@@ -28,59 +35,87 @@
 			o.lose("the jobs could not be read in time")
 			return false
 		}
-		o.conf.Logs.Info("pool not loaded", "pool", o.conf.Pool, "error", err.Error())
+		o.conf.Logs.Info("pool not loaded", "pool", o.conf.Pool, "missing", len(o.missing))
 		o.rest(nil, writeAgain)
 	}
 }
 
-// scanLoop looks for jobs and cancels of which the message was lost.
+// loadQueues reads the jobs of queues that were there before this owner, and
+// notes which could not be read.
+func (o *Owner) loadQueues(queues []string) int {
+	total := 0
+	o.missing = make(map[string]bool)
+	for _, queue := range queues {
+		n, err := o.scan(queue, true)
+		total += n
+		if err != nil {
+			o.missing[queue] = true
+			o.conf.Logs.Info("queue not loaded", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
+		}
+	}
+	o.mu.Lock()
+	o.core.Partial(len(o.missing) > 0)
+	o.mu.Unlock()
+	return total
+}
+
+// scanLoop looks for jobs and cancels of which the message was lost, and reads
+// what load could not.
 func (o *Owner) scanLoop() {
 	for o.ctx.Err() == nil {
 		o.rest(nil, scanEvery)
 		if o.ctx.Err() != nil {
 			return
 		}
-		n, err := o.scan(false)
-		if err != nil {
-			o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "error", err.Error())
+		if len(o.missing) > 0 {
+			o.mu.Lock()
+			o.core.Rehear(o.conf.Now())
+			o.mu.Unlock()
+			n := o.loadQueues(slices.Collect(maps.Keys(o.missing)))
+			o.conf.Logs.Info("missing queues read", "pool", o.conf.Pool, "jobs", n, "missing", len(o.missing))
+		}
+		o.scanAll()
+		o.act(nil)
+	}
+}
+
+func (o *Owner) scanAll() {
+	queues, err := o.queues()
+	if err != nil {
+		o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "error", err.Error())
+		return
+	}
+	for _, queue := range queues {
+		if o.missing[queue] {
 			continue
 		}
+		n, err := o.scan(queue, false)
+		if err != nil {
+			o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
+		}
 		if n > 0 {
-			o.conf.Logs.Info("jobs found by scan", "pool", o.conf.Pool, "jobs", n)
+			o.conf.Logs.Info("jobs found by scan", "pool", o.conf.Pool, "queue", queue, "jobs", n)
 		}
-		o.act(nil)
 	}
 }
 
-// scan reads the marks of open jobs and adopts those that are unknown.
-func (o *Owner) scan(inherited bool) (int, error) {
+// scan reads the marks of a queue's open jobs and adopts those that are unknown.
+func (o *Owner) scan(queue string, inherited bool) (int, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, scanWait)
 	defer cancel()
-	parts, err := o.queues(ctx, inherited)
+	marks, _, err := o.conf.Store.Range(ctx, gauge.TableOpen, queue, "", "")
 	if err != nil {
 		return 0, err
 	}
-	total := 0
-	for _, queue := range parts {
-		marks, _, err := o.conf.Store.Range(ctx, gauge.TableOpen, queue, "", "")
-		if err != nil {
-			return total, err
-		}
-		n, err := o.adoptMarked(ctx, queue, marks, inherited)
-		total += n
-		if err != nil {
-			return total, err
-		}
-	}
-	return total, nil
+	return o.adoptMarked(ctx, queue, marks, inherited)
 }
 
 // queues lists those that may have jobs of this pool. Each some time all are
 // looked through, as a queue may have been routed here and away again.
-func (o *Owner) queues(ctx context.Context, all bool) ([]string, error) {
+func (o *Owner) queues() ([]string, error) {
 	o.scans++
-	if all || o.scans%scansOfAll == 0 {
-		return o.conf.Store.Parts(ctx, gauge.TableOpen)
+	if o.scans%scansOfAll == 0 {
+		return o.conf.Store.Parts(o.ctx, gauge.TableOpen)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -57,8 +57,10 @@
 	lanes    map[string]chan struct{}
 	loaded   bool
 	site     *gauge.Site
-	listed   []gauge.Worker // newest list
-	scans    int            // of scanLoop alone
+	listed   []gauge.Worker           // newest list
+	scans    int                      // of scanLoop alone
+	avoids   map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
+	missing  map[string]bool          // queues that could not be read yet; of load and scanLoop
 }
 
 const (
@@ -107,7 +109,7 @@
 	now := c.Now()
 	o := &Owner{
 		conf: c,
-		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), written: make(chan struct{}),
+		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
 			Logs: c.Logs, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -63,7 +63,8 @@
 		return false
 	}
 	if err != nil {
-		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "changes", len(p.batch.Changes), "lease", o.conf.Lease.Until()-o.conf.Now(),
+		o.avoid(p.batch.Queue)
+		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "queue", p.batch.Queue, "changes", len(p.batch.Changes), "lease", o.conf.Lease.Until()-o.conf.Now(),
 			"took", took, "kind", gauge.KindOf(err), "error", err.Error())
 		return false
 	}
@@ -72,10 +73,24 @@
 	return true
 }
 
+// avoid leaves a queue's changes out for a while after a write with them failed.
+// The part of the table that has the queue may be the only one that fails: then
+// the next write, without them, renews the lease.
+func (o *Owner) avoid(queue string) {
+	if queue != "" {
+		o.avoids[queue] = o.conf.Now() + avoidFor
+	}
+}
+
+func (o *Owner) avoided(queue string) bool { return o.conf.Now() < o.avoids[queue] }
+
+// avoidFor is the pause between two tries to write a queue's changes.
+const avoidFor = 400 * time.Millisecond
+
 func (o *Owner) prepare() (pending, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	batch, err := o.core.Batch(batchJobs, o.conf.Clock())
+	batch, err := o.core.Batch(batchJobs, o.conf.Clock(), o.avoided)
 	if err != nil {
 		return pending{}, err
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -24,6 +24,9 @@
 	w.read(rep.Clock, now)
 	for _, e := range rep.Ended {
 		if e.Number > w.ends {
+			if p.partial && !p.Knows(e.Task.Job) {
+				break
+			}
 			w.ends = e.Number
 			p.ended(w, e, now)
 		}
@@ -42,7 +45,9 @@
 		r := p.reported(w, rr, rep.Clock, now)
 		if r == nil {
 			w.odd++
-			p.stopOdd(w, rr)
+			if !p.partial {
+				p.stopOdd(w, rr)
+			}
 			continue
 		}
 		there[r] = true
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -129,7 +129,7 @@
 
 // save has the table take all changes.
 func (g *rig) save(version int64) sched.Batch {
-	b, err := g.pool.Batch(100, 1)
+	b, err := g.pool.Batch(100, 1, nobody)
 	assert.NilError(g.t, err)
 	g.pool.Written(b, version, g.now)
 	return b
@@ -138,3 +138,6 @@
 func running(o sched.Order) gauge.RunReport {
 	return gauge.RunReport{Task: o.Start.Task, Run: o.Start.Run}
 }
+
+// nobody is avoided.
+func nobody(string) bool { return false }
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -20,19 +20,22 @@
 
 // Batch is a set of changes, and the ends that the table has once it is written.
 type Batch struct {
+	Queue   string // of all changes
 	Changes []Change
-	Urgent  bool
 	ends    map[string]int64
 }
 
-// Batch returns up to `most` changes that the table doesn't have yet; the urgent
-// ones first. Now is the table's clock in milliseconds.
-func (p *Pool) Batch(most int, now int64) (Batch, error) {
+// Batch returns up to `most` changes of one queue that the table doesn't have yet,
+// the urgent ones first. Queues to avoid are left out: their part of the table
+// doesn't answer, and would hold up the others. Now is the table's clock in
+// milliseconds.
+func (p *Pool) Batch(most int, now int64, avoid func(queue string) bool) (Batch, error) {
 	b := Batch{}
-	dirty := p.dirty(now)
-	all := len(dirty) <= most
-	if !all {
-		dirty = dirty[:most]
+	waiting := p.dirty()
+	dirty := ofOneQueue(waiting, most, avoid)
+	all := len(dirty) == len(waiting)
+	if len(dirty) > 0 {
+		b.Queue = dirty[0].queue
 	}
 	for _, j := range dirty {
 		if j.row.State.Final() && j.row.Ended == 0 {
@@ -42,7 +45,6 @@
 		if err != nil {
 			return b, err
 		}
-		b.Urgent = b.Urgent || j.urgent
 		b.Changes = append(b.Changes, Change{
 			Job: j.id, Queue: j.queue, Row: row, Version: j.version,
 			Final: j.row.State.Final() && len(j.live()) == 0, changes: j.changes,
@@ -74,7 +76,8 @@
 	return false
 }
 
-func (p *Pool) dirty(now int64) []*job {
+// dirty lists the jobs with changes, the urgent first.
+func (p *Pool) dirty() []*job {
 	var dirty []*job
 	for _, j := range p.jobs {
 		if j.dirty() || j.leaves() {
@@ -93,6 +96,20 @@
 	return dirty
 }
 
+// ofOneQueue takes up to `most` jobs of the first queue that isn't avoided.
+func ofOneQueue(jobs []*job, most int, avoid func(queue string) bool) []*job {
+	var some []*job
+	for _, j := range jobs {
+		if avoid(j.queue) || len(some) > 0 && j.queue != some[0].queue {
+			continue
+		}
+		if some = append(some, j); len(some) == most {
+			break
+		}
+	}
+	return some
+}
+
 // leaves tells whether a job that has ended has nothing left but its spec and
 // marker in the table.
 func (j *job) leaves() bool {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -40,6 +40,7 @@
 	past    map[string]time.Duration // jobs that ended here, and when
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
+	partial bool            // jobs may be missing: some could not be read yet
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
 	arrived float64       // core-seconds of all jobs adopted so far
@@ -187,6 +188,24 @@
 	}
 }
 
+// Partial tells that jobs may be missing, as some of the table can't be read. What
+// runs of jobs that aren't known is left alone until they are, and ends of theirs
+// stay with the workers.
+func (p *Pool) Partial(missing bool) { p.partial = missing }
+
+// Rehear makes inherited tasks wait until every worker has been heard anew, or can
+// run nothing any more: what they told so far of jobs that are to be adopted now
+// was left aside.
+func (p *Pool) Rehear(now time.Duration) {
+	p.conf.Doubt = max(p.conf.Doubt, now)
+	for id, w := range p.workers {
+		if !w.gone {
+			p.earlier[id] = true
+			p.conf.Doubt = max(p.conf.Doubt, w.expiry)
+		}
+	}
+}
+
 // Knows tells whether a job has been adopted, also if it has ended since.
 func (p *Pool) Knows(id string) bool {
 	_, past := p.past[id]
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -262,7 +262,7 @@
 	g.ok(g.starts())
 	g.pool.Conflicted(id, &gauge.JobRow{State: gauge.JobCancelled}, 900)
 	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 2)
-	b, err := g.pool.Batch(10, 1)
+	b, err := g.pool.Batch(10, 1, nobody)
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Changes), 1)
 	assert.Equal(t, b.Changes[0].Version, int64(900))
@@ -270,3 +270,52 @@
 	assert.NilError(t, err)
 	assert.Equal(t, row.State, gauge.JobCancelled)
 }
+
+// Symptom: after a takeover a task that was done runs again.
+// Sequence: part of the table doesn't answer, so that the new owner doesn't know
+// all jobs; a worker tells of the end of a task of one of them, and the owner,
+// which can't place it, acknowledges it; later the job is read.
+// Cause: what belongs to no known job counts as nobody's.
+func TestEndsAndRunsOfJobsThatCannotBeReadYetAreLeftAlone(t *testing.T) {
+	g := newRig(t, after("w1"))
+	g.pool.Partial(true)
+	g.list("w1")
+	done := gauge.TaskID{Job: jobID(1)}
+	running := gauge.RunReport{Task: gauge.TaskID{Job: jobID(1), Index: 1}, Run: 1}
+	end := g.end("w1", done, 1, gauge.EndDone)
+	g.hear("w1", []gauge.RunReport{running}, end)
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 0)
+	g.save(500)
+	_, call, _ := g.pool.Holding("w1", g.now)
+	assert.Equal(t, call.LastSeen, int64(0))
+
+	g.pass(7 * time.Second) // all that the owner before ordered has ended
+	g.hear("w1", []gauge.RunReport{running}, end)
+	g.pool.Rehear(g.now)
+	g.adopt(1, true, step(2))
+	g.pool.Partial(false)
+	assert.Equal(t, len(g.starts()), 0, "the worker hasn't told of this job yet")
+	g.pass(10 * time.Millisecond)
+	g.hear("w1", []gauge.RunReport{running}, end)
+	assert.Equal(t, len(g.starts()), 0)
+}
+
+// Symptom: one part of the table fails, and a pool can write nothing at all.
+// Sequence: changes of two queues are due; the part of one doesn't answer.
+// Cause: all changes go in one transaction.
+func TestChangesOfAQueueThatFailsDoNotHoldUpOthers(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	for i, queue := range []string{"sheets", "parts"} {
+		g.pool.Adopt(jobID(i), queue, &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, &gauge.JobRow{State: gauge.JobPending}, fence+1, 0, 0, false)
+	}
+	g.ok(g.starts())
+	b, err := g.pool.Batch(10, 1, func(queue string) bool { return queue == "sheets" })
+	assert.NilError(t, err)
+	assert.Equal(t, b.Queue, "parts")
+	assert.Equal(t, len(b.Changes), 1)
+	b, err = g.pool.Batch(10, 1, nobody)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Changes), 1, "one queue at a time")
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -141,9 +141,25 @@
 	if err != nil {
 		return err
 	}
-	_, _, err = t.conf.Store.Commit(ctx, gauge.PartTxn{
-		Checks: []gauge.RowCheck{{RowKey: t.conf.Key, Version: version}},
-		Writes: []gauge.RowWrite{{RowKey: t.conf.Key, Value: value}},
-	})
+	for range giveUpTries {
+		var rows []gauge.PartRow
+		_, rows, err = t.conf.Store.Commit(ctx, gauge.PartTxn{
+			Checks: []gauge.RowCheck{{RowKey: t.conf.Key, Version: version}},
+			Writes: []gauge.RowWrite{{RowKey: t.conf.Key, Value: value}},
+		})
+		if !gauge.Is(err, gauge.KindConflict) {
+			return err
+		}
+		// A renewal that was under way when this began has been carried out.
+		if _, ours := t.sort(rows); !ours {
+			return err
+		}
+		t.mu.Lock()
+		version = t.version
+		t.mu.Unlock()
+	}
 	return err
 }
+
+// giveUpTries: a renewal may land between, and one more that got no answer.
+const giveUpTries = 3
