Store jobs in groups, tell states by the owner's word

Each question for a job's state cost a call to the table. States are asked of the pool's owner first. A hand-in that was stored without an answer is told as the table has it. Ruled out: longer waits of the callers (their deadline is 3 s).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,6 +24,9 @@
 	Depth func(q *gauge.Queue) (int, bool) // as the pool's owner last told
 	Tell  func(n Notice)                   // tells the owner of the pool
 	Busy  func(q *gauge.Queue) error       // why no job of the queue can be taken now; nil: it can
+	// Ask asks the owner of the queue\'s pool how far a job is; false: it doesn\'t
+	// know, or can\'t be asked.
+	Ask func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
 }
 
 // Notice tells the owner of a pool of a new or cancelled job.
@@ -38,11 +42,13 @@
 
 // Intake implements gauge.Jobs.
 type Intake struct {
-	conf Config
+	conf  Config
+	mu    sync.Mutex
+	lanes map[string]*lane // by queue
 }
 
 // New makes an Intake.
-func New(c Config) *Intake { return &Intake{conf: c} }
+func New(c Config) *Intake { return &Intake{conf: c, lanes: make(map[string]*lane)} }
 
 const (
 	// firstPause and lastPause bound the wait before a repeat at the table.
@@ -57,9 +63,8 @@
 // Submit stores a job, once however often it is handed in.
 //
 // A transaction without an answer may take effect later, so "not stored" is only
-// said when every try was surely not carried out. Until that is settled the same
-// transaction is sent again: the row's condition lets only one of them take
-// effect.
+// said when every try was surely not carried out. Until that is settled the job
+// is sent again: the row's condition lets only one of the tries take effect.
 func (n *Intake) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
 	if err := n.conf.Busy(q); err != nil {
 		n.log("job refused", q, id, err)
@@ -71,42 +76,60 @@
 		return err
 	}
 	began := n.conf.Now()
-	unsure := false
-	for pause := firstPause; ; pause = min(2*pause, lastPause) {
-		stamp, rows, err := n.conf.Store.Commit(ctx, txn)
-		switch {
-		case err == nil:
-			n.conf.Logs.Info("job accepted", "job", id, "queue", q.Name, "pool", q.Pool, "version", stamp.Version, "took", n.conf.Now()-began)
-			n.conf.Tell(Notice{Pool: q.Pool, Queue: q.Name, ID: id, Spec: j, Row: row, Version: stamp.Version})
-			return nil
-		case gauge.Is(err, gauge.KindConflict):
-			return n.known(q, id, rows)
-		case gauge.Is(err, gauge.KindUnknown):
-			unsure = true
-		case !gauge.Is(err, gauge.KindOutage):
-			n.log("job refused", q, id, err)
-			return err
-		case !unsure:
-			// Surely not stored, and no try is out that could store it.
-			n.log("job refused", q, id, err)
-			return gauge.Fail(gauge.KindOutage, "the table can't be reached").Because(err)
-		}
-		if !wait(ctx, pause) {
-			err := gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id")
-			n.log("job unsettled", q, id, err)
-			return err
-		}
+	p := &pending{id: id, txn: txn, began: began, until: began + timeLeft(ctx), settled: make(chan outcome, 1)}
+	o := n.lane(q.Name).store(p)
+	took := n.conf.Now() - began
+	switch {
+	case gauge.Is(o.err, gauge.KindExpired):
+		n.log("job unsettled", q, id, o.err)
+	case o.err != nil:
+		n.log("job refused", q, id, o.err)
+	case o.known:
+		n.conf.Logs.Info("job known", "job", id, "queue", q.Name, "version", o.version, "unsure", p.unsure, "took", took)
+		n.tellUnsure(q, p, j, o)
+	default:
+		n.conf.Logs.Info("job accepted", "job", id, "queue", q.Name, "pool", q.Pool, "version", o.version, "took", took)
+		n.conf.Tell(Notice{Pool: q.Pool, Queue: q.Name, ID: id, Spec: j, Row: row, Version: o.version})
+	}
+	return o.err
+}
+
+// tellUnsure tells the owner of a job that a transaction without an answer has
+// stored. Its row is told as the table has it: the job may have been cancelled
+// since.
+func (n *Intake) tellUnsure(q *gauge.Queue, p *pending, j *gauge.JobSpec, o outcome) {
+	if !p.unsure {
+		return
+	}
+	row, err := gauge.DecodeJobRow(o.row)
+	if err != nil {
+		n.conf.Logs.Error(err, "job row not read", "job", p.id, "queue", q.Name)
+		return
+	}
+	if row.State == gauge.JobPending {
+		n.conf.Tell(Notice{Pool: row.Pool, Queue: q.Name, ID: p.id, Spec: j, Row: row, Version: o.version})
 	}
 }
 
-// known answers for an id that is taken: the job was handed in before.
-func (n *Intake) known(q *gauge.Queue, id string, rows []gauge.PartRow) error {
-	var version int64
-	for _, r := range rows {
-		version = r.Version
+// timeLeft is how long the caller waits still.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return commitWait
 	}
-	n.conf.Logs.Info("job known", "job", id, "queue", q.Name, "version", version)
-	return nil
+	return time.Until(deadline)
+}
+
+// lane returns the lane of a queue.
+func (n *Intake) lane(queue string) *lane {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.lanes[queue]
+	if l == nil {
+		l = &lane{intake: n}
+		n.lanes[queue] = l
+	}
+	return l
 }
 
 func insertion(q *gauge.Queue, id string, j *gauge.JobSpec, row *gauge.JobRow) (gauge.PartTxn, error) {
@@ -150,8 +173,12 @@
 	}
 }
 
-// State tells how far a job is.
+// State tells how far a job is: by its owner's word, which costs no call to the
+// table, else by the table's.
 func (n *Intake) State(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, error) {
+	if state, ok := n.conf.Ask(ctx, q, id); ok {
+		return state, nil
+	}
 	row, _, err := n.read(ctx, q, id)
 	if err != nil {
 		if !gauge.Is(err, gauge.KindGone) {
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,251 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/intake"
+)
+
+// table answers each transaction as a test says; what it carries out it keeps.
+type table struct {
+	mu      sync.Mutex
+	rows    map[gauge.RowKey]gauge.PartRow
+	version int64
+	txns    []gauge.PartTxn
+	answer  func(n int, carryOut func()) error // nil: carry out and answer
+}
+
+func newTable() *table { return &table{rows: make(map[gauge.RowKey]gauge.PartRow)} }
+
+func (t *table) Commit(_ context.Context, txn gauge.PartTxn) (gauge.Stamp, []gauge.PartRow, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.txns = append(t.txns, txn)
+	var current []gauge.PartRow
+	conflict := false
+	for _, c := range txn.Checks {
+		r := t.rows[c.RowKey]
+		r.RowKey = c.RowKey
+		current = append(current, r)
+		conflict = conflict || r.Version != c.Version
+	}
+	if conflict {
+		return gauge.Stamp{}, current, gauge.Fail(gauge.KindConflict, "a row has changed")
+	}
+	carryOut := func() {
+		t.version++
+		for _, w := range txn.Writes {
+			t.rows[w.RowKey] = gauge.PartRow{RowKey: w.RowKey, Value: w.Value, Version: t.version}
+		}
+	}
+	if t.answer != nil {
+		if err := t.answer(len(t.txns), carryOut); err != nil {
+			return gauge.Stamp{}, nil, err
+		}
+	}
+	carryOut()
+	return gauge.Stamp{Version: t.version}, nil, nil
+}
+
+func (t *table) Range(_ context.Context, name, part, from, _ string) ([]gauge.PartRow, gauge.Stamp, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[gauge.RowKey{Table: name, Part: part, Key: from}]
+	if !ok {
+		return nil, gauge.Stamp{}, nil
+	}
+	return []gauge.PartRow{r}, gauge.Stamp{}, nil
+}
+
+func (t *table) Parts(context.Context, string) ([]string, error) { return nil, nil }
+
+func (t *table) Feed(context.Context, string, int64, time.Duration) ([]gauge.PartRow, gauge.Stamp, error) {
+	return nil, gauge.Stamp{}, nil
+}
+
+func (t *table) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.txns)
+}
+
+// clock is a steady clock that a test moves on at each look, so that nothing
+// waits for real time.
+type clock struct {
+	mu   sync.Mutex
+	now  time.Duration
+	step time.Duration
+}
+
+func (c *clock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += c.step
+	return c.now
+}
+
+type rig struct {
+	intake  *intake.Intake
+	mu      sync.Mutex
+	notices []intake.Notice
+}
+
+func newRig(t *table, c *clock) *rig {
+	g := &rig{}
+	g.intake = intake.New(intake.Config{
+		Store: t, Logs: logr.Discard(), Now: c.Now, Clock: func() int64 { return 1 },
+		Depth: func(*gauge.Queue) (int, bool) { return 0, true },
+		Busy:  func(*gauge.Queue) error { return nil },
+		Ask:   func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
+		Tell: func(n intake.Notice) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.notices = append(g.notices, n)
+		},
+	})
+	return g
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+func (g *rig) submit(n int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return g.intake.Submit(ctx, &gauge.Queue{Name: "sheets", Pool: "brakes"}, id(n), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+}
+
+func outage(int, func()) error { return gauge.Fail(gauge.KindOutage, "refused") }
+
+func TestWhatTheCallerIsTold(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		answer  func(n int, carryOut func()) error
+		kind    gauge.Kind // empty: accepted
+		stored  bool
+		notices int
+	}{
+		{"answered", nil, "", true, 1},
+		{"refused once", func(n int, _ func()) error {
+			if n == 1 {
+				return gauge.Fail(gauge.KindOutage, "refused")
+			}
+			return nil
+		}, "", true, 1},
+		{"refused for good", outage, gauge.KindOutage, false, 0},
+		{"carried out, answer lost", func(n int, carryOut func()) error {
+			if n == 1 {
+				carryOut()
+				return gauge.Fail(gauge.KindUnknown, "no answer")
+			}
+			return nil
+		}, "", true, 1},
+		// "Not run" must not be said: the first try may be carried out yet.
+		{"no answer, then refused for good", func(n int, _ func()) error {
+			if n == 1 {
+				return gauge.Fail(gauge.KindUnknown, "no answer")
+			}
+			return gauge.Fail(gauge.KindOutage, "refused")
+		}, gauge.KindExpired, false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			store := newTable()
+			store.answer = tt.answer
+			g := newRig(store, &clock{step: 250 * time.Millisecond})
+			err := g.submit(1)
+			if tt.kind == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.Equal(t, gauge.KindOf(err), tt.kind)
+			}
+			_, stored := store.rows[gauge.RowKey{Table: gauge.TableJobs, Part: "sheets", Key: id(1)}]
+			assert.Equal(t, stored, tt.stored)
+			assert.Equal(t, len(g.notices), tt.notices)
+		})
+	}
+}
+
+// Symptom: while the table is slow most jobs are refused.
+// Sequence: forty jobs come while one transaction takes its time; each has a
+// transaction of its own, and the part has more waiting than it takes.
+// Cause: a part carries out one transaction after the other.
+func TestJobsThatComeDuringATransactionShareTheNext(t *testing.T) {
+	store := newTable()
+	hold, held := make(chan struct{}), make(chan struct{})
+	store.answer = func(n int, _ func()) error {
+		if n == 1 {
+			close(held)
+			<-hold
+		}
+		return nil
+	}
+	g := newRig(store, &clock{})
+	var group sync.WaitGroup
+	results := make([]error, 41)
+	start := func(n int) {
+		group.Go(func() { results[n] = g.submit(n) })
+	}
+	start(0)
+	<-held
+	for n := 1; n <= 40; n++ {
+		start(n)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.intake.Waiting("sheets") == 40 {
+			return poll.Success()
+		}
+		return poll.Continue("40 jobs wait")
+	})
+	close(hold)
+	group.Wait()
+	for n, err := range results {
+		assert.NilError(t, err, "job %d", n)
+	}
+	assert.Equal(t, store.count(), 3, "one, 24 and 16 jobs")
+}
+
+// Symptom: a job that its caller cancelled runs.
+// Sequence: a hand-in gets no answer but is carried out; the caller cancels the
+// job at another entry; the hand-in is tried again, finds the id taken, and tells
+// the owner of a new job.
+// Cause: the job's row is told as it was handed in, not as the table has it.
+func TestUnansweredHandInOfACancelledJobIsNotTold(t *testing.T) {
+	store := newTable()
+	key := gauge.RowKey{Table: gauge.TableJobs, Part: "sheets", Key: id(1)}
+	store.answer = func(n int, carryOut func()) error {
+		if n > 1 {
+			return nil
+		}
+		carryOut()
+		value, err := (&gauge.JobRow{State: gauge.JobCancelled}).Encode()
+		assert.NilError(t, err)
+		store.version++
+		store.rows[key] = gauge.PartRow{RowKey: key, Value: value, Version: store.version}
+		return gauge.Fail(gauge.KindUnknown, "no answer")
+	}
+	g := newRig(store, &clock{step: time.Millisecond})
+	assert.NilError(t, g.submit(1))
+	assert.Equal(t, len(g.notices), 0)
+}
+
+func TestCancel(t *testing.T) {
+	store := newTable()
+	g := newRig(store, &clock{step: time.Millisecond})
+	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
+	assert.Equal(t, gauge.KindOf(g.intake.Cancel(context.Background(), q, id(1))), gauge.KindGone)
+	assert.NilError(t, g.submit(1))
+	assert.NilError(t, g.intake.Cancel(context.Background(), q, id(1)))
+	state, err := g.intake.State(context.Background(), q, id(1))
+	assert.NilError(t, err)
+	assert.Equal(t, state, gauge.JobCancelled)
+	assert.NilError(t, g.intake.Cancel(context.Background(), q, id(1)), "again")
+	assert.Equal(t, len(g.notices), 3, "the owner is told each time: it may have missed the first")
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -9,8 +9,14 @@
 	"sapphiregauge/internal/owner"
 )
 
-// methodLoad asks a pool's owner what the pool has to do.
-const methodLoad = "pool.load"
+const (
+	// methodLoad asks a pool's owner what the pool has to do.
+	methodLoad = "pool.load"
+	// methodState asks a pool's owner how far a job is.
+	methodState = "job.state"
+	// stateWait bounds that question: the table answers it too.
+	stateWait = 150 * time.Millisecond
+)
 
 // loadWait bounds that question.
 const loadWait = 400 * time.Millisecond
@@ -99,3 +105,42 @@
 	}
 	return emptyAnswer{Empty: o.Empty(c.Worker, c.Force)}, nil
 }
+
+type stateCall struct {
+	Pool  string `msgpack:"p"`
+	Queue string `msgpack:"q"`
+	ID    string `msgpack:"i"`
+}
+
+type stateAnswer struct {
+	State gauge.JobState `msgpack:"s"` // empty: not known here
+}
+
+// ask asks the owner of a queue's pool how far a job is.
+func (n *Node) ask(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool) {
+	o, addr, err := n.ownerOf(q.Pool)
+	if err != nil {
+		return "", false
+	}
+	if o != nil {
+		return o.State(q.Name, id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateWait)
+	defer cancel()
+	var a stateAnswer
+	err = n.conf.Mesh.Call(ctx, addr, methodState, &stateCall{Pool: q.Pool, Queue: q.Name, ID: id}, &a)
+	return a.State, err == nil && a.State != ""
+}
+
+func (n *Node) handleState(_ context.Context, body []byte) (any, error) {
+	var c stateCall
+	if err := frame.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	o, err := n.local(c.Pool)
+	if err != nil {
+		return nil, err
+	}
+	state, _ := o.State(c.Queue, c.ID)
+	return stateAnswer{State: state}, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,11 +98,12 @@
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Term: leaseTerm, Spread: claimSpread, Held: claimHeld})
 	n.intake = intake.New(intake.Config{
-		Store: c.Store, Logs: c.Logs, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal,
+		Store: c.Store, Logs: c.Logs, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal, Ask: n.ask,
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
 	c.Mesh.Handle(methodLoad, n.handleLoad)
+	c.Mesh.Handle(methodState, n.handleState)
 	c.Mesh.Handle(methodProbe, n.handleProbe)
 	c.Mesh.Handle(methodOffer, n.handleOffer)
 	return n
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -246,6 +246,17 @@
 	return empty
 }
 
+// State tells how far a job of a queue is; false: it isn't known here, or another
+// owner may know better.
+func (o *Owner) State(queue, id string) (gauge.JobState, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.mayAdopt() {
+		return "", false
+	}
+	return o.core.State(queue, id)
+}
+
 // Load tells what the pool has to do.
 func (o *Owner) Load() gauge.PoolLoad {
 	o.mu.Lock()
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -105,7 +105,7 @@
 	g.ok(starts)
 	g.pass(time.Second)
 	g.hear(starts[0].Worker.ID, nil, g.end(starts[0].Worker.ID, starts[0].Start.Task, 1, gauge.EndDone))
-	state, _ := g.pool.State(jobID(1))
+	state, _ := g.pool.State(queueName, jobID(1))
 	assert.Equal(t, state, gauge.JobRunning, "not told before the table has it")
 	b, err := g.pool.Batch(10, 1, nobody)
 	assert.NilError(t, err)
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -131,7 +131,7 @@
 		if c.Final {
 			j.cleaned = true
 			delete(p.jobs, c.Job)
-			p.past[c.Job] = now
+			p.past[c.Job] = past{queue: j.queue, state: j.row.State, ended: now}
 		}
 	}
 	for id, n := range b.ends {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -37,7 +37,7 @@
 	site    *gauge.Site
 	limit   time.Duration // no grant reaches beyond this
 	jobs    map[string]*job
-	past    map[string]time.Duration // jobs that ended here, and when
+	past    map[string]past // jobs that ended here
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
 	partial bool            // jobs may be missing: some could not be read yet
@@ -71,7 +71,7 @@
 // New makes a Pool without jobs and workers.
 func New(c Config) *Pool {
 	p := &Pool{
-		conf: c, jobs: make(map[string]*job), past: make(map[string]time.Duration), halts: make(map[*run]bool), workers: make(map[string]*worker),
+		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
 		earlier: make(map[string]bool), site: &gauge.Site{},
 	}
 	for _, id := range c.Earlier {
@@ -212,6 +212,13 @@
 	return past || p.jobs[id] != nil
 }
 
+// past is what is remembered of a job that has ended and is in the table so.
+type past struct {
+	queue string
+	state gauge.JobState
+	ended time.Duration
+}
+
 // pastFor is how long it is remembered that a job has ended here: well beyond
 // the last try to deliver a notice of it, and any reading of the table that was
 // under way.
@@ -244,10 +251,13 @@
 	}
 }
 
-// State tells how far a job is; false if it isn't known here.
-func (p *Pool) State(id string) (gauge.JobState, bool) {
+// State tells how far a job of a queue is; false if it isn't known here.
+func (p *Pool) State(queue, id string) (gauge.JobState, bool) {
+	if old, ok := p.past[id]; ok && old.queue == queue {
+		return old.state, true
+	}
 	j := p.jobs[id]
-	if j == nil {
+	if j == nil || j.queue != queue {
 		return "", false
 	}
 	if j.row.State.Final() && j.dirty() {
@@ -359,8 +369,8 @@
 	if now > p.conf.Doubt {
 		clear(p.earlier)
 	}
-	for id, ended := range p.past {
-		if now > ended+pastFor {
+	for id, j := range p.past {
+		if now > j.ended+pastFor {
 			delete(p.past, id)
 		}
 	}
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -245,7 +245,7 @@
 	g.pool.Adopt(task.Job, queueName, &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, row, 50, 0, 0, true)
 	g.list("w1")
 	g.hear("w1", nil, g.end("w1", task, 1, gauge.EndFailed))
-	state, _ := g.pool.State(task.Job)
+	state, _ := g.pool.State(queueName, task.Job)
 	assert.Equal(t, state, gauge.JobRunning)
 	assert.Equal(t, len(g.starts()), 1)
 }
