Look at the list of workers a few times a second, not at each heartbeat

Change: 150 ms between two looks at entries with a lease, 600 ms at others. Ruled out: a list from the machine service alone (it is paid for alike).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,12 @@
 	// leasePause is the time between two looks at the leases, which change with
 	// every write of an owner.
 	leasePause = 300 * time.Millisecond
+	// workerPause is the time between two looks at the list of workers at an entry
+	// that holds a lease: a new worker is used so much later, on average half of it.
+	workerPause = 150 * time.Millisecond
+	// idlePause is that time at an entry without a lease, which only has to know
+	// the list when it takes one.
+	idlePause = 600 * time.Millisecond
 	// retryPause is the time between two tries to tell an owner of a job.
 	retryPause  = 250 * time.Millisecond
 	noticeTries = 4
@@ -123,9 +129,9 @@
 func (n *Node) Run(ctx context.Context) {
 	n.ctx.Store(&ctx)
 	n.going.Store(true)
-	n.group.Go(func() { n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, 0, n.toldOperator) })
-	n.group.Go(func() { n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, 0, n.toldWorkers) })
-	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, leasePause, n.toldLeases) })
+	n.group.Go(func() { n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, always(0), n.toldOperator) })
+	n.group.Go(func() { n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, n.workerPause, n.toldWorkers) })
+	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
 	n.group.Wait()
 }
@@ -157,13 +163,26 @@
 // context is that of the running entry.
 func (n *Node) context() context.Context { return *n.ctx.Load() }
 
-func (n *Node) follow(ctx context.Context, table string, parted bool, wait, pause time.Duration, tell func([]gauge.PartRow, bool)) {
+func (n *Node) follow(ctx context.Context, table string, parted bool, wait time.Duration, pause func() time.Duration, tell func([]gauge.PartRow, bool)) {
 	watch.New(watch.Config{
 		Name: table, Parted: parted, Store: n.conf.Store, Wait: wait, Pause: pause, Logs: n.conf.Logs, Now: n.conf.Now,
 		Tell: tell, Stamp: n.stamp,
 	}).Run(ctx)
 }
 
+func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// workerPause is the pause between two looks at the list of workers. Each worker
+// writes there every second or two, so that a feed never waits long.
+func (n *Node) workerPause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.busy) > 0 {
+		return workerPause
+	}
+	return idlePause
+}
+
 // stamp takes in a reading of the table's clock, from a call that was sent at a
 // time. One that took long says little, and the clocks don't drift within a day
 // by as much.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -18,8 +18,8 @@
 	Name   string
 	Parted bool // its rows are in many parts, else all are in the unnamed one
 	Store  gauge.Parted
-	Wait   time.Duration // how long a feed waits for a change; 0: it is asked each Pause
-	Pause  time.Duration // between two questions
+	Wait   time.Duration        // how long a feed waits for a change; 0: it is asked each Pause
+	Pause  func() time.Duration // between two questions
 	Logs   logr.Logger
 	Now    func() time.Duration
 	// Tell gets all rows (whole), or those that have changed.
@@ -50,7 +50,7 @@
 func (t *Table) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := t.round(ctx)
-		pause := t.conf.Pause
+		pause := t.conf.Pause()
 		if err != nil && ctx.Err() == nil {
 			pause = t.failed(err)
 		} else if t.lost {
