Stop lasting tasks only when a place is free for them

Also, a cancelled job was still told as running until its owner had heard of the cancel. Change: a worker is emptied of a lasting task only to a free place; pools keep room for their widest lasting step and one machine more, and get another while one has no place; the owner is told of a cancel before the caller is answered. Ruled out: room (the workers were half empty), the bound on tasks away.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,8 @@
 	retryPause  = 250 * time.Millisecond
 	noticeTries = 4
 	noticeWait  = time.Second
+	// cancelWait bounds the try to tell of a cancel that its caller waits for.
+	cancelWait = 150 * time.Millisecond
 )
 
 // Node is one entry.
--- a/internal/node/notice.go
+++ b/internal/node/notice.go
@@ -16,17 +16,22 @@
 type noticeAnswer struct{}
 
 // notify tells the owner of a job's pool, in the background. If all tries fail
-// the owner finds the job by its own scan.
+// the owner finds the job by its own scan. A cancel is told once before its caller
+// gets the answer: the owner, asked for the job's state right after, would still
+// say that it runs.
 func (n *Node) notify(notice intake.Notice) {
 	if n.deliver(notice) {
 		return
 	}
+	if notice.Cancelled && n.sendNotice(notice, cancelWait) == nil {
+		return
+	}
 	n.group.Go(func() {
 		for try := range noticeTries {
 			if try > 0 {
 				time.Sleep(retryPause)
 			}
-			err := n.sendNotice(notice)
+			err := n.sendNotice(notice, noticeWait)
 			if err == nil {
 				return
 			}
@@ -35,7 +40,7 @@
 	})
 }
 
-func (n *Node) sendNotice(notice intake.Notice) error {
+func (n *Node) sendNotice(notice intake.Notice, wait time.Duration) error {
 	if n.deliver(notice) {
 		return nil
 	}
@@ -45,7 +50,7 @@
 	if !ok || row.Holder == n.holder {
 		return gauge.Fail(gauge.KindOutage, "pool %s has no owner", notice.Pool)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), noticeWait)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	var answer noticeAnswer
 	return n.conf.Mesh.Call(ctx, row.Addr, methodNotice, &notice, &answer)
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -42,6 +42,10 @@
 	cores := float64(st.spec.Room().MilliCPU) / milli
 	if st.spec.Lasts {
 		l.Lasting += cores * float64(len(st.tasks))
+		l.Away += st.idle
+		if per := st.spec.PerWorker; per > 0 {
+			l.Spread = max(l.Spread, (len(st.tasks)+per-1)/per)
+		}
 		return
 	}
 	for _, t := range st.tasks {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -10,12 +10,13 @@
 
 // rooms are the workers that take starts, for one round of them.
 type rooms struct {
-	workers []*worker
-	most    gauge.Resources // no worker has more of any kind free
+	workers  []*worker
+	most     gauge.Resources             // no worker has more of any kind free
+	promised map[*worker]gauge.Resources // for tasks that are to come from other workers
 }
 
 func (p *Pool) rooms(now time.Duration) *rooms {
-	r := &rooms{}
+	r := &rooms{promised: make(map[*worker]gauge.Resources)}
 	for _, w := range p.workers {
 		if w.takes(now) {
 			r.workers = append(r.workers, w)
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -139,3 +139,37 @@
 	g.pool.Empty("w2", false, g.now)
 	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 1)
 }
+
+// Symptom: a lasting task is away for twelve seconds though workers are half
+// empty.
+// Sequence: its worker is emptied for upkeep; the bound on tasks a worker keeps it
+// off all others.
+// Cause: it is stopped before there is a place for it.
+func TestLastingTaskIsOnlyStoppedWhenThereIsAPlaceForIt(t *testing.T) {
+	g := newRig(t)
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	g.hear("w2", nil)
+	lasting := step(2)
+	lasting.Lasts, lasting.MaxAway, lasting.PerWorker = true, 1, 1
+	g.adopt(1, false, lasting)
+	starts := g.starts()
+	g.ok(starts)
+	tell := func() {
+		for _, o := range starts {
+			r := running(o)
+			r.Progress = 100
+			g.hear(o.Worker.ID, []gauge.RunReport{r})
+		}
+	}
+	g.pass(5 * time.Second)
+	tell()
+	g.pool.Empty("w1", false, g.now)
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 0)
+	assert.Equal(t, g.pool.Load(g.now).Spread, 2, "the fleet is told that more workers are needed")
+
+	g.list("w1", "w2", "w3")
+	g.hear("w3", nil)
+	tell()
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 1)
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -47,20 +47,22 @@
 }
 
 // evacuate moves lasting tasks away from workers that are to be emptied or that
-// leave, no more of a step at once than may be away.
+// leave, no more of a step at once than may be away, and only to a place that is
+// free: a task that is stopped without one is away for as long as none comes.
 func (p *Pool) evacuate(now time.Duration) {
+	var room *rooms
 	for _, w := range p.workers {
-		if now >= w.emptyUntil && !w.info.Draining {
-			continue
-		}
-		if w.silent || w.gone || !w.heard {
+		if now >= w.emptyUntil && !w.info.Draining || w.silent || w.gone || !w.heard {
 			continue
 		}
 		for r := range w.runs {
 			if r.stop || r.phase != phaseLive {
 				continue
 			}
-			if p.mayLeave(w, r, now) {
+			if room == nil {
+				room = p.rooms(now)
+			}
+			if p.mayLeave(w, r, room, now) {
 				p.halt(r)
 				r.again = now + stopAgain
 				p.stop(r)
@@ -70,24 +72,31 @@
 }
 
 // mayLeave tells whether a run may be stopped so that its worker gets empty.
-func (p *Pool) mayLeave(w *worker, r *run, now time.Duration) bool {
+func (p *Pool) mayLeave(w *worker, r *run, room *rooms, now time.Duration) bool {
 	st := r.task.stage.spec
 	if !st.Lasts {
 		return st.Checkpoints || w.force
 	}
-	if w.info.Draining {
-		return true // it ends there anyway, and sooner is sooner back
+	to := room.place(r.task.stage, r.task.stage.perWorker(), room.promised)
+	if to == nil {
+		return false
 	}
-	if st.MaxAway == 0 {
-		return true
+	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task, now) >= st.MaxAway {
+		return false
 	}
-	away := 0
-	for _, t := range r.task.stage.tasks {
-		if t != r.task && !t.atWork(now) {
-			away++
+	room.promised[to] = room.promised[to].Plus(r.room)
+	return true
+}
+
+// away counts the other tasks of a lasting stage that don't surely serve.
+func (st *stage) away(except *task, now time.Duration) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t != except && !t.atWork(now) {
+			n++
 		}
 	}
-	return away < st.MaxAway
+	return n
 }
 
 // settled is how long a lasting task must have run before it counts as at work:
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -260,8 +260,8 @@
 	if j == nil || j.queue != queue {
 		return "", false
 	}
-	if j.row.State.Final() && j.dirty() {
-		return gauge.JobRunning, true // not told before the table has it
+	if j.row.State.Final() && j.row.State != gauge.JobCancelled && j.dirty() {
+		return gauge.JobRunning, true // not told before the table has it; a cancel it has
 	}
 	if j.begun && !j.row.State.Final() {
 		return gauge.JobRunning, true
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -77,6 +77,9 @@
 	// least machines a pool keeps: work that comes meanwhile starts at once, and
 	// lasting tasks find another place.
 	least = 3
+	// mostAway bounds the machines that are added for lasting tasks without a
+	// place at a time.
+	mostAway = 2
 	// shrinkAfter is how long a pool must have too many machines before it gives
 	// some away.
 	shrinkAfter = 2500 * time.Millisecond
@@ -231,7 +234,9 @@
 func (s *Sizer) need(pool string, now time.Duration) need {
 	l, cores := s.loads[pool], s.cores(pool)
 	timely := max(l.Timely.Cores(), s.came[pool].rate(now))
-	n := need{base: max(least, ceil(l.Lasting*headroom/cores)+1)}
+	// One machine more than lasting tasks need, so that any of them can be
+	// emptied, and more while some have no place.
+	n := need{base: max(least, ceil(l.Lasting*headroom/cores)+1, l.Spread+1) + min(l.Away, mostAway)}
 	n.timely = max(0, ceil((l.Lasting+timely*headroom)/cores)-n.base)
 	n.late = ceil(l.Late.Cores() / cores)
 	return n
--- a/load.go
+++ b/load.go
@@ -23,6 +23,8 @@
 type PoolLoad struct {
 	Pool    string        `msgpack:"p"`
 	Lasting float64       `msgpack:"l"` // cores of lasting tasks
+	Spread  int           `msgpack:"x"` // workers that the widest lasting step needs, by its bound on tasks a worker
+	Away    int           `msgpack:"y"` // lasting tasks that wait for a place
 	Timely  Demand        `msgpack:"d"` // of jobs that can meet their objective
 	Late    Demand        `msgpack:"e"` // of jobs that can't any more
 	Arrived float64       `msgpack:"a"` // core-seconds of all jobs accepted by this owner so far
