--- /dev/null
+++ b/internal/sizing/sizing_test.go
@@ -0,0 +1,161 @@
+package sizing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/sizing"
+)
+
+type rig struct {
+	sizer    *sizing.Sizer
+	machines []gauge.Machine
+	now      time.Duration
+}
+
+func never(string) bool { return false }
+
+func newRig(counts map[string]int) *rig {
+	g := &rig{sizer: sizing.New(sizing.Config{Logs: logr.Discard()}), now: time.Second}
+	for pool, n := range counts {
+		for i := range n {
+			id := fmt.Sprintf("%s-%02d", pool, i)
+			g.machines = append(g.machines, gauge.Machine{
+				ID: id, Pool: pool, State: gauge.MachineUp, Worker: "i-" + id, Capacity: gauge.Resources{MilliCPU: 16000},
+			})
+		}
+	}
+	g.list()
+	return g
+}
+
+func (g *rig) list() { g.sizer.Machines(g.machines, []string{"spare"}, g.now) }
+
+// load tells of a pool whose machines all run something, the first so many of
+// them lasting tasks.
+func (g *rig) load(l gauge.PoolLoad, lasting int) {
+	for i, m := range g.machines {
+		if m.Pool == l.Pool {
+			w := gauge.WorkerLoad{ID: m.Worker, Runs: 1 + i%3}
+			if lasting > 0 {
+				w.Lasting = 1
+				lasting--
+			}
+			l.Workers = append(l.Workers, w)
+		}
+	}
+	g.sizer.Load(l, g.now)
+}
+
+func (g *rig) next() []sizing.Move { return g.sizer.Next(g.now, never, never) }
+
+func to(moves []sizing.Move, pool string) int {
+	n := 0
+	for _, m := range moves {
+		if m.To == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// The pattern: one queue asks for five times its mean for some seconds while the
+// others are nearly idle. A fixed split leaves it short of half its demand.
+func TestMachinesGoToThePoolInItsTurn(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "b": 9, "spare": 8})
+	g.load(gauge.PoolLoad{Pool: "a", Timely: gauge.Demand{Busy: 140, Waiting: 210}}, 0)
+	g.load(gauge.PoolLoad{Pool: "b", Timely: gauge.Demand{Busy: 5}}, 0)
+	moves := g.next()
+	assert.Equal(t, to(moves, "a"), 8+6, "all from standby, and what b has above its base")
+	for _, m := range moves {
+		assert.Equal(t, m.Empty, m.From == "spare", "a machine in use is emptied first")
+	}
+}
+
+func TestMachinesWithLastingTasksStay(t *testing.T) {
+	g := newRig(map[string]int{"a": 4, "b": 9})
+	g.load(gauge.PoolLoad{Pool: "a", Timely: gauge.Demand{Waiting: 300}}, 0)
+	g.load(gauge.PoolLoad{Pool: "b", Lasting: 10}, 9)
+	assert.Equal(t, to(g.next(), "a"), 0)
+}
+
+// Two pools that ask for more than there is share it, rather than the first one
+// taking all.
+func TestPoolsThatAreBothShortShare(t *testing.T) {
+	g := newRig(map[string]int{"a": 3, "b": 3, "spare": 20})
+	for _, pool := range []string{"a", "b"} {
+		g.load(gauge.PoolLoad{Pool: pool, Timely: gauge.Demand{Waiting: 400}}, 0)
+	}
+	moves := g.next()
+	assert.Equal(t, to(moves, "a"), 10)
+	assert.Equal(t, to(moves, "b"), 10)
+}
+
+func TestLateWorkComesAfterTimelyWork(t *testing.T) {
+	g := newRig(map[string]int{"a": 3, "b": 3, "spare": 10})
+	g.load(gauge.PoolLoad{Pool: "a", Late: gauge.Demand{Waiting: 400}}, 0)
+	g.load(gauge.PoolLoad{Pool: "b", Timely: gauge.Demand{Waiting: 96}}, 0)
+	assert.Equal(t, to(g.next(), "b"), 5, "96 cores with headroom are eight machines, three are there")
+}
+
+// Surplus goes to standby only after a while, so that a short lull moves nothing.
+func TestSurplusIsKeptForAWhile(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "spare": 1})
+	for range 20 {
+		g.load(gauge.PoolLoad{Pool: "a", Timely: gauge.Demand{Busy: 5}}, 0)
+		assert.Equal(t, len(g.next()), 0)
+		g.now += 100 * time.Millisecond
+	}
+	g.now += time.Second
+	g.load(gauge.PoolLoad{Pool: "a", Timely: gauge.Demand{Busy: 5}}, 0)
+	assert.Equal(t, to(g.next(), "spare"), 6)
+}
+
+// A pool whose owner doesn't tell is left as it is.
+func TestPoolWithoutAFreshLoadIsLeftAlone(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "b": 9})
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	g.now += 10 * time.Second
+	g.load(gauge.PoolLoad{Pool: "b", Timely: gauge.Demand{Waiting: 400}}, 0)
+	assert.Equal(t, len(g.next()), 0)
+}
+
+// Symptom: a machine is ordered to one pool and, since the answer was lost, to
+// another.
+// Sequence: a move gets no answer; the list still shows the machine where it was.
+// Cause: the move is forgotten before it is known what came of it.
+func TestUnansweredMoveIsAskedAgainAsItWas(t *testing.T) {
+	g := newRig(map[string]int{"a": 3, "spare": 1})
+	g.load(gauge.PoolLoad{Pool: "a", Timely: gauge.Demand{Waiting: 100}}, 0)
+	first := g.next()
+	assert.Equal(t, len(first), 1)
+	g.sizer.Ordered(first[0].Machine, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.now += time.Second
+	g.list()
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	again := g.next()
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].To, "a")
+}
+
+// While a pool moves from its turn to the next one's, its machines go straight
+// there: by way of standby they would move twice.
+func TestSurplusOnItsWayToStandbyIsRedirected(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "b": 3, "spare": 0})
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	g.load(gauge.PoolLoad{Pool: "b"}, 0)
+	g.next()
+	g.now += 2600 * time.Millisecond
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	g.load(gauge.PoolLoad{Pool: "b"}, 0)
+	assert.Equal(t, to(g.next(), "spare"), 6)
+	g.load(gauge.PoolLoad{Pool: "b", Timely: gauge.Demand{Waiting: 200}}, 0)
+	moves := g.next()
+	assert.Equal(t, to(moves, "b"), 6)
+	assert.Equal(t, to(moves, "spare"), 0)
+}
--- /dev/null
+++ b/internal/terms/terms_test.go
@@ -0,0 +1,97 @@
+package terms_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/terms"
+)
+
+const (
+	term   = 2 * time.Second
+	spread = 200 * time.Millisecond
+	held   = 150 * time.Millisecond
+)
+
+func newBoard(self string) *terms.Board {
+	b := terms.New(terms.Config{Self: self, Term: term, Spread: spread, Held: held})
+	b.Read()
+	return b
+}
+
+func row(holder string) gauge.LeaseRow { return gauge.LeaseRow{Holder: holder, Addr: "10.0.0.1:1"} }
+
+// due asks until the longest delay has passed.
+func due(b *terms.Board, now time.Duration, pools ...string) []terms.Claim {
+	if c := b.Due(pools, 0, now); len(c) > 0 {
+		return c
+	}
+	return b.Due(pools, 0, now+spread+held)
+}
+
+func TestWhenALeaseIsClaimed(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		tell func(b *terms.Board)
+		now  time.Duration
+		want bool
+	}{
+		{"no row", func(*terms.Board) {}, 0, true},
+		{"given up", func(b *terms.Board) { b.Tell("p", row(""), 5, 0, 0) }, 0, true},
+		{"held", func(b *terms.Board) { b.Tell("p", row("other"), 5, 0, 0) }, time.Second, false},
+		{"not renewed for a term", func(b *terms.Board) { b.Tell("p", row("other"), 5, 0, 0) }, term + 200*time.Millisecond, true},
+		{"renewed meanwhile", func(b *terms.Board) {
+			b.Tell("p", row("other"), 5, 0, 0)
+			b.Tell("p", row("other"), 6, time.Second, 0)
+		}, term + 200*time.Millisecond, false},
+		// An old row that is read again is no renewal.
+		{"the same row again", func(b *terms.Board) {
+			b.Tell("p", row("other"), 5, 0, 0)
+			b.Tell("p", row("other"), 5, time.Second, 0)
+		}, term + 200*time.Millisecond, true},
+		{"renewed long ago by the table's clock", func(b *terms.Board) {
+			r := row("other")
+			r.Renewed = 1000
+			b.Tell("p", r, 5, 0, 1000+2500)
+		}, 0, true},
+		{"renewed lately by the table's clock", func(b *terms.Board) {
+			r := row("other")
+			r.Renewed = 1000
+			b.Tell("p", r, 5, 0, 1000+1800)
+		}, 100 * time.Millisecond, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBoard("me")
+			tt.tell(b)
+			assert.Equal(t, len(due(b, tt.now, "p")) == 1, tt.want)
+		})
+	}
+}
+
+func TestNothingIsClaimedBeforeTheTableWasRead(t *testing.T) {
+	b := terms.New(terms.Config{Self: "me", Term: term})
+	assert.Equal(t, len(due(b, time.Hour, "p")), 0)
+}
+
+// Entries that see a pool free at the same time claim it one after the other, and
+// those that have pools later than others.
+func TestClaimsAreSpread(t *testing.T) {
+	first := make(map[time.Duration]bool)
+	for _, self := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		b := newBoard(self)
+		for now := time.Duration(0); ; now += time.Millisecond {
+			if len(b.Due([]string{"p"}, 0, now)) > 0 {
+				first[now] = true
+				break
+			}
+		}
+	}
+	assert.Assert(t, len(first) >= 5, "%v", first)
+
+	b := newBoard("a")
+	assert.Equal(t, len(b.Due([]string{"p"}, 3, 0)), 0)
+	assert.Equal(t, len(b.Due([]string{"p"}, 3, 3*held-time.Millisecond)), 0)
+}
--- /dev/null
+++ b/internal/waves/waves_test.go
@@ -0,0 +1,135 @@
+package waves_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/waves"
+)
+
+const upkeep = 2 * time.Second
+
+type rig struct {
+	keeper   *waves.Keeper
+	machines map[string]*gauge.Machine
+	now      time.Duration
+}
+
+func never(string) bool { return false }
+
+func newRig(pool string, count, atOnce int) *rig {
+	g := &rig{keeper: waves.New(waves.Config{Upkeep: upkeep, Logs: logr.Discard()}), machines: make(map[string]*gauge.Machine)}
+	order := gauge.UpkeepOrder{Wave: 1, Within: 30 * time.Second, AtOnce: atOnce}
+	for i := range count {
+		id := fmt.Sprintf("m-%d", i)
+		g.machines[id] = &gauge.Machine{ID: id, Pool: pool, State: gauge.MachineUp, Worker: "i-" + id}
+		order.Machines = append(order.Machines, id)
+	}
+	g.keeper.Order(order, nil, false, g.now)
+	g.pass(time.Millisecond)
+	return g
+}
+
+// pass lists the machines anew.
+func (g *rig) pass(d time.Duration) {
+	g.now += d
+	var list []gauge.Machine
+	for _, m := range g.machines {
+		list = append(list, *m)
+	}
+	g.keeper.Machines(list, g.now)
+}
+
+func (g *rig) next() waves.Steps { return g.keeper.Next(g.now, never, never) }
+
+func (g *rig) begin(b waves.Begin, err error) { g.keeper.Begun(b, err, g.now) }
+
+func TestUpkeepBeginsOnlyWhenTheOwnerSaysEmpty(t *testing.T) {
+	g := newRig("p", 6, 2)
+	s := g.next()
+	assert.Equal(t, len(s.Begins), 0)
+	assert.Assert(t, len(s.Asks) > 0)
+	g.keeper.Emptied(s.Asks[0].Machine, true)
+	s = g.next()
+	assert.Equal(t, len(s.Begins), 1)
+}
+
+// Symptom: more machines are down than the operator allows.
+// Sequence: an order gets no answer; it is not counted, and the next one goes out.
+// Cause: what may be carried out yet counts as not done.
+func TestUnansweredOrdersCountAsDown(t *testing.T) {
+	g := newRig("spare", 5, 2)
+	g.keeper.Standby([]string{"spare"})
+	s := g.next()
+	assert.Equal(t, len(s.Begins), 2)
+	for _, b := range s.Begins {
+		g.begin(b, gauge.Fail(gauge.KindUnknown, "no answer"))
+	}
+	s2 := g.next()
+	assert.Equal(t, len(s2.Begins), 2, "the same ones are asked again")
+	assert.DeepEqual(t, s2.Begins, s.Begins)
+}
+
+func TestMachinesCountAsDownUntilTheyAreListedUpAgain(t *testing.T) {
+	g := newRig("spare", 3, 1)
+	g.keeper.Standby([]string{"spare"})
+	b := g.next().Begins[0]
+	g.begin(b, nil)
+	g.machines[b.Machine].State = gauge.MachineUpkeep
+	g.pass(upkeep + time.Second)
+	assert.Equal(t, len(g.next().Begins), 0)
+	g.machines[b.Machine].State = gauge.MachineUp
+	g.pass(100 * time.Millisecond)
+	assert.Equal(t, len(g.next().Begins), 1)
+}
+
+// A list that was asked for before the machine went down proves nothing.
+func TestOldListDoesNotEndAnUpkeep(t *testing.T) {
+	g := newRig("spare", 2, 1)
+	g.keeper.Standby([]string{"spare"})
+	g.begin(g.next().Begins[0], nil)
+	g.pass(time.Millisecond)
+	assert.Equal(t, len(g.next().Begins), 0)
+}
+
+func TestWaveIsCompleteOnlyWhenAllThatStayHaveBegun(t *testing.T) {
+	g := newRig("spare", 3, 3)
+	g.keeper.Standby([]string{"spare"})
+	s := g.next()
+	assert.Equal(t, len(s.Begins), 3)
+	g.begin(s.Begins[0], nil)
+	g.begin(s.Begins[1], gauge.Fail(gauge.KindBusy, "it leaves"))
+	g.begin(s.Begins[2], nil)
+	assert.Equal(t, len(g.next().Complete), 0)
+	delete(g.machines, s.Begins[1].Machine)
+	g.pass(time.Second)
+	assert.Equal(t, len(g.next().Complete), 1)
+}
+
+// A new holder knows from the table which machines have begun.
+func TestWaveGoesOnUnderANewHolder(t *testing.T) {
+	g := newRig("spare", 3, 1)
+	keeper := waves.New(waves.Config{Upkeep: upkeep, Logs: logr.Discard()})
+	keeper.Order(gauge.UpkeepOrder{Wave: 1, Machines: []string{"m-0", "m-1", "m-2"}, Within: time.Minute, AtOnce: 1}, []string{"m-0"}, false, g.now)
+	g.keeper = keeper
+	g.keeper.Standby([]string{"spare"})
+	g.pass(time.Millisecond)
+	assert.Equal(t, len(g.next().Begins), 0, "m-0 may be down still")
+	g.pass(upkeep + time.Second)
+	assert.Equal(t, g.next().Begins[0].Machine, "m-1")
+}
+
+func TestPressedPoolsAreLeftAloneUntilTheWaveIsLate(t *testing.T) {
+	g := newRig("p", 4, 2)
+	pressed := func(string) bool { return true }
+	assert.Equal(t, len(g.keeper.Next(g.now, never, pressed).Asks), 0)
+	g.pass(20 * time.Second)
+	asks := g.keeper.Next(g.now, never, pressed).Asks
+	assert.Assert(t, len(asks) > 0)
+	assert.Assert(t, asks[0].Force)
+}
