--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -63,6 +63,9 @@
 	orderTimeout = 300 * time.Millisecond
 	// machineTimeout bounds a call to the machine service.
 	machineTimeout = 1500 * time.Millisecond
+	// adviceTimeout bounds a question to the advice service, which may have up to
+	// thirty-two others before it.
+	adviceTimeout = 3 * time.Second
 	// stopMargin is kept between the end of serving and the platform's kill.
 	stopMargin = 1500 * time.Millisecond
 	// closeWait bounds the wait for calls in flight at the very end.
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -123,8 +123,8 @@
 func (n *Node) own(ctx context.Context, pool string, h *held) {
 	o := owner.New(ctx, owner.Config{
 		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers,
-		Grace: grantGrace, Hold: min(holdSpan, n.conf.Longest),
-		Store: n.conf.Store, Workers: n.conf.Workers, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
+		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
+		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count,
 	})
 	o.OnStuck(stuckAfter, func() { n.leave(ctx, o) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	Store    gauge.Parted
 	Workers  gauge.Workers
 	Machines gauge.Machines // nil: the platform has no machine service
+	Adviser  gauge.Adviser  // nil: the platform has no advice service
 	Words    gauge.Words
 	Mesh     *mesh.Node
 	Logs     logr.Logger
@@ -38,6 +39,7 @@
 	TurnGap  time.Duration // two entries may not order one machine within this
 	Upkeep   time.Duration // length of a machine's upkeep
 	Migrate  time.Duration // length of a machine's move
+	Keep     time.Duration // how long an ended job can be asked for
 }
 
 const (
@@ -71,7 +73,10 @@
 	// the list when it takes one.
 	idlePause = 600 * time.Millisecond
 	// retryPause is the time between two tries to tell an owner of a job.
-	retryPause  = 250 * time.Millisecond
+	retryPause = 250 * time.Millisecond
+	// keepFactor: rows of ended jobs are kept for so many times as long as they
+	// have to be told, beyond any late repeat of a hand-in.
+	keepFactor  = 3
 	noticeTries = 4
 	noticeWait  = time.Second
 	// cancelWait bounds the try to tell of a cancel that its caller waits for.
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -202,3 +202,59 @@
 	o.core.Adopt(r.Key, queue, spec, row, r.Version, o.arrival(row, now), now, inherited)
 	return true
 }
+
+const (
+	// sweepEvery is how often rows of jobs that ended long ago are dropped.
+	sweepEvery = time.Minute
+	// sweepRows go at most into one transaction.
+	sweepRows = 50
+)
+
+// sweepLoop drops the rows of jobs that ended so long ago that nobody may ask for
+// them any more. Without it the table would fill.
+func (o *Owner) sweepLoop() {
+	for {
+		o.rest(nil, sweepEvery)
+		if o.ctx.Err() != nil {
+			return
+		}
+		queues, err := o.queues()
+		if err != nil {
+			o.conf.Logs.Info("sweep failed", "pool", o.conf.Pool, "error", err.Error())
+			continue
+		}
+		for _, queue := range queues {
+			if err := o.sweep(queue); err != nil {
+				o.conf.Logs.Info("sweep failed", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
+			}
+		}
+	}
+}
+
+func (o *Owner) sweep(queue string) error {
+	rows, _, err := o.conf.Store.Range(o.ctx, gauge.TableJobs, queue, "", "")
+	if err != nil {
+		return err
+	}
+	before := o.conf.Clock() - o.conf.Keep.Milliseconds()
+	var txn gauge.PartTxn
+	for _, r := range rows {
+		row, err := gauge.DecodeJobRow(r.Value)
+		if err != nil || row.Pool != o.conf.Pool || row.Ended == 0 || row.Ended > before {
+			continue
+		}
+		txn.Checks = append(txn.Checks, gauge.RowCheck{RowKey: r.RowKey, Version: r.Version})
+		txn.Drops = append(txn.Drops, r.RowKey)
+		if len(txn.Drops) == sweepRows {
+			break
+		}
+	}
+	if len(txn.Drops) == 0 {
+		return nil
+	}
+	_, _, err = o.conf.Store.Commit(o.ctx, txn)
+	if err == nil {
+		o.conf.Logs.Info("old jobs dropped", "pool", o.conf.Pool, "queue", queue, "jobs", len(txn.Drops))
+	}
+	return err
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -26,10 +26,12 @@
 	Earlier []string // workers of the owner before
 
 	Grace time.Duration // how long orders and holds may reach beyond the lease's end
+	Keep  time.Duration // how long an ended job's state is told
 	Hold  time.Duration // how far a hold extends a worker's lease
 
 	Store   gauge.Parted
 	Workers gauge.Workers
+	Adviser gauge.Adviser // nil: there is no advice service
 	Logs    logr.Logger
 	Now     func() time.Duration
 	Wall    func() time.Time
@@ -96,6 +98,8 @@
 	doubtMargin = 200 * time.Millisecond
 	// holdAgain is the pause after a hold that failed.
 	holdAgain = 200 * time.Millisecond
+	// adviseAgain is the pause after a question to the advice service that failed.
+	adviseAgain = 200 * time.Millisecond
 	// ackWait bounds how long a hold waits for the ends before to be written.
 	ackWait = 400 * time.Millisecond
 	// batchJobs jobs at most go into a transaction of at most 100 entries: two
@@ -135,6 +139,7 @@
 	o.group.Go(o.writeLoop)
 	o.group.Go(o.tickLoop)
 	o.group.Go(o.scanLoop)
+	o.group.Go(o.sweepLoop)
 	o.group.Wait()
 }
 
@@ -331,6 +336,10 @@
 // again: a process that was paused may wake up here.
 func (o *Owner) send(order sched.Order) {
 	began := o.conf.Now()
+	if order.Kind == sched.OrderAdvise {
+		o.advise(order, began)
+		return
+	}
 	clock, err := o.order(order, began)
 	now := o.conf.Now()
 	o.conf.Count(string(order.Kind), now-began)
@@ -361,6 +370,20 @@
 	}
 }
 
+// advise asks the advice service.
+func (o *Owner) advise(order sched.Order, asked time.Duration) {
+	var tickets []gauge.Ticket
+	var valid time.Duration
+	var err error = gauge.Fail(gauge.KindOutage, "there is no advice service")
+	if o.conf.Adviser != nil {
+		tickets, valid, err = o.conf.Adviser.Advise(o.ctx, order.Step, order.About)
+	}
+	if err != nil {
+		o.rest(nil, adviseAgain)
+	}
+	o.act(func(time.Duration) { o.core.Advised(order, tickets, valid, err, asked) })
+}
+
 // look asks a worker what runs there, without waiting for an end.
 func (o *Owner) look(order sched.Order) error {
 	rep, err := o.conf.Workers.Hold(o.ctx, &order.Worker, order.Look)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -41,6 +41,8 @@
 	tasks []*task
 	left  int // tasks that are not done
 	idle  int // of these, tasks without a run
+
+	advised advised
 }
 
 // task is one task; it may have several runs that are not known to be over.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -40,13 +40,14 @@
 }
 
 // place picks the worker for one task of a stage; nil if none has room. On counts
-// the stage's runs by worker; taken is what is set aside in the same round.
-func (r *rooms) place(st *stage, on map[*worker]int, taken map[*worker]gauge.Resources) *worker {
+// the stage's runs by worker; taken is what is set aside in the same round; allowed
+// tells on which workers the stage may run.
+func (r *rooms) place(st *stage, on map[*worker]int, taken map[*worker]gauge.Resources, allowed func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
 	need := st.spec.Room()
 	for _, w := range r.workers {
-		if !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) {
+		if !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) || !allowed(w) {
 			continue
 		}
 		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker {
@@ -59,6 +60,17 @@
 	return best
 }
 
+// allows tells on which workers the turn's stage may run, as far as its queue's
+// advice goes.
+func (t *turn) allows(now time.Duration) func(*worker) bool {
+	return func(w *worker) bool {
+		_, ok := t.ticketFor(w, now)
+		return ok
+	}
+}
+
+func anyWorker(*worker) bool { return true }
+
 // perWorker counts the stage's runs by worker.
 func (st *stage) perWorker() map[*worker]int {
 	on := make(map[*worker]int)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -77,7 +77,7 @@
 	if !st.Lasts {
 		return st.Checkpoints || w.force
 	}
-	to := room.place(r.task.stage, r.task.stage.perWorker(), room.promised)
+	to := room.place(r.task.stage, r.task.stage.perWorker(), room.promised, anyWorker)
 	if to == nil {
 		return false
 	}
@@ -120,6 +120,8 @@
 	occ   *occurrence
 	stage *stage
 	rank  rank
+	// advice of its queue, nil if it has none
+	advice *gauge.Advice
 }
 
 // rank orders turns: the lower one starts first.
@@ -173,7 +175,7 @@
 		for _, o := range j.occs {
 			for _, st := range o.steps {
 				if st.idle > 0 && o.ready(st) {
-					turns = append(turns, turn{job: j, occ: o, stage: st, rank: p.rank(j, o, st, now)})
+					turns = append(turns, turn{job: j, occ: o, stage: st, rank: p.rank(j, o, st, now), advice: p.advice(j)})
 				}
 			}
 		}
@@ -181,6 +183,14 @@
 	return turns
 }
 
+// advice is the policy of a job's queue, nil if it has none.
+func (p *Pool) advice(j *job) *gauge.Advice {
+	if q := p.site.QueueByName(j.queue); q != nil {
+		return q.Advice
+	}
+	return nil
+}
+
 // defaultStretch is used for a queue that the configuration no longer has.
 const defaultStretch = 2
 
@@ -219,11 +229,12 @@
 		if k.done || len(k.runs) > 0 || p.unknownYet(k) {
 			continue
 		}
-		w := room.place(t.stage, on, nil)
+		w := room.place(t.stage, on, nil, t.allows(now))
 		if w == nil {
+			p.ask(&t, room, now)
 			break // none of the others fits either
 		}
-		p.start(k, w, k.lastRun+1, now)
+		p.start(&t, k, w, k.lastRun+1, now)
 		on[w]++
 	}
 	room.measure()
@@ -245,8 +256,9 @@
 	on := t.stage.perWorker()
 	var places []*worker
 	for range t.stage.tasks {
-		w := room.place(t.stage, on, taken)
+		w := room.place(t.stage, on, taken, t.allows(now))
 		if w == nil {
+			p.ask(&t, room, now)
 			return
 		}
 		on[w]++
@@ -254,7 +266,7 @@
 		places = append(places, w)
 	}
 	for i, k := range t.stage.tasks {
-		p.start(k, places[i], number+1, now)
+		p.start(&t, k, places[i], number+1, now)
 	}
 	room.measure()
 }
@@ -265,11 +277,12 @@
 // fullSpeed is the percentage that a run starts with.
 const fullSpeed = 100
 
-func (p *Pool) start(t *task, w *worker, number int, now time.Duration) {
+func (p *Pool) start(of *turn, t *task, w *worker, number int, now time.Duration) {
 	until := w.grant(now, min(p.conf.Start, p.limit-now))
 	if until == 0 {
 		return
 	}
+	text, _ := of.ticketFor(w, now)
 	t.lastRun = number
 	r := &run{
 		task: t, worker: w, number: number, phase: phaseSent, room: t.stage.spec.Room(),
@@ -289,7 +302,7 @@
 	p.orders = append(p.orders, Order{
 		Kind: OrderStart, Worker: w.info, run: r,
 		Start: gauge.StartCall{
-			Fence: p.conf.Fence, Task: t.id, Run: number, Payload: t.job.spec.Payload, Until: until, Saved: t.saved,
+			Fence: p.conf.Fence, Task: t.id, Run: number, Payload: t.job.spec.Payload, Until: until, Saved: t.saved, Ticket: text,
 		},
 	})
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -281,6 +281,10 @@
 		p.end(r, now)
 	case gauge.KindOutage, gauge.KindLate, gauge.KindReplaced:
 		p.end(r, now)
+	case gauge.KindTicket:
+		delete(r.task.stage.advised.tickets, r.worker.info.ID)
+		delete(r.task.stage.advised.asked, r.worker.info.ID)
+		p.end(r, now)
 	default:
 		p.end(r, now)
 		r.worker.rest = now + restAfterRefusal
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -55,6 +55,8 @@
 	OrderStop  OrderKind = "stop"
 	OrderPace  OrderKind = "pace"
 	OrderLook  OrderKind = "look" // what runs there now?
+	// OrderAdvise asks the advice service. Its outcome is to be told by Advised.
+	OrderAdvise OrderKind = "advise"
 )
 
 // Order is one call to a worker. Its outcome is to be told by Answered.
@@ -65,6 +67,10 @@
 	Stop   gauge.StopCall
 	Pace   gauge.PaceCall
 	Look   gauge.HoldCall
+	Step   string   // asked about
+	About  []string // workers
+	stage  *stage
+	valid  time.Duration
 	run    *run
 }
 
--- a/jobspec.go
+++ b/jobspec.go
@@ -140,6 +140,11 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// StepName is the form in which the advice service knows the task's step.
+func (t TaskID) StepName() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
 // ParseTaskID reads what String wrote.
 func ParseTaskID(text string) (TaskID, error) {
 	parts := strings.Split(text, ".")
--- a/machine.go
+++ b/machine.go
@@ -1,6 +1,9 @@
 package sapphiregauge
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // MachineState is what a machine does, as the platform lists it.
 type MachineState string
@@ -43,3 +46,16 @@
 	Move(ctx context.Context, d Duty, machine, pool string) error
 	Upkeep(ctx context.Context, d Duty, machine string, wave int64) error
 }
+
+// Ticket allows the tasks of one step on one worker, for that worker's life.
+type Ticket struct {
+	Worker string
+	Text   string
+}
+
+// Adviser is the service that knows which workers may run a step of a queue with
+// Advice. It takes one question at a time from each entry. Valid is how long the
+// tickets hold, 0 if it doesn't say.
+type Adviser interface {
+	Advise(ctx context.Context, step string, workers []string) (tickets []Ticket, valid time.Duration, err error)
+}
