Let machines that nobody ordered lately move at once after a handover

Change: the holder before tells machine by machine what it has ordered lately; only these wait. Entries that can't see the leases claim none. Ruled out: a shorter bound (it is the users').

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -35,6 +35,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.conf.Now()-n.leases > leasesOld && len(n.board.Pools()) > 0 {
+		return nil // this entry can't see who renews; it would claim in vain
+	}
 	pools := n.board.Pools()
 	if n.conf.Machines != nil {
 		pools = append(pools, fleetPool)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,6 +11,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/sizing"
+	"sapphiregauge/internal/turns"
 	"sapphiregauge/internal/waves"
 )
 
@@ -57,7 +57,7 @@
 	keeper  *waves.Keeper
 	sizer   *sizing.Sizer
 	from    time.Duration // no machine is ordered before this
-	ordered atomic.Int64  // when a machine was last ordered, the table's clock in milliseconds
+	turns   *turns.Turns
 	renewed time.Duration
 	offered time.Duration // when the lease was last offered
 	listed  time.Duration
@@ -72,6 +72,7 @@
 			Upkeep: n.conf.Upkeep, Logs: n.conf.Logs,
 		}),
 		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
+		turns:   turns.New(n.conf.TurnGap+grantMargin, h.before.Ordered, n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(),
 	}
 	f.from = n.conf.Now() + firstWait
@@ -92,30 +93,27 @@
 	n.conf.Logs.Info("fleet left", "fence", h.fence)
 }
 
-// turnFrom is when this holder may order its first machine: the bound between
-// two holders after the last order of the one before. If that one gave the lease
-// up, its row says when that was. If its lease ran out, it ordered for orderSpan
-// after its last renewal at the most, and the row was seen unchanged for the
-// lease's term since.
+// turnFrom is when this holder may order its first machine. If the one before gave
+// the lease up or offered it, it told which machines it had ordered, and only those
+// wait. If its lease ran out it may have ordered any for orderSpan after its last
+// renewal, and the row was seen unchanged for the lease's term since.
 func (n *Node) turnFrom(h *held) time.Duration {
 	now := n.conf.Now()
-	if h.before.Holder != "" {
-		return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-leaseTerm)
-	}
-	if h.before.Ordered == 0 {
+	if h.before.Holder == "" {
 		return now
 	}
-	since := time.Duration(n.clock()-h.before.Ordered) * time.Millisecond
-	return now + max(0, n.conf.TurnGap+grantMargin-since)
+	return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-leaseTerm)
 }
 
-// mayOrder tells whether machines may be ordered now: the lease was renewed
-// lately.
-func (f *fleet) mayOrder() bool {
-	if f.node.conf.Now() >= f.held.lease.Until()-leaseTerm+orderSpan {
+// mayOrder tells whether a machine may be ordered now: the lease was renewed
+// lately, and the holder before has not just ordered that machine. A yes is noted
+// for the successor.
+func (f *fleet) mayOrder(machine string) bool {
+	now := f.node.conf.Now()
+	if now >= f.held.lease.Until()-leaseTerm+orderSpan || f.turns.Waits(machine, now) {
 		return false
 	}
-	f.ordered.Store(f.node.clock())
+	f.turns.Ordered(machine, f.node.clock())
 	return true
 }
 
@@ -123,7 +121,7 @@
 // renewals may fail. The shorter, the sooner a successor may begin.
 const orderSpan = 1200 * time.Millisecond
 
-func (f *fleet) row() gauge.LeaseRow { return gauge.LeaseRow{Ordered: f.ordered.Load()} }
+func (f *fleet) row() gauge.LeaseRow { return gauge.LeaseRow{Ordered: f.turns.Lately(f.node.clock())} }
 
 // leave has another entry take the fleet over when writes fail here; true: it
 // was offered.
@@ -139,7 +137,7 @@
 	}
 	f.held.lease.Lose()
 	f.node.conf.Logs.Info("fleet left", "fence", f.held.fence, "reason", "writes fail here")
-	f.node.offer(ctx, to, offerCall{Pool: fleetPool, Holder: f.node.holder, Ordered: f.ordered.Load()})
+	f.node.offer(ctx, to, offerCall{Pool: fleetPool, Holder: f.node.holder, Ordered: f.turns.Lately(f.node.clock())})
 	return true
 }
 
@@ -166,7 +164,7 @@
 	if f.node.conf.Now() < f.from {
 		return
 	}
-	steps := f.keeper.Next(f.node.conf.Now(), f.sizer.Moving, f.sizer.Pressed)
+	steps := f.keeper.Next(f.node.conf.Now(), f.occupied, f.sizer.Pressed)
 	f.ask(ctx, steps.Asks)
 	f.begin(ctx, steps.Begins)
 	for _, number := range steps.Complete {
@@ -175,6 +173,11 @@
 	f.resize(ctx)
 }
 
+// occupied tells whether a wave should leave a machine alone for now.
+func (f *fleet) occupied(machine string) bool {
+	return f.sizer.Moving(machine) || f.turns.Waits(machine, f.node.conf.Now())
+}
+
 // commit writes on condition that the fleet's lease is still this entry's.
 func (f *fleet) commit(ctx context.Context, txn gauge.PartTxn) bool {
 	sent := f.node.conf.Now()
@@ -276,7 +279,7 @@
 	var group conc.WaitGroup
 	for i, b := range begins {
 		group.Go(func() {
-			if !f.mayOrder() {
+			if !f.mayOrder(b.Machine) {
 				results[i] = gauge.Fail(gauge.KindOutage, "the lease is over")
 				return
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,9 @@
 	// leasePause is the time between two looks at the leases, which change with
 	// every write of an owner.
 	leasePause = 300 * time.Millisecond
+	// leasesOld: with leases that were seen so long ago nothing is claimed. Each
+	// owner renews several times a second.
+	leasesOld = 1500 * time.Millisecond
 	// workerPause is the time between two looks at the list of workers at an entry
 	// that holds a lease: a new worker is used so much later, on average half of it.
 	workerPause = 150 * time.Millisecond
@@ -96,6 +99,7 @@
 
 	mu      sync.Mutex
 	board   *terms.Board
+	leases  time.Duration // when the leases were last read
 	owners  map[string]*owner.Owner
 	busy    map[string]bool // pools that are being claimed
 	workers map[string]gauge.Worker
@@ -136,9 +140,13 @@
 func (n *Node) Run(ctx context.Context) {
 	n.ctx.Store(&ctx)
 	n.going.Store(true)
-	n.group.Go(func() { n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, always(0), n.toldOperator) })
-	n.group.Go(func() { n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, n.workerPause, n.toldWorkers) })
-	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.toldLeases) })
+	n.group.Go(func() {
+		n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, always(0), n.stamp, n.toldOperator)
+	})
+	n.group.Go(func() {
+		n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, n.workerPause, n.stamp, n.toldWorkers)
+	})
+	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
 	n.group.Wait()
 }
@@ -170,10 +178,12 @@
 // context is that of the running entry.
 func (n *Node) context() context.Context { return *n.ctx.Load() }
 
-func (n *Node) follow(ctx context.Context, table string, parted bool, wait time.Duration, pause func() time.Duration, tell func([]gauge.PartRow, bool)) {
+func (n *Node) follow(ctx context.Context, table string, parted bool, wait time.Duration, pause func() time.Duration,
+	stamp func(gauge.Stamp, time.Duration), tell func([]gauge.PartRow, bool),
+) {
 	watch.New(watch.Config{
 		Name: table, Parted: parted, Store: n.conf.Store, Wait: wait, Pause: pause, Logs: n.conf.Logs, Now: n.conf.Now,
-		Tell: tell, Stamp: n.stamp,
+		Tell: tell, Stamp: stamp,
 	}).Run(ctx)
 }
 
@@ -200,6 +210,14 @@
 	}
 }
 
+// sawLeases notes that the leases were read, changed or not.
+func (n *Node) sawLeases(s gauge.Stamp, sent time.Duration) {
+	n.stamp(s, sent)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leases = n.conf.Now()
+}
+
 // stampWithin: a reading from an answer that took longer is not used.
 const stampWithin = 100 * time.Millisecond
 
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -32,9 +32,9 @@
 
 // offerCall offers a lease whose row names this holder.
 type offerCall struct {
-	Pool    string `msgpack:"p"`
-	Holder  string `msgpack:"h"`
-	Ordered int64  `msgpack:"o"` // when the fleet's holder last ordered a machine
+	Pool    string           `msgpack:"p"`
+	Holder  string           `msgpack:"h"`
+	Ordered map[string]int64 `msgpack:"o"` // machines that the fleet's holder ordered lately
 }
 
 type offerAnswer struct {
@@ -126,6 +126,8 @@
 		return terms.Claim{}, false
 	}
 	row.Holder = "" // it has stopped: nothing has to be waited for
-	row.Ordered = max(row.Ordered, c.Ordered)
+	if c.Ordered != nil {
+		row.Ordered = c.Ordered // it may have ordered more since it wrote the row
+	}
 	return terms.Claim{Pool: c.Pool, Version: rows[0].Version, Row: *row}, true
 }
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -37,7 +37,9 @@
 
 // resize moves machines between pools.
 func (f *fleet) resize(ctx context.Context) {
-	moves := f.sizer.Next(f.node.conf.Now(), f.keeper.Takes, f.keeper.Waits)
+	now := f.node.conf.Now()
+	taken := func(machine string) bool { return f.keeper.Takes(machine) || f.turns.Waits(machine, now) }
+	moves := f.sizer.Next(now, taken, f.keeper.Waits)
 	var mu sync.Mutex
 	var group conc.WaitGroup
 	for _, m := range moves {
@@ -68,7 +70,7 @@
 
 // order moves one machine, while the lease surely lasts.
 func (f *fleet) order(ctx context.Context, m sizing.Move) error {
-	if !f.mayOrder() {
+	if !f.mayOrder(m.Machine) {
 		return gauge.Fail(gauge.KindOutage, "the lease is over")
 	}
 	err := f.node.conf.Machines.Move(ctx, gauge.Duty{Holder: f.node.conf.Name, Fence: f.held.fence}, m.Machine, m.To)
--- a/leaserow.go
+++ b/leaserow.go
@@ -6,13 +6,13 @@
 // transaction, which renews the lease; another entry may take it when it hasn't
 // changed for the lease's term.
 type LeaseRow struct {
-	Holder  string         `msgpack:"h"` // name of the entry and its start; empty: given up
-	Addr    string         `msgpack:"a"` // for calls from other entries
-	Term    int            `msgpack:"t"` // owners before this one
-	Workers []string       `msgpack:"w"` // that may have orders of this owner or, unheard, of an earlier one
-	Depths  map[string]int `msgpack:"d"` // by queue: jobs without a task started
-	Renewed int64          `msgpack:"n"` // when this was sent, the table's clock in milliseconds, up to 0.1 s early
-	Ordered int64          `msgpack:"o"` // the fleet's: when a machine was last ordered, the table's clock in milliseconds
+	Holder  string           `msgpack:"h"`           // name of the entry and its start; empty: given up
+	Addr    string           `msgpack:"a"`           // for calls from other entries
+	Term    int              `msgpack:"t"`           // owners before this one
+	Workers []string         `msgpack:"w"`           // that may have orders of this owner or, unheard, of an earlier one
+	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started
+	Renewed int64            `msgpack:"n"`           // when this was sent, the table's clock in milliseconds, up to 0.1 s early
+	Ordered map[string]int64 `msgpack:"o,omitempty"` // the fleet's: machines that were ordered lately, and when by the table's clock in milliseconds
 }
 
 // Encode packs the row.
