--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -48,6 +48,7 @@
 	came     map[string]arrivals
 	logged   map[string]int
 	later    func(machine string) bool
+	index    index
 }
 
 type load struct {
@@ -62,6 +63,33 @@
 	below time.Duration
 }
 
+// index is the machines by pool, worked out once a round: at thousands of machines
+// each look at all of them counts.
+type index struct {
+	machines map[string][]gauge.Machine // by the pool that has them
+	cores    map[string]float64         // in all
+	has      map[string]int             // that stay, or are on their way there
+	supply   int                        // that can serve
+}
+
+func (s *Sizer) work() index {
+	x := index{machines: make(map[string][]gauge.Machine), cores: make(map[string]float64), has: make(map[string]int)}
+	for id, m := range s.machines {
+		x.machines[m.Pool] = append(x.machines[m.Pool], m)
+		x.cores[m.Pool] += float64(m.Capacity.MilliCPU) / 1000
+		if m.State == gauge.MachineDown {
+			continue
+		}
+		x.supply++
+		to := m.Pool
+		if v := s.moves[id]; v != nil {
+			to = v.To
+		}
+		x.has[to]++
+	}
+	return x
+}
+
 // New makes a Sizer.
 func New(c Config) *Sizer {
 	return &Sizer{
@@ -163,6 +191,7 @@
 	if len(s.machines) == 0 {
 		return nil
 	}
+	s.index = s.work()
 	pools := s.pools()
 	s.want(pools, now)
 	s.choose(pools, now, taken)
@@ -201,7 +230,7 @@
 	for _, pool := range pools {
 		needs[pool] = s.need(pool, now)
 	}
-	counts := share(needs, pools, s.supply())
+	counts := share(needs, pools, s.index.supply)
 	for _, pool := range pools {
 		w := s.wanted[pool]
 		w.count = counts[pool]
@@ -244,49 +273,20 @@
 
 func ceil(f float64) int { return int(math.Ceil(f)) }
 
-// supply counts the machines that can serve.
-func (s *Sizer) supply() int {
-	n := 0
-	for _, m := range s.machines {
-		if m.State != gauge.MachineDown {
-			n++
-		}
-	}
-	return n
-}
-
 // defaultCores is used for a pool without machines.
 const defaultCores = 16
 
 // cores is what one machine of a pool has, on average.
 func (s *Sizer) cores(pool string) float64 {
-	sum, n := 0.0, 0
-	for _, m := range s.machines {
-		if m.Pool == pool && m.Capacity.MilliCPU > 0 {
-			sum += float64(m.Capacity.MilliCPU) / 1000
-			n++
-		}
-	}
-	if n == 0 {
+	n, sum := len(s.index.machines[pool]), s.index.cores[pool]
+	if n == 0 || sum == 0 {
 		return defaultCores
 	}
 	return sum / float64(n)
 }
 
 // has counts the machines of a pool that stay there or are on their way to it.
-func (s *Sizer) has(pool string) int {
-	n := 0
-	for id, m := range s.machines {
-		to := m.Pool
-		if v := s.moves[id]; v != nil {
-			to = v.To
-		}
-		if to == pool && m.State != gauge.MachineDown {
-			n++
-		}
-	}
-	return n
-}
+func (s *Sizer) has(pool string) int { return s.index.has[pool] }
 
 // choose picks machines for pools that want more, from standby and then from
 // pools with too many, and sends what nobody wants to standby.
@@ -327,6 +327,8 @@
 
 func (s *Sizer) move(m gauge.Machine, to string, now time.Duration) {
 	standby := slices.Contains(s.standby, m.Pool)
+	s.index.has[m.Pool]--
+	s.index.has[to]++
 	s.moves[m.ID] = &Move{Machine: m.ID, From: m.Pool, To: to, Worker: m.Worker, Empty: standby, chosen: now}
 	s.conf.Logs.Info("move chosen", "machine", m.ID, "from", m.Pool, "to", to)
 }
@@ -346,6 +348,8 @@
 	if best == nil {
 		return false
 	}
+	s.index.has[best.To]--
+	s.index.has[pool]++
 	best.To = pool
 	s.conf.Logs.Info("move redirected", "machine", best.Machine, "from", best.From, "to", pool)
 	return true
@@ -381,8 +385,8 @@
 	}
 	var best gauge.Machine
 	found := false
-	for id, m := range s.machines {
-		if m.Pool != pool || m.State != gauge.MachineUp || s.moves[id] != nil || taken(id) {
+	for _, m := range s.index.machines[pool] {
+		if m.State != gauge.MachineUp || s.moves[m.ID] != nil || taken(m.ID) {
 			continue
 		}
 		w := runs[m.Worker]
