--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -30,7 +30,7 @@
 	p.mesh = mesh.New(mesh.Config{})
 	p.node = node.New(node.Config{
 		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: p.table, Workers: p.workers, Machines: machines, Adviser: adviser,
-		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call,
+		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call, Event: p.meter.Event,
 		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate, Keep: s.KeepStatus,
 	})
 	p.front = platform.NewFront(platform.FrontConfig{Jobs: p.node.Jobs(), Site: p.node.Site, Ready: p.node.Ready})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Store gauge.Parted
 	Logs  logr.Logger
+	Event func(event string)               // counts outcomes of hand-ins
 	Now   func() time.Duration             // steady clock
 	Clock func() int64                     // the table's clock in milliseconds, about
 	Depth func(q *gauge.Queue) (int, bool) // as the pool's owner last told
@@ -81,13 +82,16 @@
 	took := n.conf.Now() - began
 	switch {
 	case gauge.Is(o.err, gauge.KindExpired):
+		n.conf.Event("job unsettled")
 		n.log("job unsettled", q, id, o.err)
 	case o.err != nil:
+		n.conf.Event("job refused")
 		n.log("job refused", q, id, o.err)
 	case o.known:
 		n.conf.Logs.Info("job known", "job", id, "queue", q.Name, "version", o.version, "unsure", p.unsure, "took", took)
 		n.tellUnsure(q, p, j, o)
 	default:
+		n.conf.Event("job accepted")
 		n.conf.Logs.Info("job accepted", "job", id, "queue", q.Name, "pool", q.Pool, "version", o.version, "took", took)
 		n.conf.Tell(Notice{Pool: q.Pool, Queue: q.Name, ID: id, Spec: j, Row: row, Version: o.version})
 	}
@@ -208,6 +212,7 @@
 		}
 		stamp, err := n.drop(ctx, q, id, row, version)
 		if err == nil {
+			n.conf.Event("job cancelled")
 			n.conf.Logs.Info("job cancelled", "job", id, "queue", q.Name, "pool", row.Pool, "version", stamp.Version)
 			n.conf.Tell(Notice{Pool: row.Pool, Queue: q.Name, ID: id, Cancelled: true, Version: stamp.Version})
 			return nil
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -102,7 +102,7 @@
 func newRig(t *table, c *clock) *rig {
 	g := &rig{}
 	g.intake = intake.New(intake.Config{
-		Store: t, Logs: logr.Discard(), Now: c.Now, Clock: func() int64 { return 1 },
+		Store: t, Logs: logr.Discard(), Event: func(string) {}, Now: c.Now, Clock: func() int64 { return 1 },
 		Depth: func(*gauge.Queue) (int, bool) { return 0, true },
 		Busy:  func(*gauge.Queue) error { return nil },
 		Ask:   func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -23,6 +23,7 @@
 	moves    *prometheus.CounterVec
 	values   *prometheus.GaugeVec
 	calls    *prometheus.HistogramVec
+	events   *prometheus.CounterVec
 }
 
 const prefix = "sapphiregauge_"
@@ -55,8 +56,11 @@
 		Name: prefix + "call_seconds", Help: "Calls to the table and to workers, by what was asked.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
 	}, []string{"call"})
+	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: prefix + "events_total", Help: "What happened to jobs, runs, workers and leases, by event.",
+	}, []string{"event"})
 	m.Registry.MustRegister(
-		m.calls,
+		m.calls, m.events,
 		m.requests, m.seconds, m.attempts, m.ejected, m.moves, m.values,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -92,6 +96,9 @@
 	m.calls.WithLabelValues(call).Observe(took.Seconds())
 }
 
+// Event counts something that happened.
+func (m *Meter) Event(event string) { m.events.WithLabelValues(event).Inc() }
+
 // Set notes how much of something there is now.
 func (m *Meter) Set(pool, what string, value float64) {
 	m.values.WithLabelValues(pool, what).Set(value)
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -113,6 +113,7 @@
 	n.mu.Lock()
 	n.board.Tell(c.Pool, row, stamp.Version, n.conf.Now(), 0)
 	n.mu.Unlock()
+	n.conf.Event("lease taken")
 	n.conf.Logs.Info("lease taken", "pool", c.Pool, "fence", stamp.Version, "term", term, "before", c.Row.Holder,
 		"workers", len(c.Row.Workers), "seen", c.Version)
 	lease := tenure.New(tenure.Config{
@@ -128,7 +129,7 @@
 		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers,
 		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
-		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count,
+		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event,
 	})
 	o.OnStuck(stuckAfter, func() { n.leave(ctx, o) })
 	n.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,11 +35,12 @@
 	Now      func() time.Duration // steady clock
 	Wall     func() time.Time
 	Count    func(event string, took time.Duration)
-	Longest  time.Duration // longest lease that a worker takes
-	TurnGap  time.Duration // two entries may not order one machine within this
-	Upkeep   time.Duration // length of a machine's upkeep
-	Migrate  time.Duration // length of a machine's move
-	Keep     time.Duration // how long an ended job can be asked for
+	Event    func(event string) // counts what an operator should see
+	Longest  time.Duration      // longest lease that a worker takes
+	TurnGap  time.Duration      // two entries may not order one machine within this
+	Upkeep   time.Duration      // length of a machine's upkeep
+	Migrate  time.Duration      // length of a machine's move
+	Keep     time.Duration      // how long an ended job can be asked for
 }
 
 const (
@@ -115,7 +116,7 @@
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld})
 	n.intake = intake.New(intake.Config{
-		Store: c.Store, Logs: c.Logs, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal, Ask: n.ask,
+		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal, Ask: n.ask,
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
@@ -253,6 +254,7 @@
 		return
 	}
 	n.site.Store(site)
+	n.conf.Event("configuration in force")
 	n.conf.Logs.Info("configuration in force", "version", site.Version, "queues", len(site.Queues), "pools", len(site.Pools))
 	n.mu.Lock()
 	owners := n.ownersLocked()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,6 +40,7 @@
 	Stamp   func(s gauge.Stamp, sent time.Duration) // told of every reading of the table's clock
 	Clock   func() int64                            // the table's clock in milliseconds, about
 	Count   func(event string, took time.Duration)
+	Event   func(event string) // counts what an operator should see
 }
 
 // Owner runs one pool.
@@ -118,7 +119,7 @@
 		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
-			Logs: c.Logs, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
+			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
 		}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -172,6 +173,7 @@
 		return
 	}
 	o.conf.Lease.Lose()
+	o.conf.Event("lease lost")
 	o.conf.Logs.Info("lease lost", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
 }
 
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -68,6 +68,7 @@
 		}
 		if !there[r] && r.overBy(rep.Clock) {
 			if r.phase == phaseLive {
+				p.conf.Count(EventVanished)
 				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID)
 			}
 			p.end(r, now)
@@ -111,6 +112,7 @@
 	t.attach(r)
 	w.add(r)
 	if surplus {
+		p.conf.Count(EventSurplus)
 		p.halt(r)
 	}
 	j.begun = true
@@ -120,6 +122,7 @@
 // stopOdd ends a run of a job that is not open: it was cancelled or has failed,
 // and a start of an earlier owner was carried out late.
 func (p *Pool) stopOdd(w *worker, rr gauge.RunReport) {
+	p.conf.Count(EventOdd)
 	p.conf.Logs.Info("run of no open job", "job", rr.Task.Job, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID)
 	p.orders = append(p.orders, Order{
 		Kind: OrderStop, Worker: w.info,
@@ -144,6 +147,7 @@
 		took = now - r.sent
 		p.end(r, now)
 	}
+	p.conf.Count("run " + string(e.How))
 	p.conf.Logs.Info("run ended", "job", j.id, "task", e.Task.String(), "run", e.Run, "worker", w.info.ID,
 		"end", e.How, "number", e.Number, "known", r != nil, "took", took)
 	if e.Saved != "" && t.stage.spec.Checkpoints && !t.done {
@@ -187,6 +191,7 @@
 		p.halt(r)
 	}
 	if j.row.State == gauge.JobCompleted {
+		p.conf.Count(EventDone)
 		p.conf.Logs.Info("job completed", "job", j.id, "pool", p.conf.Name)
 	}
 }
@@ -203,6 +208,7 @@
 	j.row.Failures[t.key()] = append(j.row.Failures[t.key()], number)
 	j.touch(false)
 	if t.failures() >= p.attempts(j) {
+		p.conf.Count(EventFailed)
 		p.conf.Logs.Info("job failed", "job", j.id, "task", t.id.String(), "failures", t.failures(), "bound", p.attempts(j))
 		j.fail()
 		p.haltJob(j)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -24,6 +24,7 @@
 	Start time.Duration // a start that arrives later than this is refused
 	Wait  time.Duration // how long a worker may keep a hold waiting
 	Logs  logr.Logger
+	Count func(event string) // counts what an operator should see; nil: nobody counts
 
 	// Earlier are the workers that the owner before this one may have given
 	// orders to, and Doubt is when everything has surely ended that it ordered.
@@ -74,8 +75,22 @@
 	run    *run
 }
 
+// Events that are counted, beside the ends of runs by how they came. The first
+// three are signs of a promise in danger.
+const (
+	EventSurplus  = "surplus run"      // a task had two runs; the surplus one is stopped
+	EventVanished = "run vanished"     // a worker lost a run without an end
+	EventOdd      = "run of ended job" // a run of a job that is not open; stopped
+	EventLapsed   = "worker lapsed"    // a silent worker's lease ran out with runs there
+	EventFailed   = "job failed"
+	EventDone     = "job completed"
+)
+
 // New makes a Pool without jobs and workers.
 func New(c Config) *Pool {
+	if c.Count == nil {
+		c.Count = func(string) {}
+	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
 		earlier: make(map[string]bool), site: &gauge.Site{},
@@ -360,6 +375,7 @@
 func (p *Pool) Tick(now time.Duration, wall time.Time) {
 	for id, w := range p.workers {
 		if now > w.expiry && (w.silent || !w.listed) && len(w.runs) > 0 {
+			p.conf.Count(EventLapsed)
 			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
 			for r := range w.runs {
 				p.end(r, now)
--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -87,7 +87,7 @@
 		Name: name, Start: "1", Addr: peer.Addr().String(), Store: table, Workers: workers,
 		Machines: platform.NewMachines(platform.MachinesConfig{Addr: s.machines.Addr(), Timeout: time.Second, Clock: time.Now}),
 		Words:    platform.Words{}, Mesh: e.mesh, Logs: logr.Discard(), Now: boot.Now, Wall: time.Now,
-		Count: func(string, time.Duration) {}, Longest: 10 * time.Second, TurnGap: time.Second, Upkeep: 200 * time.Millisecond,
+		Count: func(string, time.Duration) {}, Event: func(string) {}, Longest: 10 * time.Second, TurnGap: time.Second, Upkeep: 200 * time.Millisecond,
 	})
 	e.front = platform.NewFront(platform.FrontConfig{Jobs: e.node.Jobs(), Site: e.node.Site, Ready: e.node.Ready})
 	ctx, cancel := context.WithCancel(context.Background())
