--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
 )
 
 // load reads the pool's open jobs, once the lease is held: whatever an earlier
@@ -199,7 +200,9 @@
 	if o.core.Knows(r.Key) {
 		return false
 	}
-	o.core.Adopt(r.Key, queue, spec, row, r.Version, o.arrival(row, now), now, inherited)
+	o.core.Adopt(sched.Accepted{
+		ID: r.Key, Queue: queue, Spec: spec, Row: row, Version: r.Version, Arrived: o.arrival(row, now), Inherited: inherited,
+	}, now)
 	return true
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -6,12 +6,10 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
@@ -230,7 +228,9 @@
 	ok := false
 	o.locked(func() {
 		if ok = o.mayAdopt(); ok {
-			o.core.Adopt(id, queue, spec, row, version, o.arrival(row, now), now, false)
+			o.core.Adopt(sched.Accepted{
+				ID: id, Queue: queue, Spec: spec, Row: row, Version: version, Arrived: o.arrival(row, now),
+			}, now)
 		}
 	})
 	if ok {
@@ -276,218 +276,3 @@
 	defer o.mu.Unlock()
 	return o.core.Load(o.conf.Now())
 }
-
-// act does something to the state, and has what follows from it done.
-func (o *Owner) act(do func(now time.Duration)) {
-	if o.change(do) {
-		o.plan()
-	}
-}
-
-// change does something to the state; true: a plan is due now.
-func (o *Owner) change(do func(now time.Duration)) bool {
-	now := o.conf.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if do != nil {
-		do(now)
-	}
-	wait := o.planned + planGap - now
-	if wait <= 0 {
-		return true
-	}
-	if !o.planning {
-		o.planning = true
-		time.AfterFunc(wait, o.guard(o.plan))
-	}
-	return false
-}
-
-// plan sends the orders that follow from the state and has changes written.
-func (o *Owner) plan() {
-	orders, urgent := o.decide()
-	for _, order := range orders {
-		lane := o.lane(order.Worker.ID)
-		o.run(func() {
-			lane <- struct{}{}
-			defer func() { <-lane }()
-			o.send(order)
-		})
-	}
-	if urgent {
-		o.poke()
-	}
-}
-
-func (o *Owner) decide() (orders []sched.Order, urgent bool) {
-	now := o.conf.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.planned, o.planning = now, false
-	if o.loaded && !o.ended {
-		o.core.Limit(o.conf.Lease.Until() + o.conf.Grace)
-		orders = o.core.Plan(now)
-	}
-	return orders, o.core.Urgent()
-}
-
-// run does work of this owner beside what else it does.
-func (o *Owner) run(work func()) { o.group.Go(o.guard(work)) }
-
-// guard ends the owner when work of it panics: its state may be half changed.
-// Without this the panic would be kept until all work has ended, which it never
-// does, and the pool would stand still under a lease that is renewed. Another
-// entry takes the pool from the table.
-func (o *Owner) guard(work func()) func() {
-	return func() {
-		defer func() {
-			if cause := recover(); cause != nil {
-				o.conf.Logs.Error(eris.Errorf("%v", cause), "panic", "pool", o.conf.Pool, "stack", string(debug.Stack()))
-				o.lose("a panic")
-			}
-		}()
-		work()
-	}
-}
-
-// lane bounds the orders under way to one worker: each takes a connection, and
-// new ones are paid for.
-func (o *Owner) lane(worker string) chan struct{} {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	l := o.lanes[worker]
-	if l == nil {
-		l = make(chan struct{}, ordersAtOnce)
-		o.lanes[worker] = l
-	}
-	return l
-}
-
-func (o *Owner) poke() {
-	select {
-	case o.wake <- struct{}{}:
-	default:
-	}
-}
-
-// send carries out one order. Right before it goes out the lease is looked at
-// again: a process that was paused may wake up here.
-func (o *Owner) send(order sched.Order) {
-	began := o.conf.Now()
-	if order.Kind == sched.OrderAdvise {
-		o.advise(order, began)
-		return
-	}
-	clock, err := o.order(order, began)
-	now := o.conf.Now()
-	o.conf.Count(string(order.Kind), now-began)
-	if gauge.Is(err, gauge.KindFenced) {
-		o.lose("a worker has seen a newer fencing token")
-		return
-	}
-	o.act(func(now time.Duration) { o.core.Answered(order, clock, err, now) })
-}
-
-func (o *Owner) order(order sched.Order, now time.Duration) (time.Duration, error) {
-	o.mu.Lock()
-	stale := o.ended || now >= o.conf.Lease.Until()+o.conf.Grace
-	o.mu.Unlock()
-	if stale {
-		return 0, gauge.Fail(gauge.KindOutage, "the lease is over")
-	}
-	w := &order.Worker
-	switch order.Kind {
-	case sched.OrderLook:
-		return 0, o.look(order)
-	case sched.OrderStart:
-		return o.conf.Workers.Start(o.ctx, w, order.Start)
-	case sched.OrderStop:
-		return o.conf.Workers.Stop(o.ctx, w, order.Stop)
-	default:
-		return o.conf.Workers.Pace(o.ctx, w, order.Pace)
-	}
-}
-
-// advise asks the advice service.
-func (o *Owner) advise(order sched.Order, asked time.Duration) {
-	var tickets []gauge.Ticket
-	var valid time.Duration
-	var err error = gauge.Fail(gauge.KindOutage, "there is no advice service")
-	if o.conf.Adviser != nil {
-		tickets, valid, err = o.conf.Adviser.Advise(o.ctx, order.Step, order.About)
-	}
-	if err != nil {
-		o.rest(nil, adviseAgain)
-	}
-	o.act(func(time.Duration) { o.core.Advised(order, tickets, valid, err, asked) })
-}
-
-// look asks a worker what runs there, without waiting for an end.
-func (o *Owner) look(order sched.Order) error {
-	rep, err := o.conf.Workers.Hold(o.ctx, &order.Worker, order.Look)
-	if err != nil {
-		return err
-	}
-	o.act(func(now time.Duration) { o.core.Report(order.Worker.ID, rep, now) })
-	return nil
-}
-
-// holdLoop keeps one hold after the other at a worker, until it is over.
-func (o *Owner) holdLoop(id string) {
-	defer func() {
-		o.mu.Lock()
-		delete(o.lanes, id)
-		o.mu.Unlock()
-	}()
-	for o.ctx.Err() == nil {
-		now := o.conf.Now()
-		w, call, written, ok := o.nextHold(id, now)
-		if !ok {
-			return
-		}
-		rep, err := o.conf.Workers.Hold(o.ctx, &w, call)
-		o.conf.Count("hold", o.conf.Now()-now)
-		if o.ctx.Err() != nil {
-			return
-		}
-		if gauge.Is(err, gauge.KindFenced) {
-			o.lose("a worker has seen a newer fencing token")
-			return
-		}
-		if err != nil {
-			o.act(func(now time.Duration) { o.core.HoldFailed(id, err, now) })
-			o.rest(nil, holdAgain)
-			continue
-		}
-		o.act(func(now time.Duration) { o.core.Report(id, rep, now) })
-		if len(rep.Ended) > 0 {
-			// A hold that doesn't acknowledge them would be answered at once.
-			o.rest(written, ackWait)
-		}
-	}
-}
-
-func (o *Owner) nextHold(id string, now time.Duration) (gauge.Worker, gauge.HoldCall, <-chan struct{}, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	w, call, ok := o.core.Holding(id, now)
-	return w, call, o.written, ok
-}
-
-// rest waits for a while, or until something is closed.
-func (o *Owner) rest(until <-chan struct{}, most time.Duration) {
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-o.ctx.Done():
-	case <-until:
-	case <-timer.C:
-	}
-}
-
-func (o *Owner) tickLoop() {
-	for o.ctx.Err() == nil {
-		o.act(func(now time.Duration) { o.core.Tick(now, o.conf.Wall()) })
-		o.rest(nil, tickEvery)
-	}
-}
--- /dev/null
+++ b/internal/sched/adopt.go
@@ -0,0 +1,165 @@
+package sched
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// Accepted is a job as the table has it.
+type Accepted struct {
+	ID        string
+	Queue     string
+	Spec      *gauge.JobSpec
+	Row       *gauge.JobRow
+	Version   int64         // of the row
+	Arrived   time.Duration // when it was accepted
+	Inherited bool          // it was there before this owner took over, so that runs of it may exist
+}
+
+// Adopt takes in a job. One that is known already is left as it is.
+//
+// A notice of a job may come late: after the job has ended here, or from before
+// this owner took over, when the job is one that was read from the table or has
+// ended. Taken in then, the job would run a second time.
+func (p *Pool) Adopt(a Accepted, now time.Duration) {
+	if p.Knows(a.ID) || (!a.Inherited && a.Version <= int64(p.conf.Fence)) {
+		return
+	}
+	j := &job{
+		id: a.ID, queue: a.Queue, spec: a.Spec, row: *a.Row, version: a.Version, arrived: a.Arrived, inherited: a.Inherited,
+		occs: make(map[int]*occurrence), next: a.Row.Over, chain: longest(a.Spec),
+	}
+	p.jobs[a.ID] = j
+	p.arrived += work(a.Spec)
+	if a.Inherited {
+		j.begun = len(a.Row.Done) > 0 || a.Row.Over > 0
+	}
+	if !a.Spec.Timed() {
+		j.occurrence(0, now)
+		j.next = 1
+	}
+	if a.Inherited && p.conf.Term > 0 {
+		j.skipNumbers(p.conf.Term)
+	}
+	p.conf.Logs.Info("job adopted", "job", a.ID, "queue", a.Queue, "pool", p.conf.Name, "version", a.Version,
+		"state", a.Row.State, "inherited", a.Inherited, "age", now-a.Arrived)
+}
+
+// numbersPerTerm is how many run numbers each owner has to itself for jobs that
+// it inherits, so that a run of an earlier owner that nobody heard of is never
+// mistaken for one of this owner's.
+const numbersPerTerm = 1000
+
+func (j *job) skipNumbers(term int) {
+	for _, o := range j.occs {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				t.lastRun = max(t.lastRun, term*numbersPerTerm)
+			}
+		}
+	}
+}
+
+// Partial tells that jobs may be missing, as some of the table can't be read. What
+// runs of jobs that aren't known is left alone until they are, and ends of theirs
+// stay with the workers.
+func (p *Pool) Partial(missing bool) { p.partial = missing }
+
+// Rehear makes inherited tasks wait until every worker has been heard anew, or can
+// run nothing any more: what they told so far of jobs that are to be adopted now
+// was left aside.
+func (p *Pool) Rehear(now time.Duration) {
+	p.conf.Doubt = max(p.conf.Doubt, now)
+	for id, w := range p.workers {
+		if !w.gone {
+			p.earlier[id] = true
+			p.conf.Doubt = max(p.conf.Doubt, w.expiry)
+		}
+	}
+}
+
+// Knows tells whether a job has been adopted, also if it has ended since.
+func (p *Pool) Knows(id string) bool {
+	_, past := p.past[id]
+	return past || p.jobs[id] != nil
+}
+
+// past is what is remembered of a job that has ended and is in the table so.
+type past struct {
+	queue string
+	state gauge.JobState
+	ended time.Duration
+}
+
+// pastFor is how long it is remembered that a job has ended here: well beyond
+// the last try to deliver a notice of it, and any reading of the table that was
+// under way.
+const pastFor = time.Minute
+
+// Cancel takes in that a job's row says it is cancelled, as of a version.
+func (p *Pool) Cancel(id string, version int64) {
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	if version > j.version {
+		j.version = version
+	}
+	p.conf.Logs.Info("job cancelled", "job", id, "pool", p.conf.Name, "version", version)
+	j.cancel()
+	p.haltJob(j)
+}
+
+// halt has a run end.
+func (p *Pool) halt(r *run) {
+	r.stop = true
+	p.halts[r] = true
+}
+
+// haltJob has all runs of a job end that is over.
+func (p *Pool) haltJob(j *job) {
+	for _, r := range j.live() {
+		p.halt(r)
+	}
+}
+
+// State tells how far a job of a queue is; false if it isn't known here.
+func (p *Pool) State(queue, id string) (gauge.JobState, bool) {
+	if old, ok := p.past[id]; ok && old.queue == queue {
+		return old.state, true
+	}
+	j := p.jobs[id]
+	if j == nil || j.queue != queue {
+		return "", false
+	}
+	if j.row.State.Final() && j.row.State != gauge.JobCancelled && j.dirty() {
+		return gauge.JobRunning, true // not told before the table has it; a cancel it has
+	}
+	if j.begun && !j.row.State.Final() {
+		return gauge.JobRunning, true
+	}
+	return j.row.State, true
+}
+
+// Depths counts by queue the jobs of which no task has started.
+func (p *Pool) Depths() map[string]int {
+	d := make(map[string]int)
+	for _, j := range p.jobs {
+		if !j.begun && j.open() {
+			d[j.queue]++
+		}
+	}
+	return d
+}
+
+// attempts is how often a task of the job may fail.
+func (p *Pool) attempts(j *job) int {
+	if q := p.site.QueueByName(j.queue); q != nil && q.MaxAttempts > 0 {
+		return q.MaxAttempts
+	}
+	return defaultAttempts
+}
+
+// defaultAttempts is used for a queue that the configuration no longer has.
+const defaultAttempts = 2
--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -61,7 +61,7 @@
 	g.list("w1")
 	g.hear("w1", nil)
 	spec := &gauge.JobSpec{Steps: []gauge.Step{step(1)}, Repeats: 3, FirstAt: time.Unix(1001, 0), Every: time.Second}
-	g.pool.Adopt(jobID(1), queueName, spec, &gauge.JobRow{State: gauge.JobPending}, fence+1, g.now, g.now, false)
+	g.pool.Adopt(sched.Accepted{ID: jobID(1), Queue: queueName, Spec: spec, Row: &gauge.JobRow{State: gauge.JobPending}, Version: fence + 1, Arrived: g.now}, g.now)
 	var at []int
 	for range 40 {
 		g.pass(100 * time.Millisecond)
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -31,7 +31,7 @@
 	}
 	for i := range workers/2 + jobs {
 		spec := &gauge.JobSpec{Steps: []gauge.Step{step(8)}}
-		p.Adopt(jobID(i), queueName, spec, &gauge.JobRow{State: gauge.JobPending}, fence+1, 0, 0, false)
+		p.Adopt(sched.Accepted{ID: jobID(i), Queue: queueName, Spec: spec, Row: &gauge.JobRow{State: gauge.JobPending}, Version: fence + 1, Arrived: 0}, 0)
 	}
 	p.Plan(0)
 	return p
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -123,7 +123,7 @@
 func (g *rig) adopt(n int, inherited bool, steps ...gauge.Step) string {
 	id := jobID(n)
 	version := int64(fence + n)
-	g.pool.Adopt(id, queueName, &gauge.JobSpec{Steps: steps}, &gauge.JobRow{State: gauge.JobPending, Pool: poolName}, version, g.now, g.now, inherited)
+	g.pool.Adopt(sched.Accepted{ID: id, Queue: queueName, Spec: &gauge.JobSpec{Steps: steps}, Row: &gauge.JobRow{State: gauge.JobPending, Pool: poolName}, Version: version, Arrived: g.now, Inherited: inherited}, g.now)
 	return id
 }
 
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -42,8 +42,7 @@
 	g := newRig(t, after())
 	g.list("w1")
 	g.hear("w1", nil)
-	g.pool.Adopt(jobID(1), queueName, &gauge.JobSpec{Steps: []gauge.Step{step(1)}},
-		&gauge.JobRow{State: gauge.JobPending}, fence-1, g.now, g.now, false)
+	g.pool.Adopt(sched.Accepted{ID: jobID(1), Queue: queueName, Spec: &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, Row: &gauge.JobRow{State: gauge.JobPending}, Version: fence - 1, Arrived: g.now}, g.now)
 	assert.Equal(t, len(g.starts()), 0)
 }
 
@@ -242,7 +241,7 @@
 	g := newRig(t, after())
 	task := gauge.TaskID{Job: jobID(1)}
 	row := &gauge.JobRow{State: gauge.JobRunning, Failures: map[string][]int{"0.0.0": {1}}}
-	g.pool.Adopt(task.Job, queueName, &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, row, 50, 0, 0, true)
+	g.pool.Adopt(sched.Accepted{ID: task.Job, Queue: queueName, Spec: &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, Row: row, Version: 50, Arrived: 0, Inherited: true}, 0)
 	g.list("w1")
 	g.hear("w1", nil, g.end("w1", task, 1, gauge.EndFailed))
 	state, _ := g.pool.State(queueName, task.Job)
@@ -308,7 +307,7 @@
 	g.list("w1")
 	g.hear("w1", nil)
 	for i, queue := range []string{"sheets", "parts"} {
-		g.pool.Adopt(jobID(i), queue, &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, &gauge.JobRow{State: gauge.JobPending}, fence+1, 0, 0, false)
+		g.pool.Adopt(sched.Accepted{ID: jobID(i), Queue: queue, Spec: &gauge.JobSpec{Steps: []gauge.Step{step(1)}}, Row: &gauge.JobRow{State: gauge.JobPending}, Version: fence + 1, Arrived: 0}, 0)
 	}
 	g.ok(g.starts())
 	b, err := g.pool.Batch(10, 1, func(queue string) bool { return queue == "sheets" })
--- /dev/null
+++ b/internal/sched/world_test.go
@@ -0,0 +1,185 @@
+package sched_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
+)
+
+// model is one life of a worker as it really is.
+type model struct {
+	id      string
+	began   time.Duration
+	up      bool
+	fence   gauge.Fence
+	until   time.Duration // its lease, on its clock
+	runs    map[gauge.TaskID]int
+	stopped map[gauge.TaskID]int
+	ended   []gauge.EndReport
+	number  int64
+}
+
+// world is a pool, its workers, and what is on its way between them.
+type world struct {
+	t       *rapid.T
+	pool    *sched.Pool
+	now     time.Duration
+	term    int
+	fence   gauge.Fence
+	models  map[string]*model
+	lives   int
+	orders  []sched.Order // sent, not yet answered
+	late    []sched.Order // answered as lost, carried out yet
+	reports map[string]*gauge.WorkerReport
+	rows    map[string][]byte // as the table has them
+	version map[string]int64
+	specs   map[string]*gauge.JobSpec
+	next    int64
+	ran     map[gauge.TaskID]int // runs at this moment, over all workers
+	done    map[gauge.TaskID]bool
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, models: make(map[string]*model), reports: make(map[string]*gauge.WorkerReport),
+		rows: make(map[string][]byte), version: make(map[string]int64), specs: make(map[string]*gauge.JobSpec),
+		ran: make(map[gauge.TaskID]int), done: make(map[gauge.TaskID]bool), next: 10,
+	}
+	w.own(nil)
+	for range 3 {
+		w.join()
+	}
+	return w
+}
+
+// own starts an owner from what the table has.
+func (w *world) own(earlier []string) {
+	w.next++
+	w.fence = gauge.Fence(w.next)
+	w.orders, w.reports = nil, make(map[string]*gauge.WorkerReport)
+	w.pool = sched.New(sched.Config{
+		Name: poolName, Fence: w.fence, Term: w.term, Hold: 5 * time.Second, Start: time.Second, Wait: time.Second,
+		Logs: logr.Discard(), Earlier: earlier, Doubt: w.now + 6*time.Second,
+	})
+	w.term++
+	w.pool.Configure(&gauge.Site{Version: 1, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 3, Stretch: 2}}})
+	for id, b := range w.rows {
+		row, err := gauge.DecodeJobRow(b)
+		assert.NilError(w.t, err)
+		w.pool.Adopt(sched.Accepted{ID: id, Queue: queueName, Spec: w.specs[id], Row: row, Version: w.version[id], Arrived: w.now, Inherited: true}, w.now)
+	}
+	w.list()
+}
+
+func (w *world) list() {
+	var ws []gauge.Worker
+	var ids []string
+	for _, m := range w.models {
+		if m.up {
+			ws = append(ws, worker(m.id))
+			ids = append(ids, m.id)
+		}
+	}
+	w.pool.Workers(ws)
+	w.pool.Noted(ids)
+}
+
+func (w *world) join() {
+	w.lives++
+	m := &model{
+		id: fmt.Sprintf("w%d", w.lives), began: w.now - time.Hour, up: true,
+		runs: make(map[gauge.TaskID]int), stopped: make(map[gauge.TaskID]int),
+	}
+	w.models[m.id] = m
+	w.list()
+}
+
+func (w *world) clock(m *model) time.Duration { return w.now - m.began }
+
+func (w *world) some() *model {
+	ids := make([]string, 0, len(w.models))
+	for i := 1; i <= w.lives; i++ {
+		if m := w.models[fmt.Sprintf("w%d", i)]; m != nil && m.up {
+			ids = append(ids, m.id)
+		}
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	return w.models[rapid.SampledFrom(ids).Draw(w.t, "worker")]
+}
+
+func (w *world) finish(m *model, task gauge.TaskID, how gauge.Ending) {
+	m.number++
+	m.ended = append(m.ended, gauge.EndReport{Number: m.number, Task: task, Run: m.runs[task], How: how})
+	m.stopped[task] = max(m.stopped[task], m.runs[task])
+	delete(m.runs, task)
+	w.ran[task]--
+	if how == gauge.EndDone {
+		w.done[task] = true
+	}
+}
+
+// expire ends what the lease no longer covers, everywhere.
+func (w *world) expire() {
+	for i := 1; i <= w.lives; i++ {
+		m := w.models[fmt.Sprintf("w%d", i)]
+		if m == nil || w.clock(m) <= m.until {
+			continue
+		}
+		for task := range m.runs {
+			w.finish(m, task, gauge.EndLapsed)
+		}
+	}
+}
+
+// carryOut has a worker do what it is told; the error is its refusal.
+func (w *world) carryOut(o sched.Order) error {
+	m := w.models[o.Worker.ID]
+	if m == nil || !m.up {
+		return gauge.Fail(gauge.KindUnknown, "gone")
+	}
+	fence := max(o.Start.Fence, o.Stop.Fence, o.Look.Fence)
+	if fence < m.fence {
+		return gauge.Fail(gauge.KindFenced, "old owner")
+	}
+	m.fence = fence
+	switch o.Kind {
+	case sched.OrderStop:
+		m.stopped[o.Stop.Task] = max(m.stopped[o.Stop.Task], o.Stop.Run)
+		if run, ok := m.runs[o.Stop.Task]; ok && run <= o.Stop.Run {
+			w.finish(m, o.Stop.Task, gauge.EndStopped)
+		}
+	case sched.OrderStart:
+		return w.startOn(m, o.Start)
+	}
+	return nil
+}
+
+func (w *world) startOn(m *model, c gauge.StartCall) error {
+	switch {
+	case c.Until < w.clock(m):
+		return gauge.Fail(gauge.KindLate, "late")
+	case c.Run <= m.stopped[c.Task]:
+		return gauge.Fail(gauge.KindStale, "old")
+	case m.runs[c.Task] == c.Run:
+		return nil
+	}
+	m.until = max(m.until, c.Until)
+	m.runs[c.Task] = c.Run
+	w.ran[c.Task]++
+	assert.Assert(w.t, w.ran[c.Task] <= 1, "%s has two runs", c.Task)
+	assert.Assert(w.t, len(m.runs) <= 4, "%s has more than it holds", m.id)
+	return nil
+}
+
+func (w *world) plan() {
+	w.pool.Limit(w.now + 6*time.Second)
+	w.orders = append(w.orders, w.pool.Plan(w.now)...)
+}
