Hand a pool over when most orders of its owner take far too long

Change: when more than half of ten orders a second to three workers take over 150 ms, another entry is asked to take the pool; the one that left claims none for 3 s. Ruled out: late timers as the sign (trial: with the owner at its limit they still came in time).

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -35,6 +35,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.conf.Now() < n.restUntil {
+		return nil
+	}
 	if n.conf.Now()-n.leases > leasesOld && len(n.board.Pools()) > 0 {
 		return nil // this entry can't see who renews; it would claim in vain
 	}
@@ -147,15 +150,21 @@
 	n.mu.Unlock()
 }
 
-// leave has another entry take a pool whose owner here can't write to the table.
-// Without one that can the owner goes on.
+// claimRest is how long an entry that had to leave a pool claims none.
+const claimRest = 3 * time.Second
+
+// leave has another entry take a pool whose owner here can't write to the table, or
+// lacks processor time. Without one that can the owner goes on.
 func (n *Node) leave(ctx context.Context, o *owner.Owner) {
 	to := n.successor(ctx, o.Pool())
 	if to == "" {
 		pause(ctx, offerAgain)
 		return
 	}
-	if o.Quit("writes fail here") {
+	n.mu.Lock()
+	n.restUntil = n.conf.Now() + claimRest
+	n.mu.Unlock()
+	if o.Quit("writes fail here, or it lags") {
 		n.offer(ctx, to, offerCall{Pool: o.Pool(), Holder: n.holder})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,13 +98,14 @@
 	ctx    atomic.Pointer[context.Context] // of the running entry
 	group  conc.WaitGroup
 
-	mu      sync.Mutex
-	board   *terms.Board
-	leases  time.Duration // when the leases were last read
-	owners  map[string]*owner.Owner
-	busy    map[string]bool // pools that are being claimed
-	workers map[string]gauge.Worker
-	waves   map[int64]gauge.UpkeepOrder
+	mu        sync.Mutex
+	board     *terms.Board
+	leases    time.Duration // when the leases were last read
+	restUntil time.Duration // no pool is claimed before
+	owners    map[string]*owner.Owner
+	busy      map[string]bool // pools that are being claimed
+	workers   map[string]gauge.Worker
+	waves     map[int64]gauge.UpkeepOrder
 }
 
 // New makes a Node.
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -109,10 +109,17 @@
 	return offerAnswer{Ready: ready}, nil
 }
 
+// resting tells whether this entry had to leave a pool just now itself.
+func (n *Node) resting() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conf.Now() < n.restUntil
+}
+
 // offered looks at the row of an offered lease: it still has to name the holder
 // that offers it.
 func (n *Node) offered(ctx context.Context, c offerCall) (terms.Claim, bool) {
-	if !n.going.Load() || n.Site() == nil {
+	if !n.going.Load() || n.Site() == nil || n.resting() {
 		return terms.Claim{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, offerWait)
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -114,6 +114,7 @@
 	clock, err := o.order(order, began)
 	now := o.conf.Now()
 	o.conf.Count(string(order.Kind), now-began)
+	o.watchLag(order.Worker.ID, now-began, now)
 	if gauge.Is(err, gauge.KindFenced) {
 		o.lose("a worker has seen a newer fencing token")
 		return
@@ -121,6 +122,23 @@
 	o.act(func(now time.Duration) { o.core.Answered(order, clock, err, now) })
 }
 
+// watchLag has the pool handed over when most orders take far too long: jobs would
+// wait here that another entry could start.
+func (o *Owner) watchLag(worker string, took, now time.Duration) {
+	o.mu.Lock()
+	lags := o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
+	o.leaving = o.leaving || lags
+	o.mu.Unlock()
+	if !lags {
+		return
+	}
+	o.conf.Logs.Info("owner lags", "pool", o.conf.Pool, "took", took)
+	o.stuck()
+	o.mu.Lock()
+	o.leaving = false
+	o.mu.Unlock()
+}
+
 func (o *Owner) order(order sched.Order, now time.Duration) (time.Duration, error) {
 	o.mu.Lock()
 	stale := o.ended || now >= o.conf.Lease.Until()+o.conf.Grace
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/lag"
 	"sapphiregauge/internal/sched"
 	"sapphiregauge/internal/tenure"
 )
@@ -58,6 +59,8 @@
 	planned  time.Duration // when the last plan was made
 	planning bool          // one is due at the end of the gap
 	lanes    map[string]chan struct{}
+	lag      *lag.Meter // of orders
+	leaving  bool       // a successor is looked for
 	loaded   bool
 	site     *gauge.Site
 	listed   []gauge.Worker           // newest list
@@ -76,6 +79,14 @@
 	holdWait = time.Second
 	// tickEvery is how often time alone is looked at.
 	tickEvery = 100 * time.Millisecond
+	// lagWindow, lagCalls and lagPeers: when more than half of ten orders or more
+	// within a second, to three workers or more, take longer than lagSlow, this
+	// process lacks processor time or its way to the workers is bad. Orders take
+	// some milliseconds; a quota that is used up delays one by a tenth of a second.
+	lagWindow = time.Second
+	lagSlow   = 150 * time.Millisecond
+	lagCalls  = 10
+	lagPeers  = 3
 	// planGap is the least time between two plans. Under load several ends go
 	// into one plan: each plan looks at every job that waits.
 	planGap = 4 * time.Millisecond
@@ -114,7 +125,8 @@
 	now := c.Now()
 	o := &Owner{
 		conf: c,
-		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
+		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
+		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
 			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
