--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -119,9 +119,9 @@
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group conc.WaitGroup
-	group.Go(func() { _ = p.front.Serve(front) })
-	group.Go(func() { _ = p.front.ServeReady(ready) })
-	group.Go(func() { _ = p.mesh.Serve(run, peer) })
+	group.Go(func() { p.logEnd("clients", p.front.Serve(front)) })
+	group.Go(func() { p.logEnd("readiness", p.front.ServeReady(ready)) })
+	group.Go(func() { p.logEnd("entries", p.mesh.Serve(run, peer)) })
 	group.Go(func() { p.node.Run(run) })
 	p.serveMetrics(s)
 	p.reloadUntil(ctx)
@@ -174,7 +174,7 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), closeWait)
 	defer cancel()
-	_ = p.front.Close(ctx)
+	p.logEnd("clients", p.front.Close(ctx))
 }
 
 func (p *parts) serveMetrics(s *hostSettings) {
@@ -186,7 +186,14 @@
 	server := &http.Server{
 		Addr: net.JoinHostPort(p.settings.IP, strconv.Itoa(s.metrics)), Handler: mux, ReadHeaderTimeout: time.Second,
 	}
-	go func() { _ = server.ListenAndServe() }()
+	go func() { p.logEnd("metrics", server.ListenAndServe()) }()
+}
+
+// logEnd tells that a server has ended, and why if that was no stop.
+func (p *parts) logEnd(server string, err error) {
+	if err != nil {
+		p.log.Error(err, "server ended", "server", server)
+	}
 }
 
 // newStart names one start of a process.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,7 +24,6 @@
 	Clock func() int64                     // the table's clock in milliseconds, about
 	Depth func(q *gauge.Queue) (int, bool) // as the pool's owner last told
 	Tell  func(n Notice)                   // tells the owner of the pool
-	Busy  func(q *gauge.Queue) error       // why no job of the queue can be taken now; nil: it can
 	// Ask asks the owner of the queue\'s pool how far a job is; false: it doesn\'t
 	// know, or can\'t be asked.
 	Ask func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
@@ -67,10 +66,6 @@
 // said when every try was surely not carried out. Until that is settled the job
 // is sent again: the row's condition lets only one of the tries take effect.
 func (n *Intake) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
-	if err := n.conf.Busy(q); err != nil {
-		n.log("job refused", q, id, err)
-		return err
-	}
 	row := &gauge.JobRow{State: gauge.JobPending, Pool: q.Pool, Accepted: n.conf.Clock()}
 	txn, err := insertion(q, id, j, row)
 	if err != nil {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -104,7 +104,6 @@
 	g.intake = intake.New(intake.Config{
 		Store: t, Logs: logr.Discard(), Event: func(string) {}, Now: c.Now, Clock: func() int64 { return 1 },
 		Depth: func(*gauge.Queue) (int, bool) { return 0, true },
-		Busy:  func(*gauge.Queue) error { return nil },
 		Ask:   func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
 		Tell: func(n intake.Notice) {
 			g.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld})
 	n.intake = intake.New(intake.Config{
-		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Busy: n.refusal, Ask: n.ask,
+		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Ask: n.ask,
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
@@ -348,6 +348,3 @@
 	}
 	return row.Depths[q.Name], true
 }
-
-// refusal says why no job of a queue can be taken now.
-func (n *Node) refusal(*gauge.Queue) error { return nil }
