--- a/test/machines/machines_test.go
+++ b/test/machines/machines_test.go
@@ -223,6 +223,9 @@
 	})
 	s.waitFor("configuration 7", func() bool { return s.entries[0].node.Site().Version == 7 })
 	s.table.Configure(6, nil)
+	s.table.Wave(5, nil, 20, 1)
+	s.waitFor("the row after configuration 6 seen", func() bool { return s.table.WaveDone(5) })
+	assert.Equal(t, s.entries[0].node.Site().Version, int64(7), "never back to an older one")
 	s.table.Configure(8, []fakes.Queue{{Name: queueName, Host: queueHost, Prefix: queuePath, Pool: poolName}})
 	s.waitFor("configuration 8", func() bool { return s.entries[0].node.Site().Version == 8 })
 }
