--- a/internal/intake/group.go
+++ b/internal/intake/group.go
@@ -38,6 +38,7 @@
 	began   time.Duration
 	until   time.Duration // its caller leaves then
 	unsure  bool          // a transaction with it got no answer, and may be carried out
+	last    error         // of its last transaction
 	settled chan outcome  // room for one
 }
 
@@ -106,9 +107,9 @@
 func (p *pending) over(now time.Duration) bool {
 	switch {
 	case p.unsure && now >= p.until:
-		p.settle(outcome{err: gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id")})
+		p.settle(outcome{err: gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id").Because(p.last)})
 	case !p.unsure && (now >= p.until || now-p.began >= refuseAfter):
-		p.settle(outcome{err: gauge.Fail(gauge.KindOutage, "the table can't be reached")})
+		p.settle(outcome{err: gauge.Fail(gauge.KindOutage, "the table can't be reached").Because(p.last)})
 	default:
 		return false
 	}
@@ -135,6 +136,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), commitWait)
 	defer cancel()
 	stamp, rows, err := l.intake.conf.Store.Commit(ctx, txn)
+	for _, p := range group {
+		p.last = err
+	}
 	switch {
 	case err == nil:
 		for _, p := range group {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -164,6 +164,7 @@
 				assert.NilError(t, err)
 			} else {
 				assert.Equal(t, gauge.KindOf(err), tt.kind)
+				assert.ErrorContains(t, err, "refused", "the log names the table's last answer")
 			}
 			_, stored := store.rows[gauge.RowKey{Table: gauge.TableJobs, Part: "sheets", Key: id(1)}]
 			assert.Equal(t, stored, tt.stored)
