Begin no work in an owner that has ended

The panic left the dead owner in the entry's list of its pools, so that notices and questions for the pool went nowhere at that entry until it claimed the pool again. Change: work begins under the lock under which the owner ends, the group isn't over before that, and the owner leaves the list whatever happens. Seen failing: TestWhatComesAsTheOwnerEndsBeginsNothing without the look.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -144,10 +144,12 @@
 	n.owners[pool] = o
 	list := n.listLocked()
 	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.owners, pool)
+	}()
 	o.Run(n.Site(), list)
-	n.mu.Lock()
-	delete(n.owners, pool)
-	n.mu.Unlock()
 }
 
 // claimRest is how long an entry that had to leave a pool claims none.
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -64,8 +64,16 @@
 	return orders, o.core.Urgent()
 }
 
-// run does work of this owner beside what else it does.
-func (o *Owner) run(work func()) { o.group.Go(o.guard(work)) }
+// run does work of this owner beside what else it does. Once the owner has ended
+// nothing is begun: its run group may be waited for, and a notice that comes then
+// would join a group that is just over, which panics.
+func (o *Owner) run(work func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.ended {
+		o.group.Go(o.guard(work))
+	}
+}
 
 // guard ends the owner when work of it panics: its state may be half changed.
 // Without this the panic would be kept until all work has ended, which it never
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -149,6 +149,11 @@
 	workers = o.listed
 	o.mu.Unlock()
 	o.List(workers)
+	o.run(func() {
+		// The group isn't over before the owner has ended for whatever reason.
+		<-o.ctx.Done()
+		o.end()
+	})
 	o.run(o.writeLoop)
 	o.run(o.tickLoop)
 	o.run(o.scanLoop)
