Answer hand-ins in time, refuse at once while the table is away, store through the owner

An entry that the table turns away refused what other entries could have stored. Change: a caller waits 1.2 s at most; after a transaction and a read of a part that both fail nothing is sent there until a read is answered, so that refusals are certain and come at once with Retry-After; the pool's owner stores and cancels for an entry that can't; a transaction's answer is waited for 0.3 to 0.9 s, by what the last ones took (RFC 6298), since each lost answer stalled its queue, or a lease, for 0.9 s. Ruled out: workers, as none of the held hand-ins had reached the table. The test of what callers are told ended its wait by looks at the clock; the wait now ends by a timer, fired between two tries. Its assertions are the same.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -10,6 +10,7 @@
 	"sapphiregauge/internal/mesh"
 	"sapphiregauge/internal/meter"
 	"sapphiregauge/internal/node"
+	"sapphiregauge/internal/timely"
 	"sapphiregauge/platform"
 )
 
@@ -17,6 +18,7 @@
 func assemble(s platform.Settings, _ *hostSettings, log logr.Logger) *parts {
 	p := &parts{settings: s, log: log, meter: meter.New()}
 	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Timeout: tableTimeout, Clock: steady})
+	store := timely.New(timely.Config{Store: p.table, Least: leastTableWait, Most: tableTimeout, Now: boot.Now})
 	p.workers = platform.NewWorkers(platform.WorkersConfig{Hold: holdTimeout, Order: orderTimeout, Clock: steady})
 	var machines gauge.Machines
 	if s.Machines != "" {
@@ -29,7 +31,7 @@
 	}
 	p.mesh = mesh.New(mesh.Config{})
 	p.node = node.New(node.Config{
-		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: p.table, Workers: p.workers, Machines: machines, Adviser: adviser,
+		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: store, Workers: p.workers, Machines: machines, Adviser: adviser,
 		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call, Event: p.meter.Event,
 		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate, Keep: s.KeepStatus,
 	})
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -55,6 +55,10 @@
 	// of 9 ms take 60 times as long, and an answer that comes is better than one
 	// given up.
 	tableTimeout = 900 * time.Millisecond
+	// leastTableWait is how long a transaction's answer is waited for at least. It
+	// comes within some 10 ms; a quota of processor time that is used up delays it
+	// by a tenth of a second, two renewals of a lease have to fit into its term.
+	leastTableWait = 300 * time.Millisecond
 	// holdTimeout bounds a hold, its wait aside: a worker that doesn't answer gets
 	// no extension, so it isn't taken for silent lightly.
 	holdTimeout = 800 * time.Millisecond
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,9 +24,19 @@
 	Clock func() int64                     // the table's clock in milliseconds, about
 	Depth func(q *gauge.Queue) (int, bool) // as the pool's owner last told
 	Tell  func(n Notice)                   // tells the owner of the pool
-	// Ask asks the owner of the queue\'s pool how far a job is; false: it doesn\'t
-	// know, or can\'t be asked.
-	Ask func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
+	// Ask asks the owner of the queue's pool how far a job is; false: it doesn't
+	// know, or can't be asked.
+	Ask   func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
+	Relay Relay                                  // nil: there are no other entries
+	After func(d time.Duration) <-chan time.Time // default time.After
+}
+
+// Relay has the owner of a queue's pool do what the table denies this entry: it
+// writes to that part of the table all the time, or has another entry take over.
+// Errors: KindOutage: surely not done; KindUnknown: it may be done.
+type Relay interface {
+	Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error
+	Cancel(ctx context.Context, q *gauge.Queue, id string) error
 }
 
 // Notice tells the owner of a pool of a new or cancelled job.
@@ -48,7 +58,12 @@
 }
 
 // New makes an Intake.
-func New(c Config) *Intake { return &Intake{conf: c, lanes: make(map[string]*lane)} }
+func New(c Config) *Intake {
+	if c.After == nil {
+		c.After = time.After
+	}
+	return &Intake{conf: c, lanes: make(map[string]*lane)}
+}
 
 const (
 	// firstPause and lastPause bound the wait before a repeat at the table.
@@ -63,34 +78,75 @@
 // Submit stores a job, once however often it is handed in.
 //
 // A transaction without an answer may take effect later, so "not stored" is only
-// said when every try was surely not carried out. Until that is settled the job
-// is sent again: the row's condition lets only one of the tries take effect.
+// said when every try was surely not carried out. The job is sent again under the
+// same condition, which lets only one of the tries take effect. If the table
+// doesn't answer here, the owner of the queue's pool is asked to store it.
 func (n *Intake) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
-	row := &gauge.JobRow{State: gauge.JobPending, Pool: q.Pool, Accepted: n.conf.Clock()}
-	txn, err := insertion(q, id, j, row)
+	return n.submit(ctx, q, id, j, n.conf.Relay)
+}
+
+// SubmitHere is Submit for a job that another entry passes on: it goes no further.
+func (n *Intake) SubmitHere(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
+	return n.submit(ctx, q, id, j, nil)
+}
+
+func (n *Intake) submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, relay Relay) error {
+	p, err := n.pend(q, id, j, timeLeft(ctx))
 	if err != nil {
 		return err
 	}
-	began := n.conf.Now()
-	p := &pending{id: id, txn: txn, began: began, until: began + timeLeft(ctx), settled: make(chan outcome, 1)}
 	o := n.lane(q.Name).store(p)
-	took := n.conf.Now() - began
+	if relay != nil && (gauge.Is(o.err, gauge.KindOutage) || gauge.Is(o.err, gauge.KindExpired)) {
+		o = relayed(o, relay.Submit(ctx, q, id, j))
+	}
+	n.tell(p, o)
+	return o.err
+}
+
+// relayed is what is known of a job that could not be stored here, or not surely,
+// after another entry was asked. Its refusal says nothing of a transaction sent
+// from here.
+func relayed(o outcome, err error) outcome {
+	switch {
+	case err == nil:
+		return outcome{relayed: true}
+	case gauge.Is(o.err, gauge.KindExpired), gauge.Is(err, gauge.KindOutage):
+		return o
+	case gauge.Is(err, gauge.KindUnknown), gauge.Is(err, gauge.KindExpired):
+		return outcome{err: gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id").Because(err)}
+	default:
+		return outcome{err: err}
+	}
+}
+
+// tell logs the outcome of a hand-in and tells the pool's owner of a new job.
+func (n *Intake) tell(p *pending, o outcome) {
 	switch {
 	case gauge.Is(o.err, gauge.KindExpired):
 		n.conf.Event("job unsettled")
-		n.log("job unsettled", q, id, o.err)
+		n.log("job unsettled", p.queue, p.id, o.err)
 	case o.err != nil:
 		n.conf.Event("job refused")
-		n.log("job refused", q, id, o.err)
-	case o.known:
-		n.conf.Logs.Info("job known", "job", id, "queue", q.Name, "version", o.version, "unsure", p.unsure, "took", took)
-		n.tellUnsure(q, p, j, o)
+		n.log("job refused", p.queue, p.id, o.err)
+	case o.relayed:
+		n.conf.Event("job relayed")
+		n.conf.Logs.Info("job relayed", "job", p.id, "queue", p.queue.Name, "pool", p.queue.Pool, "took", n.conf.Now()-p.began)
 	default:
-		n.conf.Event("job accepted")
-		n.conf.Logs.Info("job accepted", "job", id, "queue", q.Name, "pool", q.Pool, "version", o.version, "took", took)
-		n.conf.Tell(Notice{Pool: q.Pool, Queue: q.Name, ID: id, Spec: j, Row: row, Version: o.version})
+		n.stored(p, o)
 	}
-	return o.err
+}
+
+// stored takes in that a job is in the table.
+func (n *Intake) stored(p *pending, o outcome) {
+	q, took := p.queue, n.conf.Now()-p.began
+	if o.known {
+		n.conf.Logs.Info("job known", "job", p.id, "queue", q.Name, "version", o.version, "unsure", p.unsure, "took", took)
+		n.tellUnsure(q, p, p.spec, o)
+		return
+	}
+	n.conf.Event("job accepted")
+	n.conf.Logs.Info("job accepted", "job", p.id, "queue", q.Name, "pool", q.Pool, "version", o.version, "took", took, "left", p.left)
+	n.conf.Tell(Notice{Pool: q.Pool, Queue: q.Name, ID: p.id, Spec: p.spec, Row: p.row, Version: o.version})
 }
 
 // tellUnsure tells the owner of a job that a transaction without an answer has
@@ -125,51 +181,27 @@
 	defer n.mu.Unlock()
 	l := n.lanes[queue]
 	if l == nil {
-		l = &lane{intake: n}
+		l = &lane{intake: n, queue: queue}
 		n.lanes[queue] = l
 	}
 	return l
 }
 
-func insertion(q *gauge.Queue, id string, j *gauge.JobSpec, row *gauge.JobRow) (gauge.PartTxn, error) {
-	spec, err := gauge.EncodeJobSpec(j)
-	if err != nil {
-		return gauge.PartTxn{}, err
-	}
-	value, err := row.Encode()
-	if err != nil {
-		return gauge.PartTxn{}, err
-	}
-	key := jobKey(q.Name, id)
-	return gauge.PartTxn{
-		Checks: []gauge.RowCheck{{RowKey: key}},
-		Writes: []gauge.RowWrite{
-			{RowKey: key, Value: value},
-			{RowKey: gauge.RowKey{Table: gauge.TableSpecs, Part: q.Name, Key: id}, Value: spec},
-			{RowKey: gauge.RowKey{Table: gauge.TableOpen, Part: q.Name, Key: id}, Value: gauge.Mark{Pool: row.Pool}.Encode()},
-		},
-	}, nil
-}
-
 func (n *Intake) log(what string, q *gauge.Queue, id string, err error) {
 	n.conf.Logs.Info(what, "job", id, "queue", q.Name, "pool", q.Pool, "kind", gauge.KindOf(err), "error", err.Error())
 }
 
-// read fetches a job's row, again and again until ctx ends.
+// read fetches a job's row.
 func (n *Intake) read(ctx context.Context, q *gauge.Queue, id string) (*gauge.JobRow, int64, error) {
-	for pause := firstPause; ; pause = min(2*pause, lastPause) {
-		rows, _, err := n.conf.Store.Range(ctx, gauge.TableJobs, q.Name, id, id+"\x00")
-		if err == nil && len(rows) == 0 {
-			return nil, 0, gauge.Fail(gauge.KindGone, "there is no job %s in this queue", id)
-		}
-		if err == nil {
-			row, err := gauge.DecodeJobRow(rows[0].Value)
-			return row, rows[0].Version, err
-		}
-		if !wait(ctx, pause) {
-			return nil, 0, gauge.Fail(gauge.KindOutage, "the table can't be reached").Because(err)
-		}
+	rows, _, err := n.conf.Store.Range(ctx, gauge.TableJobs, q.Name, id, id+"\x00")
+	if err != nil {
+		return nil, 0, gauge.Fail(gauge.KindOutage, "the table can't be reached").Because(err)
 	}
+	if len(rows) == 0 {
+		return nil, 0, gauge.Fail(gauge.KindGone, "there is no job %s in this queue", id)
+	}
+	row, err := gauge.DecodeJobRow(rows[0].Value)
+	return row, rows[0].Version, err
 }
 
 // State tells how far a job is: by its owner's word, which costs no call to the
@@ -178,48 +210,81 @@
 	if state, ok := n.conf.Ask(ctx, q, id); ok {
 		return state, nil
 	}
-	row, _, err := n.read(ctx, q, id)
-	if err != nil {
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		row, _, err := n.read(ctx, q, id)
+		if err == nil {
+			return row.State, nil
+		}
+		if gauge.Is(err, gauge.KindOutage) && wait(ctx, pause) {
+			continue
+		}
 		if !gauge.Is(err, gauge.KindGone) {
 			n.log("state not told", q, id, err)
 		}
 		return "", err
 	}
-	return row.State, nil
 }
 
 // Cancel ends a job. Once it returns nil no task of the job starts any more but
 // for those that the owner had ordered before it learnt of it.
 func (n *Intake) Cancel(ctx context.Context, q *gauge.Queue, id string) error {
+	return n.cancel(ctx, q, id, n.conf.Relay)
+}
+
+// CancelHere is Cancel for a call that another entry passes on.
+func (n *Intake) CancelHere(ctx context.Context, q *gauge.Queue, id string) error {
+	return n.cancel(ctx, q, id, nil)
+}
+
+func (n *Intake) cancel(ctx context.Context, q *gauge.Queue, id string, relay Relay) error {
 	for pause := firstPause; ; pause = min(2*pause, lastPause) {
-		row, version, err := n.read(ctx, q, id)
-		if err != nil {
-			n.log("job not cancelled", q, id, err)
-			return err
-		}
-		if row.State.Final() {
-			n.conf.Logs.Info("job over before its cancel", "job", id, "state", row.State, "version", version)
-			if row.State == gauge.JobCancelled {
-				// An earlier try may have been carried out without an answer.
-				n.conf.Tell(Notice{Pool: row.Pool, Queue: q.Name, ID: id, Cancelled: true, Version: version})
-			}
-			return nil
+		err := n.tryCancel(ctx, q, id)
+		if relay != nil && err != nil && !gauge.Is(err, gauge.KindGone) {
+			err = relayedCancel(err, relay.Cancel(ctx, q, id))
 		}
-		stamp, err := n.drop(ctx, q, id, row, version)
 		if err == nil {
-			n.conf.Event("job cancelled")
-			n.conf.Logs.Info("job cancelled", "job", id, "queue", q.Name, "pool", row.Pool, "version", stamp.Version)
-			n.conf.Tell(Notice{Pool: row.Pool, Queue: q.Name, ID: id, Cancelled: true, Version: stamp.Version})
 			return nil
 		}
-		if !wait(ctx, rand.N(pause)) {
-			err := gauge.Fail(gauge.KindExpired, "it is not known whether the job was cancelled; ask again").Because(err)
+		if gauge.Is(err, gauge.KindGone) || !wait(ctx, rand.N(pause)) {
 			n.log("job not cancelled", q, id, err)
 			return err
 		}
 	}
 }
 
+// relayedCancel is what a caller is told if another entry was asked after a try
+// here had failed.
+func relayedCancel(here, there error) error {
+	if there == nil || gauge.Is(there, gauge.KindGone) {
+		return there
+	}
+	return here
+}
+
+// tryCancel reads the job's row and marks it cancelled, once.
+func (n *Intake) tryCancel(ctx context.Context, q *gauge.Queue, id string) error {
+	row, version, err := n.read(ctx, q, id)
+	if err != nil {
+		return err
+	}
+	if row.State.Final() {
+		n.conf.Logs.Info("job over before its cancel", "job", id, "state", row.State, "version", version)
+		if row.State == gauge.JobCancelled {
+			// An earlier try may have been carried out without an answer.
+			n.conf.Tell(Notice{Pool: row.Pool, Queue: q.Name, ID: id, Cancelled: true, Version: version})
+		}
+		return nil
+	}
+	stamp, err := n.drop(ctx, q, id, row, version)
+	if err != nil {
+		return gauge.Fail(gauge.KindExpired, "it is not known whether the job was cancelled; ask again").Because(err)
+	}
+	n.conf.Event("job cancelled")
+	n.conf.Logs.Info("job cancelled", "job", id, "queue", q.Name, "pool", row.Pool, "version", stamp.Version)
+	n.conf.Tell(Notice{Pool: row.Pool, Queue: q.Name, ID: id, Cancelled: true, Version: stamp.Version})
+	return nil
+}
+
 func (n *Intake) drop(ctx context.Context, q *gauge.Queue, id string, row *gauge.JobRow, version int64) (gauge.Stamp, error) {
 	row.State = gauge.JobCancelled
 	row.Ended = n.conf.Clock()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -22,6 +22,15 @@
 	version int64
 	txns    []gauge.PartTxn
 	answer  func(n int, carryOut func()) error // nil: carry out and answer
+	silent  bool                               // reads fail
+	reads   int
+	onRead  func(n int)
+}
+
+func (t *table) mute(silent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent = silent
 }
 
 func newTable() *table { return &table{rows: make(map[gauge.RowKey]gauge.PartRow)} }
@@ -59,6 +68,13 @@
 func (t *table) Range(_ context.Context, name, part, from, _ string) ([]gauge.PartRow, gauge.Stamp, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reads++
+	if t.onRead != nil {
+		t.onRead(t.reads)
+	}
+	if t.silent {
+		return nil, gauge.Stamp{}, gauge.Fail(gauge.KindOutage, "no answer to a read")
+	}
 	r, ok := t.rows[gauge.RowKey{Table: name, Part: part, Key: from}]
 	if !ok {
 		return nil, gauge.Stamp{}, nil
@@ -93,15 +109,46 @@
 	return c.now
 }
 
+// timers are the waits of an intake, fired by the test.
+type timers struct {
+	mu   sync.Mutex
+	wait map[time.Duration]chan time.Time
+}
+
+func (t *timers) After(d time.Duration) <-chan time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.channel(d)
+}
+
+func (t *timers) channel(d time.Duration) chan time.Time {
+	if t.wait[d] == nil {
+		t.wait[d] = make(chan time.Time, 1)
+	}
+	return t.wait[d]
+}
+
+// fire ends one wait of a length, now or when it comes.
+func (t *timers) fire(d time.Duration) {
+	t.mu.Lock()
+	c := t.channel(d)
+	t.mu.Unlock()
+	c <- time.Time{}
+}
+
 type rig struct {
 	intake  *intake.Intake
+	timers  timers
 	mu      sync.Mutex
 	notices []intake.Notice
 }
 
-func newRig(t *table, c *clock) *rig {
-	g := &rig{}
+func newRig(t *table, c *clock) *rig { return newRelayRig(t, c, nil) }
+
+func newRelayRig(t *table, c *clock, r intake.Relay) *rig {
+	g := &rig{timers: timers{wait: make(map[time.Duration]chan time.Time)}}
 	g.intake = intake.New(intake.Config{
+		Relay: r, After: g.timers.After,
 		Store: t, Logs: logr.Discard(), Event: func(string) {}, Now: c.Now, Clock: func() int64 { return 1 },
 		Depth: func(*gauge.Queue) (int, bool) { return 0, true },
 		Ask:   func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
@@ -124,6 +171,15 @@
 
 func outage(int, func()) error { return gauge.Fail(gauge.KindOutage, "refused") }
 
+// handInWait and probeAgain are the waits of an intake that tests end.
+const (
+	handInWait = 1200 * time.Millisecond
+	probeAgain = 150 * time.Millisecond
+	// readsBeforeLeaving: at this look at the table, each after a try that failed,
+	// the caller's wait ends.
+	readsBeforeLeaving = 4
+)
+
 func TestWhatTheCallerIsTold(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
@@ -157,8 +213,13 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			store := newTable()
+			g := newRig(store, &clock{step: time.Millisecond})
 			store.answer = tt.answer
-			g := newRig(store, &clock{step: 250 * time.Millisecond})
+			store.onRead = func(n int) {
+				if n == readsBeforeLeaving {
+					g.timers.fire(handInWait)
+				}
+			}
 			err := g.submit(1)
 			if tt.kind == "" {
 				assert.NilError(t, err)
--- /dev/null
+++ b/internal/intake/outage_test.go
@@ -0,0 +1,179 @@
+package intake_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	gauge "sapphiregauge"
+)
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	})
+}
+
+// Symptom: callers get no answer before they leave, while the table is silent.
+// Sequence: a transaction hangs; another job waits for the next one; both callers'
+// waits end.
+// Cause: what became of a job was looked at between transactions only.
+func TestCallersDoNotWaitForATransactionThatHangs(t *testing.T) {
+	store := newTable()
+	hold, held := make(chan struct{}), make(chan struct{})
+	store.answer = func(n int, _ func()) error {
+		if n == 1 {
+			close(held)
+			<-hold
+		}
+		return nil
+	}
+	g := newRig(store, &clock{step: time.Millisecond})
+	var group sync.WaitGroup
+	results := make([]error, 2)
+	group.Go(func() { results[0] = g.submit(0) })
+	<-held
+	group.Go(func() { results[1] = g.submit(1) })
+	eventually(t, "the second job waits", func() bool { return g.intake.Waiting("sheets") == 1 })
+	g.timers.fire(handInWait)
+	g.timers.fire(handInWait)
+	group.Wait()
+	assert.Equal(t, gauge.KindOf(results[0]), gauge.KindExpired, "it may be stored yet")
+	assert.Equal(t, gauge.KindOf(results[1]), gauge.KindOutage, "it was not sent")
+	close(hold)
+	eventually(t, "the owner is told of the job that was stored after all", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.notices) == 1 && g.notices[0].ID == id(0)
+	})
+	assert.Equal(t, store.count(), 1, "the refused job is never sent")
+}
+
+// Symptom: while the table is away every hand-in is held for over a second, and
+// what it was sent with may be carried out later.
+// Sequence: a transaction and then a read fail; more jobs come; the table returns.
+// Cause: each job tries for itself what is known to fail.
+func TestHandInsAreRefusedAtOnceWhileTheTableIsAway(t *testing.T) {
+	store := newTable()
+	store.silent = true
+	store.answer = outage
+	g := newRig(store, &clock{step: time.Millisecond})
+	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindOutage)
+	for n := range 3 {
+		assert.Equal(t, gauge.KindOf(g.submit(2+n)), gauge.KindOutage)
+	}
+	assert.Equal(t, store.count(), 1, "nothing more is sent")
+	g.timers.fire(probeAgain) // the table is away still
+	store.mu.Lock()
+	store.answer = nil
+	store.mu.Unlock()
+	store.mute(false)
+	g.timers.fire(probeAgain)
+	eventually(t, "jobs are taken again", func() bool { return g.submit(9) == nil })
+}
+
+// Symptom: a job runs that was refused.
+// Sequence: a transaction gets no answer, then reads fail; the job's caller is
+// answered as the lane shuts.
+// Cause: a transaction without an answer may be carried out later.
+func TestJobsSentBeforeTheTableWentAwayAreNotCalledRefused(t *testing.T) {
+	store := newTable()
+	store.silent = true
+	store.answer = func(int, func()) error { return gauge.Fail(gauge.KindUnknown, "no answer") }
+	g := newRig(store, &clock{step: time.Millisecond})
+	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindExpired)
+}
+
+// peer is the owner of the pool, as asked by an entry that can't reach the table.
+type peer struct {
+	submits, cancels int
+	err              error
+}
+
+func (p *peer) Submit(context.Context, *gauge.Queue, string, *gauge.JobSpec) error {
+	p.submits++
+	return p.err
+}
+
+func (p *peer) Cancel(context.Context, *gauge.Queue, string) error {
+	p.cancels++
+	return p.err
+}
+
+// Symptom: an entry that the table turns away refuses all jobs, though the others
+// could store them.
+// Sequence: transactions fail here; the owner of the pool is asked, and answers
+// one way or another.
+// Cause: each entry has only its own way to the table.
+func TestOwnerOfThePoolStoresWhatThisEntryCannot(t *testing.T) {
+	unknown := func(int, func()) error { return gauge.Fail(gauge.KindUnknown, "no answer") }
+	for _, tt := range []struct {
+		name  string
+		here  func(int, func()) error
+		there error
+		want  gauge.Kind // empty: accepted
+	}{
+		{"stored there", outage, nil, ""},
+		{"stored there, sent here", unknown, nil, ""},
+		{"refused by both", outage, gauge.Fail(gauge.KindOutage, "away"), gauge.KindOutage},
+		{"refused there, sent here", unknown, gauge.Fail(gauge.KindOutage, "away"), gauge.KindExpired},
+		{"no answer from there", outage, gauge.Fail(gauge.KindUnknown, "no answer"), gauge.KindExpired},
+		{"may be stored there", outage, gauge.Fail(gauge.KindExpired, "not known"), gauge.KindExpired},
+		{"no such queue there", outage, gauge.Fail(gauge.KindMissing, "no such queue"), gauge.KindMissing},
+		{"no such queue there, sent here", unknown, gauge.Fail(gauge.KindMissing, "no such queue"), gauge.KindExpired},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			store := newTable()
+			store.silent, store.answer = true, tt.here
+			p := &peer{err: tt.there}
+			g := newRelayRig(store, &clock{step: time.Millisecond}, p)
+			err := g.submit(1)
+			assert.Equal(t, p.submits, 1)
+			assert.Equal(t, len(g.notices), 0, "the owner knows")
+			if tt.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Equal(t, gauge.KindOf(err), tt.want)
+		})
+	}
+}
+
+// The owner of a pool stores what it is handed by another entry itself or not at
+// all: passed on again, a job could go round.
+func TestJobFromAnotherEntryIsNotPassedOn(t *testing.T) {
+	store := newTable()
+	store.silent, store.answer = true, outage
+	p := &peer{}
+	g := newRelayRig(store, &clock{step: time.Millisecond}, p)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
+	err := g.intake.SubmitHere(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+	assert.Equal(t, gauge.KindOf(err), gauge.KindOutage)
+	assert.Equal(t, p.submits, 0)
+}
+
+func TestCancelByTheOwnerOfThePool(t *testing.T) {
+	store := newTable()
+	store.silent = true
+	p := &peer{}
+	g := newRelayRig(store, &clock{step: time.Millisecond}, p)
+	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
+	assert.NilError(t, g.intake.Cancel(context.Background(), q, id(1)))
+	p.err = gauge.Fail(gauge.KindGone, "no such job")
+	assert.Equal(t, gauge.KindOf(g.intake.Cancel(context.Background(), q, id(1))), gauge.KindGone)
+	p.err = gauge.Fail(gauge.KindOutage, "away")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Equal(t, gauge.KindOf(g.intake.Cancel(ctx, q, id(1))), gauge.KindOutage)
+	assert.Equal(t, p.cancels, 3)
+}
--- /dev/null
+++ b/test/machines/cut_test.go
@@ -0,0 +1,114 @@
+package machines_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// path is one entry's way to the table, which a test can cut.
+type path struct {
+	to     string
+	listen net.Listener
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	cut   bool
+}
+
+func newPath(t *testing.T, to string) *path {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &path{to: to, listen: l, conns: make(map[net.Conn]bool)}
+	t.Cleanup(func() { _ = l.Close() })
+	t.Cleanup(func() { p.Cut(true) })
+	go p.serve()
+	return p
+}
+
+func (p *path) serve() {
+	for {
+		c, err := p.listen.Accept()
+		if err != nil {
+			return
+		}
+		go p.join(c)
+	}
+}
+
+func (p *path) join(near net.Conn) {
+	far, err := net.Dial("tcp", p.to)
+	if err != nil || !p.keep(near, far) {
+		_ = near.Close()
+		return
+	}
+	go func() { _, _ = io.Copy(far, near); _ = far.Close() }()
+	_, _ = io.Copy(near, far)
+	_ = near.Close()
+}
+
+func (p *path) keep(cs ...net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut {
+		return false
+	}
+	for _, c := range cs {
+		p.conns[c] = true
+	}
+	return true
+}
+
+// Cut breaks all connections and takes no new ones, until it is healed.
+func (p *path) Cut(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	for c := range p.conns {
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
+
+// Symptom: callers of one entry are refused, though the other entries could serve
+// them.
+// Sequence: the way of one entry to the table is cut; it is handed jobs, asked for
+// them, and has one cancelled.
+// Cause: each entry had only its own way to the table.
+func TestEntryWithoutTheTableServesThroughTheOwner(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	s.ready()
+	s.waitFor("the first entry owns the pool", func() bool {
+		return s.submit(100, twoSteps(10)) && s.state(100) == "completed"
+	})
+	way := newPath(t, s.table.Addr())
+	cutOff := s.startVia("e-1", way.listen.Addr().String())
+	s.ready()
+	way.Cut(true)
+	var jobs []int
+	for n := range 6 {
+		status, out, _ := s.call(cutOff, http.MethodPost, jobPath(n), twoSteps(20))
+		assert.Equal(t, status, http.StatusOK, "%v", out)
+		jobs = append(jobs, n)
+	}
+	s.waitFor("told by the entry that is cut off", func() bool {
+		_, out, _ := s.call(cutOff, http.MethodGet, jobPath(5), nil)
+		return out["state"] == "completed"
+	})
+	s.completed(jobs)
+	assert.Assert(t, s.submit(200, twoSteps(60_000)))
+	s.waitFor("tasks started", func() bool { return s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 200)) == 1 })
+	status, _, _ := s.call(cutOff, http.MethodDelete, jobPath(200), nil)
+	assert.Equal(t, status, http.StatusOK)
+	status, out, _ := s.call(s.entries[0], http.MethodGet, jobPath(200), nil)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, out["state"], "cancelled")
+	way.Cut(false)
+	s.clean()
+}
--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -19,6 +19,7 @@
 	"sapphiregauge/internal/boot"
 	"sapphiregauge/internal/mesh"
 	"sapphiregauge/internal/node"
+	"sapphiregauge/internal/timely"
 	"sapphiregauge/platform"
 	"sapphiregauge/platform/fakes"
 )
@@ -77,14 +78,18 @@
 	return l
 }
 
-func (s *site) start(name string) *entry {
+func (s *site) start(name string) *entry { return s.startVia(name, s.table.Addr()) }
+
+// startVia starts an entry that reaches the table at an address of its own.
+func (s *site) startVia(name, tableAddr string) *entry {
 	e := &entry{mesh: mesh.New(mesh.Config{}), done: make(chan struct{})}
 	peer, front := s.listen(), s.listen()
 	e.addr = front.Addr().String()
-	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), Timeout: 900 * time.Millisecond, Clock: time.Now})
+	table := platform.NewTable(platform.TableConfig{Addr: tableAddr, Timeout: 900 * time.Millisecond, Clock: time.Now})
 	workers := platform.NewWorkers(platform.WorkersConfig{Hold: 800 * time.Millisecond, Order: 300 * time.Millisecond, Clock: time.Now})
 	e.node = node.New(node.Config{
-		Name: name, Start: "1", Addr: peer.Addr().String(), Store: table, Workers: workers,
+		Store: timely.New(timely.Config{Store: table, Least: 300 * time.Millisecond, Most: 900 * time.Millisecond, Now: boot.Now}),
+		Name:  name, Start: "1", Addr: peer.Addr().String(), Workers: workers,
 		Machines: platform.NewMachines(platform.MachinesConfig{Addr: s.machines.Addr(), Timeout: time.Second, Clock: time.Now}),
 		Words:    platform.Words{}, Mesh: e.mesh, Logs: logr.Discard(), Now: boot.Now, Wall: time.Now,
 		Count: func(string, time.Duration) {}, Event: func(string) {}, Longest: 10 * time.Second, TurnGap: time.Second, Upkeep: 200 * time.Millisecond,
