Serve through slow tables, hand pools over without the table, wait for no worker that left

A table slowed 77 times carries out four transactions a second in each part; eight entries sent their own for one queue, and owners' writes waited behind them. SIGTERM while the table is slow: the lease could not be given up within a second; the entry that was offered it got no answer to its claim, though the claim was carried out, and did not know that the row named it. The pool stood still for 4 s. 3. A late answer is looked into by a read: lost, slow or away; while a table is slow the pool's owner stores for all entries. 2. An owner ends its work and offers the row's version to an entry that says it can take it; neither reads the table; a claim without an answer is made again if the row names this entry; entries without leases are known by a row each. 3. Workers that run nothing and take nothing are not named, and get no start before they are named again.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -17,8 +17,10 @@
 // assemble connects the pieces of an entry.
 func assemble(s platform.Settings, _ *hostSettings, log logr.Logger) *parts {
 	p := &parts{settings: s, log: log, meter: meter.New()}
-	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Timeout: tableTimeout, Clock: steady})
-	store := timely.New(timely.Config{Store: p.table, Least: leastTableWait, Most: tableTimeout, Now: boot.Now})
+	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Read: readTimeout, Commit: tableTimeout, Clock: steady})
+	store := timely.New(timely.Config{
+		Store: p.table, Late: lateAnswer, Fast: fastRead, Away: awayRead, Most: tableTimeout, Now: boot.Now,
+	})
 	p.workers = platform.NewWorkers(platform.WorkersConfig{Hold: holdTimeout, Order: orderTimeout, Clock: steady})
 	var machines gauge.Machines
 	if s.Machines != "" {
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -51,14 +51,19 @@
 }
 
 const (
-	// tableTimeout bounds a call to the table. A slow spell makes a transaction
-	// of 9 ms take 60 times as long, and an answer that comes is better than one
-	// given up.
-	tableTimeout = 900 * time.Millisecond
-	// leastTableWait is how long a transaction's answer is waited for at least. It
-	// comes within some 10 ms; a quota of processor time that is used up delays it
-	// by a tenth of a second, two renewals of a lease have to fit into its term.
-	leastTableWait = 300 * time.Millisecond
+	// readTimeout bounds a read of the table. It takes 4 ms, in a slow spell 60 to 90
+	// times as long, and more where much is read.
+	readTimeout = 900 * time.Millisecond
+	// tableTimeout bounds a transaction. One over two parts takes 10 ms, in a slow
+	// spell 60 to 90 times as long, and more behind others.
+	tableTimeout = 1500 * time.Millisecond
+	// lateAnswer: a transaction without an answer for so long is looked into. It takes
+	// some 10 ms; a quota of processor time that is used up delays it by 100 ms.
+	lateAnswer = 300 * time.Millisecond
+	// fastRead and awayRead: a read takes 4 ms, in a slow spell 60 to 90 times as
+	// long; in between the answer of a transaction takes less than lateAnswer.
+	fastRead = 100 * time.Millisecond
+	awayRead = 500 * time.Millisecond
 	// holdTimeout bounds a hold, its wait aside: a worker that doesn't answer gets
 	// no extension, so it isn't taken for silent lightly.
 	holdTimeout = 800 * time.Millisecond
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,6 +35,9 @@
 // writes to that part of the table all the time, or has another entry take over.
 // Errors: KindOutage: surely not done; KindUnknown: it may be done.
 type Relay interface {
+	// Prefer tells whether the owner should be asked before the table: a slow table
+	// carries out few transactions, so that those of all entries have to go together.
+	Prefer(q *gauge.Queue) bool
 	Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error
 	Cancel(ctx context.Context, q *gauge.Queue, id string) error
 }
@@ -95,14 +98,27 @@
 	if err != nil {
 		return err
 	}
-	o := n.lane(q.Name).store(p)
-	if relay != nil && (gauge.Is(o.err, gauge.KindOutage) || gauge.Is(o.err, gauge.KindExpired)) {
-		o = relayed(o, relay.Submit(ctx, q, id, j))
-	}
+	o := n.settle(ctx, p, relay)
 	n.tell(p, o)
 	return o.err
 }
 
+// settle has a job stored, here or by the owner of its pool.
+func (n *Intake) settle(ctx context.Context, p *pending, relay Relay) outcome {
+	asked := relay != nil && relay.Prefer(p.queue)
+	if asked {
+		o := relayed(outcome{err: gauge.Fail(gauge.KindOutage, "not tried here")}, relay.Submit(ctx, p.queue, p.id, p.spec))
+		if !gauge.Is(o.err, gauge.KindOutage) {
+			return o
+		}
+	}
+	o := n.lane(p.queue.Name).store(p)
+	if relay != nil && !asked && (gauge.Is(o.err, gauge.KindOutage) || gauge.Is(o.err, gauge.KindExpired)) {
+		o = relayed(o, relay.Submit(ctx, p.queue, p.id, p.spec))
+	}
+	return o
+}
+
 // relayed is what is known of a job that could not be stored here, or not surely,
 // after another entry was asked. Its refusal says nothing of a transaction sent
 // from here.
--- a/internal/intake/lane.go
+++ b/internal/intake/lane.go
@@ -15,9 +15,9 @@
 	// three writes each.
 	groupMost = 24
 	// handInWait is how long a caller waits at this entry for its job to be
-	// stored. A transaction takes some 10 ms, in a slow spell 0.4 to 0.7 s; after
-	// that another entry, or the table a second later, may do better.
-	handInWait = 1200 * time.Millisecond
+	// stored. A transaction takes some 10 ms, in a slow spell 0.4 to 0.9 s, and one
+	// may be under way already; after that another entry may do better.
+	handInWait = 2 * time.Second
 	// commitWait bounds one transaction, beside the table's own bound.
 	commitWait = 2 * time.Second
 	// probeWait bounds a read that shows whether a part of the table answers. A
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -96,8 +96,11 @@
 type peer struct {
 	submits, cancels int
 	err              error
+	prefer           bool
 }
 
+func (p *peer) Prefer(*gauge.Queue) bool { return p.prefer }
+
 func (p *peer) Submit(context.Context, *gauge.Queue, string, *gauge.JobSpec) error {
 	p.submits++
 	return p.err
@@ -177,3 +180,36 @@
 	assert.Equal(t, gauge.KindOf(g.intake.Cancel(ctx, q, id(1))), gauge.KindOutage)
 	assert.Equal(t, p.cancels, 3)
 }
+
+// Symptom: in a slow spell of the table most hand-ins take two seconds or get no
+// final answer.
+// Sequence: a part of the table carries out four transactions a second; jobs of one
+// queue come in at eight entries, each with transactions of its own.
+// Cause: a part carries out one transaction after the other, whoever sent it.
+func TestOwnerOfThePoolStoresForAllWhileTheTableIsSlow(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		there error
+		want  gauge.Kind // empty: accepted
+		here  int        // transactions
+	}{
+		{"stored there", nil, "", 0},
+		{"surely not stored there", gauge.Fail(gauge.KindOutage, "no owner"), "", 1},
+		{"may be stored there", gauge.Fail(gauge.KindUnknown, "no answer"), gauge.KindExpired, 0},
+		{"no such queue there", gauge.Fail(gauge.KindMissing, "no such queue"), gauge.KindMissing, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			store := newTable()
+			p := &peer{prefer: true, err: tt.there}
+			g := newRelayRig(store, &clock{step: time.Millisecond}, p)
+			err := g.submit(1)
+			assert.Equal(t, store.count(), tt.here)
+			assert.Equal(t, p.submits, 1)
+			if tt.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Equal(t, gauge.KindOf(err), tt.want)
+		})
+	}
+}
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -22,7 +22,7 @@
 		case <-tick.C:
 		}
 		for _, c := range n.due() {
-			n.group.Go(func() { n.claim(ctx, c) })
+			n.group.Go(func() { n.claim(ctx, c, "") })
 		}
 	}
 }
@@ -58,14 +58,21 @@
 	return claims
 }
 
-// claim tries to take a pool's lease and, with it, runs the pool.
-func (n *Node) claim(ctx context.Context, c terms.Claim) {
+// claim tries to take a pool's lease and, with it, runs the pool. From is the
+// holder that offers it, empty if nobody does.
+func (n *Node) claim(ctx context.Context, c terms.Claim, from string) {
 	defer func() {
 		n.mu.Lock()
 		delete(n.busy, c.Pool)
 		n.mu.Unlock()
 	}()
-	h := n.take(ctx, c)
+	var h *held
+	for range offerTries {
+		var again bool
+		if h, again = n.take(ctx, &c, from); !again {
+			break
+		}
+	}
 	switch {
 	case h == nil:
 	case c.Pool == fleetPool:
@@ -89,8 +96,9 @@
 
 // take writes the lease row on condition that it is as it was seen. The version
 // of that transaction is the fencing token: versions only grow, and no two
-// transactions share one.
-func (n *Node) take(ctx context.Context, c terms.Claim) *held {
+// transactions share one. Again: the holder that offers the lease has renewed it
+// meanwhile, and the claim is now of that row.
+func (n *Node) take(ctx context.Context, c *terms.Claim, from string) (h *held, again bool) {
 	term := c.Row.Term
 	if c.Version > 0 {
 		term++
@@ -99,7 +107,7 @@
 	value, err := row.Encode()
 	if err != nil {
 		n.conf.Logs.Error(err, "lease not claimed", "pool", c.Pool)
-		return nil
+		return nil, false
 	}
 	key := gauge.RowKey{Table: gauge.TableLeases, Part: c.Pool, Key: gauge.KeyOwner}
 	sent := n.conf.Now()
@@ -108,22 +116,43 @@
 		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
 	})
 	if err != nil {
-		n.conf.Logs.Info("lease not taken", "pool", c.Pool, "version", c.Version, "kind", gauge.KindOf(err))
-		n.toldLeases(rows, false)
-		return nil
+		n.conf.Logs.Info("lease not taken", "pool", c.Pool, "version", c.Version, "kind", gauge.KindOf(err), "from", from)
+		return nil, n.notTaken(c, from, rows, err)
 	}
 	n.stamp(stamp, sent)
 	n.mu.Lock()
 	n.board.Tell(c.Pool, row, stamp.Version, n.conf.Now(), 0)
 	n.mu.Unlock()
 	n.conf.Event("lease taken")
-	n.conf.Logs.Info("lease taken", "pool", c.Pool, "fence", stamp.Version, "term", term, "before", c.Row.Holder,
+	n.conf.Logs.Info("lease taken", "pool", c.Pool, "fence", stamp.Version, "term", term, "before", c.Row.Holder, "from", from,
 		"workers", len(c.Row.Workers), "seen", c.Version)
 	lease := tenure.New(tenure.Config{
 		Key: key, Holder: n.holder, Addr: n.conf.Addr, Term: term, Version: stamp.Version, Taken: sent, Lasts: leaseTerm,
 		Store: n.conf.Store, Now: n.conf.Now, Clock: n.clock,
 	})
-	return &held{lease: lease, fence: gauge.Fence(stamp.Version), term: term, before: c.Row}
+	return &held{lease: lease, fence: gauge.Fence(stamp.Version), term: term, before: c.Row}, false
+}
+
+// notTaken takes in that a claim failed; true: it is worth another try at once.
+func (n *Node) notTaken(c *terms.Claim, from string, rows []gauge.PartRow, err error) bool {
+	if gauge.Is(err, gauge.KindUnknown) {
+		n.mu.Lock()
+		n.board.Unsure(c.Pool)
+		n.mu.Unlock()
+	}
+	n.toldLeases(rows, false)
+	if from == "" || !gauge.Is(err, gauge.KindConflict) {
+		return false
+	}
+	for _, r := range rows {
+		row, err := gauge.DecodeLeaseRow(r.Value)
+		if err != nil || row.Holder != from {
+			continue
+		}
+		c.Version = r.Version
+		return true
+	}
+	return false
 }
 
 // own runs a pool until the lease is lost or given up.
@@ -138,7 +167,7 @@
 	n.mu.Lock()
 	if !n.going.Load() {
 		n.mu.Unlock()
-		o.Close(ctx)
+		n.handOver(ctx, o, "the entry stops")
 		return
 	}
 	n.owners[pool] = o
@@ -158,7 +187,7 @@
 // leave has another entry take a pool whose owner here can't write to the table, or
 // lacks processor time. Without one that can the owner goes on.
 func (n *Node) leave(ctx context.Context, o *owner.Owner) {
-	to := n.successor(ctx, o.Pool())
+	to := n.successor(ctx)
 	if to == "" {
 		pause(ctx, offerAgain)
 		return
@@ -166,7 +195,21 @@
 	n.mu.Lock()
 	n.restUntil = n.conf.Now() + claimRest
 	n.mu.Unlock()
-	if o.Quit("writes fail here, or it lags") {
-		n.offer(ctx, to, offerCall{Pool: o.Pool(), Holder: n.holder})
+	if o.Stop("writes fail here, or it lags") {
+		n.offer(ctx, to, offerOf(o))
+	}
+}
+
+func offerOf(o *owner.Owner) offerCall {
+	row, version := o.Offer()
+	return offerCall{Pool: o.Pool(), Row: row, Version: version}
+}
+
+// handOver ends a pool's work here and has another entry take it at once, or any
+// entry as soon as it sees that the lease is given up.
+func (n *Node) handOver(ctx context.Context, o *owner.Owner, why string) {
+	to := n.successor(ctx)
+	if o.Stop(why) && (to == "" || !n.offer(ctx, to, offerOf(o))) {
+		o.GiveUp(ctx)
 	}
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -87,11 +87,23 @@
 		}
 		pause(ctx, fleetEvery)
 	}
-	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
-		n.conf.Logs.Info("lease not given up", "pool", "fleet", "error", err.Error())
+	f.handOver(ctx)
+}
+
+// handOver has another entry take the fleet over as this one stops.
+func (f *fleet) handOver(ctx context.Context) {
+	n, h := f.node, f.held
+	if h.lease.Lost() {
+		n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the lease is lost")
+		return
+	}
+	n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the entry stops")
+	if to := n.successor(ctx); to != "" && n.offer(ctx, to, f.offer()) {
 		return
 	}
-	n.conf.Logs.Info("fleet left", "fence", h.fence)
+	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
+		n.conf.Logs.Info("lease not given up", "pool", fleetPool, "error", err.Error())
+	}
 }
 
 // turnFrom is when this holder may order its first machine. If the one before gave
@@ -133,16 +145,23 @@
 		return false
 	}
 	f.offered = now
-	to := f.node.successor(ctx, fleetPool)
+	to := f.node.successor(ctx)
 	if to == "" {
 		return false
 	}
 	f.held.lease.Lose()
 	f.node.conf.Logs.Info("fleet left", "fence", f.held.fence, "reason", "writes fail here")
-	f.node.offer(ctx, to, offerCall{Pool: fleetPool, Holder: f.node.holder, Ordered: f.turns.Lately(f.node.clock())})
+	f.node.offer(ctx, to, f.offer())
 	return true
 }
 
+// offer offers the fleet's lease, with what was ordered since its row was written.
+func (f *fleet) offer() offerCall {
+	row := f.row()
+	row.Term = f.held.term
+	return offerCall{Pool: fleetPool, Row: row, Version: f.held.lease.Version()}
+}
+
 // grantMargin covers the difference between two entries' steady clocks.
 const grantMargin = 200 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 	intake *intake.Intake
 	site   atomic.Pointer[gauge.Site]
 	offset atomic.Int64                    // the table's clock less ours, nanoseconds
+	took   atomic.Int64                    // the last look at the leases, nanoseconds
 	going  atomic.Bool                     // it takes pools
 	ctx    atomic.Pointer[context.Context] // of the running entry
 	group  conc.WaitGroup
@@ -103,7 +104,8 @@
 	leases    time.Duration // when the leases were last read
 	restUntil time.Duration // no pool is claimed before
 	owners    map[string]*owner.Owner
-	busy      map[string]bool // pools that are being claimed
+	busy      map[string]bool   // pools that are being claimed
+	entries   map[string]string // addresses for other entries, by name
 	workers   map[string]gauge.Worker
 	waves     map[int64]gauge.UpkeepOrder
 }
@@ -113,7 +115,7 @@
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start,
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
-		workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+		entries: make(map[string]string), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld})
 	n.intake = intake.New(intake.Config{
@@ -153,6 +155,7 @@
 	})
 	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
+	n.group.Go(func() { n.enroll(ctx) })
 	n.group.Wait()
 }
 
@@ -167,19 +170,11 @@
 	n.mu.Unlock()
 	var group conc.WaitGroup
 	for _, o := range owners {
-		group.Go(func() { n.handOver(ctx, o) })
+		group.Go(func() { n.handOver(ctx, o, "the entry stops") })
 	}
 	group.Wait()
 }
 
-// handOver gives a pool up and has another entry take it at once.
-func (n *Node) handOver(ctx context.Context, o *owner.Owner) {
-	to := n.successor(ctx, o.Pool())
-	if o.Close(ctx) && to != "" {
-		n.offer(ctx, to, offerCall{Pool: o.Pool()})
-	}
-}
-
 // context is that of the running entry.
 func (n *Node) context() context.Context { return *n.ctx.Load() }
 
@@ -218,6 +213,7 @@
 // sawLeases notes that the leases were read, changed or not.
 func (n *Node) sawLeases(s gauge.Stamp, sent time.Duration) {
 	n.stamp(s, sent)
+	n.took.Store(int64(n.conf.Now() - sent))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leases = n.conf.Now()
@@ -322,6 +318,10 @@
 }
 
 func (n *Node) toldLease(r gauge.PartRow, now time.Duration) {
+	if addr := string(r.Value); r.Key == gauge.KeyEntry && !r.Dropped && n.entries[r.Part] != addr {
+		n.entries[r.Part] = addr
+		n.conf.Logs.Info("entry known", "peer", r.Part, "addr", addr, "version", r.Version)
+	}
 	if r.Dropped || r.Key != gauge.KeyOwner {
 		return
 	}
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -12,9 +12,10 @@
 	"sapphiregauge/internal/terms"
 )
 
-// A holder that can't write to the table would keep its pool until the lease
-// runs out, though other entries may reach the table. It asks one of them to
-// take over, and gives up its own work only when one says that it can.
+// A holder that can't write to the table, or that is to stop, would leave its pool
+// without an owner until the lease runs out. It asks another entry to take over,
+// once all its own work has ended. Neither call needs the table: when that is slow
+// a look at the lease's row would take longer than a busy pool should wait.
 
 const (
 	// methodProbe asks whether an entry can take a lease over.
@@ -28,75 +29,118 @@
 	offerWait = 400 * time.Millisecond
 	// offerAgain is the pause between two rounds of offers.
 	offerAgain = 300 * time.Millisecond
+	// probesAtOnce entries at most are asked at a time: one that is dead makes the
+	// others wait for offerWait.
+	probesAtOnce = 4
+	// offerTries: between an offer and its claim a renewal of the holder may land,
+	// and one more that got no answer.
+	offerTries = 3
 )
 
+// probeCall asks whether an entry can take a lease over.
+type probeCall struct{}
+
 // offerCall offers a lease whose row names this holder.
 type offerCall struct {
-	Pool    string           `msgpack:"p"`
-	Holder  string           `msgpack:"h"`
-	Ordered map[string]int64 `msgpack:"o"` // machines that the fleet's holder ordered lately
+	Pool    string         `msgpack:"p"`
+	Holder  string         `msgpack:"h"`
+	Version int64          `msgpack:"v"` // of the row, as the holder last knew it
+	Row     gauge.LeaseRow `msgpack:"r"` // what the holder would write now
 }
 
 type offerAnswer struct {
 	Ready bool `msgpack:"r"`
 }
 
-// peers lists the addresses of other entries that hold leases, those with the
-// fewest first.
+// peers lists the addresses of other entries, those with the fewest leases first.
 func (n *Node) peers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	held := make(map[string]int)
+	for _, addr := range n.entries {
+		held[addr] = 0
+	}
 	for _, pool := range n.board.Pools() {
-		row, ok := n.board.Holder(pool)
-		if ok && row.Addr != n.conf.Addr {
+		if row, ok := n.board.Holder(pool); ok {
 			held[row.Addr]++
 		}
 	}
+	delete(held, n.conf.Addr)
 	addrs := slices.Sorted(maps.Keys(held))
 	slices.SortStableFunc(addrs, func(a, b string) int { return cmp.Compare(held[a], held[b]) })
 	return addrs
 }
 
-// successor finds an entry that can take a lease over; empty: none.
-func (n *Node) successor(ctx context.Context, pool string) string {
-	for _, addr := range n.peers() {
-		callCtx, cancel := context.WithTimeout(ctx, offerWait)
-		var a offerAnswer
-		err := n.conf.Mesh.Call(callCtx, addr, methodProbe, &offerCall{Pool: pool, Holder: n.holder}, &a)
-		cancel()
-		if err == nil && a.Ready {
-			return addr
+// enroll writes this entry's address where the others find it. A row that is out
+// of date does no harm: it is asked before it is given anything.
+func (n *Node) enroll(ctx context.Context) {
+	row := gauge.RowWrite{
+		RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: n.conf.Name, Key: gauge.KeyEntry}, Value: []byte(n.conf.Addr),
+	}
+	for ctx.Err() == nil {
+		_, _, err := n.conf.Store.Commit(ctx, gauge.PartTxn{Writes: []gauge.RowWrite{row}})
+		if err == nil {
+			return
+		}
+		n.conf.Logs.Info("entry not enrolled", "kind", gauge.KindOf(err), "error", err.Error())
+		pause(ctx, enrollAgain)
+	}
+}
+
+// enrollAgain is the pause after a try that failed; nothing waits for it.
+const enrollAgain = time.Second
+
+// successor finds an entry that can take a lease over: of those with the fewest
+// leases the first that says so. Empty: none.
+func (n *Node) successor(ctx context.Context) string {
+	for some := range slices.Chunk(n.peers(), probesAtOnce) {
+		answers := make(chan string, len(some))
+		for _, addr := range some {
+			go func() {
+				if !n.probe(ctx, addr) {
+					addr = ""
+				}
+				answers <- addr
+			}()
+		}
+		for range some {
+			if addr := <-answers; addr != "" {
+				return addr
+			}
 		}
 	}
 	return ""
 }
 
-// offer tells an entry to take a lease over. The holder must have stopped all
-// its orders. If the call is lost, the lease runs out by itself.
-func (n *Node) offer(ctx context.Context, addr string, c offerCall) {
+func (n *Node) probe(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, offerWait)
+	defer cancel()
+	var a offerAnswer
+	return n.conf.Mesh.Call(ctx, addr, methodProbe, probeCall{}, &a) == nil && a.Ready
+}
+
+// offer has an entry take a lease over; true: it does. The holder must have stopped
+// all its orders. If the call is lost, the lease runs out by itself.
+func (n *Node) offer(ctx context.Context, addr string, c offerCall) bool {
+	c.Holder = n.holder
 	ctx, cancel := context.WithTimeout(ctx, offerWait)
 	defer cancel()
 	var a offerAnswer
 	err := n.conf.Mesh.Call(ctx, addr, methodOffer, &c, &a)
-	n.conf.Logs.Info("lease offered", "pool", c.Pool, "to", addr, "taken", err == nil && a.Ready)
+	n.conf.Logs.Info("lease offered", "pool", c.Pool, "to", addr, "version", c.Version, "taken", err == nil && a.Ready)
+	return err == nil && a.Ready
 }
 
-func (n *Node) handleProbe(ctx context.Context, body []byte) (any, error) {
-	var c offerCall
-	if err := frame.Decode(body, &c); err != nil {
-		return nil, err
-	}
-	_, ready := n.offered(ctx, c)
-	return offerAnswer{Ready: ready}, nil
+func (n *Node) handleProbe(context.Context, []byte) (any, error) {
+	return offerAnswer{Ready: n.mayTake()}, nil
 }
 
-func (n *Node) handleOffer(ctx context.Context, body []byte) (any, error) {
+func (n *Node) handleOffer(_ context.Context, body []byte) (any, error) {
 	var c offerCall
 	if err := frame.Decode(body, &c); err != nil {
 		return nil, err
 	}
-	claim, ready := n.offered(ctx, c)
+	ready := n.mayTake()
 	if ready {
 		n.mu.Lock()
 		ready = !n.busy[c.Pool]
@@ -104,37 +148,26 @@
 		n.mu.Unlock()
 	}
 	if ready {
-		n.group.Go(func() { n.claim(n.context(), claim) })
+		n.group.Go(func() { n.claim(n.context(), n.offered(c), c.Holder) })
 	}
 	return offerAnswer{Ready: ready}, nil
 }
 
-// resting tells whether this entry had to leave a pool just now itself.
-func (n *Node) resting() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.conf.Now() < n.restUntil
+// offered is the claim of an offered lease. Its holder has stopped: nothing has to
+// be waited for.
+func (n *Node) offered(c offerCall) terms.Claim {
+	c.Row.Holder, c.Row.Addr = "", ""
+	return terms.Claim{Pool: c.Pool, Version: c.Version, Row: c.Row}
 }
 
-// offered looks at the row of an offered lease: it still has to name the holder
-// that offers it.
-func (n *Node) offered(ctx context.Context, c offerCall) (terms.Claim, bool) {
-	if !n.going.Load() || n.Site() == nil || n.resting() {
-		return terms.Claim{}, false
+// mayTake tells whether this entry can take a lease over: it is to go on, didn't
+// have to leave a pool itself just now, and has the table answer.
+func (n *Node) mayTake() bool {
+	if !n.going.Load() || n.Site() == nil {
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, offerWait)
-	defer cancel()
-	rows, _, err := n.conf.Store.Range(ctx, gauge.TableLeases, c.Pool, gauge.KeyOwner, gauge.KeyOwner+"\x00")
-	if err != nil || len(rows) != 1 {
-		return terms.Claim{}, false
-	}
-	row, err := gauge.DecodeLeaseRow(rows[0].Value)
-	if err != nil || row.Holder != c.Holder {
-		return terms.Claim{}, false
-	}
-	row.Holder = "" // it has stopped: nothing has to be waited for
-	if c.Ordered != nil {
-		row.Ordered = c.Ordered // it may have ordered more since it wrote the row
-	}
-	return terms.Claim{Pool: c.Pool, Version: rows[0].Version, Row: *row}, true
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	return now >= n.restUntil && now-n.leases <= leasesOld
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,16 +9,21 @@
 )
 
 // An entry that the table turns away while it serves others would refuse every
-// job that its callers hand in. The owner of the queue's pool writes to that part
-// of the table several times a second, so it is asked to store them instead.
+// job that its callers hand in, and a slow table would turn most of them away if
+// each entry had transactions of its own. The owner of the queue's pool writes to
+// that part of the table several times a second, so it is asked to store them.
 
 const (
 	// methodSubmit has the pool's owner store a job, methodCancel cancel one.
 	methodSubmit = "job.submit"
 	methodCancel = "job.cancel"
-	// relayWait bounds each of the two calls: a transaction takes some 10 ms, and
-	// the caller has waited for this entry's own try already.
-	relayWait = 600 * time.Millisecond
+	// relayWait bounds each of the two calls. In a slow spell a transaction takes
+	// 0.4 to 0.9 s, and one may be under way already.
+	relayWait = 1800 * time.Millisecond
+	// slowRead: a look at the leases that takes longer shows a slow table. One takes
+	// 4 ms; a quota of processor time that is used up makes it up to 100 ms, and then
+	// the owner does no harm.
+	slowRead = 40 * time.Millisecond
 )
 
 // relay implements intake.Relay.
@@ -38,6 +43,15 @@
 // done is the answer to a call that needs no other.
 type done struct{}
 
+// Prefer tells whether the table is slow and another entry owns the pool.
+func (r relay) Prefer(q *gauge.Queue) bool {
+	if time.Duration(r.node.took.Load()) < slowRead {
+		return false
+	}
+	o, _, err := r.node.ownerOf(q.Pool)
+	return o == nil && err == nil
+}
+
 // Submit has the owner of a queue's pool store a job.
 func (r relay) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
 	return r.node.askOwner(ctx, q.Pool, methodSubmit, &submitCall{Queue: q.Name, ID: id, Spec: j})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -161,20 +161,35 @@
 	o.group.Wait()
 }
 
-// Close stops all work and gives the lease up, so that another entry needn't wait
-// for its end. False: it wasn't given up.
-func (o *Owner) Close(ctx context.Context) bool { return o.end() && o.giveUp(ctx) }
-
-// Quit stops all work without a word to the table. False: it had ended already.
-func (o *Owner) Quit(why string) bool {
+// Stop ends all work without a word to the table; whoever is offered the pool then
+// needn't wait for anything. False: it had ended already.
+func (o *Owner) Stop(why string) bool {
 	if !o.end() {
 		return false
 	}
-	o.conf.Lease.Lose()
 	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
 	return true
 }
 
+// Offer is the lease's row for a successor, and its version as last known.
+func (o *Owner) Offer() (gauge.LeaseRow, int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	row := o.leaseRow()
+	row.Term = o.conf.Term
+	return row, o.conf.Lease.Version()
+}
+
+// GiveUp lets any entry take the pool at once. It follows Stop.
+func (o *Owner) GiveUp(ctx context.Context) {
+	row, _ := o.Offer()
+	if err := o.conf.Lease.GiveUp(ctx, row); err != nil {
+		o.conf.Logs.Info("lease not given up", "pool", o.conf.Pool, "error", err.Error())
+		return
+	}
+	o.conf.Logs.Info("lease given up", "pool", o.conf.Pool, "fence", o.conf.Fence)
+}
+
 // OnStuck has something done, again and again, while writes have failed for some
 // time. It is set before Run.
 func (o *Owner) OnStuck(after time.Duration, do func()) { o.stuckAfter, o.stuck = after, do }
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"context"
 	"time"
 
 	gauge "sapphiregauge"
@@ -109,7 +108,7 @@
 }
 
 func (o *Owner) leaseRow() gauge.LeaseRow {
-	return gauge.LeaseRow{Workers: o.core.Known(), Depths: o.core.Depths()}
+	return gauge.LeaseRow{Workers: o.core.Name(), Depths: o.core.Depths()}
 }
 
 // wrote takes in that a write is in the table.
@@ -140,16 +139,3 @@
 	}
 	o.act(nil)
 }
-
-// giveUp lets another entry take the pool at once.
-func (o *Owner) giveUp(ctx context.Context) bool {
-	o.mu.Lock()
-	row := o.leaseRow()
-	o.mu.Unlock()
-	if err := o.conf.Lease.GiveUp(ctx, row); err != nil {
-		o.conf.Logs.Info("lease not given up", "pool", o.conf.Pool, "error", err.Error())
-		return false
-	}
-	o.conf.Logs.Info("lease given up", "pool", o.conf.Pool, "fence", o.conf.Fence)
-	return true
-}
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for _, w := range p.workers {
-		if w.ends > w.kept && !w.gone {
+		if w.ends > w.kept && !w.gone || w.waits() {
 			return true
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -139,11 +139,21 @@
 	return fresh
 }
 
-// Known lists the workers that this owner may have given orders to, for the
-// lease row.
-func (p *Pool) Known() []string {
+// Name lists the workers for the lease row: those that this owner, or an earlier
+// one that it hasn't heard about, may have given orders to. A successor asks all of
+// them before it starts anything again that was there before it.
+//
+// Workers that run nothing and take nothing are left out, and get no start before
+// they are named again. Machines change pools several times a minute: named until
+// their leases are over, workers of machines that have left would have a successor
+// wait for them for seconds, with the whole pool's work.
+func (p *Pool) Name() []string {
 	ids := make([]string, 0, len(p.workers))
-	for id := range p.workers {
+	for id, w := range p.workers {
+		if !p.earlier[id] && w.done() {
+			w.noted = false
+			continue
+		}
 		ids = append(ids, id)
 	}
 	for id := range p.earlier {
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -10,6 +10,54 @@
 	"sapphiregauge/internal/sched"
 )
 
+// Symptom: for six seconds after a handover nothing runs that was there before.
+// Sequence: machines of a busy pool move to another one; its owner stops; the next
+// one waits for the workers that those machines were, which nobody can hear.
+// Cause: the lease row named workers until their leases were over.
+func TestWorkersThatLeftEmptyAreNotWaitedFor(t *testing.T) {
+	g := newRig(t)
+	g.list("w1", "w2", "w3")
+	g.hear("w1", nil)
+	g.hear("w2", nil)
+	g.hear("w3", nil)
+	g.adopt(1, false, step(1))
+	start := g.starts()[0]
+	g.ok([]sched.Order{start})
+	var left []string
+	for _, id := range []string{"w1", "w2", "w3"} {
+		if id != start.Worker.ID {
+			left = append(left, id)
+		}
+	}
+	g.list(start.Worker.ID)
+	g.silent(left[0])
+	assert.DeepEqual(t, g.pool.Name(), []string{start.Worker.ID})
+	g.silent(start.Worker.ID)
+	assert.DeepEqual(t, g.pool.Name(), []string{start.Worker.ID}) // its run may go on
+}
+
+// Symptom: a task runs twice after a handover.
+// Sequence: an idle worker is silent for a moment, so that the lease row doesn't
+// name it; it answers again and gets a task; the owner dies; the next one doesn't
+// ask that worker.
+// Cause: the worker was used though the row didn't name it any more.
+func TestWorkerLeftOutIsNotUsedBeforeItIsNamedAgain(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.silent("w1")
+	assert.Equal(t, len(g.pool.Name()), 0)
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	assert.Equal(t, len(g.starts()), 0)
+	assert.Assert(t, g.pool.Urgent(), "the row is to be written")
+	named := g.pool.Name()
+	assert.DeepEqual(t, named, []string{"w1"})
+	assert.Equal(t, len(g.starts()), 0, "not before the table has it")
+	g.pool.Noted(named)
+	assert.Equal(t, len(g.starts()), 1)
+}
+
 // Symptom: a job that was completed runs a second time, seconds later.
 // Sequence: the notice of a new job to the pool's owner gets no answer and is
 // sent again; meanwhile the job was found by a scan, ran and ended.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -117,6 +117,16 @@
 	return nil
 }
 
+// done tells whether nothing runs on the worker, and it gets no starts.
+func (w *worker) done() bool {
+	return w.heard && len(w.runs) == 0 && w.odd == 0 && (w.gone || w.silent || !w.listed || w.info.Draining)
+}
+
+// waits tells whether a worker could be used but for the lease row.
+func (w *worker) waits() bool {
+	return !w.noted && w.listed && w.heard && !w.silent && !w.gone && !w.info.Draining
+}
+
 // takes tells whether new runs may start here.
 func (w *worker) takes(now time.Duration) bool {
 	return w.listed && w.noted && w.heard && !w.silent && !w.gone && !w.info.Draining &&
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -48,6 +48,13 @@
 	return t.until
 }
 
+// Version is that of the lease's row, as last known.
+func (t *Tenure) Version() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Lost tells whether another holder is known to have it, or it was given up.
 func (t *Tenure) Lost() bool {
 	t.mu.Lock()
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -41,10 +41,11 @@
 
 // Board keeps the lease rows. It is not safe for concurrent use.
 type Board struct {
-	conf Config
-	rows map[string]seen
-	free map[string]time.Duration // since when a pool is seen to be without an owner
-	read bool
+	conf   Config
+	rows   map[string]seen
+	free   map[string]time.Duration // since when a pool is seen to be without an owner
+	unsure map[string]bool          // pools of which a claim got no answer
+	read   bool
 }
 
 // clockMargin covers the difference between two entries' steady clocks over one
@@ -58,7 +59,7 @@
 
 // New makes a Board that has seen nothing.
 func New(c Config) *Board {
-	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration)}
+	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration), unsure: make(map[string]bool)}
 }
 
 // Tell takes in a lease row. Clock is the table's clock when it was read, at the
@@ -75,6 +76,11 @@
 	b.rows[pool] = s
 }
 
+// Unsure takes in that this entry's claim of a pool got no answer. If it was
+// carried out, the row names this entry, which doesn't run the pool: the others
+// would wait a term for a holder that does nothing.
+func (b *Board) Unsure(pool string) { b.unsure[pool] = true }
+
 // Read takes in that the table has been read whole: a pool without a row is free.
 func (b *Board) Read() { b.read = true }
 
@@ -115,13 +121,14 @@
 		s := b.rows[pool]
 		claims = append(claims, Claim{Pool: pool, Version: s.version, Row: s.row})
 		delete(b.free, pool) // if it fails, the next try waits again
+		delete(b.unsure, pool)
 	}
 	return claims
 }
 
 func (b *Board) isFree(pool string, now time.Duration) bool {
 	s, ok := b.rows[pool]
-	if !ok || s.row.Holder == "" || b.wasMine(pool) {
+	if !ok || s.row.Holder == "" || b.wasMine(pool) || b.unsure[pool] && s.row.Holder == b.conf.Self {
 		return true
 	}
 	passed := now - s.at
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -65,6 +65,15 @@
 		{"of an earlier start of this entry", func(b *terms.Board) {
 			b.Tell("p", gauge.LeaseRow{Holder: "me/1", Addr: "10.0.0.9:1"}, 5, 0, 0)
 		}, 0, true},
+		// The claim got no answer, but was carried out: nobody runs the pool.
+		{"this entry's own by a claim without an answer", func(b *terms.Board) {
+			b.Unsure("p")
+			b.Tell("p", gauge.LeaseRow{Holder: "me", Addr: "10.0.0.9:1"}, 5, 0, 0)
+		}, 0, true},
+		{"another's after a claim without an answer", func(b *terms.Board) {
+			b.Unsure("p")
+			b.Tell("p", row("other"), 5, 0, 0)
+		}, 0, false},
 		{"this entry's own", func(b *terms.Board) {
 			b.Tell("p", gauge.LeaseRow{Holder: "me", Addr: "10.0.0.9:1"}, 5, 0, 0)
 		}, 0, false},
--- a/leaserow.go
+++ b/leaserow.go
@@ -40,8 +40,9 @@
 	TableJobs   = "jobs"   // id -> JobRow, kept for some time after the end
 	TableSpecs  = "specs"  // id -> JobSpec, until the end
 	TableOpen   = "open"   // id -> mark: jobs with something left to do
-	TableLeases = "leases" // owner -> LeaseRow
+	TableLeases = "leases" // owner -> LeaseRow, in the part of a pool; entry -> address, in that of an entry
 	KeyOwner    = "owner"
+	KeyEntry    = "entry"
 )
 
 // Mark is the value of an open job's row in TableOpen.
--- a/test/machines/cut_test.go
+++ b/test/machines/cut_test.go
@@ -112,3 +112,33 @@
 	way.Cut(false)
 	s.clean()
 }
+
+// Symptom: a pool stands still for seconds when its owner stops while the table is
+// slow or denied to it.
+// Sequence: the owner is told to stop; it can't write that it gives the lease up;
+// the others wait for the lease's term.
+// Cause: the handover went through the table.
+func TestOwnerThatCannotReachTheTableHandsItsPoolOver(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 3)
+	way := newPath(t, s.table.Addr())
+	first := s.startVia("e-0", way.listen.Addr().String())
+	s.ready()
+	s.waitFor("the first entry owns both leases", func() bool { return s.logged("lease taken", `"e-0"`) == 2 })
+	s.start("e-1")
+	s.ready()
+	s.waitFor("the second entry is known to the first", func() bool {
+		return s.logged("entry known", `"entry"="e-0"`, `"peer"="e-1"`) == 1
+	})
+	assert.Assert(t, s.submit(1, twoSteps(60_000)))
+	s.waitFor("tasks started", func() bool { return s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 1)) == 1 })
+	way.Cut(true)
+	first.node.Release(t.Context())
+	s.waitFor("the second entry has the pool by the first one's offer", func() bool {
+		return s.logged("lease taken", `"entry"="e-1"`, `"pool"="`+poolName+`"`, `"from"="e-0/1"`) == 1
+	})
+	s.entries = s.entries[1:]
+	assert.Equal(t, s.state(1), "running")
+	assert.Equal(t, s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 1)), 1)
+	s.clean()
+}
