Keep pools through outages of all, replace dead owners at once, store jobs at the owner

The fleet's holder was killed in the outage; its successor waited 2.4 s more before it moved machines, though the last possible order was long ago; and each lease of a killed process was waited out. 3. A feed that waits for a second for a change took 1.9 s to find its connection silent. 4. At the start of a slow spell each of eight entries still sent its own transactions, as none knew yet that the table was slow; that part then had 2 s of them waiting. 5. A successor must have had an answer after the holder's first failure, and holders have 0.8 s to renew when the table is back. 2. The turn counts from the last renewal; a holder whose connections end and at whose address nothing or another start answers is replaced at once. 3. 0.2 s. 4. Hand-ins always go to the pool's owner, which is asked whether it lives when it is late; else the entry stores the job itself. 5. Calls near the end are bounded by it.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -31,13 +31,13 @@
 	if s.Advice != "" {
 		adviser = platform.NewAdvice(platform.AdviceConfig{Addr: s.Advice, Timeout: adviceTimeout, Clock: steady})
 	}
-	p.mesh = mesh.New(mesh.Config{})
+	p.mesh = mesh.New(mesh.Config{Closed: func(addr string) { p.node.CheckHolder(addr) }})
 	p.node = node.New(node.Config{
 		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: store, Workers: p.workers, Machines: machines, Adviser: adviser,
 		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call, Event: p.meter.Event,
 		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate, Keep: s.KeepStatus,
 	})
-	p.front = platform.NewFront(platform.FrontConfig{Jobs: p.node.Jobs(), Site: p.node.Site, Ready: p.node.Ready})
+	p.front = platform.NewFront(platform.FrontConfig{Jobs: p.node.Jobs(), Site: p.node.Site, Ready: p.node.Ready, Logs: log})
 	return p
 }
 
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -79,6 +79,8 @@
 	stopMargin = 1500 * time.Millisecond
 	// closeWait bounds the wait for calls in flight at the very end.
 	closeWait = 800 * time.Millisecond
+	// answerMargin is kept for the last answers on their way.
+	answerMargin = 200 * time.Millisecond
 	// releaseWait bounds giving up the leases.
 	releaseWait = time.Second
 )
@@ -176,8 +178,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
 	p.node.Release(ctx)
 	cancel()
-	p.front.Wind()
 	left := p.settings.Grace - stopMargin - (boot.Now() - began)
+	p.front.Wind(left + closeWait - answerMargin)
 	if left > 0 {
 		time.Sleep(left)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,8 +35,9 @@
 // writes to that part of the table all the time, or has another entry take over.
 // Errors: KindOutage: surely not done; KindUnknown: it may be done.
 type Relay interface {
-	// Prefer tells whether the owner should be asked before the table: a slow table
-	// carries out few transactions, so that those of all entries have to go together.
+	// Prefer tells whether the owner should be asked before the table. A part of the
+	// table carries out one transaction after the other: when it is slow, those of
+	// all entries have to go together, and it gets slow from one moment to the next.
 	Prefer(q *gauge.Queue) bool
 	Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error
 	Cancel(ctx context.Context, q *gauge.Queue, id string) error
@@ -94,7 +95,7 @@
 }
 
 func (n *Intake) submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, relay Relay) error {
-	p, err := n.pend(q, id, j, timeLeft(ctx))
+	p, err := n.pend(q, id, j)
 	if err != nil {
 		return err
 	}
@@ -103,20 +104,30 @@
 	return o.err
 }
 
-// settle has a job stored, here or by the owner of its pool.
+// settle has a job stored, by the owner of its pool or here.
 func (n *Intake) settle(ctx context.Context, p *pending, relay Relay) outcome {
-	asked := relay != nil && relay.Prefer(p.queue)
-	if asked {
-		o := relayed(outcome{err: gauge.Fail(gauge.KindOutage, "not tried here")}, relay.Submit(ctx, p.queue, p.id, p.spec))
-		if !gauge.Is(o.err, gauge.KindOutage) {
-			return o
+	if relay == nil {
+		return n.lane(p.queue.Name).store(ctx, p)
+	}
+	if !relay.Prefer(p.queue) {
+		o := n.lane(p.queue.Name).store(ctx, p)
+		if gauge.Is(o.err, gauge.KindOutage) || gauge.Is(o.err, gauge.KindExpired) {
+			o = relayed(o, relay.Submit(ctx, p.queue, p.id, p.spec))
 		}
+		return o
 	}
-	o := n.lane(p.queue.Name).store(p)
-	if relay != nil && !asked && (gauge.Is(o.err, gauge.KindOutage) || gauge.Is(o.err, gauge.KindExpired)) {
-		o = relayed(o, relay.Submit(ctx, p.queue, p.id, p.spec))
+	nothing := outcome{err: gauge.Fail(gauge.KindOutage, "not tried here")}
+	there := relayed(nothing, relay.Submit(ctx, p.queue, p.id, p.spec))
+	unsure := gauge.Is(there.err, gauge.KindExpired)
+	late := n.conf.Now()-p.began > handInWait/2
+	if !unsure && !gauge.Is(there.err, gauge.KindOutage) || unsure && late {
+		return there
 	}
-	return o
+	here := n.lane(p.queue.Name).store(ctx, p)
+	if unsure && gauge.Is(here.err, gauge.KindOutage) {
+		return there // what is surely not stored from here may be from there
+	}
+	return here
 }
 
 // relayed is what is known of a job that could not be stored here, or not surely,
@@ -182,15 +193,6 @@
 	}
 }
 
-// timeLeft is how long the caller waits still.
-func timeLeft(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return commitWait
-	}
-	return time.Until(deadline)
-}
-
 // lane returns the lane of a queue.
 func (n *Intake) lane(queue string) *lane {
 	n.mu.Lock()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -136,6 +136,12 @@
 	c <- time.Time{}
 }
 
+func (c *clock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+}
+
 type rig struct {
 	intake  *intake.Intake
 	timers  timers
--- a/internal/intake/lane.go
+++ b/internal/intake/lane.go
@@ -52,17 +52,19 @@
 	came time.Duration // when a job last came
 }
 
-// store has a job stored and waits for the outcome, no longer than handInWait.
-func (l *lane) store(p *pending) outcome {
+// store has a job stored and waits for the outcome, no longer than handInWait or
+// until ctx ends: then the caller leaves, or this entry stops.
+func (l *lane) store(ctx context.Context, p *pending) outcome {
 	if !l.enter(p) {
 		return outcome{err: gauge.Fail(gauge.KindOutage, "the table doesn't answer")}
 	}
 	select {
 	case o := <-p.settled:
 		return o
-	case <-l.intake.conf.After(min(handInWait, p.until-p.began)):
-		return l.leave(p)
+	case <-l.intake.conf.After(handInWait):
+	case <-ctx.Done():
 	}
+	return l.leave(p)
 }
 
 // enter queues a job; false: the lane is shut.
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -97,12 +97,16 @@
 	submits, cancels int
 	err              error
 	prefer           bool
+	onSubmit         func()
 }
 
 func (p *peer) Prefer(*gauge.Queue) bool { return p.prefer }
 
 func (p *peer) Submit(context.Context, *gauge.Queue, string, *gauge.JobSpec) error {
 	p.submits++
+	if p.onSubmit != nil {
+		p.onSubmit()
+	}
 	return p.err
 }
 
@@ -186,24 +190,32 @@
 // Sequence: a part of the table carries out four transactions a second; jobs of one
 // queue come in at eight entries, each with transactions of its own.
 // Cause: a part carries out one transaction after the other, whoever sent it.
-func TestOwnerOfThePoolStoresForAllWhileTheTableIsSlow(t *testing.T) {
+func TestOwnerOfThePoolStoresForAll(t *testing.T) {
+	unknown := gauge.Fail(gauge.KindUnknown, "no answer")
 	for _, tt := range []struct {
 		name  string
 		there error
-		want  gauge.Kind // empty: accepted
-		here  int        // transactions
+		here  func(int, func()) error
+		takes time.Duration // the owner, until it has answered or is given up
+		want  gauge.Kind    // empty: accepted
+		sent  int           // transactions from here
 	}{
-		{"stored there", nil, "", 0},
-		{"surely not stored there", gauge.Fail(gauge.KindOutage, "no owner"), "", 1},
-		{"may be stored there", gauge.Fail(gauge.KindUnknown, "no answer"), gauge.KindExpired, 0},
-		{"no such queue there", gauge.Fail(gauge.KindMissing, "no such queue"), gauge.KindMissing, 0},
+		{"stored there", nil, nil, 0, "", 0},
+		{"surely not stored there", gauge.Fail(gauge.KindOutage, "no owner"), nil, 0, "", 1},
+		{"may be stored there, stored here", unknown, nil, 0, "", 1},
+		{"may be stored there, not here", unknown, outage, 0, gauge.KindExpired, 1},
+		{"may be stored there after a long wait", unknown, nil, handInWait, gauge.KindExpired, 0},
+		{"stored by neither", gauge.Fail(gauge.KindOutage, "no owner"), outage, 0, gauge.KindOutage, 1},
+		{"no such queue there", gauge.Fail(gauge.KindMissing, "no such queue"), nil, 0, gauge.KindMissing, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			store := newTable()
+			store.answer, store.silent = tt.here, tt.here != nil
 			p := &peer{prefer: true, err: tt.there}
-			g := newRelayRig(store, &clock{step: time.Millisecond}, p)
-			err := g.submit(1)
-			assert.Equal(t, store.count(), tt.here)
+			c := &clock{step: time.Millisecond}
+			p.onSubmit = func() { c.pass(tt.takes) }
+			err := newRelayRig(store, c, p).submit(1)
+			assert.Equal(t, store.count(), tt.sent)
 			assert.Equal(t, p.submits, 1)
 			if tt.want == "" {
 				assert.NilError(t, err)
@@ -213,3 +225,29 @@
 		})
 	}
 }
+
+// Symptom: an entry that stops is killed with calls in flight.
+// Sequence: a hand-in waits for a transaction that hangs; the entry stops.
+// Cause: the wait ended by its own bound only.
+func TestHandInEndsWithItsContext(t *testing.T) {
+	store := newTable()
+	hold, held := make(chan struct{}), make(chan struct{})
+	defer close(hold)
+	store.answer = func(n int, _ func()) error {
+		if n == 1 {
+			close(held)
+			<-hold
+		}
+		return nil
+	}
+	g := newRig(store, &clock{step: time.Millisecond})
+	ctx, stop := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() {
+		q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
+		result <- g.intake.SubmitHere(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+	}()
+	<-held
+	stop()
+	assert.Equal(t, gauge.KindOf(<-result), gauge.KindExpired)
+}
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -14,7 +14,6 @@
 	row   *gauge.JobRow
 	txn   gauge.PartTxn
 	began time.Duration
-	until time.Duration // its caller leaves then
 
 	// Guarded by the lane's lock.
 	flying  bool         // it is in a transaction now
@@ -34,7 +33,7 @@
 }
 
 // pend makes a pending job of what a caller hands in.
-func (n *Intake) pend(q *gauge.Queue, id string, j *gauge.JobSpec, left time.Duration) (*pending, error) {
+func (n *Intake) pend(q *gauge.Queue, id string, j *gauge.JobSpec) (*pending, error) {
 	p := &pending{id: id, queue: q, spec: j, settled: make(chan outcome, 1)}
 	p.row = &gauge.JobRow{State: gauge.JobPending, Pool: q.Pool, Accepted: n.conf.Clock()}
 	txn, err := insertion(q, id, j, p.row)
@@ -42,7 +41,6 @@
 		return nil, err
 	}
 	p.txn, p.began = txn, n.conf.Now()
-	p.until = p.began + left
 	return p, nil
 }
 
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -15,7 +15,7 @@
 	node *Node
 	addr string
 
-	opening sync.Mutex
+	opening chan struct{} // room for one: who connects
 	writing sync.Mutex
 
 	mu      sync.Mutex
@@ -27,7 +27,7 @@
 }
 
 func newLink(n *Node, addr string) *link {
-	return &link{node: n, addr: addr, waiting: make(map[uint64]chan frame.Frame)}
+	return &link{node: n, addr: addr, opening: make(chan struct{}, 1), waiting: make(map[uint64]chan frame.Frame)}
 }
 
 func (k *link) dead() bool {
@@ -36,10 +36,15 @@
 	return k.err != nil
 }
 
-// open connects once; callers that come meanwhile wait for it.
+// open connects once; callers that come meanwhile wait for it, no longer than they
+// have time: a host without power doesn't even refuse a connection.
 func (k *link) open(ctx context.Context) error {
-	k.opening.Lock()
-	defer k.opening.Unlock()
+	select {
+	case k.opening <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-k.opening }()
 	k.mu.Lock()
 	conn, err := k.conn, k.err
 	k.mu.Unlock()
@@ -98,6 +103,9 @@
 		close(ch)
 	}
 	k.waiting = nil
+	if k.conn != nil && k.node.conf.Closed != nil {
+		go k.node.conf.Closed(k.addr)
+	}
 }
 
 func (k *link) call(ctx context.Context, method string, body []byte) (frame.Frame, error) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,6 +24,8 @@
 	Limit int           // bytes of a frame; default 1 MiB
 	Dial  time.Duration // longest time to connect and to prove the key; default 1 s
 	Quiet time.Duration // a call unanswered so long closes its connection; default 2 s
+	// Closed is told that the connection for calls to a peer has ended; nil: nobody is.
+	Closed func(addr string)
 }
 
 const (
@@ -67,6 +69,12 @@
 // Handle sets the handler of a method. It is called before Serve.
 func (n *Node) Handle(method string, h Handler) { n.handlers[method] = h }
 
+// Open connects to a peer if there is no connection yet, so that its end is told.
+func (n *Node) Open(ctx context.Context, addr string) error {
+	_, err := n.link(ctx, addr)
+	return err
+}
+
 // Bytes returns all bytes written so far, both as caller and as called.
 func (n *Node) Bytes() int64 { return n.bytes.Load() }
 
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -163,7 +163,7 @@
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event,
 	})
-	o.OnStuck(stuckAfter, func() { n.leave(ctx, o) })
+	o.OnStuck(stuckAfter, func(failing time.Duration) { n.leave(ctx, o, failing) })
 	n.mu.Lock()
 	if !n.going.Load() {
 		n.mu.Unlock()
@@ -186,8 +186,8 @@
 
 // leave has another entry take a pool whose owner here can't write to the table, or
 // lacks processor time. Without one that can the owner goes on.
-func (n *Node) leave(ctx context.Context, o *owner.Owner) {
-	to := n.successor(ctx)
+func (n *Node) leave(ctx context.Context, o *owner.Owner, failing time.Duration) {
+	to := n.successor(ctx, failing)
 	if to == "" {
 		pause(ctx, offerAgain)
 		return
@@ -208,7 +208,7 @@
 // handOver ends a pool's work here and has another entry take it at once, or any
 // entry as soon as it sees that the lease is given up.
 func (n *Node) handOver(ctx context.Context, o *owner.Owner, why string) {
-	to := n.successor(ctx)
+	to := n.successor(ctx, 0)
 	if o.Stop(why) && (to == "" || !n.offer(ctx, to, offerOf(o))) {
 		o.GiveUp(ctx)
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -98,7 +98,7 @@
 		return
 	}
 	n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the entry stops")
-	if to := n.successor(ctx); to != "" && n.offer(ctx, to, f.offer()) {
+	if to := n.successor(ctx, 0); to != "" && n.offer(ctx, to, f.offer()) {
 		return
 	}
 	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
@@ -108,17 +108,21 @@
 
 // turnFrom is when this holder may order its first machine. If the one before gave
 // the lease up or offered it, it told which machines it had ordered, and only those
-// wait. If its lease ran out it may have ordered any for orderSpan after its last
-// renewal, and the row was seen unchanged for the lease's term since.
+// wait. Else it may have ordered any for orderSpan after its last renewal.
 func (n *Node) turnFrom(h *held) time.Duration {
 	now := n.conf.Now()
 	name, _, _ := strings.Cut(h.before.Holder, "/")
 	if name == "" || name == n.conf.Name {
 		return now // given up, or this holder itself before a restart
 	}
-	return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-leaseTerm)
+	since := time.Duration(n.clock()-h.before.Renewed)*time.Millisecond - renewedMargin
+	return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-since)
 }
 
+// renewedMargin is how far the table's clock, as two entries know it, may be off:
+// each takes readings only from answers that took less than a tenth of a second.
+const renewedMargin = 300 * time.Millisecond
+
 // mayOrder tells whether a machine may be ordered now: the lease was renewed
 // lately, and the holder before has not just ordered that machine. A yes is noted
 // for the successor.
@@ -145,7 +149,7 @@
 		return false
 	}
 	f.offered = now
-	to := f.node.successor(ctx)
+	to := f.node.successor(ctx, now-f.renewed-fleetRenew)
 	if to == "" {
 		return false
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,11 +59,18 @@
 	// spread the pools over them.
 	claimSpread = 200 * time.Millisecond
 	claimHeld   = 150 * time.Millisecond
+	// regainWait: when the table is back after leasesLost, holders have so long to
+	// renew. Their next try may have hung up to 0.8 s before.
+	regainWait = 800 * time.Millisecond
+	leasesLost = time.Second
 	// manageEvery is how often leases are looked at.
 	manageEvery = 50 * time.Millisecond
 	// feedWait is how long a feed waits for a change. A connection that has gone
 	// silent is found out after this and the call's own bound.
 	feedWait = time.Second
+	// workerWait is that for the list of workers, of which some change every few
+	// hundredths of a second: a machine that has moved is of no use before it is seen.
+	workerWait = 200 * time.Millisecond
 	// leasePause is the time between two looks at the leases, which change with
 	// every write of an owner.
 	leasePause = 300 * time.Millisecond
@@ -94,18 +101,18 @@
 	intake *intake.Intake
 	site   atomic.Pointer[gauge.Site]
 	offset atomic.Int64                    // the table's clock less ours, nanoseconds
-	took   atomic.Int64                    // the last look at the leases, nanoseconds
 	going  atomic.Bool                     // it takes pools
 	ctx    atomic.Pointer[context.Context] // of the running entry
 	group  conc.WaitGroup
 
 	mu        sync.Mutex
 	board     *terms.Board
-	leases    time.Duration // when the leases were last read
+	leases    time.Duration // when the last look at the leases that was answered was sent
 	restUntil time.Duration // no pool is claimed before
 	owners    map[string]*owner.Owner
-	busy      map[string]bool   // pools that are being claimed
-	entries   map[string]string // addresses for other entries, by name
+	busy      map[string]bool          // pools that are being claimed
+	entries   map[string]string        // addresses for other entries, by name
+	doubted   map[string]time.Duration // owners' addresses that didn't answer, until when they aren't asked
 	workers   map[string]gauge.Worker
 	waves     map[int64]gauge.UpkeepOrder
 }
@@ -115,9 +122,9 @@
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start,
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
-		entries: make(map[string]string), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+		entries: make(map[string]string), doubted: make(map[string]time.Duration), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
-	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld})
+	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Ask: n.ask,
 		Relay: relay{n},
@@ -151,7 +158,7 @@
 		n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, always(0), n.stamp, n.toldOperator)
 	})
 	n.group.Go(func() {
-		n.follow(ctx, n.conf.Words.WorkerTable(), false, feedWait, n.workerPause, n.stamp, n.toldWorkers)
+		n.follow(ctx, n.conf.Words.WorkerTable(), false, workerWait, n.workerPause, n.stamp, n.toldWorkers)
 	})
 	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
@@ -213,10 +220,14 @@
 // sawLeases notes that the leases were read, changed or not.
 func (n *Node) sawLeases(s gauge.Stamp, sent time.Duration) {
 	n.stamp(s, sent)
-	n.took.Store(int64(n.conf.Now() - sent))
+	now := n.conf.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.leases = n.conf.Now()
+	if n.leases > 0 && now-n.leases > leasesLost {
+		n.board.Regained(now)
+		n.group.Go(n.checkHolders)
+	}
+	n.leases = sent
 }
 
 // stampWithin: a reading from an answer that took longer is not used.
@@ -330,6 +341,9 @@
 		n.conf.Logs.Error(err, "lease row not read", "pool", r.Part, "version", r.Version)
 		return
 	}
+	if old, ok := n.board.Holder(r.Part); lease.Holder != "" && (!ok || old.Addr != lease.Addr) && lease.Addr != n.conf.Addr {
+		n.group.Go(func() { n.meet(lease.Addr) })
+	}
 	n.board.Tell(r.Part, *lease, r.Version, now, n.clockIfKnown())
 }
 
--- a/internal/node/notice.go
+++ b/internal/node/notice.go
@@ -29,7 +29,10 @@
 	n.group.Go(func() {
 		for try := range noticeTries {
 			if try > 0 {
-				time.Sleep(retryPause)
+				pause(n.context(), retryPause)
+			}
+			if n.context().Err() != nil {
+				return // the entry stops; the owner finds the job by its own scan
 			}
 			err := n.sendNotice(notice, noticeWait)
 			if err == nil {
@@ -50,7 +53,7 @@
 	if !ok || row.Holder == n.holder {
 		return gauge.Fail(gauge.KindOutage, "pool %s has no owner", notice.Pool)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	ctx, cancel := context.WithTimeout(n.context(), wait)
 	defer cancel()
 	var answer noticeAnswer
 	return n.conf.Mesh.Call(ctx, row.Addr, methodNotice, &notice, &answer)
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -29,6 +29,11 @@
 	offerWait = 400 * time.Millisecond
 	// offerAgain is the pause between two rounds of offers.
 	offerAgain = 300 * time.Millisecond
+	// probeMargin: an entry that had an answer from the table so much later than the
+	// holder's first failure reaches what the holder can't. Each looks at the leases
+	// every 0.3 s, so that when the table is away for all, all of them had their last
+	// answer before that failure or not long after.
+	probeMargin = 350 * time.Millisecond
 	// probesAtOnce entries at most are asked at a time: one that is dead makes the
 	// others wait for offerWait.
 	probesAtOnce = 4
@@ -38,7 +43,10 @@
 )
 
 // probeCall asks whether an entry can take a lease over.
-type probeCall struct{}
+type probeCall struct {
+	// Failing is for how long the table has not answered the holder; 0: it does.
+	Failing time.Duration `msgpack:"f"`
+}
 
 // offerCall offers a lease whose row names this holder.
 type offerCall struct {
@@ -49,7 +57,8 @@
 }
 
 type offerAnswer struct {
-	Ready bool `msgpack:"r"`
+	Ready  bool   `msgpack:"r"`
+	Holder string `msgpack:"h"` // who answers
 }
 
 // peers lists the addresses of other entries, those with the fewest leases first.
@@ -91,13 +100,14 @@
 const enrollAgain = time.Second
 
 // successor finds an entry that can take a lease over: of those with the fewest
-// leases the first that says so. Empty: none.
-func (n *Node) successor(ctx context.Context) string {
+// leases the first that says so. Empty: none. Failing is for how long the table has
+// not answered here.
+func (n *Node) successor(ctx context.Context, failing time.Duration) string {
 	for some := range slices.Chunk(n.peers(), probesAtOnce) {
 		answers := make(chan string, len(some))
 		for _, addr := range some {
 			go func() {
-				if !n.probe(ctx, addr) {
+				if !n.probe(ctx, addr, failing) {
 					addr = ""
 				}
 				answers <- addr
@@ -112,11 +122,19 @@
 	return ""
 }
 
-func (n *Node) probe(ctx context.Context, addr string) bool {
+// probe asks an entry whether it can take a lease over.
+func (n *Node) probe(ctx context.Context, addr string, failing time.Duration) bool {
+	a, err := n.hail(ctx, addr, failing)
+	return err == nil && a.Ready
+}
+
+// hail asks an entry who it is and whether it can take a lease over.
+func (n *Node) hail(ctx context.Context, addr string, failing time.Duration) (offerAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, offerWait)
 	defer cancel()
 	var a offerAnswer
-	return n.conf.Mesh.Call(ctx, addr, methodProbe, probeCall{}, &a) == nil && a.Ready
+	err := n.conf.Mesh.Call(ctx, addr, methodProbe, &probeCall{Failing: failing}, &a)
+	return a, err
 }
 
 // offer has an entry take a lease over; true: it does. The holder must have stopped
@@ -131,8 +149,16 @@
 	return err == nil && a.Ready
 }
 
-func (n *Node) handleProbe(context.Context, []byte) (any, error) {
-	return offerAnswer{Ready: n.mayTake()}, nil
+func (n *Node) handleProbe(_ context.Context, body []byte) (any, error) {
+	var c probeCall
+	if err := frame.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	seen := leasesOld
+	if c.Failing > 0 {
+		seen = c.Failing - probeMargin
+	}
+	return offerAnswer{Ready: n.mayTake(seen), Holder: n.holder}, nil
 }
 
 func (n *Node) handleOffer(_ context.Context, body []byte) (any, error) {
@@ -140,7 +166,7 @@
 	if err := frame.Decode(body, &c); err != nil {
 		return nil, err
 	}
-	ready := n.mayTake()
+	ready := n.mayTake(leasesOld)
 	if ready {
 		n.mu.Lock()
 		ready = !n.busy[c.Pool]
@@ -150,7 +176,7 @@
 	if ready {
 		n.group.Go(func() { n.claim(n.context(), n.offered(c), c.Holder) })
 	}
-	return offerAnswer{Ready: ready}, nil
+	return offerAnswer{Ready: ready, Holder: n.holder}, nil
 }
 
 // offered is the claim of an offered lease. Its holder has stopped: nothing has to
@@ -161,13 +187,13 @@
 }
 
 // mayTake tells whether this entry can take a lease over: it is to go on, didn't
-// have to leave a pool itself just now, and has the table answer.
-func (n *Node) mayTake() bool {
+// have to leave a pool itself just now, and had the table answer within some time.
+func (n *Node) mayTake(within time.Duration) bool {
 	if !n.going.Load() || n.Site() == nil {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.conf.Now()
-	return now >= n.restUntil && now-n.leases <= leasesOld
+	return now >= n.restUntil && now-n.leases <= min(within, leasesOld)
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -8,22 +8,25 @@
 	"sapphiregauge/internal/frame"
 )
 
-// An entry that the table turns away while it serves others would refuse every
-// job that its callers hand in, and a slow table would turn most of them away if
-// each entry had transactions of its own. The owner of the queue's pool writes to
-// that part of the table several times a second, so it is asked to store them.
+// Jobs are stored by the owner of their queue's pool, which writes to that part of
+// the table several times a second: a slow table would turn most of them away if
+// each entry had transactions of its own. It needs no notice of them, and is there
+// for entries that the table turns away. An owner that doesn't answer is not waited
+// for: the row's condition lets both entries store the job.
 
 const (
 	// methodSubmit has the pool's owner store a job, methodCancel cancel one.
 	methodSubmit = "job.submit"
 	methodCancel = "job.cancel"
-	// relayWait bounds each of the two calls. In a slow spell a transaction takes
-	// 0.4 to 0.9 s, and one may be under way already.
-	relayWait = 1800 * time.Millisecond
-	// slowRead: a look at the leases that takes longer shows a slow table. One takes
-	// 4 ms; a quota of processor time that is used up makes it up to 100 ms, and then
-	// the owner does no harm.
-	slowRead = 40 * time.Millisecond
+	// relayLate: a call takes some 15 ms. After this the owner is asked whether it
+	// lives: then the table is slow, for this entry as well; else it is frozen, cut
+	// off or without processor time, and this entry does what it can.
+	relayLate = 100 * time.Millisecond
+	// relayMost bounds each of the two calls: while the table is slow a transaction
+	// takes 0.4 to 0.9 s, and one may be under way already.
+	relayMost = 1800 * time.Millisecond
+	// doubtFor is how long an owner that didn't answer isn't asked again.
+	doubtFor = time.Second
 )
 
 // relay implements intake.Relay.
@@ -43,13 +46,15 @@
 // done is the answer to a call that needs no other.
 type done struct{}
 
-// Prefer tells whether the table is slow and another entry owns the pool.
+// Prefer tells whether another entry owns the pool and has answered lately.
 func (r relay) Prefer(q *gauge.Queue) bool {
-	if time.Duration(r.node.took.Load()) < slowRead {
+	o, addr, err := r.node.ownerOf(q.Pool)
+	if o != nil || err != nil {
 		return false
 	}
-	o, _, err := r.node.ownerOf(q.Pool)
-	return o == nil && err == nil
+	r.node.mu.Lock()
+	defer r.node.mu.Unlock()
+	return r.node.conf.Now() >= r.node.doubted[addr]
 }
 
 // Submit has the owner of a queue's pool store a job.
@@ -72,12 +77,30 @@
 	if o != nil {
 		return gauge.Fail(gauge.KindOutage, "this entry owns pool %s itself", pool)
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayWait)
+	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
+	look := time.AfterFunc(relayLate, func() {
+		if _, err := n.hail(ctx, addr, 0); err != nil && ctx.Err() == nil {
+			n.doubt(pool, addr)
+			cancel()
+		}
+	})
+	defer look.Stop()
 	var answer done
 	return n.conf.Mesh.Call(ctx, addr, method, call, &answer)
 }
 
+// doubt has an owner that doesn't answer not asked for a while.
+func (n *Node) doubt(pool, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	if now >= n.doubted[addr] {
+		n.conf.Logs.Info("owner doubted", "pool", pool, "addr", addr, "for", doubtFor)
+	}
+	n.doubted[addr] = now + doubtFor
+}
+
 func (n *Node) handleSubmit(ctx context.Context, body []byte) (any, error) {
 	var c submitCall
 	if err := frame.Decode(body, &c); err != nil {
@@ -90,7 +113,7 @@
 	if c.Spec == nil {
 		return nil, gauge.Fail(gauge.KindInvalid, "job %s without its content", c.ID)
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayWait)
+	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
 	return done{}, n.intake.SubmitHere(ctx, q, c.ID, c.Spec)
 }
@@ -104,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayWait)
+	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
 	return done{}, n.intake.CancelHere(ctx, q, c.ID)
 }
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -141,7 +141,7 @@
 		return
 	}
 	o.conf.Logs.Info("owner lags", "pool", o.conf.Pool, "took", took)
-	o.stuck()
+	o.stuck(0)
 	o.mu.Lock()
 	o.leaving = false
 	o.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -49,7 +49,7 @@
 	cancel     context.CancelFunc
 	ctx        context.Context
 	wake       chan struct{} // a change waits to be written
-	stuck      func()
+	stuck      func(failing time.Duration)
 	stuckAfter time.Duration
 
 	mu       sync.Mutex
@@ -191,8 +191,11 @@
 }
 
 // OnStuck has something done, again and again, while writes have failed for some
-// time. It is set before Run.
-func (o *Owner) OnStuck(after time.Duration, do func()) { o.stuckAfter, o.stuck = after, do }
+// time, which it is told, or while orders lag: then that time is 0. It is set
+// before Run.
+func (o *Owner) OnStuck(after time.Duration, do func(failing time.Duration)) {
+	o.stuckAfter, o.stuck = after, do
+}
 
 // Pool is the pool's name.
 func (o *Owner) Pool() string { return o.conf.Pool }
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -16,8 +16,8 @@
 			if failing == 0 {
 				failing = began
 			}
-			if o.stuck != nil && o.conf.Now()-failing > o.stuckAfter {
-				o.stuck()
+			if now := o.conf.Now(); o.stuck != nil && now-failing > o.stuckAfter {
+				o.stuck(now - failing)
 			}
 			o.rest(nil, writeAgain)
 			continue
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -8,6 +8,7 @@
 package terms
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,7 @@
 	Term   time.Duration // of a lease
 	Spread time.Duration // free pools are claimed within this, in an order that differs by entry
 	Held   time.Duration // more of a wait for each pool that this entry has already
+	Regain time.Duration // holders have so long to renew their leases when the table is back
 }
 
 // seen is a lease row as last read.
@@ -41,11 +43,13 @@
 
 // Board keeps the lease rows. It is not safe for concurrent use.
 type Board struct {
-	conf   Config
-	rows   map[string]seen
-	free   map[string]time.Duration // since when a pool is seen to be without an owner
-	unsure map[string]bool          // pools of which a claim got no answer
-	read   bool
+	conf    Config
+	rows    map[string]seen
+	free    map[string]time.Duration // since when a pool is seen to be without an owner
+	unsure  map[string]bool          // pools of which a claim got no answer
+	gone    map[string]bool          // holders whose processes have ended
+	read    bool
+	patient time.Duration // until then a lease that ran out is its holder's to renew
 }
 
 // clockMargin covers the difference between two entries' steady clocks over one
@@ -59,7 +63,7 @@
 
 // New makes a Board that has seen nothing.
 func New(c Config) *Board {
-	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration), unsure: make(map[string]bool)}
+	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool)}
 }
 
 // Tell takes in a lease row. Clock is the table's clock when it was read, at the
@@ -81,6 +85,25 @@
 // would wait a term for a holder that does nothing.
 func (b *Board) Unsure(pool string) { b.unsure[pool] = true }
 
+// Regained takes in that the table could not be read for some time. Holders could
+// not renew their leases meanwhile, and go on with their work: taken over at once,
+// their pools would stand still while others hear all the workers.
+func (b *Board) Regained(now time.Duration) { b.patient = now + b.conf.Regain }
+
+// Gone takes in that a holder's process has ended: nothing has to be waited for.
+func (b *Board) Gone(holder string) { b.gone[holder] = true }
+
+// HoldersAt lists the holders whose rows name an address.
+func (b *Board) HoldersAt(addr string) []string {
+	var names []string
+	for _, s := range b.rows {
+		if s.row.Addr == addr && s.row.Holder != "" && !slices.Contains(names, s.row.Holder) {
+			names = append(names, s.row.Holder)
+		}
+	}
+	return names
+}
+
 // Read takes in that the table has been read whole: a pool without a row is free.
 func (b *Board) Read() { b.read = true }
 
@@ -128,9 +151,12 @@
 
 func (b *Board) isFree(pool string, now time.Duration) bool {
 	s, ok := b.rows[pool]
-	if !ok || s.row.Holder == "" || b.wasMine(pool) || b.unsure[pool] && s.row.Holder == b.conf.Self {
+	if !ok || s.row.Holder == "" || b.wasMine(pool) || b.unsure[pool] && s.row.Holder == b.conf.Self || b.gone[s.row.Holder] {
 		return true
 	}
+	if now < b.patient {
+		return false
+	}
 	passed := now - s.at
 	return passed > b.conf.Term+clockMargin || passed+s.age > b.conf.Term+clockMargin+tableMargin
 }
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -14,10 +14,11 @@
 	term   = 2 * time.Second
 	spread = 200 * time.Millisecond
 	held   = 150 * time.Millisecond
+	regain = 800 * time.Millisecond
 )
 
 func newBoard(self string) *terms.Board {
-	b := terms.New(terms.Config{Self: self, Addr: "10.0.0.9:1", Term: term, Spread: spread, Held: held})
+	b := terms.New(terms.Config{Self: self, Addr: "10.0.0.9:1", Term: term, Spread: spread, Held: held, Regain: regain})
 	b.Read()
 	return b
 }
@@ -65,6 +66,26 @@
 		{"of an earlier start of this entry", func(b *terms.Board) {
 			b.Tell("p", gauge.LeaseRow{Holder: "me/1", Addr: "10.0.0.9:1"}, 5, 0, 0)
 		}, 0, true},
+		{"not renewed while the table was away", func(b *terms.Board) {
+			b.Tell("p", row("other"), 5, 0, 0)
+			b.Regained(term + time.Second)
+		}, term + time.Second, false},
+		{"not renewed since the table is back", func(b *terms.Board) {
+			b.Tell("p", row("other"), 5, 0, 0)
+			b.Regained(term + time.Second)
+		}, term + time.Second + regain, true},
+		{"held by a process that has ended", func(b *terms.Board) {
+			b.Tell("p", row("other"), 5, 0, 0)
+			b.Gone("other")
+		}, 0, true},
+		{"held by the next start of a process that has ended", func(b *terms.Board) {
+			b.Tell("p", row("other/2"), 5, 0, 0)
+			b.Gone("other/1")
+		}, 0, false},
+		{"given up before the table was away", func(b *terms.Board) {
+			b.Tell("p", row(""), 5, 0, 0)
+			b.Regained(term)
+		}, term, true},
 		// The claim got no answer, but was carried out: nobody runs the pool.
 		{"this entry's own by a claim without an answer", func(b *terms.Board) {
 			b.Unsure("p")
--- a/test/machines/cut_test.go
+++ b/test/machines/cut_test.go
@@ -142,3 +142,58 @@
 	assert.Equal(t, s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 1)), 1)
 	s.clean()
 }
+
+// Symptom: all pools stand still from half a second after the table went away until
+// it is back.
+// Sequence: the table is away for all entries; an owner can't write, and asks
+// another entry to take its pool; that one had an answer from the table just before.
+// Cause: what was true before the owner's first failure was taken for better.
+func TestOwnersGoOnWhileTheTableIsAwayForAll(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 3)
+	way := newPath(t, s.table.Addr())
+	for _, name := range []string{"e-0", "e-1"} {
+		s.startVia(name, way.listen.Addr().String())
+	}
+	s.ready()
+	s.waitFor("the entries know each other", func() bool {
+		return s.logged("entry known", `"entry"="e-0"`, `"peer"="e-1"`) == 1 && s.logged("entry known", `"entry"="e-1"`, `"peer"="e-0"`) == 1
+	})
+	assert.Assert(t, s.submit(1, twoSteps(20)))
+	s.completed([]int{1})
+	way.Cut(true)
+	s.waitFor("the owner was stuck for some time", func() bool { return s.logged("write failed") >= 8 })
+	assert.Equal(t, s.logged("pool left"), 0)
+	assert.Equal(t, s.logged("lease offered"), 0)
+	way.Cut(false)
+	s.waitFor("jobs are taken again", func() bool { return s.submit(2, twoSteps(20)) })
+	s.completed([]int{2})
+	s.clean()
+}
+
+// Symptom: a pool stands still for two seconds after its owner's process was killed.
+// Sequence: the process ends; its connections are closed; the others wait for the
+// end of its lease all the same.
+// Cause: a process that has ended was treated like one that is cut off.
+func TestPoolOfAKilledOwnerIsClaimedWhenItsConnectionsEnd(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	s.ready()
+	first := s.entries[0]
+	s.waitFor("the first entry owns both leases", func() bool { return s.logged("lease taken", `"e-0"`) == 2 })
+	s.start("e-1")
+	s.ready()
+	assert.Assert(t, s.submit(1, twoSteps(20)))
+	s.completed([]int{1})
+	first.kill()
+	<-first.done
+	first.mesh.Close()
+	s.waitFor("the second entry knows of the end", func() bool { return s.logged("holder gone", `"entry"="e-1"`, `"holder"="e-0/1"`) == 1 })
+	s.entries = s.entries[1:]
+	s.waitFor("the second entry has the pool", func() bool {
+		return s.logged("lease taken", `"entry"="e-1"`, `"pool"="`+poolName+`"`, `"before"="e-0/1"`) == 1
+	})
+	assert.Assert(t, s.submit(2, twoSteps(20)))
+	s.completed([]int{1, 2})
+	s.clean()
+}
--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -111,7 +111,8 @@
 
 // startVia starts an entry that reaches the table at an address of its own.
 func (s *site) startVia(name, tableAddr string) *entry {
-	e := &entry{mesh: mesh.New(mesh.Config{}), done: make(chan struct{})}
+	e := &entry{done: make(chan struct{})}
+	e.mesh = mesh.New(mesh.Config{Closed: func(addr string) { e.node.CheckHolder(addr) }})
 	peer, front := s.listen(), s.listen()
 	e.addr = front.Addr().String()
 	table := platform.NewTable(platform.TableConfig{Addr: tableAddr, Read: 900 * time.Millisecond, Commit: 1500 * time.Millisecond, Clock: time.Now})
@@ -126,7 +127,7 @@
 		Words:    platform.Words{}, Mesh: e.mesh, Logs: s.log().WithValues("entry", name), Now: boot.Now, Wall: time.Now,
 		Count: func(string, time.Duration) {}, Event: func(string) {}, Longest: 10 * time.Second, TurnGap: time.Second, Upkeep: 200 * time.Millisecond,
 	})
-	e.front = platform.NewFront(platform.FrontConfig{Jobs: e.node.Jobs(), Site: e.node.Site, Ready: e.node.Ready})
+	e.front = platform.NewFront(platform.FrontConfig{Jobs: e.node.Jobs(), Site: e.node.Site, Ready: e.node.Ready, Logs: s.log()})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.kill = cancel
 	go func() { _ = e.front.Serve(front) }()
