Let the fleet's rounds wait for nobody, spread offered leases, replace silent holders

A round of the fleet's holder waited for each owner's load and for each order's answer; one that hung stopped all moves and renewals for 1.1 to 1.5 s. 2. Owners that left at once all chose the same successor: one entry had all five leases at 17.7 and 25.5 s, and froze. 3. When the table was back, holders that were dead had 0.8 s to renew like all others, and entries for which it was back first were offered pools whose owners' next try was just under way. Calls run beside the rounds; what follows from them is done in a later round; a move is left as it is while its call is under way; no order goes out once the lease is offered. 2. Successors are asked together, and the one with the fewest leases is chosen; ties differ by pool; an entry offers one lease after the other. 3. Only holders that answer while the table is away have that time; an entry for which the table is just back takes no pool from a holder that fails.

--- /dev/null
+++ b/internal/node/aside.go
@@ -0,0 +1,50 @@
+package node
+
+import "sync"
+
+// aside does calls beside the rounds of the fleet's holder. What follows from a call
+// is done in a round, so that the holder's state is touched by one thread only.
+type aside struct {
+	mu      sync.Mutex
+	running map[string]bool
+	done    []ended
+}
+
+// ended is a call that has ended, and what follows from it.
+type ended struct {
+	name string
+	then func()
+}
+
+func newAside() *aside { return &aside{running: make(map[string]bool)} }
+
+// do begins a call; false: one of that name is under way or not settled yet.
+func (a *aside) do(name string, call func() (then func())) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running[name] {
+		return false
+	}
+	a.running[name] = true
+	go func() {
+		then := call()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.done = append(a.done, ended{name: name, then: then})
+	}()
+	return true
+}
+
+// settle does what follows from the calls that have ended.
+func (a *aside) settle() {
+	a.mu.Lock()
+	done := a.done
+	a.done = nil
+	for _, e := range done {
+		delete(a.running, e.name)
+	}
+	a.mu.Unlock()
+	for _, e := range done {
+		e.then()
+	}
+}
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -21,6 +21,7 @@
 			return
 		case <-tick.C:
 		}
+		n.checkHolders()
 		for _, c := range n.due() {
 			n.group.Go(func() { n.claim(ctx, c, "") })
 		}
@@ -187,9 +188,13 @@
 // leave has another entry take a pool whose owner here can't write to the table, or
 // lacks processor time. Without one that can the owner goes on.
 func (n *Node) leave(ctx context.Context, o *owner.Owner, failing time.Duration) {
-	to := n.successor(ctx, failing)
+	if !n.mayOffer(o.Pool()) {
+		return
+	}
+	n.offering.Lock()
+	defer n.offering.Unlock()
+	to := n.successor(ctx, o.Pool(), failing)
 	if to == "" {
-		pause(ctx, offerAgain)
 		return
 	}
 	n.mu.Lock()
@@ -200,6 +205,18 @@
 	}
 }
 
+// mayOffer bounds how often a successor is looked for.
+func (n *Node) mayOffer(pool string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	if last, ok := n.offers[pool]; ok && now-last < offerAgain {
+		return false
+	}
+	n.offers[pool] = now
+	return true
+}
+
 func offerOf(o *owner.Owner) offerCall {
 	row, version := o.Offer()
 	return offerCall{Pool: o.Pool(), Row: row, Version: version}
@@ -208,7 +225,9 @@
 // handOver ends a pool's work here and has another entry take it at once, or any
 // entry as soon as it sees that the lease is given up.
 func (n *Node) handOver(ctx context.Context, o *owner.Owner, why string) {
-	to := n.successor(ctx, 0)
+	n.offering.Lock()
+	defer n.offering.Unlock()
+	to := n.successor(ctx, o.Pool(), 0)
 	if o.Stop(why) && (to == "" || !n.offer(ctx, to, offerOf(o))) {
 		o.GiveUp(ctx)
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
 	gauge "sapphiregauge"
@@ -63,6 +62,11 @@
 	offered time.Duration // when the lease was last offered
 	listed  time.Duration
 	states  map[int64]bool // waves of which the operator was told that they run
+	aside   *aside
+	unsaved map[int64]bool // waves with orders that the table doesn't know
+
+	gate sync.Mutex // between the last orders and the lease's end
+	over bool       // nothing is ordered any more
 }
 
 // keep runs the fleet until its lease is lost or given up.
@@ -75,6 +79,8 @@
 		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
 		turns:   turns.New(n.conf.TurnGap+grantMargin, h.before.Ordered, n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(),
+		aside:   newAside(),
+		unsaved: make(map[int64]bool),
 	}
 	f.from = n.conf.Now() + firstWait
 	if h.term > 0 {
@@ -93,12 +99,15 @@
 // handOver has another entry take the fleet over as this one stops.
 func (f *fleet) handOver(ctx context.Context) {
 	n, h := f.node, f.held
+	f.end()
 	if h.lease.Lost() {
 		n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the lease is lost")
 		return
 	}
 	n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the entry stops")
-	if to := n.successor(ctx, 0); to != "" && n.offer(ctx, to, f.offer()) {
+	n.offering.Lock()
+	defer n.offering.Unlock()
+	if to := n.successor(ctx, fleetPool, 0); to != "" && n.offer(ctx, to, f.offer()) {
 		return
 	}
 	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
@@ -127,8 +136,10 @@
 // lately, and the holder before has not just ordered that machine. A yes is noted
 // for the successor.
 func (f *fleet) mayOrder(machine string) bool {
+	f.gate.Lock()
+	defer f.gate.Unlock()
 	now := f.node.conf.Now()
-	if now >= f.held.lease.Until()-leaseTerm+orderSpan || f.turns.Waits(machine, now) {
+	if f.over || now >= f.held.lease.Until()-leaseTerm+orderSpan || f.turns.Waits(machine, now) {
 		return false
 	}
 	f.turns.Ordered(machine, f.node.clock())
@@ -139,6 +150,13 @@
 // renewals may fail. The shorter, the sooner a successor may begin.
 const orderSpan = 1200 * time.Millisecond
 
+// end lets no order out any more: what a successor is told then is complete.
+func (f *fleet) end() {
+	f.gate.Lock()
+	defer f.gate.Unlock()
+	f.over = true
+}
+
 func (f *fleet) row() gauge.LeaseRow { return gauge.LeaseRow{Ordered: f.turns.Lately(f.node.clock())} }
 
 // leave has another entry take the fleet over when writes fail here; true: it
@@ -149,10 +167,13 @@
 		return false
 	}
 	f.offered = now
-	to := f.node.successor(ctx, now-f.renewed-fleetRenew)
+	f.node.offering.Lock()
+	defer f.node.offering.Unlock()
+	to := f.node.successor(ctx, fleetPool, now-f.renewed-fleetRenew)
 	if to == "" {
 		return false
 	}
+	f.end()
 	f.held.lease.Lose()
 	f.node.conf.Logs.Info("fleet left", "fence", f.held.fence, "reason", "writes fail here")
 	f.node.offer(ctx, to, f.offer())
@@ -178,15 +199,25 @@
 	}
 }
 
+// round looks at waves and pools once. It waits for the table only: an owner or a
+// machine service that doesn't answer would hold up all others, and the renewal of
+// the lease. Their answers count in a later round.
 func (f *fleet) round(ctx context.Context) {
+	f.aside.settle()
+	for number := range f.unsaved {
+		if f.save(ctx, number, false) {
+			delete(f.unsaved, number)
+		}
+	}
 	if f.node.conf.Now()-f.renewed >= fleetRenew {
 		f.commit(ctx, gauge.PartTxn{})
 	}
-	if !f.takeIn(ctx) || !f.list(ctx) {
+	if !f.takeIn(ctx) {
 		return
 	}
+	f.list(ctx)
 	f.loads(ctx)
-	if f.node.conf.Now() < f.from {
+	if f.listed == 0 || f.node.conf.Now() < f.from {
 		return
 	}
 	steps := f.keeper.Next(f.node.conf.Now(), waves.Sight{Moving: f.sizer.Moving, Ordered: f.orderedBefore, Pressed: f.sizer.Pressed})
@@ -252,19 +283,26 @@
 	return row, msgpack.Unmarshal(rows[0].Value, &row)
 }
 
-// list reads the machines, if the list is old.
-func (f *fleet) list(ctx context.Context) bool {
+// list has the machines read, if the list is old.
+func (f *fleet) list(ctx context.Context) {
 	now := f.node.conf.Now()
 	if f.listed > 0 && now-f.listed < listEvery {
-		return true
-	}
-	machines, err := f.node.conf.Machines.List(ctx)
-	if err != nil {
-		f.node.conf.Logs.Info("machines not listed", "error", err.Error())
-		return false
+		return
 	}
-	f.listed = now
-	f.keeper.Machines(machines, now)
+	f.aside.do("list", func() func() {
+		machines, err := f.node.conf.Machines.List(ctx)
+		if err != nil {
+			f.node.conf.Logs.Info("machines not listed", "error", err.Error())
+			return func() {}
+		}
+		return func() { f.machines(machines, now) }
+	})
+}
+
+// machines takes in the list, as asked for at a time.
+func (f *fleet) machines(list []gauge.Machine, asked time.Duration) {
+	f.listed = asked
+	f.keeper.Machines(list, asked)
 	var standby []string
 	if site := f.node.Site(); site != nil {
 		for _, p := range site.Pools {
@@ -274,57 +312,45 @@
 		}
 	}
 	f.keeper.Standby(standby)
-	f.sizer.Machines(machines, standby, now)
-	return true
+	f.sizer.Machines(list, standby, asked)
 }
 
-// ask has workers emptied by their pools' owners, all at once.
+// ask has workers emptied by their pools' owners.
 func (f *fleet) ask(ctx context.Context, asks []waves.Ask) {
-	var mu sync.Mutex
-	var group conc.WaitGroup
 	for _, a := range asks {
-		group.Go(func() {
+		f.aside.do("empty "+a.Machine, func() func() {
 			empty, err := f.node.empty(ctx, emptyCall{Pool: a.Pool, Worker: a.Worker, Force: a.Force})
 			if err != nil {
 				f.node.conf.Logs.Info("machine not emptied", "machine", a.Machine, "pool", a.Pool, "error", err.Error())
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			f.keeper.Emptied(a.Machine, empty && err == nil)
+			return func() { f.keeper.Emptied(a.Machine, empty && err == nil) }
 		})
 	}
-	group.Wait()
 }
 
-// begin orders upkeeps, all at once. Each is asked for only while the lease
-// surely lasts.
+// begin orders upkeeps. Each is asked for only while the lease surely lasts.
 func (f *fleet) begin(ctx context.Context, begins []waves.Begin) {
 	duty := gauge.Duty{Holder: f.node.conf.Name, Fence: f.held.fence}
-	results := make([]error, len(begins))
-	var group conc.WaitGroup
-	for i, b := range begins {
-		group.Go(func() {
-			if !f.mayOrder(b.Machine) {
-				results[i] = gauge.Fail(gauge.KindOutage, "the lease is over")
-				return
+	for _, b := range begins {
+		f.aside.do("upkeep "+b.Machine, func() func() {
+			var err error = gauge.Fail(gauge.KindOutage, "the lease is over")
+			if f.mayOrder(b.Machine) {
+				err = f.node.conf.Machines.Upkeep(ctx, duty, b.Machine, b.Wave)
 			}
-			results[i] = f.node.conf.Machines.Upkeep(ctx, duty, b.Machine, b.Wave)
+			return func() { f.begun(b, err) }
 		})
 	}
-	group.Wait()
-	touched := make(map[int64]bool)
-	for i, b := range begins {
-		if gauge.Is(results[i], gauge.KindFenced) {
-			f.held.lease.Lose()
-			f.node.conf.Logs.Info("lease lost", "pool", "fleet", "fence", f.held.fence, "reason", "a machine has seen a newer fencing token")
-			return
-		}
-		f.keeper.Begun(b, results[i], f.node.conf.Now())
-		touched[b.Wave] = true
-	}
-	for number := range touched {
-		f.save(ctx, number, false)
+}
+
+// begun takes in the outcome of an order, and notes it.
+func (f *fleet) begun(b waves.Begin, err error) {
+	if gauge.Is(err, gauge.KindFenced) {
+		f.held.lease.Lose()
+		f.node.conf.Logs.Info("lease lost", "pool", "fleet", "fence", f.held.fence, "reason", "a machine has seen a newer fencing token")
+		return
 	}
+	f.keeper.Begun(b, err, f.node.conf.Now())
+	f.unsaved[b.Wave] = true
 }
 
 // save writes how far a wave is, for the operator and for the next holder.
--- a/internal/node/gone.go
+++ b/internal/node/gone.go
@@ -15,8 +15,12 @@
 // harm; the lease is waited out only for holders that can't be told from one that is
 // cut off.
 
-// meetWait bounds the connecting to a holder.
-const meetWait = time.Second
+const (
+	// meetWait bounds the connecting to a holder.
+	meetWait = time.Second
+	// checkEvery is the pause between two looks at the holders while the table is away.
+	checkEvery = 500 * time.Millisecond
+)
 
 // meet keeps a connection to a holder, so that its end is noticed.
 func (n *Node) meet(addr string) {
@@ -28,9 +32,20 @@
 	}
 }
 
-// checkHolders looks at all holders, after the table was away.
+// checkHolders looks at all holders while the table is away: those that answer have
+// time to renew their leases when it is back, the others' are claimed then.
 func (n *Node) checkHolders() {
-	for _, addr := range n.peers() {
+	n.mu.Lock()
+	now := n.conf.Now()
+	due := n.leases > 0 && now-n.leases > leasesLost && now-n.checked > checkEvery
+	if due {
+		n.checked = now
+	}
+	n.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, addr := range n.peers(fleetPool) {
 		n.group.Go(func() { n.CheckHolder(addr) })
 	}
 }
@@ -52,6 +67,7 @@
 	defer n.mu.Unlock()
 	for _, h := range holders {
 		if err == nil && a.Holder == h {
+			n.board.Alive(h, n.conf.Now())
 			continue
 		}
 		n.board.Gone(h)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,12 +105,19 @@
 	ctx    atomic.Pointer[context.Context] // of the running entry
 	group  conc.WaitGroup
 
+	// offering is held from the choice of a successor to its answer: leases that this
+	// entry offers one after the other go to different entries.
+	offering sync.Mutex
+
 	mu        sync.Mutex
 	board     *terms.Board
+	back      time.Duration // when the table was back last; 0: it was not away
+	checked   time.Duration // when the holders were last looked at, while the table is away
 	leases    time.Duration // when the last look at the leases that was answered was sent
 	restUntil time.Duration // no pool is claimed before
 	owners    map[string]*owner.Owner
 	busy      map[string]bool          // pools that are being claimed
+	offers    map[string]time.Duration // when a successor for a pool was last looked for
 	entries   map[string]string        // addresses for other entries, by name
 	doubted   map[string]time.Duration // owners' addresses that didn't answer, until when they aren't asked
 	workers   map[string]gauge.Worker
@@ -122,7 +129,7 @@
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start,
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
-		entries: make(map[string]string), doubted: make(map[string]time.Duration), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+		offers: make(map[string]time.Duration), entries: make(map[string]string), doubted: make(map[string]time.Duration), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
 	n.intake = intake.New(intake.Config{
@@ -225,7 +232,7 @@
 	defer n.mu.Unlock()
 	if n.leases > 0 && now-n.leases > leasesLost {
 		n.board.Regained(now)
-		n.group.Go(n.checkHolders)
+		n.back = now
 	}
 	n.leases = sent
 }
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/frame"
 	"sapphiregauge/internal/terms"
@@ -37,6 +39,9 @@
 	// probesAtOnce entries at most are asked at a time: one that is dead makes the
 	// others wait for offerWait.
 	probesAtOnce = 4
+	// gatherWait is how long entries that are ready as well may take longer to say so:
+	// a call takes some milliseconds.
+	gatherWait = 30 * time.Millisecond
 	// offerTries: between an offer and its claim a renewal of the holder may land,
 	// and one more that got no answer.
 	offerTries = 3
@@ -59,10 +64,13 @@
 type offerAnswer struct {
 	Ready  bool   `msgpack:"r"`
 	Holder string `msgpack:"h"` // who answers
+	Held   int    `msgpack:"n"` // leases that it has, or is about to
 }
 
-// peers lists the addresses of other entries, those with the fewest leases first.
-func (n *Node) peers() []string {
+// peers lists the addresses of other entries, those with the fewest leases first,
+// else in an order that differs by pool: several owners that leave at once would
+// otherwise all choose the same entry.
+func (n *Node) peers(pool string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	held := make(map[string]int)
@@ -75,8 +83,10 @@
 		}
 	}
 	delete(held, n.conf.Addr)
-	addrs := slices.Sorted(maps.Keys(held))
-	slices.SortStableFunc(addrs, func(a, b string) int { return cmp.Compare(held[a], held[b]) })
+	addrs := slices.Collect(maps.Keys(held))
+	slices.SortFunc(addrs, func(a, b string) int {
+		return cmp.Or(cmp.Compare(held[a], held[b]), cmp.Compare(xxhash.Sum64String(pool+a), xxhash.Sum64String(pool+b)))
+	})
 	return addrs
 }
 
@@ -99,33 +109,49 @@
 // enrollAgain is the pause after a try that failed; nothing waits for it.
 const enrollAgain = time.Second
 
-// successor finds an entry that can take a lease over: of those with the fewest
-// leases the first that says so. Empty: none. Failing is for how long the table has
-// not answered here.
-func (n *Node) successor(ctx context.Context, failing time.Duration) string {
-	for some := range slices.Chunk(n.peers(), probesAtOnce) {
-		answers := make(chan string, len(some))
-		for _, addr := range some {
-			go func() {
-				if !n.probe(ctx, addr, failing) {
-					addr = ""
-				}
-				answers <- addr
-			}()
-		}
-		for range some {
-			if addr := <-answers; addr != "" {
-				return addr
-			}
+// successor finds an entry that can take a pool's lease over: of those that say so
+// at about the same time the one with the fewest leases. Empty: none. Failing is for
+// how long the table has not answered here.
+func (n *Node) successor(ctx context.Context, pool string, failing time.Duration) string {
+	for some := range slices.Chunk(n.peers(pool), probesAtOnce) {
+		if addr := n.choose(ctx, some, failing); addr != "" {
+			return addr
 		}
 	}
 	return ""
 }
 
-// probe asks an entry whether it can take a lease over.
-func (n *Node) probe(ctx context.Context, addr string, failing time.Duration) bool {
-	a, err := n.hail(ctx, addr, failing)
-	return err == nil && a.Ready
+// choose asks some entries at once, and waits for the others for gatherWait once
+// one is ready.
+func (n *Node) choose(ctx context.Context, addrs []string, failing time.Duration) string {
+	type reply struct {
+		addr string
+		offerAnswer
+	}
+	replies := make(chan reply, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			a, err := n.hail(ctx, addr, failing)
+			a.Ready = a.Ready && err == nil
+			replies <- reply{addr, a}
+		}()
+	}
+	var best reply
+	var late <-chan time.Time
+	for range addrs {
+		select {
+		case r := <-replies:
+			if r.Ready && (!best.Ready || r.Held < best.Held) {
+				best = r
+			}
+		case <-late:
+			return best.addr
+		}
+		if best.Ready && late == nil {
+			late = time.After(gatherWait)
+		}
+	}
+	return best.addr
 }
 
 // hail asks an entry who it is and whether it can take a lease over.
@@ -158,7 +184,7 @@
 	if c.Failing > 0 {
 		seen = c.Failing - probeMargin
 	}
-	return offerAnswer{Ready: n.mayTake(seen), Holder: n.holder}, nil
+	return n.answer(n.mayTake(seen)), nil
 }
 
 func (n *Node) handleOffer(_ context.Context, body []byte) (any, error) {
@@ -176,7 +202,13 @@
 	if ready {
 		n.group.Go(func() { n.claim(n.context(), n.offered(c), c.Holder) })
 	}
-	return offerAnswer{Ready: ready, Holder: n.holder}, nil
+	return n.answer(ready), nil
+}
+
+func (n *Node) answer(ready bool) offerAnswer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return offerAnswer{Ready: ready, Holder: n.holder, Held: len(n.busy)}
 }
 
 // offered is the claim of an offered lease. Its holder has stopped: nothing has to
@@ -188,6 +220,7 @@
 
 // mayTake tells whether this entry can take a lease over: it is to go on, didn't
 // have to leave a pool itself just now, and had the table answer within some time.
+// One for which the table is just back leaves holders the time to find out as well.
 func (n *Node) mayTake(within time.Duration) bool {
 	if !n.going.Load() || n.Site() == nil {
 		return false
@@ -195,5 +228,5 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.conf.Now()
-	return now >= n.restUntil && now-n.leases <= min(within, leasesOld)
+	return now >= n.restUntil && now-n.leases <= min(within, leasesOld) && (n.back == 0 || now-n.back > regainWait)
 }
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -2,62 +2,52 @@
 
 import (
 	"context"
-	"sync"
-
-	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/sizing"
 )
 
-// loads asks all owners what their pools have to do.
+// loads asks all owners what their pools have to do. Without a fresh load a pool
+// stays as it is.
 func (f *fleet) loads(ctx context.Context) {
 	site := f.node.Site()
 	if site == nil {
 		return
 	}
-	var mu sync.Mutex
-	var group conc.WaitGroup
 	for _, p := range site.Pools {
 		if p.Standby {
 			continue
 		}
-		group.Go(func() {
+		f.aside.do("load "+p.Name, func() func() {
 			l, err := f.node.load(ctx, p.Name)
 			if err != nil {
-				return // without a fresh load the pool stays as it is
+				return func() {}
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			f.sizer.Load(l, f.node.conf.Now())
+			now := f.node.conf.Now()
+			return func() { f.sizer.Load(l, now) }
 		})
 	}
-	group.Wait()
 }
 
 // resize moves machines between pools.
 func (f *fleet) resize(ctx context.Context) {
 	now := f.node.conf.Now()
 	taken := func(machine string) bool { return f.keeper.Takes(machine) || f.turns.Waits(machine, now) }
-	moves := f.sizer.Next(now, taken, f.keeper.Waits)
-	var mu sync.Mutex
-	var group conc.WaitGroup
-	for _, m := range moves {
-		group.Go(func() {
-			empty := m.Empty || f.emptied(ctx, m)
-			mu.Lock()
-			f.sizer.Emptied(m.Machine, empty)
-			mu.Unlock()
-			if !empty {
-				return
+	for _, m := range f.sizer.Next(now, taken, f.keeper.Waits) {
+		began := f.aside.do("move "+m.Machine, func() func() {
+			if !m.Empty && !f.emptied(ctx, m) {
+				return func() { f.sizer.Emptied(m.Machine, false) }
 			}
 			err := f.order(ctx, m)
-			mu.Lock()
-			f.sizer.Ordered(m.Machine, err, f.node.conf.Now())
-			mu.Unlock()
+			return func() {
+				f.sizer.Emptied(m.Machine, true)
+				f.sizer.Ordered(m.Machine, err, f.node.conf.Now())
+			}
 		})
+		if began {
+			f.sizer.Begun(m.Machine)
+		}
 	}
-	group.Wait()
 }
 
 func (f *fleet) emptied(ctx context.Context, m sizing.Move) bool {
--- a/internal/sizing/move.go
+++ b/internal/sizing/move.go
@@ -58,7 +58,7 @@
 func (s *Sizer) redirect(pool string) bool {
 	var best *Move
 	for _, v := range s.moves {
-		if v.ordered > 0 || v.From == pool || !slices.Contains(s.standby, v.To) {
+		if v.ordered > 0 || v.busy || v.From == pool || !slices.Contains(s.standby, v.To) {
 			continue
 		}
 		if best == nil || v.Machine < best.Machine {
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -33,6 +33,7 @@
 	Worker  string
 	Empty   bool // nothing runs there any more: order it
 	chosen  time.Duration
+	busy    bool // its call is under way: it stays as it is until that has ended
 	unsure  bool // an order got no answer: it has to be asked again until it has one
 	ordered time.Duration
 }
@@ -155,10 +156,18 @@
 	return s.loads[pool].Timely.Waiting > 0 || s.missing(pool) > 0
 }
 
+// Begun takes in that a machine's owner is asked to empty it, and that it is ordered
+// if it is empty.
+func (s *Sizer) Begun(machine string) {
+	if v := s.moves[machine]; v != nil {
+		v.busy = true
+	}
+}
+
 // Emptied takes in an owner's answer about a machine.
 func (s *Sizer) Emptied(machine string, empty bool) {
 	if v := s.moves[machine]; v != nil {
-		v.Empty = empty
+		v.Empty, v.busy = empty, false
 	}
 }
 
@@ -207,7 +216,7 @@
 
 func (s *Sizer) expire(now time.Duration) {
 	for id, v := range s.moves {
-		if v.ordered == 0 && now-v.chosen > giveUpAfter {
+		if v.ordered == 0 && !v.busy && now-v.chosen > giveUpAfter {
 			s.conf.Logs.Info("move given up", "machine", id, "from", v.From, "to", v.To)
 			delete(s.moves, id)
 		}
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -159,3 +159,30 @@
 	assert.Equal(t, to(moves, "b"), 6)
 	assert.Equal(t, to(moves, "spare"), 0)
 }
+
+// Symptom: a machine goes to the wrong pool, or is ordered twice.
+// Sequence: a machine is on its way to standby, its order under way; another pool
+// wants machines.
+// Cause: a move was changed while its order was under way.
+func TestMoveUnderWayIsNotRedirected(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "b": 3, "spare": 0})
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	g.load(gauge.PoolLoad{Pool: "b"}, 0)
+	g.next()
+	g.now += 2600 * time.Millisecond
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	g.load(gauge.PoolLoad{Pool: "b"}, 0)
+	moves := g.next()
+	assert.Equal(t, to(moves, "spare"), 6)
+	for _, m := range moves {
+		g.sizer.Begun(m.Machine)
+	}
+	g.now += 5 * time.Second
+	g.load(gauge.PoolLoad{Pool: "a"}, 0)
+	g.load(gauge.PoolLoad{Pool: "b", Timely: gauge.Demand{Waiting: 200}}, 0)
+	assert.Equal(t, to(g.next(), "spare"), 6, "neither redirected nor given up")
+	for _, m := range moves {
+		g.sizer.Emptied(m.Machine, false)
+	}
+	assert.Equal(t, to(g.next(), "spare"), 0)
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -23,7 +23,7 @@
 	Term   time.Duration // of a lease
 	Spread time.Duration // free pools are claimed within this, in an order that differs by entry
 	Held   time.Duration // more of a wait for each pool that this entry has already
-	Regain time.Duration // holders have so long to renew their leases when the table is back
+	Regain time.Duration // holders that live have so long to renew their leases when the table is back
 }
 
 // seen is a lease row as last read.
@@ -48,6 +48,7 @@
 	free    map[string]time.Duration // since when a pool is seen to be without an owner
 	unsure  map[string]bool          // pools of which a claim got no answer
 	gone    map[string]bool          // holders whose processes have ended
+	alive   map[string]time.Duration // when holders last answered, while the table was away
 	read    bool
 	patient time.Duration // until then a lease that ran out is its holder's to renew
 }
@@ -63,7 +64,7 @@
 
 // New makes a Board that has seen nothing.
 func New(c Config) *Board {
-	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool)}
+	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool), alive: make(map[string]time.Duration)}
 }
 
 // Tell takes in a lease row. Clock is the table's clock when it was read, at the
@@ -85,6 +86,9 @@
 // would wait a term for a holder that does nothing.
 func (b *Board) Unsure(pool string) { b.unsure[pool] = true }
 
+// Alive takes in that a holder has answered this entry while the table was away.
+func (b *Board) Alive(holder string, now time.Duration) { b.alive[holder] = now }
+
 // Regained takes in that the table could not be read for some time. Holders could
 // not renew their leases meanwhile, and go on with their work: taken over at once,
 // their pools would stand still while others hear all the workers.
@@ -154,7 +158,7 @@
 	if !ok || s.row.Holder == "" || b.wasMine(pool) || b.unsure[pool] && s.row.Holder == b.conf.Self || b.gone[s.row.Holder] {
 		return true
 	}
-	if now < b.patient {
+	if answered, ok := b.alive[s.row.Holder]; ok && now < b.patient && now-answered < b.conf.Term {
 		return false
 	}
 	passed := now - s.at
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -66,12 +66,18 @@
 		{"of an earlier start of this entry", func(b *terms.Board) {
 			b.Tell("p", gauge.LeaseRow{Holder: "me/1", Addr: "10.0.0.9:1"}, 5, 0, 0)
 		}, 0, true},
+		{"not renewed while the table was away, its holder silent", func(b *terms.Board) {
+			b.Tell("p", row("other"), 5, 0, 0)
+			b.Regained(term + time.Second)
+		}, term + time.Second, true},
 		{"not renewed while the table was away", func(b *terms.Board) {
 			b.Tell("p", row("other"), 5, 0, 0)
+			b.Alive("other", term)
 			b.Regained(term + time.Second)
 		}, term + time.Second, false},
 		{"not renewed since the table is back", func(b *terms.Board) {
 			b.Tell("p", row("other"), 5, 0, 0)
+			b.Alive("other", term)
 			b.Regained(term + time.Second)
 		}, term + time.Second + regain, true},
 		{"held by a process that has ended", func(b *terms.Board) {
