Refuse by the owner's word only; cut short tries that began before the table is back

Probes overlap; feeds are cut short while the table is away, two of three; an owner whose write failed tries a read first. Ruled out: 503 with a shorter Retry-After: the header can't say less than a second. Left: an entry that sent a job off itself while it doubted the owner doesn't tell it.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,7 +34,8 @@
 
 // Relay has the owner of a queue's pool do what the table denies this entry: it
 // writes to that part of the table all the time, or has another entry take over.
-// Errors: KindOutage: surely not done; KindUnknown: it may be done.
+// Errors: KindOutage: surely not done, by the owner's word; KindEmpty: no owner could be
+// asked; KindUnknown: it may be done.
 type Relay interface {
 	// Prefer tells whether the owner should be asked before the table. A part of the
 	// table carries out one transaction after the other: when it is slow, those of
@@ -56,9 +58,11 @@
 
 // Intake implements gauge.Jobs.
 type Intake struct {
-	conf  Config
-	mu    sync.Mutex
-	lanes map[string]*lane // by queue
+	conf   Config
+	mu     sync.Mutex
+	lanes  map[string]*lane         // by queue
+	unsure map[string]time.Duration // ids of hand-ins that may yet be carried out, until when
+	pruned time.Duration            // when old ones were last dropped
 }
 
 // New makes an Intake.
@@ -66,7 +70,7 @@
 	if c.After == nil {
 		c.After = time.After
 	}
-	return &Intake{conf: c, lanes: make(map[string]*lane)}
+	return &Intake{conf: c, lanes: make(map[string]*lane), unsure: make(map[string]time.Duration)}
 }
 
 const (
@@ -100,54 +104,97 @@
 		return err
 	}
 	o := n.settle(ctx, p, relay)
+	if gauge.Is(o.err, gauge.KindOutage) && n.doubts(id) {
+		o.err = unsettled(o.err)
+	}
 	n.tell(p, o)
 	return o.err
 }
 
+// doubtFor is how long a hand-in without an answer may yet be carried out: some
+// seconds by the platform's word, with a margin of as much again.
+const doubtFor = 15 * time.Second
+
+// remember keeps the ids of hand-ins that may yet be carried out: a repeat of one
+// must not be told that the job never runs.
+func (n *Intake) remember(id string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	if gauge.Is(err, gauge.KindExpired) {
+		n.unsure[id] = now + doubtFor
+	}
+	if now < n.pruned+doubtFor {
+		return
+	}
+	n.pruned = now
+	maps.DeleteFunc(n.unsure, func(_ string, until time.Duration) bool { return now > until })
+}
+
+// doubts tells whether a hand-in of this id may yet be carried out.
+func (n *Intake) doubts(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conf.Now() < n.unsure[id]
+}
+
 // settle has a job stored, by the owner of its pool or here.
 func (n *Intake) settle(ctx context.Context, p *pending, relay Relay) outcome {
+	l := n.lane(p.queue.Name)
 	if relay == nil {
-		return n.lane(p.queue.Name).store(ctx, p)
+		return l.store(ctx, p)
 	}
 	if !relay.Prefer(p.queue) {
-		o := n.lane(p.queue.Name).store(ctx, p)
-		if gauge.Is(o.err, gauge.KindOutage) || gauge.Is(o.err, gauge.KindExpired) {
-			o = relayed(o, relay.Submit(ctx, p.queue, p.id, p.spec))
+		here := l.store(ctx, p)
+		if !open(here.err) {
+			return here
 		}
-		return o
+		return merge(here, relay.Submit(ctx, p.queue, p.id, p.spec))
 	}
-	nothing := outcome{err: gauge.Fail(gauge.KindOutage, "not tried here")}
-	there := relayed(nothing, relay.Submit(ctx, p.queue, p.id, p.spec))
-	unsure := gauge.Is(there.err, gauge.KindExpired)
+	there := relay.Submit(ctx, p.queue, p.id, p.spec)
 	late := n.conf.Now()-p.began > handInWait/2
-	if !unsure && !gauge.Is(there.err, gauge.KindOutage) || unsure && late {
-		return there
+	if !open(there) || late && !gauge.Is(there, gauge.KindOutage) {
+		return merge(outcome{err: gauge.Fail(gauge.KindOutage, "not tried here")}, there)
 	}
-	here := n.lane(p.queue.Name).store(ctx, p)
-	if unsure && gauge.Is(here.err, gauge.KindOutage) {
-		return there // what is surely not stored from here may be from there
+	return merge(l.store(ctx, p), there)
+}
+
+// open tells whether the job may be stored by another entry yet, or surely isn't
+// stored by the one that was asked.
+func open(err error) bool {
+	switch gauge.KindOf(err) {
+	case gauge.KindOutage, gauge.KindExpired, gauge.KindUnknown, gauge.KindEmpty:
+		return true
+	default:
+		return false
 	}
-	return here
 }
 
-// relayed is what is known of a job that could not be stored here, or not surely,
-// after another entry was asked. Its refusal says nothing of a transaction sent
-// from here.
-func relayed(o outcome, err error) outcome {
+// merge is what is known of a job after a try here and one by the owner of its pool.
+// That it is not stored is the owner's word only: a hand-in may be a repeat of one
+// that another entry sent off without an answer, and all of them pass the owner.
+func merge(here outcome, there error) outcome {
 	switch {
-	case err == nil:
+	case !open(here.err):
+		return here
+	case there == nil:
 		return outcome{relayed: true}
-	case gauge.Is(o.err, gauge.KindExpired), gauge.Is(err, gauge.KindOutage):
-		return o
-	case gauge.Is(err, gauge.KindUnknown), gauge.Is(err, gauge.KindExpired):
-		return outcome{err: gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id").Because(err)}
+	case gauge.Is(here.err, gauge.KindExpired), gauge.Is(there, gauge.KindOutage):
+		return here
+	case open(there):
+		return outcome{err: unsettled(there)}
 	default:
-		return outcome{err: err}
+		return outcome{err: there}
 	}
 }
 
+func unsettled(cause error) error {
+	return gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id").Because(cause)
+}
+
 // tell logs the outcome of a hand-in and tells the pool's owner of a new job.
 func (n *Intake) tell(p *pending, o outcome) {
+	n.remember(p.id, o.err)
 	switch {
 	case gauge.Is(o.err, gauge.KindExpired):
 		n.conf.Event("job unsettled")
--- a/internal/intake/lane.go
+++ b/internal/intake/lane.go
@@ -264,12 +264,25 @@
 	go l.reopen(given[0].id)
 }
 
-// reopen waits until the part of the table answers.
+// reopen waits until the part of the table answers. A read that was sent before the
+// table is back hangs on after that, so that others are sent meanwhile.
 func (l *lane) reopen(id string) {
 	began := l.intake.conf.Now()
+	answers := make(chan bool, 1)
 	for {
-		<-l.intake.conf.After(probeAgain)
-		answered := l.answers(id)
+		answered := false
+		select {
+		case answered = <-answers:
+		case <-l.intake.conf.After(probeAgain):
+			go func() {
+				if l.answers(id) {
+					select {
+					case answers <- true:
+					default:
+					}
+				}
+			}()
+		}
 		if answered || l.forgotten() {
 			l.mu.Lock()
 			l.shut = false
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -132,6 +132,7 @@
 		{"stored there, sent here", unknown, nil, ""},
 		{"refused by both", outage, gauge.Fail(gauge.KindOutage, "away"), gauge.KindOutage},
 		{"refused there, sent here", unknown, gauge.Fail(gauge.KindOutage, "away"), gauge.KindExpired},
+		{"no owner to ask", outage, gauge.Fail(gauge.KindEmpty, "no owner"), gauge.KindExpired},
 		{"no answer from there", outage, gauge.Fail(gauge.KindUnknown, "no answer"), gauge.KindExpired},
 		{"may be stored there", outage, gauge.Fail(gauge.KindExpired, "not known"), gauge.KindExpired},
 		{"no such queue there", outage, gauge.Fail(gauge.KindMissing, "no such queue"), gauge.KindMissing},
@@ -205,6 +206,8 @@
 		{"may be stored there, stored here", unknown, nil, 0, "", 1},
 		{"may be stored there, not here", unknown, outage, 0, gauge.KindExpired, 1},
 		{"may be stored there after a long wait", unknown, nil, handInWait, gauge.KindExpired, 0},
+		{"no owner to ask, stored here", gauge.Fail(gauge.KindEmpty, "no owner"), nil, 0, "", 1},
+		{"no owner to ask, not stored here", gauge.Fail(gauge.KindEmpty, "no owner"), outage, 0, gauge.KindExpired, 1},
 		{"stored by neither", gauge.Fail(gauge.KindOutage, "no owner"), outage, 0, gauge.KindOutage, 1},
 		{"no such queue there", gauge.Fail(gauge.KindMissing, "no such queue"), nil, 0, gauge.KindMissing, 0},
 	} {
@@ -251,3 +254,22 @@
 	stop()
 	assert.Equal(t, gauge.KindOf(<-result), gauge.KindExpired)
 }
+
+// Symptom: a caller is told that its job never runs, and it runs.
+// Sequence: a hand-in is sent to the table and gets no answer; its caller asks again
+// while the table is away, and is refused since nothing was sent this time; the first
+// transaction is carried out.
+// Cause: a refusal looked at the last try only.
+func TestRepeatOfAHandInThatMayBeStoredIsNotRefused(t *testing.T) {
+	store := newTable()
+	store.silent = true
+	store.answer = func(int, func()) error { return gauge.Fail(gauge.KindUnknown, "no answer") }
+	c := &clock{step: time.Millisecond}
+	g := newRig(store, c)
+	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindExpired)
+	assert.Equal(t, gauge.KindOf(g.submit(2)), gauge.KindOutage, "another job was surely not sent")
+	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindExpired)
+	assert.Equal(t, store.count(), 1)
+	c.pass(time.Hour)
+	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindOutage, "nothing of it can be on its way any more")
+}
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -67,7 +67,7 @@
 // givenUp is the outcome of a job that is tried no longer.
 func (p *pending) givenUp() outcome {
 	if p.unsure {
-		return outcome{err: gauge.Fail(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id").Because(p.last)}
+		return outcome{err: unsettled(p.last)}
 	}
 	return outcome{err: gauge.Fail(gauge.KindOutage, "the table can't be reached").Because(p.last)}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -43,8 +43,19 @@
 	ID    string `msgpack:"i"`
 }
 
-// done is the answer to a call that needs no other.
-type done struct{}
+// doneAnswer is what came of a call. An error that the owner tells is its word; one
+// of the call itself says nothing of it.
+type doneAnswer struct {
+	Kind   gauge.Kind `msgpack:"k"` // empty: done
+	Reason string     `msgpack:"r"`
+}
+
+func answerOf(err error) doneAnswer {
+	if err == nil {
+		return doneAnswer{}
+	}
+	return doneAnswer{Kind: gauge.KindOf(err), Reason: err.Error()}
+}
 
 // Prefer tells whether another entry owns the pool and has answered lately.
 func (r relay) Prefer(q *gauge.Queue) bool {
@@ -67,12 +78,11 @@
 	return r.node.askOwner(ctx, q.Pool, methodCancel, &cancelCall{Queue: q.Name, ID: id})
 }
 
-// askOwner calls the owner of a pool at another entry. KindOutage: there is none,
-// or it did nothing.
+// askOwner calls the owner of a pool at another entry. KindEmpty: none could be asked.
 func (n *Node) askOwner(ctx context.Context, pool, method string, call any) error {
 	o, addr, err := n.ownerOf(pool)
 	if err != nil {
-		return err
+		return gauge.Fail(gauge.KindEmpty, "no owner to ask").Because(err)
 	}
 	if o != nil {
 		return gauge.Fail(gauge.KindOutage, "this entry owns pool %s itself", pool)
@@ -86,8 +96,18 @@
 		}
 	})
 	defer look.Stop()
-	var answer done
-	return n.conf.Mesh.Call(ctx, addr, method, call, &answer)
+	var answer doneAnswer
+	err = n.conf.Mesh.Call(ctx, addr, method, call, &answer)
+	switch {
+	case gauge.Is(err, gauge.KindUnknown):
+		return err
+	case err != nil:
+		return gauge.Fail(gauge.KindEmpty, "the owner can't be asked").Because(err)
+	case answer.Kind != "":
+		return gauge.Fail(answer.Kind, "owner at %s: %s", addr, answer.Reason)
+	default:
+		return nil
+	}
 }
 
 // doubt has an owner that doesn't answer not asked for a while.
@@ -108,14 +128,17 @@
 	}
 	q, err := n.queue(c.Queue)
 	if err != nil {
-		return nil, err
+		return answerOf(err), nil
 	}
 	if c.Spec == nil {
 		return nil, gauge.Fail(gauge.KindInvalid, "job %s without its content", c.ID)
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
-	return done{}, n.intake.SubmitHere(ctx, q, c.ID, c.Spec)
+	if _, err := n.local(q.Pool); err != nil {
+		return nil, err // this entry's word would be worth no more than the caller's
+	}
+	return answerOf(n.intake.SubmitHere(ctx, q, c.ID, c.Spec)), nil
 }
 
 func (n *Node) handleCancel(ctx context.Context, body []byte) (any, error) {
@@ -125,11 +148,11 @@
 	}
 	q, err := n.queue(c.Queue)
 	if err != nil {
-		return nil, err
+		return answerOf(err), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
-	return done{}, n.intake.CancelHere(ctx, q, c.ID)
+	return answerOf(n.intake.CancelHere(ctx, q, c.ID)), nil
 }
 
 // queue finds a queue of the configuration in force.
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"time"
 
 	gauge "sapphiregauge"
@@ -12,7 +13,7 @@
 	var failing time.Duration // since when
 	for o.ctx.Err() == nil {
 		began := o.conf.Now()
-		if !o.write() {
+		if failing > 0 && !o.reaches() || !o.write() {
 			if failing == 0 {
 				failing = began
 			}
@@ -34,6 +35,18 @@
 	}
 }
 
+// reaches tells whether the table answers a read, after a write that failed: a write
+// that is begun before the table is back hangs on longer after that.
+func (o *Owner) reaches() bool {
+	ctx, cancel := context.WithTimeout(o.ctx, reachWait)
+	defer cancel()
+	_, _, err := o.conf.Store.Range(ctx, gauge.TableLeases, o.conf.Pool, gauge.KeyOwner, gauge.KeyOwner+"\x00")
+	return err == nil
+}
+
+// reachWait bounds that read. It takes 4 ms, in a slow spell 60 to 90 times as long.
+const reachWait = 450 * time.Millisecond
+
 // pending is one write: the lease row and the changes of jobs.
 type pending struct {
 	batch sched.Batch
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -32,6 +32,7 @@
 type Table struct {
 	conf Config
 	at   int64 // version that has been told
+	lack int   // rounds in a row that failed
 	read bool  // all rows have been told once
 	lost bool
 }
@@ -49,12 +50,12 @@
 // Run follows until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := t.round(ctx)
+		err := t.bounded(ctx)
 		pause := t.conf.Pause()
 		if err != nil && ctx.Err() == nil {
 			pause = t.failed(err)
 		} else if t.lost {
-			t.lost = false
+			t.lost, t.lack = false, 0
 			t.conf.Logs.Info("dependency regained", "table", t.conf.Name, "version", t.at)
 		}
 		sleep(ctx, pause)
@@ -67,6 +68,7 @@
 		t.read = false
 		return 0
 	}
+	t.lack++
 	if !t.lost {
 		t.lost = true
 		t.conf.Logs.Info("dependency lost", "table", t.conf.Name, "version", t.at, "error", err.Error())
@@ -74,12 +76,36 @@
 	return firstPause + rand.N(lastPause-firstPause)
 }
 
+// bounded does one round. While the table is away most rounds are cut short: one that
+// was begun before it is back would hang on long after. Some aren't, as a slow table
+// takes longer to answer.
+func (t *Table) bounded(ctx context.Context) error {
+	if !t.lost || t.lack%patientRound == 0 {
+		return t.round(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, hurriedWait)
+	defer cancel()
+	return t.round(ctx)
+}
+
+const (
+	// hurriedWait bounds a round while the table is away. A read takes 4 ms, in a slow
+	// spell 60 to 90 times as long.
+	hurriedWait = 400 * time.Millisecond
+	// patientRound: each so many rounds one is not cut short.
+	patientRound = 3
+)
+
 func (t *Table) round(ctx context.Context) error {
 	if !t.read {
 		return t.readAll(ctx)
 	}
 	sent := t.conf.Now()
-	rows, stamp, err := t.conf.Store.Feed(ctx, t.conf.Name, t.at, t.conf.Wait)
+	wait := t.conf.Wait
+	if t.lost {
+		wait = 0
+	}
+	rows, stamp, err := t.conf.Store.Feed(ctx, t.conf.Name, t.at, wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,67 @@
+package watch_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/watch"
+)
+
+// table answers reads; what a feed does is the test's to say.
+type table struct {
+	gauge.Parted
+	feeds int
+	feed  func(ctx context.Context, n int) error
+}
+
+func (t *table) Range(context.Context, string, string, string, string) ([]gauge.PartRow, gauge.Stamp, error) {
+	return nil, gauge.Stamp{Version: 1}, nil
+}
+
+func (t *table) Feed(ctx context.Context, _ string, _ int64, _ time.Duration) ([]gauge.PartRow, gauge.Stamp, error) {
+	t.feeds++
+	if err := t.feed(ctx, t.feeds); err != nil {
+		return nil, gauge.Stamp{}, err
+	}
+	return []gauge.PartRow{{Version: 2}}, gauge.Stamp{Version: 2}, nil
+}
+
+// Symptom: an entry uses new workers, and sees leases, up to two seconds after the
+// table is back.
+// Sequence: the table goes away; a feed is sent before it is back, on a connection
+// that stays silent.
+// Cause: that feed was waited for as long as one of a slow table.
+func TestFeedSentWhileTheTableIsAwayIsCutShort(t *testing.T) {
+	store := &table{feed: func(ctx context.Context, n int) error {
+		switch n {
+		case 1:
+			return gauge.Fail(gauge.KindOutage, "no answer")
+		case 2:
+			<-ctx.Done() // silent for good
+			return gauge.Fail(gauge.KindOutage, "no answer")
+		default:
+			return nil
+		}
+	}}
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	told := make(chan bool, 10)
+	go watch.New(watch.Config{
+		Name: "workers", Store: store, Wait: time.Hour, Pause: func() time.Duration { return 0 }, Logs: logr.Discard(),
+		Now: func() time.Duration { return 0 }, Stamp: func(gauge.Stamp, time.Duration) {},
+		Tell: func(_ []gauge.PartRow, whole bool) {
+			if !whole {
+				told <- true
+			}
+		},
+	}).Run(ctx)
+	select {
+	case <-told:
+	case <-ctx.Done():
+		t.Fatal("the change was not told")
+	}
+}
