Size pools for the demand of when a machine has come; keep surplus longer; scan less

The log shows machines wanted as demand rises for two seconds, each ordered 10 ms after the wish and there 1.6 s later: the pool lags by that time. Later in a turn demand dips, and machines given away are missed. Change: the rate of arrivals is extrapolated by its rise over 0.6 s for the length of a move, twice the rate at most; surplus is kept for 4 s instead of 2.5; owners look for jobs without a notice in queues that have open jobs, instead of all 120 that the configuration lists.

--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -111,22 +111,21 @@
 	return o.adoptMarked(ctx, queue, marks, inherited)
 }
 
-// queues lists those that may have jobs of this pool. Each some time all are
-// looked through, as a queue may have been routed here and away again.
+// queues lists those with open jobs that may be of this pool. Most queues have none,
+// and each look at one is a call that is paid for. Each some time all are looked
+// through, as a queue may have been routed here and away again.
 func (o *Owner) queues() ([]string, error) {
+	open, err := o.conf.Store.Parts(o.ctx, gauge.TableOpen)
 	o.scans++
-	if o.scans%scansOfAll == 0 {
-		return o.conf.Store.Parts(o.ctx, gauge.TableOpen)
+	if err != nil || o.scans%scansOfAll == 0 {
+		return open, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var names []string
-	for _, q := range o.site.Queues {
-		if q.Pool == o.conf.Pool {
-			names = append(names, q.Name)
-		}
-	}
-	return names, nil
+	return slices.DeleteFunc(open, func(name string) bool {
+		q := o.site.QueueByName(name)
+		return q == nil || q.Pool != o.conf.Pool
+	}), nil
 }
 
 func (o *Owner) adoptMarked(ctx context.Context, queue string, marks []gauge.PartRow, inherited bool) (int, error) {
@@ -221,7 +220,7 @@
 		if o.ctx.Err() != nil {
 			return
 		}
-		queues, err := o.queues()
+		queues, err := o.conf.Store.Parts(o.ctx, gauge.TableJobs)
 		if err != nil {
 			o.conf.Logs.Info("sweep failed", "pool", o.conf.Pool, "error", err.Error())
 			continue
--- a/internal/sizing/rate.go
+++ b/internal/sizing/rate.go
@@ -54,3 +54,40 @@
 	}
 	return sum / longestWindow.Seconds()
 }
+
+// trend is how a pool's rate of arrivals has changed lately, the oldest look first.
+type trend []look
+
+// look is a rate as it was seen at a time.
+type look struct {
+	at   time.Duration
+	rate float64
+}
+
+const (
+	// trendOver is the time over which the change of a rate is taken, and trendLeast
+	// the least time: rates that are seen a tenth of a second apart differ by chance.
+	trendOver  = 600 * time.Millisecond
+	trendLeast = 300 * time.Millisecond
+	// trendMost bounds what is expected by what is seen: a rise ends some time.
+	trendMost = 2.0
+)
+
+// add notes a rate, and forgets looks that are too old.
+func (t trend) add(rate float64, now time.Duration) trend {
+	t = append(t, look{at: now, rate: rate})
+	for len(t) > 1 && now-t[0].at >= trendOver {
+		t = t[1:]
+	}
+	return t
+}
+
+// ahead is the rate to expect after a time, if it rises; else the rate now.
+func (t trend) ahead(span time.Duration) float64 {
+	first, last := t[0], t[len(t)-1]
+	if last.at-first.at < trendLeast || last.rate <= first.rate {
+		return last.rate
+	}
+	rise := (last.rate - first.rate) / (last.at - first.at).Seconds()
+	return min(last.rate+rise*span.Seconds(), last.rate*trendMost)
+}
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -5,7 +5,9 @@
 // several times a pool's mean in its turn, so that no fixed split serves it;
 // machines in pools are paid for, those on standby aren't. A move takes one to
 // two seconds and ends all that runs on the machine, so machines are emptied
-// first and those with lasting tasks stay.
+// first and those with lasting tasks stay. While demand rises, pools are sized for
+// what it will be when a machine that is ordered now has come: sized for the present,
+// they lag behind it by that time, and quick jobs of the start of a turn are late.
 package sizing
 
 import (
@@ -47,6 +49,7 @@
 	moves    map[string]*Move
 	wanted   map[string]want
 	came     map[string]arrivals
+	trends   map[string]trend
 	logged   map[string]int
 	later    func(machine string) bool
 	index    index
@@ -95,7 +98,7 @@
 func New(c Config) *Sizer {
 	return &Sizer{
 		conf: c, loads: make(map[string]load), machines: make(map[string]gauge.Machine),
-		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), logged: make(map[string]int),
+		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), trends: make(map[string]trend), logged: make(map[string]int),
 	}
 }
 
@@ -110,8 +113,11 @@
 	// place at a time.
 	mostAway = 2
 	// shrinkAfter is how long a pool must have too many machines before it gives
-	// some away.
-	shrinkAfter = 2500 * time.Millisecond
+	// some away: demand dips within a queue's turn, and a machine that is given away
+	// in a dip is missed for two moves. Mean worth of 40 simulated days of two sites
+	// with 1.7, 2.5, 3.5, 5 and 8 s: 0.52, 0.56, 0.57, 0.58 and 0.56; the longer ones
+	// cost 4 to 13 % more seconds of machines.
+	shrinkAfter = 4 * time.Second
 	// staleAfter: an older load says nothing.
 	staleAfter = 2 * time.Second
 	// giveUpAfter ends a move whose machine doesn't get empty.
@@ -271,7 +277,9 @@
 // need works out what a pool would use, in machines.
 func (s *Sizer) need(pool string, now time.Duration) need {
 	l, cores := s.loads[pool], s.cores(pool)
-	timely := max(l.Timely.Cores(), s.came[pool].rate(now))
+	s.trends[pool] = s.trends[pool].add(s.came[pool].rate(now), now)
+	// A machine that is ordered now serves after its move: for the demand of then.
+	timely := max(l.Timely.Cores(), s.trends[pool].ahead(s.conf.Migrate))
 	// One machine more than lasting tasks need, so that any of them can be
 	// emptied, and more while some have no place.
 	n := need{base: max(least, ceil(l.Lasting*headroom/cores)+1, l.Spread+1) + min(l.Away, mostAway)}
