--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,6 +16,10 @@
 	methodState = "job.state"
 	// stateWait bounds that question: the table answers it too.
 	stateWait = 150 * time.Millisecond
+	// emptyWait bounds one question to a pool's owner.
+	emptyWait = 600 * time.Millisecond
+	// methodEmpty asks a pool's owner to empty a worker.
+	methodEmpty = "worker.empty"
 )
 
 // loadWait bounds that question.
@@ -81,6 +85,17 @@
 	return &l, nil
 }
 
+// emptyCall asks to empty a worker; it holds for some seconds.
+type emptyCall struct {
+	Pool   string `msgpack:"p"`
+	Worker string `msgpack:"w"`
+	Force  bool   `msgpack:"f"`
+}
+
+type emptyAnswer struct {
+	Empty bool `msgpack:"e"`
+}
+
 // empty asks a pool's owner to empty a worker; true: nothing runs there.
 func (n *Node) empty(ctx context.Context, c emptyCall) (bool, error) {
 	o, addr, err := n.ownerOf(c.Pool)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/sizing"
 	"sapphiregauge/internal/turns"
@@ -16,8 +13,6 @@
 )
 
 const (
-	// tableWaves keeps which machines of a wave have had their order.
-	tableWaves = "waves"
 	// fleetEvery is how often the fleet's holder looks at its waves.
 	fleetEvery = 100 * time.Millisecond
 	// fleetRenew is how often the fleet's lease is renewed without other writes.
@@ -27,29 +22,8 @@
 	// firstWait is how long after the very first start machines are left where
 	// they are: until then not all of them are listed.
 	firstWait = 2 * time.Second
-	// emptyWait bounds one question to a pool's owner.
-	emptyWait = 600 * time.Millisecond
-	// methodEmpty asks a pool's owner to empty a worker.
-	methodEmpty = "worker.empty"
 )
 
-// waveRow is what the table keeps of a wave.
-type waveRow struct {
-	Begun []string `msgpack:"b"`
-	Done  bool     `msgpack:"d"`
-}
-
-// emptyCall asks to empty a worker; it holds for some seconds.
-type emptyCall struct {
-	Pool   string `msgpack:"p"`
-	Worker string `msgpack:"w"`
-	Force  bool   `msgpack:"f"`
-}
-
-type emptyAnswer struct {
-	Empty bool `msgpack:"e"`
-}
-
 // fleet carries out waves for as long as this entry holds the fleet's lease.
 type fleet struct {
 	node    *Node
@@ -247,42 +221,6 @@
 	return true
 }
 
-// takeIn tells the keeper of waves that it doesn't know.
-func (f *fleet) takeIn(ctx context.Context) bool {
-	f.node.mu.Lock()
-	var fresh []gauge.UpkeepOrder
-	for _, w := range f.node.waves {
-		if !f.keeper.Knows(w.Wave) {
-			fresh = append(fresh, w)
-		}
-	}
-	f.node.mu.Unlock()
-	for _, w := range fresh {
-		row, err := f.readWave(ctx, w.Wave)
-		if err != nil {
-			f.node.conf.Logs.Info("wave not read", "wave", w.Wave, "error", err.Error())
-			return false
-		}
-		f.keeper.Order(w, row.Begun, row.Done, f.node.conf.Now())
-		f.node.conf.Logs.Info("wave taken in", "wave", w.Wave, "machines", len(w.Machines), "begun", len(row.Begun), "done", row.Done)
-	}
-	return true
-}
-
-func waveKey(number int64) gauge.RowKey {
-	return gauge.RowKey{Table: tableWaves, Key: strconv.FormatInt(number, 10)}
-}
-
-func (f *fleet) readWave(ctx context.Context, number int64) (waveRow, error) {
-	var row waveRow
-	key := waveKey(number)
-	rows, _, err := f.node.conf.Store.Range(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
-	if err != nil || len(rows) == 0 {
-		return row, err
-	}
-	return row, msgpack.Unmarshal(rows[0].Value, &row)
-}
-
 // list has the machines read, if the list is old.
 func (f *fleet) list(ctx context.Context) {
 	now := f.node.conf.Now()
@@ -314,68 +252,3 @@
 	f.keeper.Standby(standby)
 	f.sizer.Machines(list, standby, asked)
 }
-
-// ask has workers emptied by their pools' owners.
-func (f *fleet) ask(ctx context.Context, asks []waves.Ask) {
-	for _, a := range asks {
-		f.aside.do("empty "+a.Machine, func() func() {
-			empty, err := f.node.empty(ctx, emptyCall{Pool: a.Pool, Worker: a.Worker, Force: a.Force})
-			if err != nil {
-				f.node.conf.Logs.Info("machine not emptied", "machine", a.Machine, "pool", a.Pool, "error", err.Error())
-			}
-			return func() { f.keeper.Emptied(a.Machine, empty && err == nil) }
-		})
-	}
-}
-
-// begin orders upkeeps. Each is asked for only while the lease surely lasts.
-func (f *fleet) begin(ctx context.Context, begins []waves.Begin) {
-	duty := gauge.Duty{Holder: f.node.conf.Name, Fence: f.held.fence}
-	for _, b := range begins {
-		f.aside.do("upkeep "+b.Machine, func() func() {
-			var err error = gauge.Fail(gauge.KindOutage, "the lease is over")
-			if f.mayOrder(b.Machine) {
-				err = f.node.conf.Machines.Upkeep(ctx, duty, b.Machine, b.Wave)
-			}
-			return func() { f.begun(b, err) }
-		})
-	}
-}
-
-// begun takes in the outcome of an order, and notes it.
-func (f *fleet) begun(b waves.Begin, err error) {
-	if gauge.Is(err, gauge.KindFenced) {
-		f.held.lease.Lose()
-		f.node.conf.Logs.Info("lease lost", "pool", "fleet", "fence", f.held.fence, "reason", "a machine has seen a newer fencing token")
-		return
-	}
-	f.keeper.Begun(b, err, f.node.conf.Now())
-	f.unsaved[b.Wave] = true
-}
-
-// save writes how far a wave is, for the operator and for the next holder.
-func (f *fleet) save(ctx context.Context, number int64, done bool) bool {
-	value, err := msgpack.Marshal(&waveRow{Begun: f.keeper.Lists(number), Done: done})
-	if err != nil {
-		f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
-		return false
-	}
-	txn := gauge.PartTxn{Writes: []gauge.RowWrite{{RowKey: waveKey(number), Value: value}}}
-	if done || !f.states[number] {
-		status, err := f.node.conf.Words.WaveStatus(number, done)
-		if err != nil {
-			f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
-			return false
-		}
-		txn.Writes = append(txn.Writes, status)
-	}
-	ok := f.commit(ctx, txn)
-	f.states[number] = f.states[number] || ok
-	return ok
-}
-
-func (f *fleet) complete(ctx context.Context, number int64) {
-	if f.save(ctx, number, true) {
-		f.keeper.Completed(number)
-	}
-}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/owner"
+	"sapphiregauge/internal/watch"
+)
+
+func (n *Node) follow(ctx context.Context, table string, parted bool, wait time.Duration, pause func() time.Duration,
+	stamp func(gauge.Stamp, time.Duration), tell func([]gauge.PartRow, bool),
+) {
+	watch.New(watch.Config{
+		Name: table, Parted: parted, Store: n.conf.Store, Wait: wait, Pause: pause, Logs: n.conf.Logs, Now: n.conf.Now,
+		Tell: tell, Stamp: stamp,
+	}).Run(ctx)
+}
+
+func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// workerPause is the pause between two looks at the list of workers. Each worker
+// writes there every second or two, so that a feed never waits long.
+func (n *Node) workerPause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.busy) > 0 {
+		return workerPause
+	}
+	return idlePause
+}
+
+// stamp takes in a reading of the table's clock, from a call that was sent at a
+// time. One that took long says little, and the clocks don't drift within a day
+// by as much.
+func (n *Node) stamp(s gauge.Stamp, sent time.Duration) {
+	now := n.conf.Now()
+	if s.Now > 0 && (now-sent < stampWithin || n.offset.Load() == 0) {
+		n.offset.Store(int64(s.Now - now))
+	}
+}
+
+// sawLeases notes that the leases were read, changed or not.
+func (n *Node) sawLeases(s gauge.Stamp, sent time.Duration) {
+	n.stamp(s, sent)
+	now := n.conf.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leases > 0 && now-n.leases > leasesLost {
+		n.board.Regained(now)
+		n.back = now
+	}
+	n.leases = sent
+}
+
+// stampWithin: a reading from an answer that took longer is not used.
+const stampWithin = 100 * time.Millisecond
+
+// clock is the table's clock now, in milliseconds, late by an answer's way.
+func (n *Node) clock() int64 {
+	return (n.conf.Now() + time.Duration(n.offset.Load())).Milliseconds()
+}
+
+func (n *Node) toldOperator(rows []gauge.PartRow, _ bool) {
+	for _, r := range rows {
+		if r.Dropped {
+			continue
+		}
+		site, wave, err := n.conf.Words.Operator(r)
+		switch {
+		case err != nil:
+			n.conf.Logs.Error(err, "operator's row not read", "key", r.Key, "version", r.Version)
+		case site != nil:
+			n.configure(site)
+		case wave != nil:
+			n.mu.Lock()
+			n.waves[wave.Wave] = *wave
+			n.mu.Unlock()
+			n.conf.Logs.Info("wave seen", "wave", wave.Wave, "machines", len(wave.Machines), "within", wave.Within, "atonce", wave.AtOnce)
+		}
+	}
+}
+
+// configure puts a configuration in force, never an older one.
+func (n *Node) configure(site *gauge.Site) {
+	old := n.site.Load()
+	if old != nil && old.Version >= site.Version {
+		return
+	}
+	n.site.Store(site)
+	n.conf.Event("configuration in force")
+	n.conf.Logs.Info("configuration in force", "version", site.Version, "queues", len(site.Queues), "pools", len(site.Pools))
+	n.mu.Lock()
+	owners := n.ownersLocked()
+	n.mu.Unlock()
+	for _, o := range owners {
+		o.Configure(site)
+	}
+}
+
+func (n *Node) ownersLocked() []*owner.Owner {
+	os := make([]*owner.Owner, 0, len(n.owners))
+	for _, o := range n.owners {
+		os = append(os, o)
+	}
+	return os
+}
+
+func (n *Node) toldWorkers(rows []gauge.PartRow, whole bool) {
+	n.mu.Lock()
+	if whole {
+		clear(n.workers)
+	}
+	for _, r := range rows {
+		if r.Dropped {
+			delete(n.workers, r.Key)
+			continue
+		}
+		w, err := n.conf.Words.Worker(r)
+		if err != nil {
+			n.conf.Logs.Error(err, "worker's row not read", "worker", r.Key, "version", r.Version)
+			continue
+		}
+		n.workers[w.ID] = *w
+	}
+	list := n.listLocked()
+	owners := n.ownersLocked()
+	n.mu.Unlock()
+	for _, o := range owners {
+		o.List(list)
+	}
+}
+
+func (n *Node) listLocked() []gauge.Worker {
+	list := make([]gauge.Worker, 0, len(n.workers))
+	for _, w := range n.workers {
+		list = append(list, w)
+	}
+	return list
+}
+
+func (n *Node) toldLeases(rows []gauge.PartRow, whole bool) {
+	now := n.conf.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range rows {
+		n.toldLease(r, now)
+	}
+	if whole {
+		n.board.Read()
+	}
+}
+
+func (n *Node) toldLease(r gauge.PartRow, now time.Duration) {
+	if addr := string(r.Value); r.Key == gauge.KeyEntry && !r.Dropped && n.entries[r.Part] != addr {
+		n.entries[r.Part] = addr
+		n.conf.Logs.Info("entry known", "peer", r.Part, "addr", addr, "version", r.Version)
+	}
+	if r.Dropped || r.Key != gauge.KeyOwner {
+		return
+	}
+	lease, err := gauge.DecodeLeaseRow(r.Value)
+	if err != nil {
+		n.conf.Logs.Error(err, "lease row not read", "pool", r.Part, "version", r.Version)
+		return
+	}
+	if old, ok := n.board.Holder(r.Part); lease.Holder != "" && (!ok || old.Addr != lease.Addr) && lease.Addr != n.conf.Addr {
+		n.group.Go(func() { n.meet(lease.Addr) })
+	}
+	n.board.Tell(r.Part, *lease, r.Version, now, n.clockIfKnown())
+}
+
+// clockIfKnown is the table's clock, 0 before it was read once.
+func (n *Node) clockIfKnown() int64 {
+	if n.offset.Load() == 0 {
+		return 0
+	}
+	return n.clock()
+}
+
+// depth is how many jobs of a queue have not begun, as its pool's owner told.
+func (n *Node) depth(q *gauge.Queue) (int, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	row, ok := n.board.Holder(q.Pool)
+	if !ok {
+		return 0, false
+	}
+	return row.Depths[q.Name], true
+}
