--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -108,6 +108,7 @@
 	started := boot.Now()
 	log.Info("start", "zone", settings.Zone, "version", version)
 	p := assemble(settings, s, log)
+	p.meter.Dropped(out.Dropped)
 	err = p.serve(ctx, s)
 	log.Info("stop", "ran", boot.Now()-started, "dropped", out.Dropped())
 	out.Close()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -76,6 +76,13 @@
 	return string(gauge.KindOf(err))
 }
 
+// Dropped has the log lines counted that were dropped, as a function tells.
+func (m *Meter) Dropped(count func() int64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: prefix + "log_lines_dropped_total", Help: "Log lines dropped because their receiver was too slow.",
+	}, func() float64 { return float64(count()) }))
+}
+
 // Request counts a request's final answer.
 func (m *Meter) Request(service string, class gauge.Class, took time.Duration, err error) {
 	m.requests.WithLabelValues(service, label(err)).Inc()
