--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -80,8 +80,8 @@
 	for _, addr := range n.entries {
 		held[addr] = 0
 	}
-	for _, pool := range n.board.Pools() {
-		if row, ok := n.board.Holder(pool); ok {
+	for _, other := range n.board.Pools() {
+		if row, ok := n.board.Holder(other); ok {
 			held[row.Addr]++
 		}
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/owner"
@@ -55,3 +59,84 @@
 		group.Wait()
 	}
 }
+
+// counting answers holds, once, and counts starts.
+type counting struct {
+	gauge.Workers
+	mu     sync.Mutex
+	holds  int
+	starts int
+	sent   chan struct{} // a start came
+}
+
+func (c *counting) Hold(ctx context.Context, _ *gauge.Worker, _ gauge.HoldCall) (*gauge.WorkerReport, error) {
+	c.mu.Lock()
+	c.holds++
+	first := c.holds == 1
+	c.mu.Unlock()
+	if !first {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &gauge.WorkerReport{Clock: time.Hour}, nil
+}
+
+func (c *counting) Start(context.Context, *gauge.Worker, gauge.StartCall) (time.Duration, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts++
+	c.sent <- struct{}{}
+	return time.Hour, nil
+}
+
+// Symptom: two owners order one worker.
+// Sequence: an owner decides on a start; its machine is suspended before the order
+// goes out; the lease runs out and another entry takes the pool; the machine wakes up.
+// Cause: the lease was looked at when the start was decided on, not when it went out.
+func TestOrderThatWaitsOverASuspensionIsNotSent(t *testing.T) {
+	var mu sync.Mutex
+	clock := time.Second
+	now := func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return clock
+	}
+	failed := make(chan struct{}, 1)
+	log := funcr.New(func(_, line string) {
+		if strings.Contains(line, `"msg"="run starts"`) {
+			mu.Lock()
+			clock += time.Hour // suspended right after the decision
+			mu.Unlock()
+		}
+		if strings.Contains(line, `"msg"="order failed"`) {
+			failed <- struct{}{}
+		}
+	}, funcr.Options{})
+	w := &counting{sent: make(chan struct{}, 1)}
+	ctx, cancel := context.WithCancel(t.Context())
+	o := owner.New(ctx, owner.Config{
+		Pool: "p", Store: store{}, Workers: w, Logs: log, Now: now, Wall: time.Now,
+		Lease: tenure.New(tenure.Config{Lasts: 2 * time.Second, Taken: now(), Store: store{}, Now: now, Clock: func() int64 { return 1 }}),
+		Grace: time.Second, Hold: time.Second, Stamp: func(gauge.Stamp, time.Duration) {},
+		Clock: func() int64 { return 1 }, Count: func(string, time.Duration) {}, Event: func(string) {},
+	})
+	var group sync.WaitGroup
+	group.Go(func() {
+		o.Run(&gauge.Site{}, []gauge.Worker{{ID: "w1", Pool: "p", Capacity: gauge.Resources{MilliCPU: 1000, MemoryMB: 1000}}})
+	})
+	spec := &gauge.JobSpec{Steps: []gauge.Step{{Count: 1, Needs: gauge.Resources{MilliCPU: 100}}}}
+	row := &gauge.JobRow{State: gauge.JobPending, Pool: "p"}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if o.Adopt("00000000000000a1", "sheets", spec, row, 7) {
+			return poll.Success()
+		}
+		return poll.Continue("the owner takes jobs")
+	})
+	select {
+	case <-failed:
+	case <-w.sent:
+	}
+	cancel()
+	group.Wait()
+	assert.Equal(t, w.starts, 0)
+}
