--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -273,3 +273,26 @@
 	c.pass(time.Hour)
 	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindOutage, "nothing of it can be on its way any more")
 }
+
+// Symptom: a caller is told that its cancel is not known, or the job's owner never
+// hears of it.
+// Sequence: the cancel is carried out and its answer lost; it is tried again, and
+// finds the job cancelled.
+// Cause: a job that is over was taken for one that ended before its cancel.
+func TestCancelWithoutAnAnswerIsToldWhenItIsFound(t *testing.T) {
+	store := newTable()
+	g := newRig(store, &clock{step: time.Millisecond})
+	assert.NilError(t, g.submit(1))
+	store.answer = func(n int, carryOut func()) error {
+		if n != 2 {
+			return nil
+		}
+		carryOut()
+		return gauge.Fail(gauge.KindUnknown, "no answer")
+	}
+	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
+	assert.NilError(t, g.intake.Cancel(context.Background(), q, id(1)))
+	assert.Equal(t, store.count(), 2, "it is not carried out twice")
+	assert.Equal(t, len(g.notices), 2)
+	assert.Assert(t, g.notices[1].Cancelled, "the owner is told")
+}
