--- a/internal/intake/lane.go
+++ b/internal/intake/lane.go
@@ -36,11 +36,11 @@
 // out transactions one after the other: when it is slow, one for each job would
 // be turned away.
 //
-// When a transaction and then a read of the part both fail, the lane shuts: jobs
-// are refused at once until a read is answered. Otherwise each would be held for
-// as long as its caller waits, only to be refused then; and since a transaction
-// without an answer may be carried out later, jobs that are not sent at all are
-// the only ones that can be told surely that they don't run.
+// When a transaction and then a read of the part both fail, the lane shuts, as a
+// circuit breaker opens: jobs are refused at once until a read is answered. Otherwise
+// each would be held for as long as its caller waits, only to be refused then; and
+// since a transaction without an answer may be carried out later, jobs that are not
+// sent at all are the only ones that can be told surely that they don't run.
 type lane struct {
 	intake *Intake
 	queue  string
--- a/internal/node/aside.go
+++ b/internal/node/async.go
@@ -2,9 +2,9 @@
 
 import "sync"
 
-// aside does calls beside the rounds of the fleet's holder. What follows from a call
+// async does calls beside the rounds of the fleet's holder. What follows from a call
 // is done in a round, so that the holder's state is touched by one thread only.
-type aside struct {
+type async struct {
 	mu      sync.Mutex
 	running map[string]bool
 	done    []ended
@@ -16,10 +16,10 @@
 	then func()
 }
 
-func newAside() *aside { return &aside{running: make(map[string]bool)} }
+func newAsync() *async { return &async{running: make(map[string]bool)} }
 
 // do begins a call; false: one of that name is under way or not settled yet.
-func (a *aside) do(name string, call func() (then func())) bool {
+func (a *async) do(name string, call func() (then func())) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.running[name] {
@@ -36,7 +36,7 @@
 }
 
 // settle does what follows from the calls that have ended.
-func (a *aside) settle() {
+func (a *async) settle() {
 	a.mu.Lock()
 	done := a.done
 	a.done = nil
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -36,7 +36,7 @@
 	offered time.Duration // when the lease was last offered
 	listed  time.Duration
 	states  map[int64]bool // waves of which the operator was told that they run
-	aside   *aside
+	async   *async
 	unsaved map[int64]bool // waves with orders that the table doesn't know
 
 	gate sync.Mutex // between the last orders and the lease's end
@@ -53,7 +53,7 @@
 		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
 		turns:   turns.New(n.conf.TurnGap+grantMargin, h.before.Ordered, n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(),
-		aside:   newAside(),
+		async:   newAsync(),
 		unsaved: make(map[int64]bool),
 	}
 	f.from = n.conf.Now() + firstWait
@@ -177,7 +177,7 @@
 // machine service that doesn't answer would hold up all others, and the renewal of
 // the lease. Their answers count in a later round.
 func (f *fleet) round(ctx context.Context) {
-	f.aside.settle()
+	f.async.settle()
 	for number := range f.unsaved {
 		if f.save(ctx, number, false) {
 			delete(f.unsaved, number)
@@ -227,7 +227,7 @@
 	if f.listed > 0 && now-f.listed < listEvery {
 		return
 	}
-	f.aside.do("list", func() func() {
+	f.async.do("list", func() func() {
 		machines, err := f.node.conf.Machines.List(ctx)
 		if err != nil {
 			f.node.conf.Logs.Info("machines not listed", "error", err.Error())
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -166,7 +166,7 @@
 		return
 	}
 	if old, ok := n.board.Holder(r.Part); lease.Holder != "" && (!ok || old.Addr != lease.Addr) && lease.Addr != n.conf.Addr {
-		n.group.Go(func() { n.meet(lease.Addr) })
+		n.group.Go(func() { n.dial(lease.Addr) })
 	}
 	n.board.Tell(r.Part, *lease, r.Version, now, n.clockIfKnown())
 }
--- a/internal/node/gone.go
+++ b/internal/node/gone.go
@@ -16,18 +16,18 @@
 // cut off.
 
 const (
-	// meetWait bounds the connecting to a holder.
-	meetWait = time.Second
+	// dialWait bounds the connecting to a holder.
+	dialWait = time.Second
 	// checkEvery is the pause between two looks at the holders while the table is away.
 	checkEvery = 500 * time.Millisecond
 )
 
-// meet keeps a connection to a holder, so that its end is noticed.
-func (n *Node) meet(addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), meetWait)
+// dial keeps a connection to a holder, so that its end is noticed.
+func (n *Node) dial(addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
 	defer cancel()
 	if err := n.conf.Mesh.Open(ctx, addr); err != nil {
-		n.conf.Logs.Info("holder not met", "addr", addr, "error", err.Error())
+		n.conf.Logs.Info("holder not reached", "addr", addr, "error", err.Error())
 		n.CheckHolder(addr)
 	}
 }
@@ -59,7 +59,7 @@
 	if len(holders) == 0 || addr == n.conf.Addr {
 		return
 	}
-	a, err := n.hail(context.Background(), addr, 0)
+	a, err := n.probe(context.Background(), addr, 0)
 	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
 		return // it may be cut off from here
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,7 +176,7 @@
 	})
 	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
-	n.group.Go(func() { n.enroll(ctx) })
+	n.group.Go(func() { n.register(ctx) })
 	n.group.Wait()
 }
 
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -93,9 +93,9 @@
 	return addrs
 }
 
-// enroll writes this entry's address where the others find it. A row that is out
+// register writes this entry's address where the others find it. A row that is out
 // of date does no harm: it is asked before it is given anything.
-func (n *Node) enroll(ctx context.Context) {
+func (n *Node) register(ctx context.Context) {
 	row := gauge.RowWrite{
 		RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: n.conf.Name, Key: gauge.KeyEntry}, Value: []byte(n.conf.Addr),
 	}
@@ -104,13 +104,13 @@
 		if err == nil {
 			return
 		}
-		n.conf.Logs.Info("entry not enrolled", "kind", gauge.KindOf(err), "error", err.Error())
-		pause(ctx, enrollAgain)
+		n.conf.Logs.Info("entry not registered", "kind", gauge.KindOf(err), "error", err.Error())
+		pause(ctx, registerAgain)
 	}
 }
 
-// enrollAgain is the pause after a try that failed; nothing waits for it.
-const enrollAgain = time.Second
+// registerAgain is the pause after a try that failed; nothing waits for it.
+const registerAgain = time.Second
 
 // successor finds an entry that can take a pool's lease over: of those that say so
 // at about the same time the one with the fewest leases. Empty: none. Failing is for
@@ -134,7 +134,7 @@
 	replies := make(chan reply, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			a, err := n.hail(ctx, addr, failing)
+			a, err := n.probe(ctx, addr, failing)
 			a.Ready = a.Ready && err == nil
 			replies <- reply{addr, a}
 		}()
@@ -157,8 +157,8 @@
 	return best.addr
 }
 
-// hail asks an entry who it is and whether it can take a lease over.
-func (n *Node) hail(ctx context.Context, addr string, failing time.Duration) (offerAnswer, error) {
+// probe asks an entry who it is and whether it can take a lease over.
+func (n *Node) probe(ctx context.Context, addr string, failing time.Duration) (offerAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, offerWait)
 	defer cancel()
 	var a offerAnswer
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -18,7 +18,7 @@
 		if p.Standby {
 			continue
 		}
-		f.aside.do("load "+p.Name, func() func() {
+		f.async.do("load "+p.Name, func() func() {
 			l, err := f.node.load(ctx, p.Name)
 			if err != nil {
 				return func() {}
@@ -34,7 +34,7 @@
 	now := f.node.conf.Now()
 	taken := func(machine string) bool { return f.keeper.Takes(machine) || f.turns.Waits(machine, now) }
 	for _, m := range f.sizer.Next(now, taken, f.keeper.Waits) {
-		began := f.aside.do("move "+m.Machine, func() func() {
+		began := f.async.do("move "+m.Machine, func() func() {
 			if !m.Empty && !f.emptied(ctx, m) {
 				return func() { f.sizer.Emptied(m.Machine, false) }
 			}
--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -58,7 +58,7 @@
 // ask has workers emptied by their pools' owners.
 func (f *fleet) ask(ctx context.Context, asks []waves.Ask) {
 	for _, a := range asks {
-		f.aside.do("empty "+a.Machine, func() func() {
+		f.async.do("empty "+a.Machine, func() func() {
 			empty, err := f.node.empty(ctx, emptyCall{Pool: a.Pool, Worker: a.Worker, Force: a.Force})
 			if err != nil {
 				f.node.conf.Logs.Info("machine not emptied", "machine", a.Machine, "pool", a.Pool, "error", err.Error())
@@ -72,7 +72,7 @@
 func (f *fleet) begin(ctx context.Context, begins []waves.Begin) {
 	duty := gauge.Duty{Holder: f.node.conf.Name, Fence: f.held.fence}
 	for _, b := range begins {
-		f.aside.do("upkeep "+b.Machine, func() func() {
+		f.async.do("upkeep "+b.Machine, func() func() {
 			var err error = gauge.Fail(gauge.KindOutage, "the lease is over")
 			if f.mayOrder(b.Machine) {
 				err = f.node.conf.Machines.Upkeep(ctx, duty, b.Machine, b.Wave)
