Take no run for lost while its end is held back

The log: "run vanished" for a run that ended done, started again 4 ms later, its end taken in 160 ms after that. An owner that can't read one queue yet leaves ends with a worker from the first end of an unknown job on; a run whose end comes after it is not listed as running, and was taken for lost. A worker that lists 500 ends and has more would do the same. Change: while ends are held back, or a full list came, no run of that worker is taken for lost. Ruled out: two owners (one started both runs); a crash of the worker (it ended the run). Seen failing: both new tests, with the code before.

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -22,9 +22,11 @@
 	delete(p.earlier, id)
 	newest := rep.Clock >= w.clock
 	w.read(rep.Clock, now)
+	held := len(rep.Ended) >= endsAtOnce // there may be more
 	for _, e := range rep.Ended {
 		if e.Number > w.ends {
 			if p.partial && !p.Knows(e.Task.Job) {
+				held = true
 				break
 			}
 			w.ends = e.Number
@@ -33,12 +35,17 @@
 	}
 	if newest {
 		// An older picture may lack what a newer answer has told.
-		p.running(w, rep, now)
+		p.running(w, rep, held, now)
 	}
 }
 
-// running compares what a worker runs with what it should run.
-func (p *Pool) running(w *worker, rep *gauge.WorkerReport, now time.Duration) {
+// endsAtOnce is how many ends a worker lists at most. The users' figure.
+const endsAtOnce = 500
+
+// running compares what a worker runs with what it should run. Held: there are ends
+// that were not taken in. A run that isn't listed may be one of those: taken for lost,
+// its task would start again although it is done.
+func (p *Pool) running(w *worker, rep *gauge.WorkerReport, held bool, now time.Duration) {
 	there := make(map[*run]bool, len(rep.Running))
 	w.odd = 0
 	for _, rr := range rep.Running {
@@ -66,7 +73,7 @@
 			// which is known sooner than that its own deadline has passed.
 			p.halt(r)
 		}
-		if !there[r] && r.overBy(rep.Clock) {
+		if !there[r] && !held && r.overBy(rep.Clock) {
 			if r.phase == phaseLive {
 				p.conf.Count(EventVanished)
 				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID)
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -366,3 +366,49 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Changes), 1, "one queue at a time")
 }
+
+// Symptom: a task runs again although it has ended done, and the table has that.
+// Sequence: an owner that could not read one queue yet takes a pool over; a worker
+// lists the end of a job of that queue, and after it the end of a job that this owner
+// has started; the ends are left with the worker from the first on.
+// Cause: a run that is not listed was taken for lost, though its end was only held back.
+func TestRunsWhoseEndsAreHeldBackAreNotLost(t *testing.T) {
+	g := newRig(t)
+	g.pool.Partial(true)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	start := g.starts()[0]
+	g.ok([]sched.Order{start})
+	g.pass(time.Second)
+	unread := g.end("w1", gauge.TaskID{Job: jobID(9)}, 1, gauge.EndDone)
+	done := g.end("w1", start.Start.Task, start.Start.Run, gauge.EndDone)
+	g.hear("w1", nil, unread, done)
+	g.pass(time.Second)
+	g.hear("w1", nil, unread, done)
+	assert.Equal(t, len(g.starts()), 0, "its end is there to be taken in")
+	g.pool.Partial(false)
+	g.hear("w1", nil, unread, done)
+	assert.Equal(t, len(g.starts()), 0)
+	g.save(1000)
+	state, known := g.pool.State(queueName, jobID(1))
+	assert.Assert(t, known)
+	assert.Equal(t, state, gauge.JobCompleted)
+}
+
+// Symptom and cause as above. Sequence: more ends wait to be taken note of than a
+// worker lists at a time.
+func TestRunsBeyondAFullListOfEndsAreNotLost(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	g.ok(g.starts())
+	g.pass(time.Second)
+	var ends []gauge.EndReport
+	for range 500 {
+		ends = append(ends, g.end("w1", gauge.TaskID{Job: jobID(9)}, 1, gauge.EndDone))
+	}
+	g.hear("w1", nil, ends...)
+	assert.Equal(t, len(g.starts()), 0)
+}
