--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -23,6 +23,8 @@
 	Hold  time.Duration // how far a worker's lease is extended at a time
 	Start time.Duration // a start that arrives later than this is refused
 	Wait  time.Duration // how long a worker may keep a hold waiting
+	// Window is how many starts may be without an answer at a time; 0: any number.
+	Window int
 	Logs  logr.Logger
 	Count func(event string) // counts what an operator should see; nil: nobody counts
 
