Bound an owner's starts without an answer

Cause: a start for each task that waits was sent at once; on a host with 10 Mbit/s they fill the link for longer than an answer is waited for, runs get unsure, are looked for and stopped, and holds and the lease's renewal wait behind them. Ruled out: a bound a worker alone (there is one, of 3; 60 workers take 180). Conclusion: a window closes by itself where answers get slow.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -90,6 +90,10 @@
 	// planGap is the least time between two plans. Under load several ends go
 	// into one plan: each plan looks at every job that waits.
 	planGap = 4 * time.Millisecond
+	// startWindow bounds the starts without an answer. An answer takes some 5 ms, so
+	// that it allows 10,000 starts a second; at 10 Mbit/s and 2.6 KB a start those of
+	// the window take a tenth of a second, a third of what an answer is waited for.
+	startWindow = 48
 	// ordersAtOnce to one worker; an order takes some milliseconds.
 	ordersAtOnce = 3
 	// renewEvery is how often the lease is renewed without other writes: four
@@ -128,7 +132,7 @@
 		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
-			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
+			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow,
 			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
 		}),
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -155,6 +155,9 @@
 	turns := p.turns(now)
 	slices.SortFunc(turns, compare)
 	for _, t := range turns {
+		if p.full() {
+			return
+		}
 		if !room.most.Holds(t.stage.spec.Room()) {
 			continue
 		}
@@ -166,6 +169,11 @@
 	}
 }
 
+// full tells whether as many starts as may be are without an answer. Each carries its
+// job's text: sent at once for all that wait, they would fill a thin link for longer
+// than answers are waited for, with holds and the lease's renewal behind them.
+func (p *Pool) full() bool { return p.conf.Window > 0 && p.flying >= p.conf.Window }
+
 func (p *Pool) turns(now time.Duration) []turn {
 	var turns []turn
 	for _, j := range p.jobs {
@@ -229,6 +237,9 @@
 		if k.done || len(k.runs) > 0 || p.unknownYet(k) {
 			continue
 		}
+		if p.full() {
+			break
+		}
 		w := room.place(t.stage, on, nil, t.allows(now))
 		if w == nil {
 			p.ask(&t, room, now)
@@ -290,6 +301,7 @@
 	}
 	t.attach(r)
 	w.add(r)
+	p.flying++
 	if !t.job.begun {
 		t.job.begun = true
 		if t.job.row.State == gauge.JobPending {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -248,6 +248,7 @@
 	r.worker.read(clock, now)
 	switch o.Kind {
 	case OrderStart:
+		p.flying--
 		p.started(r, clock, err, now)
 	case OrderStop:
 		r.asked = false
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -47,6 +47,7 @@
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
 	arrived float64       // core-seconds of all jobs adopted so far
+	flying  int           // starts that have no answer yet
 }
 
 // OrderKind is what is ordered.
