--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -25,8 +25,8 @@
 	Wait  time.Duration // how long a worker may keep a hold waiting
 	// Window is how many starts may be without an answer at a time; 0: any number.
 	Window int
-	Logs  logr.Logger
-	Count func(event string) // counts what an operator should see; nil: nobody counts
+	Logs   logr.Logger
+	Count  func(event string) // counts what an operator should see; nil: nobody counts
 
 	// Earlier are the workers that the owner before this one may have given
 	// orders to, and Doubt is when everything has surely ended that it ordered.
