Test that leases go to hosts that can carry them (red)

Leases go to any entry. A weak host (0.19 core, 10 Mbit/s) that owns a busy pool falls behind, hands it to another weak one, and promises break on the way.

They don't compile yet, as the names aren't there: red.

--- /dev/null
+++ b/leaserow_test.go
@@ -0,0 +1,45 @@
+package sapphiregauge_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+)
+
+func TestEntryRowIsReadAsItWasWritten(t *testing.T) {
+	row := gauge.EntryRow{Addr: "10.1.0.9:7060", Capacity: 0.1}
+	value, err := row.Encode()
+	assert.NilError(t, err)
+	read, err := gauge.DecodeEntryRow(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *read, row)
+}
+
+// Nobody reckons with a host that says nothing about itself, or nonsense.
+func TestMalformedEntryRowsAreToldApart(t *testing.T) {
+	packed := func(r gauge.EntryRow) []byte {
+		b, err := r.Encode()
+		assert.NilError(t, err)
+		return b
+	}
+	for _, tt := range []struct {
+		name  string
+		value []byte
+	}{
+		{"empty", nil},
+		{"an address as it is", []byte("10.1.0.9:7060")},
+		{"no address", packed(gauge.EntryRow{Capacity: 1})},
+		{"no capacity", packed(gauge.EntryRow{Addr: "10.1.0.9:7060"})},
+		{"less than none", packed(gauge.EntryRow{Addr: "10.1.0.9:7060", Capacity: -1})},
+		{"not a number", packed(gauge.EntryRow{Addr: "10.1.0.9:7060", Capacity: math.NaN()})},
+		{"without bound", packed(gauge.EntryRow{Addr: "10.1.0.9:7060", Capacity: math.Inf(1)})},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := gauge.DecodeEntryRow(tt.value)
+			assert.Equal(t, gauge.KindOf(err), gauge.KindInvalid)
+		})
+	}
+}
--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -111,7 +111,19 @@
 func (s *site) start(name string) *entry { return s.startVia(name, s.table.Addr()) }
 
 // startVia starts an entry that reaches the table at an address of its own.
-func (s *site) startVia(name, tableAddr string) *entry {
+func (s *site) startVia(name, tableAddr string) *entry { return s.startOn(name, tableAddr, host{}) }
+
+// host is what an entry runs on.
+type host struct {
+	capacity float64              // cores
+	now      func() time.Duration // nil: the machine's steady clock
+}
+
+// startOn starts an entry on a host.
+func (s *site) startOn(name, tableAddr string, on host) *entry {
+	if on.now == nil {
+		on.now = boot.Now
+	}
 	e := &entry{done: make(chan struct{})}
 	e.mesh = mesh.New(mesh.Config{Closed: func(addr string) { e.node.CheckHolder(addr) }})
 	peer, front := s.listen(), s.listen()
@@ -125,7 +137,7 @@
 		}),
 		Name: name, Start: "1", Addr: peer.Addr().String(), Workers: workers,
 		Machines: platform.NewMachines(platform.MachinesConfig{Addr: s.machines.Addr(), Timeout: time.Second, Clock: time.Now}),
-		Words:    platform.Words{}, Mesh: e.mesh, Logs: s.log().WithValues("entry", name), Now: boot.Now, Wall: time.Now,
+		Words:    platform.Words{}, Mesh: e.mesh, Logs: s.log().WithValues("entry", name), Now: on.now, Wall: time.Now, Capacity: on.capacity,
 		Count: func(string, time.Duration) {}, Event: func(string) {}, Longest: 10 * time.Second, TurnGap: time.Second, Upkeep: 200 * time.Millisecond,
 	})
 	e.front = platform.NewFront(platform.FrontConfig{Jobs: e.node.Jobs(), Site: e.node.Site, Ready: e.node.Ready, Logs: s.log()})
