--- a/leaserow.go
+++ b/leaserow.go
@@ -1,6 +1,10 @@
 package sapphiregauge
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"math"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // LeaseRow is the row of a pool's lease. Its owner rewrites it with every
 // transaction, which renews the lease; another entry may take it when it hasn't
@@ -33,6 +37,35 @@
 	return r, nil
 }
 
+// EntryRow is an entry's own row: where others find it, and how many leases its host
+// can carry beside theirs.
+type EntryRow struct {
+	Addr     string  `msgpack:"a"` // for calls from other entries
+	Capacity float64 `msgpack:"c"` // cores of plain speed; less if the host's link is the narrower
+}
+
+// Encode packs the row.
+func (r *EntryRow) Encode() ([]byte, error) {
+	b, err := msgpack.Marshal(r)
+	if err != nil {
+		return nil, Fail(KindInternal, "entry row").Because(err)
+	}
+	return b, nil
+}
+
+// DecodeEntryRow reads what Encode wrote. A row that gives no capacity to reckon with is
+// malformed: the host would seem to carry any number of leases, or none.
+func DecodeEntryRow(b []byte) (*EntryRow, error) {
+	r := new(EntryRow)
+	if err := msgpack.Unmarshal(b, r); err != nil {
+		return nil, Fail(KindInvalid, "entry row").Because(err)
+	}
+	if r.Addr == "" || !(r.Capacity > 0) || math.IsInf(r.Capacity, 0) {
+		return nil, Fail(KindInvalid, "entry row: address %q, capacity %g", r.Addr, r.Capacity)
+	}
+	return r, nil
+}
+
 // The product's own tables. Rows of jobs are in the part of their queue, so
 // that an id is taken once however the queue is routed; a lease's row is in the
 // part of its pool.
@@ -40,7 +73,7 @@
 	TableJobs   = "jobs"   // id -> JobRow, kept for some time after the end
 	TableSpecs  = "specs"  // id -> JobSpec, until the end
 	TableOpen   = "open"   // id -> mark: jobs with something left to do
-	TableLeases = "leases" // owner -> LeaseRow, in the part of a pool; entry -> address, in that of an entry
+	TableLeases = "leases" // owner -> LeaseRow, in the part of a pool; entry -> EntryRow, in that of an entry
 	KeyOwner    = "owner"
 	KeyEntry    = "entry"
 )
