Let hosts that can carry more claim pools first

The delay before a claim grew with the leases held only. Change. terms keeps the entries' rows; the delay grows by what the host can carry beside the best one known, or a full host while none is known. With the old delay TestHostsThatCarryMoreClaimFirst fails in 5 of 11 rows, and TestAnEntryDoesNotCompareItselfToItself; passes with the new one. Equal hosts wait as before, but for the very first claim of one that is weaker than 0.8 cores and knows nobody yet.

--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -18,12 +18,14 @@
 
 // Config sets up a Board.
 type Config struct {
-	Self   string        // holder's name of this entry
-	Addr   string        // where this entry listens for others
-	Term   time.Duration // of a lease
-	Spread time.Duration // free pools are claimed within this, in an order that differs by entry
-	Held   time.Duration // more of a wait for each pool that this entry has already
-	Regain time.Duration // holders that live have so long to renew their leases when the table is back
+	Self string        // holder's name of this entry
+	Addr string        // where this entry listens for others
+	Term time.Duration // of a lease
+	// Capacity is what this host can carry, in cores of plain speed; 0: not known.
+	Capacity float64
+	Spread   time.Duration // free pools are claimed within this, in an order that differs by entry
+	Held     time.Duration // more of a wait for each pool that this entry has already
+	Regain   time.Duration // holders that live have so long to renew their leases when the table is back
 }
 
 // seen is a lease row as last read.
@@ -45,10 +47,11 @@
 type Board struct {
 	conf    Config
 	rows    map[string]seen
-	free    map[string]time.Duration // since when a pool is seen to be without an owner
-	unsure  map[string]bool          // pools of which a claim got no answer
-	gone    map[string]bool          // holders whose processes have ended
-	alive   map[string]time.Duration // when holders last answered, while the table was away
+	entries map[string]gauge.EntryRow // by name, this one's as well
+	free    map[string]time.Duration  // since when a pool is seen to be without an owner
+	unsure  map[string]bool           // pools of which a claim got no answer
+	gone    map[string]bool           // holders whose processes have ended
+	alive   map[string]time.Duration  // when holders last answered, while the table was away
 	read    bool
 	patient time.Duration // until then a lease that ran out is its holder's to renew
 }
@@ -64,7 +67,10 @@
 
 // New makes a Board that has seen nothing.
 func New(c Config) *Board {
-	return &Board{conf: c, rows: make(map[string]seen), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool), alive: make(map[string]time.Duration)}
+	if c.Capacity == 0 {
+		c.Capacity = fullCapacity
+	}
+	return &Board{conf: c, rows: make(map[string]seen), entries: make(map[string]gauge.EntryRow), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool), alive: make(map[string]time.Duration)}
 }
 
 // Tell takes in a lease row. Clock is the table's clock when it was read, at the
@@ -176,10 +182,10 @@
 }
 
 // delay differs by entry and pool, so that entries that see a pool free at the
-// same time don't all write, and grows with what the entry has, so that pools
-// are spread.
+// same time don't all write, and grows with what the entry has, the more the less its
+// host can carry, so that pools are spread by what hosts can do.
 func (b *Board) delay(pool string, held int) time.Duration {
 	const steps = 1 << 10
 	share := xxhash.Sum64String(b.conf.Self+"/"+pool) % steps
-	return time.Duration(share)*b.conf.Spread/steps + time.Duration(held)*b.conf.Held
+	return time.Duration(share)*b.conf.Spread/steps + time.Duration(held)*b.conf.Held + b.weakness(held)
 }
