Move leases to hosts that can carry them

Leases went to any entry and stayed there. An owner on a weak host (0.19 core, 10 Mbit/s) falls behind, hands its pool to another weak one, and so on. A pool's share by its load: what a pool will have to do is not known when its lease is claimed, the host's size is. Keeping a place at the probe that asks who is ready: four are asked at once, three would keep a place for nobody. Moving the pool under the lock by which offers go one after the other: dead hosts' rows stay, asking them takes 0.4 s for every four, and an entry that stops would wait for it. An entry's row and its answer to a probe carry its capacity; successors are asked and chosen by (leases + 1) / capacity. Every 2 s a holder that is more than twice as burdened as another would be with one lease more has that one keep a place, and hands it one pool that it has had for 3 s and has loaded, or else the fleet, the way of SIGTERM. Nothing moves while the table is away or the entry leaves. A row is written again 0.3 s after a try that failed, not 1 s: others claim by it. owner.Since is new. Seen failing: chosen by leases alone (the last one), no place kept, the fleet or pools not moved.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -33,7 +33,7 @@
 	}
 	p.mesh = mesh.New(mesh.Config{Closed: func(addr string) { p.node.CheckHolder(addr) }})
 	p.node = node.New(node.Config{
-		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Store: store, Workers: p.workers, Machines: machines, Adviser: adviser,
+		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Capacity: s.Capacity(), Store: store, Workers: p.workers, Machines: machines, Adviser: adviser,
 		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call, Event: p.meter.Event,
 		Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate, Keep: s.KeepStatus,
 	})
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -227,7 +227,11 @@
 func (n *Node) handOver(ctx context.Context, o *owner.Owner, why string) {
 	n.offering.Lock()
 	defer n.offering.Unlock()
-	to := n.successor(ctx, o.Pool(), 0)
+	n.give(ctx, o, n.successor(ctx, o.Pool(), 0), why)
+}
+
+// give ends a pool's work here and has an entry take it; empty: there is none.
+func (n *Node) give(ctx context.Context, o *owner.Owner, to, why string) {
 	if o.Stop(why) && (to == "" || !n.offer(ctx, to, offerOf(o))) {
 		o.GiveUp(ctx)
 	}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gauge "sapphiregauge"
@@ -30,6 +31,7 @@
 	held    *held
 	keeper  *waves.Keeper
 	sizer   *sizing.Sizer
+	taken   time.Duration
 	from    time.Duration // no machine is ordered before this
 	turns   *turns.Turns
 	renewed time.Duration
@@ -39,6 +41,8 @@
 	async   *async
 	unsaved map[int64]bool // waves with orders that the table doesn't know
 
+	next atomic.Pointer[string] // address of the entry that the lease is to move to
+
 	gate sync.Mutex // between the last orders and the lease's end
 	over bool       // nothing is ordered any more
 }
@@ -52,7 +56,7 @@
 		}),
 		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
 		turns:   turns.New(n.conf.TurnGap+grantMargin, h.before.Ordered, n.clock(), n.conf.Now()),
-		renewed: n.conf.Now(),
+		renewed: n.conf.Now(), taken: n.conf.Now(),
 		async:   newAsync(),
 		unsaved: make(map[int64]bool),
 	}
@@ -60,28 +64,52 @@
 	if h.term > 0 {
 		f.from = n.turnFrom(h)
 	}
+	n.holdFleet(f)
+	defer n.holdFleet(nil)
 	for ctx.Err() == nil && n.going.Load() && !h.lease.Lost() {
 		f.round(ctx)
 		if f.leave(ctx) {
 			return
 		}
+		if to := f.next.Load(); to != nil {
+			f.handOver(ctx, lessBurdened, *to)
+			return
+		}
 		pause(ctx, fleetEvery)
 	}
-	f.handOver(ctx)
+	f.handOver(ctx, "the entry stops", "")
+}
+
+func (n *Node) holdFleet(f *fleet) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet = f
+}
+
+// moveTo has the lease handed to an entry after the round that is under way; empty:
+// it stays.
+func (f *fleet) moveTo(addr string) {
+	if addr != "" {
+		f.next.Store(&addr)
+	}
 }
 
-// handOver has another entry take the fleet over as this one stops.
-func (f *fleet) handOver(ctx context.Context) {
+// handOver ends the work here and has another entry take the fleet over; to is empty
+// if none was chosen yet.
+func (f *fleet) handOver(ctx context.Context, why, to string) {
 	n, h := f.node, f.held
 	f.end()
 	if h.lease.Lost() {
 		n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the lease is lost")
 		return
 	}
-	n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", "the entry stops")
+	n.conf.Logs.Info("fleet left", "fence", h.fence, "reason", why)
 	n.offering.Lock()
 	defer n.offering.Unlock()
-	if to := n.successor(ctx, fleetPool, 0); to != "" && n.offer(ctx, to, f.offer()) {
+	if to == "" {
+		to = n.successor(ctx, fleetPool, 0)
+	}
+	if to != "" && n.offer(ctx, to, f.offer()) {
 		return
 	}
 	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -153,11 +153,13 @@
 }
 
 func (n *Node) toldLease(r gauge.PartRow, now time.Duration) {
-	if addr := string(r.Value); r.Key == gauge.KeyEntry && !r.Dropped && n.entries[r.Part] != addr {
-		n.entries[r.Part] = addr
-		n.conf.Logs.Info("entry known", "peer", r.Part, "addr", addr, "version", r.Version)
-	}
-	if r.Dropped || r.Key != gauge.KeyOwner {
+	switch {
+	case r.Dropped:
+		return
+	case r.Key == gauge.KeyEntry:
+		n.toldEntry(r)
+		return
+	case r.Key != gauge.KeyOwner:
 		return
 	}
 	lease, err := gauge.DecodeLeaseRow(r.Value)
@@ -171,6 +173,17 @@
 	n.board.Tell(r.Part, *lease, r.Version, now, n.clockIfKnown())
 }
 
+func (n *Node) toldEntry(r gauge.PartRow) {
+	row, err := gauge.DecodeEntryRow(r.Value)
+	if err != nil {
+		n.conf.Logs.Error(err, "entry row not read", "peer", r.Part, "version", r.Version)
+		return
+	}
+	if n.board.Entry(r.Part, *row) {
+		n.conf.Logs.Info("entry known", "peer", r.Part, "addr", row.Addr, "capacity", row.Capacity, "version", r.Version)
+	}
+}
+
 // clockIfKnown is the table's clock, 0 before it was read once.
 func (n *Node) clockIfKnown() int64 {
 	if n.offset.Load() == 0 {
--- a/internal/node/gone.go
+++ b/internal/node/gone.go
@@ -59,7 +59,7 @@
 	if len(holders) == 0 || addr == n.conf.Addr {
 		return
 	}
-	a, err := n.probe(context.Background(), addr, 0)
+	a, err := n.probe(context.Background(), addr, probeCall{})
 	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
 		return // it may be cut off from here
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,9 +21,10 @@
 
 // Config sets up a Node.
 type Config struct {
-	Name     string // of this entry's host
-	Start    string // differs between two starts of one host
-	Addr     string // ip:port for other entries
+	Name     string  // of this entry's host
+	Start    string  // differs between two starts of one host
+	Addr     string  // ip:port for other entries
+	Capacity float64 // what this host can carry, in cores of plain speed; 0: not known
 	Store    gauge.Parted
 	Workers  gauge.Workers
 	Machines gauge.Machines // nil: the platform has no machine service
@@ -118,7 +119,8 @@
 	busy      map[string]bool          // pools that are being claimed
 	moves     map[string]move          // where pools' owners have gone, as told
 	offers    map[string]time.Duration // when a successor for a pool was last looked for
-	entries   map[string]string        // addresses for other entries, by name
+	placed    time.Duration            // until then a place is kept for a lease that is to move here
+	fleet     *fleet                   // nil: another entry has it
 	doubted   map[string]time.Duration // owners' addresses that didn't answer, until when they aren't asked
 	workers   map[string]gauge.Worker
 	waves     map[int64]gauge.UpkeepOrder
@@ -133,12 +135,15 @@
 
 // New makes a Node.
 func New(c Config) *Node {
+	if c.Capacity == 0 {
+		c.Capacity = terms.FullCapacity
+	}
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start,
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
-		moves: make(map[string]move), offers: make(map[string]time.Duration), entries: make(map[string]string), doubted: make(map[string]time.Duration), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
-	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
+	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Ask: n.ask,
 		Relay: relay{n},
@@ -176,6 +181,7 @@
 	})
 	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
+	n.group.Go(func() { n.spread(ctx) })
 	n.group.Go(func() { n.register(ctx) })
 	n.group.Wait()
 }
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -1,14 +1,10 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/frame"
 	"sapphiregauge/internal/terms"
@@ -54,6 +50,8 @@
 type probeCall struct {
 	// Failing is for how long the table has not answered the holder; 0: it does.
 	Failing time.Duration `msgpack:"f"`
+	// Place asks to keep a place for a lease that is well but is to move there.
+	Place bool `msgpack:"p"`
 }
 
 // offerCall offers a lease whose row names this holder.
@@ -65,40 +63,35 @@
 }
 
 type offerAnswer struct {
-	Ready  bool   `msgpack:"r"`
-	Holder string `msgpack:"h"` // who answers
-	Held   int    `msgpack:"n"` // leases that it has, or is about to
+	Ready    bool    `msgpack:"r"`
+	Holder   string  `msgpack:"h"` // who answers
+	Held     int     `msgpack:"n"` // leases that it has, or is about to
+	Capacity float64 `msgpack:"c"` // of its host
 }
 
-// peers lists the addresses of other entries, those with the fewest leases first,
-// else in an order that differs by pool: several owners that leave at once would
-// otherwise all choose the same entry.
+func (a *offerAnswer) burden() terms.Burden { return terms.Burden{Held: a.Held, Capacity: a.Capacity} }
+
+// peers lists the addresses of other entries, those of the least burdened hosts first.
 func (n *Node) peers(pool string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	held := make(map[string]int)
-	for _, addr := range n.entries {
-		held[addr] = 0
+	var addrs []string
+	for _, p := range n.board.Peers(pool) {
+		addrs = append(addrs, p.Addr)
 	}
-	for _, other := range n.board.Pools() {
-		if row, ok := n.board.Holder(other); ok {
-			held[row.Addr]++
-		}
-	}
-	delete(held, n.conf.Addr)
-	addrs := slices.Collect(maps.Keys(held))
-	slices.SortFunc(addrs, func(a, b string) int {
-		return cmp.Or(cmp.Compare(held[a], held[b]), cmp.Compare(xxhash.Sum64String(pool+a), xxhash.Sum64String(pool+b)))
-	})
 	return addrs
 }
 
-// register writes this entry's address where the others find it. A row that is out
-// of date does no harm: it is asked before it is given anything.
+// register writes this entry's row where the others find it. A row that is out of
+// date does little harm: an entry is asked before it is given anything.
 func (n *Node) register(ctx context.Context) {
-	row := gauge.RowWrite{
-		RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: n.conf.Name, Key: gauge.KeyEntry}, Value: []byte(n.conf.Addr),
+	self := gauge.EntryRow{Addr: n.conf.Addr, Capacity: n.conf.Capacity}
+	value, err := self.Encode()
+	if err != nil {
+		n.conf.Logs.Error(err, "entry not registered")
+		return
 	}
+	row := gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: n.conf.Name, Key: gauge.KeyEntry}, Value: value}
 	for ctx.Err() == nil {
 		_, _, err := n.conf.Store.Commit(ctx, gauge.PartTxn{Writes: []gauge.RowWrite{row}})
 		if err == nil {
@@ -109,32 +102,35 @@
 	}
 }
 
-// registerAgain is the pause after a try that failed; nothing waits for it.
-const registerAgain = time.Second
+// registerAgain is the pause after a try that failed. Until the others know of a strong
+// host weak ones claim as if there were none; they look as often.
+const registerAgain = leasePause
 
 // successor finds an entry that can take a pool's lease over: of those that say so
-// at about the same time the one with the fewest leases. Empty: none. Failing is for
+// at about the same time the one on the least burdened host. Empty: none. Failing is for
 // how long the table has not answered here.
 func (n *Node) successor(ctx context.Context, pool string, failing time.Duration) string {
 	for some := range slices.Chunk(n.peers(pool), probesAtOnce) {
-		if addr := n.choose(ctx, some, failing); addr != "" {
-			return addr
+		if best := n.choose(ctx, some, failing); best.Ready {
+			return best.addr
 		}
 	}
 	return ""
 }
 
+// reply is an entry's answer to a probe.
+type reply struct {
+	addr string
+	offerAnswer
+}
+
 // choose asks some entries at once, and waits for the others for gatherWait once
-// one is ready.
-func (n *Node) choose(ctx context.Context, addrs []string, failing time.Duration) string {
-	type reply struct {
-		addr string
-		offerAnswer
-	}
+// one is ready. Of those that are it returns the one on the least burdened host.
+func (n *Node) choose(ctx context.Context, addrs []string, failing time.Duration) reply {
 	replies := make(chan reply, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			a, err := n.probe(ctx, addr, failing)
+			a, err := n.probe(ctx, addr, probeCall{Failing: failing})
 			a.Ready = a.Ready && err == nil
 			replies <- reply{addr, a}
 		}()
@@ -144,25 +140,25 @@
 	for range addrs {
 		select {
 		case r := <-replies:
-			if r.Ready && (!best.Ready || r.Held < best.Held) {
+			if r.Ready && (!best.Ready || r.burden().Next() < best.burden().Next()) {
 				best = r
 			}
 		case <-late:
-			return best.addr
+			return best
 		}
 		if best.Ready && late == nil {
 			late = time.After(gatherWait)
 		}
 	}
-	return best.addr
+	return best
 }
 
 // probe asks an entry who it is and whether it can take a lease over.
-func (n *Node) probe(ctx context.Context, addr string, failing time.Duration) (offerAnswer, error) {
+func (n *Node) probe(ctx context.Context, addr string, c probeCall) (offerAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, offerWait)
 	defer cancel()
 	var a offerAnswer
-	err := n.conf.Mesh.Call(ctx, addr, methodProbe, &probeCall{Failing: failing}, &a)
+	err := n.conf.Mesh.Call(ctx, addr, methodProbe, &c, &a)
 	return a, err
 }
 
@@ -191,7 +187,7 @@
 	if c.Failing > 0 {
 		seen = c.Failing - probeMargin
 	}
-	return n.answer(n.mayTake(seen)), nil
+	return n.answer(n.mayTake(seen) && (!c.Place || n.keepPlace())), nil
 }
 
 func (n *Node) handleOffer(_ context.Context, body []byte) (any, error) {
@@ -215,7 +211,7 @@
 func (n *Node) answer(ready bool) offerAnswer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return offerAnswer{Ready: ready, Holder: n.holder, Held: len(n.busy)}
+	return offerAnswer{Ready: ready, Holder: n.holder, Held: len(n.busy), Capacity: n.conf.Capacity}
 }
 
 // offered is the claim of an offered lease. Its holder has stopped: nothing has to
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
 	look := time.AfterFunc(relayLate, func() {
-		if _, err := n.probe(ctx, addr, 0); err != nil && ctx.Err() == nil {
+		if _, err := n.probe(ctx, addr, probeCall{}); err != nil && ctx.Err() == nil {
 			n.doubt(pool, addr)
 			cancel()
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -51,6 +51,7 @@
 	wake       chan struct{} // a change waits to be written
 	stuck      func(failing time.Duration)
 	stuckAfter time.Duration
+	began      time.Duration
 
 	mu       sync.Mutex
 	core     *sched.Pool
@@ -124,7 +125,7 @@
 func New(ctx context.Context, c Config) *Owner {
 	now := c.Now()
 	o := &Owner{
-		conf: c,
+		conf: c, began: now,
 		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
@@ -294,6 +295,14 @@
 	return empty
 }
 
+// Since is when this owner took the pool; false: it hasn't read the jobs yet, or may
+// not have the lease any more.
+func (o *Owner) Since() (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.began, o.mayAdopt()
+}
+
 // State tells how far a job of a queue is; false: it isn't known here, or another
 // owner may know better.
 func (o *Owner) State(queue, id string) (gauge.JobState, bool) {
--- a/internal/terms/burden.go
+++ b/internal/terms/burden.go
@@ -11,9 +11,9 @@
 	gauge "sapphiregauge"
 )
 
-// fullCapacity, in cores, is that of a host of which nothing is known: where hosts
+// FullCapacity is that of a host of which nothing is known, in cores: where hosts
 // differ, those that can carry busy pools have it, and the others an eighth of it.
-const fullCapacity = 0.8
+const FullCapacity = 0.8
 
 // weakMost bounds the wait of a host for those that can carry more. They claim within
 // Spread and Held for each lease that they have. A pool without an owner loses as long
@@ -50,6 +50,17 @@
 	return true
 }
 
+// Held is how many leases name this entry.
+func (b *Board) Held() int {
+	n := 0
+	for _, s := range b.rows {
+		if s.row.Holder == b.conf.Self {
+			n++
+		}
+	}
+	return n
+}
+
 // Peers lists the other entries, those first that are the least burdened with one
 // lease more, else in an order that differs by pool: several owners that leave at once
 // would otherwise all choose the same entry.
@@ -86,7 +97,7 @@
 		}
 	}
 	if best == 0 {
-		best = fullCapacity
+		best = FullCapacity
 	}
 	relative := min(1, b.conf.Capacity/best)
 	wait := float64(held+1) * (1/relative - 1) * float64(b.conf.Held)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -68,7 +68,7 @@
 // New makes a Board that has seen nothing.
 func New(c Config) *Board {
 	if c.Capacity == 0 {
-		c.Capacity = fullCapacity
+		c.Capacity = FullCapacity
 	}
 	return &Board{conf: c, rows: make(map[string]seen), entries: make(map[string]gauge.EntryRow), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool), alive: make(map[string]time.Duration)}
 }
--- a/test/machines/place_test.go
+++ b/test/machines/place_test.go
@@ -1,9 +1,11 @@
 package machines_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/mesh"
+	"sapphiregauge/platform"
 )
 
 const (
@@ -157,3 +160,65 @@
 		return keepsPlace()
 	})
 }
+
+// peer is an entry that the others know, of which the test gives the answers.
+type peer struct {
+	mesh     *mesh.Node
+	answered chan struct{} // closed when it has answered once
+	offers   atomic.Int32
+}
+
+// startPeer has a peer join that is ready for any lease, and has some already. It
+// answers after something was closed; nil: at once.
+func (s *site) startPeer(name string, capacity float64, leases int, after <-chan struct{}) *peer {
+	p := &peer{mesh: mesh.New(mesh.Config{}), answered: make(chan struct{})}
+	answer := map[string]any{"r": true, "h": name + "/1", "n": leases, "c": capacity}
+	var once sync.Once
+	p.mesh.Handle("lease.probe", func(ctx context.Context, _ []byte) (any, error) {
+		if after != nil {
+			select {
+			case <-after:
+			case <-ctx.Done():
+			}
+		}
+		once.Do(func() { close(p.answered) })
+		return answer, nil
+	})
+	p.mesh.Handle("lease.offer", func(context.Context, []byte) (any, error) {
+		p.offers.Add(1)
+		return answer, nil
+	})
+	l := s.listen()
+	go func() { _ = p.mesh.Serve(s.t.Context(), l) }()
+	s.t.Cleanup(p.mesh.Close)
+	row := gauge.EntryRow{Addr: l.Addr().String(), Capacity: capacity}
+	value, err := row.Encode()
+	assert.NilError(s.t, err)
+	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), Read: patience, Commit: patience, Clock: time.Now})
+	defer table.Close()
+	_, _, err = table.Commit(s.t.Context(), gauge.PartTxn{Writes: []gauge.RowWrite{{
+		RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: name, Key: gauge.KeyEntry}, Value: value,
+	}}})
+	assert.NilError(s.t, err)
+	return p
+}
+
+// Symptom: an owner that stops has its pool taken by a weak host that says it is
+// ready at the same time as a strong one.
+// Sequence: the strong one has three leases, the weak one none; an owner stops.
+// Cause: of those that are ready the one with the fewest leases was chosen.
+func TestSuccessorIsTheLeastBurdenedOfThoseThatAreReady(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 1)
+	first := s.startOn("strong-0", s.table.Addr(), host{capacity: strongHost})
+	s.ready()
+	s.held("strong-0")
+	strong := s.startPeer("strong-1", strongHost, 3, nil)
+	weak := s.startPeer("weak-0", weakHost, 0, strong.answered)
+	s.waitFor("both are known", func() bool {
+		return s.logged("entry known", `"peer"="strong-1"`) == 1 && s.logged("entry known", `"peer"="weak-0"`) == 1
+	})
+	first.node.Release(t.Context())
+	s.waitFor("both leases offered", func() bool { return strong.offers.Load()+weak.offers.Load() == 2 })
+	assert.Equal(t, strong.offers.Load(), int32(2))
+}
