Test that a malformed entry row is logged and left aside

Entries' rows are packed now; one that isn't must not stop an entry. A test of a whole entry with such a row in the table.

--- a/test/machines/place_test.go
+++ b/test/machines/place_test.go
@@ -161,6 +161,22 @@
 	})
 }
 
+// Symptom: an entry serves nothing, or fills its log, because of one row.
+// Sequence: an entry's row isn't one, as one of an older start or a foreign hand.
+// Cause: what others have written is taken for well formed.
+func TestMalformedEntryRowIsLoggedAndLeftAside(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 2)
+	s.table.Put(gauge.TableLeases, gauge.KeyEntry, "10.0.0.1:7060")
+	s.start("e-0")
+	s.ready()
+	assert.Assert(t, s.submit(1, twoSteps(20)))
+	s.completed([]int{1})
+	s.waitFor("its own row read", func() bool { return s.logged("entry known", `"peer"="e-0"`) == 1 })
+	assert.Equal(t, s.logged("entry row not read"), 1)
+	s.clean()
+}
+
 // peer is an entry that the others know, of which the test gives the answers.
 type peer struct {
 	mesh     *mesh.Node
