Spread two leases over two equal hosts

Change: a lease moves where the other would have half as many a core, or fewer. The table of cases in the test follows: rows at the boundary change sides, each still with the check that it wouldn't come back; rows one beyond the boundary are added.

--- a/internal/terms/burden.go
+++ b/internal/terms/burden.go
@@ -31,9 +31,10 @@
 func (b Burden) Next() float64 { return float64(b.Held+1) / b.Capacity }
 
 // Moves tells whether a lease should move from this host to another: each core here
-// has more than twice of what it would have there. The other way round it then isn't
-// true after the move, so that no lease goes back and forth.
-func (b Burden) Moves(to Burden) bool { return float64(b.Held)/b.Capacity > 2*to.Next() }
+// has twice or more of what it would have there: of two leases at one host and none at an
+// equal one, each gets one. The other way round it isn't true after the move, so that no
+// lease goes back and forth.
+func (b Burden) Moves(to Burden) bool { return float64(b.Held)/b.Capacity >= 2*to.Next() }
 
 // Peer is another entry.
 type Peer struct {
