--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/watch"
@@ -65,3 +66,38 @@
 		t.Fatal("the change was not told")
 	}
 }
+
+// Symptom: an entry handles calls by a configuration that is fifteen seconds old though
+// the table answers it again.
+// Sequence: the table turns an entry with a thin link away for nine seconds, in which a
+// row of 5 KB is rewritten a hundred times a second; the feed since then is several
+// megabytes; each try to read it is cut at its bound and begun anew.
+// Cause: an entry that has fallen far behind asked for all changes, though the rows as
+// they are now are a tenth of that.
+func TestTableIsReadWholeAfterALongOutage(t *testing.T) {
+	now := time.Duration(0)
+	store := &table{feed: func(ctx context.Context, n int) error {
+		now += time.Second
+		if n <= 3 {
+			return gauge.Fail(gauge.KindOutage, "turned away")
+		}
+		<-ctx.Done() // more than arrives within the call's bound
+		return gauge.Fail(gauge.KindOutage, "no answer in time")
+	}}
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	whole := make(chan bool, 10)
+	go watch.New(watch.Config{
+		Name: "leases", Store: store, Pause: func() time.Duration { return 0 }, Logs: logr.Discard(),
+		Now: func() time.Duration { return now }, Stamp: func(gauge.Stamp, time.Duration) {},
+		Tell: func(_ []gauge.PartRow, all bool) { whole <- all },
+	}).Run(ctx)
+	for range 2 {
+		select {
+		case all := <-whole:
+			assert.Assert(t, all)
+		case <-ctx.Done():
+			t.Fatal("the rows were not told again")
+		}
+	}
+}
