--- /dev/null
+++ b/internal/sched/export_test.go
@@ -0,0 +1,119 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// Walked is what the pool keeps count of, found by a walk over all jobs instead.
+type Walked struct {
+	Depths  map[string]int
+	Urgent  bool
+	Changed []string // jobs that a write is to take along
+	Waiting []string // steps with tasks that may start
+	Load    gauge.PoolLoad
+}
+
+// Walk goes over all jobs and workers.
+func (p *Pool) Walk(now time.Duration) Walked {
+	w := Walked{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, Arrived: p.arrived}}
+	for _, j := range p.jobs {
+		if !j.begun && j.open() {
+			w.Depths[j.queue]++
+		}
+		w.Urgent = w.Urgent || j.dirty() && j.urgent
+		if j.dirty() || j.leaves() {
+			w.Changed = append(w.Changed, j.id)
+		}
+		if j.open() {
+			w.walkJob(p, j, now)
+		}
+	}
+	for id, k := range p.workers {
+		w.Urgent = w.Urgent || k.ends > k.kept && !k.gone || k.waits()
+		if k.listed && !k.gone {
+			lasting := 0
+			for r := range k.runs {
+				if r.task.stage.spec.Lasts {
+					lasting++
+				}
+			}
+			w.Load.Workers = append(w.Load.Workers, gauge.WorkerLoad{ID: id, Runs: len(k.runs), Lasting: lasting, Takes: k.takes(now)})
+		}
+	}
+	slices.Sort(w.Changed)
+	slices.Sort(w.Waiting)
+	return w
+}
+
+func (w *Walked) walkJob(p *Pool, j *job, now time.Duration) {
+	for _, o := range j.occs {
+		for i, st := range o.steps {
+			idle, left := 0, 0
+			for _, t := range st.tasks {
+				if !t.done {
+					left++
+				}
+				if !t.done && len(t.runs) == 0 {
+					idle++
+				}
+			}
+			if idle > 0 && o.ready(st) {
+				w.Waiting = append(w.Waiting, fmt.Sprintf("%s.%d.%d", j.id, o.number, i))
+			}
+			if left > 0 {
+				into := &w.Load.Timely
+				if p.rank(j, o, st, now).late > 0 {
+					into = &w.Load.Late
+				}
+				w.walkStage(into, st, o.ready(st), idle, now)
+			}
+		}
+	}
+}
+
+func (w *Walked) walkStage(into *gauge.Demand, st *stage, ready bool, idle int, now time.Duration) {
+	cores := float64(st.spec.Room().MilliCPU) / milli
+	if st.spec.Lasts {
+		w.Load.Lasting += cores * float64(len(st.tasks))
+		w.Load.Away += idle
+		if per := st.spec.PerWorker; per > 0 {
+			w.Load.Spread = max(w.Load.Spread, (len(st.tasks)+per-1)/per)
+		}
+		return
+	}
+	for _, t := range st.tasks {
+		switch {
+		case t.done:
+		case len(t.runs) > 0:
+			into.Busy += cores
+		case ready:
+			into.Waiting += cores
+			w.Load.Oldest = max(w.Load.Oldest, now-t.readyAt)
+		}
+	}
+}
+
+// Waiting names the steps with tasks that may start, as a plan finds them when any
+// task fits.
+func (p *Pool) Waiting(now time.Duration) []string {
+	var names []string
+	for _, t := range p.turns(now) {
+		names = append(names, fmt.Sprintf("%s.%d.%d", t.job.id, t.occ.number, t.stage.tasks[0].id.Step))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Changed names the jobs that a write is to take along.
+func (p *Pool) Changed() []string {
+	var names []string
+	for _, j := range p.dirty() {
+		names = append(names, j.id)
+	}
+	slices.Sort(names)
+	return names
+}
