Keep count in a pool instead of walking over all its jobs at each event

Cause: each plan (as often as every 4 ms) listed, ranked and sorted all that waits; depths, urgent and batch walked all jobs for each write or event, a tick all jobs and all ended ones, a load all tasks. At 140 workers and 1,300 waiting jobs plans alone took a quarter of a core.

Ruled out: fewer plans: ends would wait for their next starts. A list kept sorted over plans: a job's rank changes with time, when it gets late.

Change: counts.go keeps the depths, the jobs with something to write, the jobs with occurrences to come, and the steps that wait with the least that any of them needs; a plan in which not even that is free ends there. Else turns are a heap (turn.go) of which only those are taken out for which there is room. A queue's configuration is looked up once a job and configuration, the chain of steps left only after a step is done. Workers stay sorted; runs are counted by kind; runs by worker only where it matters. Ended jobs are looked through once a second instead of ten times.

export_test.go: its Waiting follows the new arguments of turns, and a walk compares the chains too.

TestPlanInWhichNothingFitsCostsNothingPerWaitingJob passes. TestCountsAreThoseOfAWalkOverAllJobs fails with each of these taken out: a step offered when a run ends, when the step before is done; a job noted as changed when touched, closed, adopted closed; depths at begin, at close; chain worked out anew; runs of a kind taken off; a load's oldest task looked for only once. With occurrences not made TestScheduleStartsEachOccurrence- WhenItIsDue fails.

Conclusion: what an owner plans no longer grows with what waits, as long as nothing is free.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -28,13 +28,14 @@
 	}
 	j := &job{
 		id: a.ID, queue: a.Queue, spec: a.Spec, row: *a.Row, version: a.Version, arrived: a.Arrived, inherited: a.Inherited,
-		occs: make(map[int]*occurrence), next: a.Row.Over, chain: longest(a.Spec),
+		occs: make(map[int]*occurrence), next: a.Row.Over, chain: longest(a.Spec), counts: &p.counts,
 	}
 	p.jobs[a.ID] = j
 	p.arrived += work(a.Spec)
 	if a.Inherited {
 		j.begun = len(a.Row.Done) > 0 || a.Row.Over > 0
 	}
+	p.counts.enter(j)
 	if !a.Spec.Timed() {
 		j.occurrence(0, now)
 		j.next = 1
@@ -142,20 +143,9 @@
 	return j.row.State, true
 }
 
-// Depths counts by queue the jobs of which no task has started.
-func (p *Pool) Depths() map[string]int {
-	d := make(map[string]int)
-	for _, j := range p.jobs {
-		if !j.begun && j.open() {
-			d[j.queue]++
-		}
-	}
-	return d
-}
-
 // attempts is how often a task of the job may fail.
 func (p *Pool) attempts(j *job) int {
-	if q := p.site.QueueByName(j.queue); q != nil && q.MaxAttempts > 0 {
+	if q := p.policy(j); q != nil && q.MaxAttempts > 0 {
 		return q.MaxAttempts
 	}
 	return defaultAttempts
--- a/internal/sched/count_test.go
+++ b/internal/sched/count_test.go
@@ -38,6 +38,7 @@
 	depths := w.pool.Depths()
 	assert.Assert(w.t, maps.Equal(depths, walk.Depths), "depths %v, want %v", depths, walk.Depths)
 	assert.Equal(w.t, w.pool.Urgent(), walk.Urgent)
+	assert.Equal(w.t, len(walk.Stale), 0, "%v", walk.Stale)
 	waiting := w.pool.Waiting(w.now)
 	assert.Assert(w.t, slices.Equal(waiting, walk.Waiting), "steps that wait %v, want %v", waiting, walk.Waiting)
 	changed := w.pool.Changed()
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	Urgent  bool
 	Changed []string // jobs that a write is to take along
 	Waiting []string // steps with tasks that may start
+	Stale   []string // occurrences of which the chain of steps that is left isn't known rightly
 	Load    gauge.PoolLoad
 }
 
@@ -51,6 +53,9 @@
 
 func (w *Walked) walkJob(p *Pool, j *job, now time.Duration) {
 	for _, o := range j.occs {
+		if known := o.chain(); known != o.anew() {
+			w.Stale = append(w.Stale, fmt.Sprintf("%s.%d", j.id, o.number))
+		}
 		for i, st := range o.steps {
 			idle, left := 0, 0
 			for _, t := range st.tasks {
@@ -101,8 +106,9 @@
 // task fits.
 func (p *Pool) Waiting(now time.Duration) []string {
 	var names []string
-	for _, t := range p.turns(now) {
-		names = append(names, fmt.Sprintf("%s.%d.%d", t.job.id, t.occ.number, t.stage.tasks[0].id.Step))
+	large := gauge.Resources{MilliCPU: math.MaxInt, MemoryMB: math.MaxInt, Accels: math.MaxInt}
+	for _, t := range p.turns(large, now) {
+		names = append(names, fmt.Sprintf("%s.%d.%d", t.job.id, t.stage.occ.number, t.stage.tasks[0].id.Step))
 	}
 	slices.Sort(names)
 	return names
@@ -117,3 +123,8 @@
 	slices.Sort(names)
 	return names
 }
+
+// anew works the chain out without a look at what is known of it.
+func (o *occurrence) anew() time.Duration {
+	return (&occurrence{number: o.number, steps: o.steps, left: o.left, stale: true}).chain()
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -26,6 +26,11 @@
 	saved   int  // changes that the table has
 	urgent  bool // the changes are worth a write of their own
 	cleaned bool // nothing of it is left to do or to drop
+
+	counts    *counts       // of its pool
+	site      *gauge.Site   // configuration in which its queue was looked up ...
+	policy    *gauge.Queue  // ... what was found ...
+	objective time.Duration // ... and how long after its arrival it should be done
 }
 
 // occurrence is one run through a job's steps.
@@ -33,14 +38,21 @@
 	number int
 	steps  []*stage
 	left   int // tasks that are not done
+
+	longest time.Duration // as chain last worked it out
+	stale   bool          // it is to be worked out anew
 }
 
 // stage is one step of one occurrence.
 type stage struct {
-	spec  *gauge.Step
-	tasks []*task
-	left  int // tasks that are not done
-	idle  int // of these, tasks without a run
+	spec   *gauge.Step
+	job    *job
+	occ    *occurrence
+	tasks  []*task
+	made   time.Duration // none of its tasks became ready before
+	left   int           // tasks that are not done
+	idle   int           // of these, tasks without a run
+	queued bool          // it is on the list of those that wait
 
 	advised advised
 }
@@ -58,7 +70,15 @@
 	awaySince time.Duration // lasting tasks: since when it is not at work
 }
 
-func (t *task) failures() int { return len(t.job.row.Failures[t.key()]) }
+func (t *task) failures() int { return len(t.failed()) }
+
+// failed lists the numbers of the task's runs that failed.
+func (t *task) failed() []int {
+	if len(t.job.row.Failures) == 0 {
+		return nil
+	}
+	return t.job.row.Failures[t.key()]
+}
 
 // key names the task within its job.
 func (t *task) key() string {
@@ -79,6 +99,7 @@
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if before > 0 && len(t.runs) == 0 && !t.done {
 		t.stage.idle++
+		t.job.counts.offer(t.stage)
 	}
 }
 
@@ -86,6 +107,7 @@
 func (j *job) touch(urgent bool) {
 	j.changes++
 	j.urgent = j.urgent || urgent
+	j.counts.changed[j] = true
 }
 
 func (j *job) dirty() bool { return j.changes > j.saved }
@@ -98,18 +120,22 @@
 	if o := j.occs[number]; o != nil {
 		return o
 	}
-	o := &occurrence{number: number}
+	o := &occurrence{number: number, stale: true}
 	done := j.row.Done[number]
 	for i := range j.spec.Steps {
-		st := &stage{spec: &j.spec.Steps[i]}
+		st := &stage{spec: &j.spec.Steps[i], job: j, occ: o, made: now}
 		for k := range st.spec.Count {
 			t := &task{
 				id:  gauge.TaskID{Job: j.id, Occurrence: number, Step: i, Index: k},
 				job: j, stage: st, readyAt: now, awaySince: now,
 			}
 			t.done = i < len(done) && hasBit(done[i], k)
-			t.saved = j.row.Saved[t.key()]
-			t.lastRun = slices.Max(append([]int{0}, j.row.Failures[t.key()]...))
+			if len(j.row.Saved) > 0 {
+				t.saved = j.row.Saved[t.key()]
+			}
+			for _, n := range t.failed() {
+				t.lastRun = max(t.lastRun, n)
+			}
 			if !t.done {
 				st.left++
 				st.idle++
@@ -120,6 +146,7 @@
 		o.steps = append(o.steps, st)
 	}
 	j.occs[number] = o
+	o.offer()
 	return o
 }
 
@@ -144,6 +171,13 @@
 	return true
 }
 
+// offer has all steps wait of which tasks may start.
+func (o *occurrence) offer() {
+	for _, st := range o.steps {
+		st.job.counts.offer(st)
+	}
+}
+
 // finish notes that a task is done, and what follows from it.
 func (j *job) finish(t *task) {
 	o := j.occs[t.id.Occurrence]
@@ -153,6 +187,10 @@
 	t.done = true
 	t.stage.left--
 	o.left--
+	if t.stage.left == 0 {
+		o.stale = true
+		o.offer() // other steps may have waited for this one
+	}
 	if j.row.Done == nil {
 		j.row.Done = make(map[int][][]byte)
 	}
@@ -162,8 +200,12 @@
 	}
 	bits[t.id.Step] = setBit(bits[t.id.Step], t.id.Index)
 	j.row.Done[o.number] = bits
-	delete(j.row.Saved, t.key())
-	delete(j.row.Failures, t.key())
+	if len(j.row.Saved) > 0 {
+		delete(j.row.Saved, t.key())
+	}
+	if len(j.row.Failures) > 0 {
+		delete(j.row.Failures, t.key())
+	}
 	j.touch(true)
 	j.advance()
 }
@@ -181,14 +223,14 @@
 		j.row.Over++
 	}
 	if j.row.Over >= j.spec.Occurrences() && j.open() {
-		j.row.State = gauge.JobCompleted
+		j.close(gauge.JobCompleted)
 	}
 }
 
 // fail ends the job for good.
 func (j *job) fail() {
 	if j.open() {
-		j.row.State = gauge.JobFailed
+		j.close(gauge.JobFailed)
 		j.touch(true)
 	}
 }
@@ -196,7 +238,7 @@
 // cancel ends the job; the table has it already.
 func (j *job) cancel() {
 	if j.open() {
-		j.row.State = gauge.JobCancelled
+		j.close(gauge.JobCancelled)
 	}
 }
 
@@ -213,8 +255,12 @@
 	return rs
 }
 
-// chain is the estimated time of the longest chain of steps that is left.
+// chain is the estimated time of the longest chain of steps that is left. It
+// changes only when a step is done.
 func (o *occurrence) chain() time.Duration {
+	if !o.stale {
+		return o.longest
+	}
 	ends := make([]time.Duration, len(o.steps))
 	var longest time.Duration
 	for i, st := range o.steps {
@@ -226,6 +272,7 @@
 		}
 		longest = max(longest, ends[i])
 	}
+	o.longest, o.stale = longest, false
 	return longest
 }
 
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -16,20 +16,23 @@
 			continue
 		}
 		for _, o := range j.occs {
+			if o.left == 0 {
+				continue
+			}
+			into := &l.Timely
+			if p.rank(j, o, o.steps[0], now).late > 0 { // the same for all steps
+				into = &l.Late
+			}
 			for _, st := range o.steps {
-				into := &l.Timely
-				if p.rank(j, o, st, now).late > 0 {
-					into = &l.Late
-				}
 				st.load(&l, into, o.ready(st), now)
 			}
 		}
 	}
-	for id, w := range p.workers {
+	for _, w := range p.byID() {
 		if w.gone || !w.listed {
 			continue
 		}
-		l.Workers = append(l.Workers, gauge.WorkerLoad{ID: id, Runs: len(w.runs), Lasting: w.lasting(), Takes: w.takes(now)})
+		l.Workers = append(l.Workers, gauge.WorkerLoad{ID: w.info.ID, Runs: len(w.runs), Lasting: w.lasting, Takes: w.takes(now)})
 	}
 	return l
 }
@@ -48,29 +51,21 @@
 		}
 		return
 	}
+	into.Busy += cores * float64(st.left-st.idle)
+	if !ready {
+		return
+	}
+	into.Waiting += cores * float64(st.idle)
+	if now-st.made <= l.Oldest {
+		return // none of its tasks has waited longer
+	}
 	for _, t := range st.tasks {
-		switch {
-		case t.done:
-		case len(t.runs) > 0:
-			into.Busy += cores
-		case ready:
-			into.Waiting += cores
+		if !t.done && len(t.runs) == 0 {
 			l.Oldest = max(l.Oldest, now-t.readyAt)
 		}
 	}
 }
 
-// lasting counts the runs of lasting tasks on a worker.
-func (w *worker) lasting() int {
-	n := 0
-	for r := range w.runs {
-		if r.task.stage.spec.Lasts {
-			n++
-		}
-	}
-	return n
-}
-
 // work is the estimated work of a job, in core-seconds, lasting tasks aside.
 func work(j *gauge.JobSpec) float64 {
 	sum := 0.0
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -20,8 +20,8 @@
 // pace slows tasks that fill down where a task that serves beside them is near
 // its target, and lets them work on where it is far from it.
 func (p *Pool) pace(now time.Duration) {
-	for _, w := range p.workers {
-		if w.gone || w.silent {
+	for _, w := range p.byID() {
+		if w.gone || w.silent || w.fills == 0 {
 			continue
 		}
 		worst := w.worstTail()
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -16,13 +14,13 @@
 }
 
 func (p *Pool) rooms(now time.Duration) *rooms {
-	r := &rooms{promised: make(map[*worker]gauge.Resources)}
-	for _, w := range p.workers {
+	r := &rooms{workers: p.taking[:0]}
+	for _, w := range p.byID() {
 		if w.takes(now) {
 			r.workers = append(r.workers, w)
 		}
 	}
-	slices.SortFunc(r.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	p.taking = r.workers
 	r.measure()
 	return r
 }
@@ -42,12 +40,13 @@
 // place picks the worker for one task of a stage; nil if none has room. On counts
 // the stage's runs by worker; taken is what is set aside in the same round; allowed
 // tells on which workers the stage may run.
-func (r *rooms) place(st *stage, on map[*worker]int, taken map[*worker]gauge.Resources, allowed func(*worker) bool) *worker {
+func (r *rooms) place(st *stage, on spread, taken map[*worker]gauge.Resources, allowed func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
 	need := st.spec.Room()
 	for _, w := range r.workers {
-		if !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) || !allowed(w) {
+		// First what is cheap and rules most workers out.
+		if !w.free().Holds(need) || !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) || !allowed(w) {
 			continue
 		}
 		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker {
@@ -71,12 +70,24 @@
 
 func anyWorker(*worker) bool { return true }
 
-// perWorker counts the stage's runs by worker.
-func (st *stage) perWorker() map[*worker]int {
-	on := make(map[*worker]int)
+// spread counts a stage's runs by worker; nil: nobody asks.
+type spread map[*worker]int
+
+func (s spread) add(w *worker) {
+	if s != nil {
+		s[w]++
+	}
+}
+
+// perWorker counts the stage's runs by worker, if it matters where they are.
+func (st *stage) perWorker() spread {
+	if st.spec.PerWorker == 0 && !st.spec.Lasts {
+		return nil
+	}
+	on := make(spread)
 	for _, t := range st.tasks {
 		for _, r := range t.runs {
-			on[r.worker]++
+			on.add(r.worker)
 		}
 	}
 	return on
@@ -109,7 +120,7 @@
 	if st.spec.Lasts {
 		score -= scoreSpread * float64(on)
 		score -= scoreApart * float64(w.disturbers(st.spec.Fills))
-		if w.lasting() > 0 {
+		if w.lasting > 0 {
 			score += scoreTogether
 		}
 	}
@@ -119,12 +130,8 @@
 // disturbers counts the runs that a task would disturb or be disturbed by: for
 // one that fills, those that serve, and the other way round.
 func (w *worker) disturbers(fills bool) int {
-	n := 0
-	for r := range w.runs {
-		spec := r.task.stage.spec
-		if spec.Lasts && spec.Fills != fills {
-			n++
-		}
+	if fills {
+		return w.lasting - w.lastingFills
 	}
-	return n
+	return w.lastingFills
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -51,7 +49,7 @@
 // free: a task that is stopped without one is away for as long as none comes.
 func (p *Pool) evacuate(now time.Duration) {
 	var room *rooms
-	for _, w := range p.workers {
+	for _, w := range p.byID() {
 		if now >= w.emptyUntil && !w.info.Draining || w.silent || w.gone || !w.heard {
 			continue
 		}
@@ -84,6 +82,9 @@
 	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task, now) >= st.MaxAway {
 		return false
 	}
+	if room.promised == nil {
+		room.promised = make(map[*worker]gauge.Resources)
+	}
 	room.promised[to] = room.promised[to].Plus(r.room)
 	return true
 }
@@ -114,35 +115,6 @@
 	return false
 }
 
-// turn is a stage with tasks that may start, and its rank.
-type turn struct {
-	job   *job
-	occ   *occurrence
-	stage *stage
-	rank  rank
-	// advice of its queue, nil if it has none
-	advice *gauge.Advice
-}
-
-// rank orders turns: the lower one starts first.
-type rank struct {
-	lasting  int // 0: lasting tasks, which are few and earn all the time
-	priority int
-	late     int // 0: it can meet its objective; 1: it can't; 2: long past it
-	due      time.Duration
-	id       string
-}
-
-func compare(a, b turn) int {
-	return cmp.Or(
-		cmp.Compare(a.rank.lasting, b.rank.lasting),
-		cmp.Compare(a.rank.priority, b.rank.priority),
-		cmp.Compare(a.rank.late, b.rank.late),
-		cmp.Compare(a.rank.due, b.rank.due),
-		cmp.Compare(a.rank.id, b.rank.id),
-	)
-}
-
 // starts places the tasks whose turn it is.
 func (p *Pool) starts(now time.Duration) {
 	if now >= p.limit {
@@ -152,9 +124,10 @@
 	if len(room.workers) == 0 {
 		return
 	}
-	turns := p.turns(now)
-	slices.SortFunc(turns, compare)
-	for _, t := range turns {
+	turns := p.turns(room.most, now)
+	// Room only shrinks within a plan: once the smallest task doesn't fit, none does.
+	for len(turns) > 0 && room.most.Holds(p.counts.least) {
+		t := turns.next()
 		if !room.most.Holds(t.stage.spec.Room()) {
 			continue
 		}
@@ -164,67 +137,13 @@
 		}
 		p.startEach(t, room, now)
 	}
-}
-
-func (p *Pool) turns(now time.Duration) []turn {
-	var turns []turn
-	for _, j := range p.jobs {
-		if !j.open() {
-			continue
-		}
-		for _, o := range j.occs {
-			for _, st := range o.steps {
-				if st.idle > 0 && o.ready(st) {
-					turns = append(turns, turn{job: j, occ: o, stage: st, rank: p.rank(j, o, st, now), advice: p.advice(j)})
-				}
-			}
-		}
-	}
-	return turns
-}
-
-// advice is the policy of a job's queue, nil if it has none.
-func (p *Pool) advice(j *job) *gauge.Advice {
-	if q := p.site.QueueByName(j.queue); q != nil {
-		return q.Advice
-	}
-	return nil
-}
-
-// defaultStretch is used for a queue that the configuration no longer has.
-const defaultStretch = 2
-
-// lateFactor: up to three times the objective a late job is still worth
-// something to its caller.
-const lateFactor = 3
-
-func (p *Pool) rank(j *job, o *occurrence, st *stage, now time.Duration) rank {
-	r := rank{lasting: 1, id: j.id}
-	if st.spec.Lasts {
-		r.lasting = 0
-		if st.spec.Fills {
-			r.lasting = 1
-		}
-	}
-	stretch, target := float64(defaultStretch), time.Duration(0)
-	if q := p.site.QueueByName(j.queue); q != nil {
-		r.priority, stretch, target = q.Priority, q.Stretch, q.Target
-	}
-	objective := time.Duration(stretch*float64(j.chain)) + target
-	r.due = j.arrived + objective
-	left := r.due - now
-	switch {
-	case left < -objective*(lateFactor-1):
-		r.late = 2
-	case left < o.chain()/2:
-		r.late = 1
-	}
-	return r
+	clear(p.turned) // else it would keep jobs that have ended
 }
 
 // startEach starts as many tasks of a stage as there is room for.
 func (p *Pool) startEach(t turn, room *rooms, now time.Duration) {
 	on := t.stage.perWorker()
+	began := false
 	for _, k := range t.stage.tasks {
 		if k.done || len(k.runs) > 0 || p.unknownYet(k) {
 			continue
@@ -235,9 +154,12 @@
 			break // none of the others fits either
 		}
 		p.start(&t, k, w, k.lastRun+1, now)
-		on[w]++
+		on.add(w)
+		began = true
+	}
+	if began {
+		room.measure()
 	}
-	room.measure()
 }
 
 // unknownYet tells whether a run of the task may exist that nobody has told.
@@ -261,7 +183,7 @@
 			p.ask(&t, room, now)
 			return
 		}
-		on[w]++
+		on.add(w)
 		taken[w] = taken[w].Plus(t.stage.spec.Room())
 		places = append(places, w)
 	}
@@ -291,7 +213,7 @@
 	t.attach(r)
 	w.add(r)
 	if !t.job.begun {
-		t.job.begun = true
+		t.job.begin()
 		if t.job.row.State == gauge.JobPending {
 			t.job.row.State = gauge.JobRunning
 			t.job.touch(false)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -46,7 +46,7 @@
 // that were not taken in. A run that isn't listed may be one of those: taken for lost,
 // its task would start again although it is done.
 func (p *Pool) running(w *worker, rep *gauge.WorkerReport, held bool, now time.Duration) {
-	there := make(map[*run]bool, len(rep.Running))
+	w.reports++
 	w.odd = 0
 	for _, rr := range rep.Running {
 		r := p.reported(w, rr, rep.Clock, now)
@@ -57,7 +57,7 @@
 			}
 			continue
 		}
-		there[r] = true
+		r.listed = w.reports
 		r.load, r.progress = rr.Load, rr.Progress
 		if r.phase != phaseStopping {
 			r.phase = phaseLive
@@ -68,12 +68,13 @@
 		}
 	}
 	for r := range w.runs {
-		if !there[r] && r.phase == phaseUnsure {
+		there := r.listed == w.reports
+		if !there && r.phase == phaseUnsure {
 			// Once a stop is answered the start can't be carried out any more,
 			// which is known sooner than that its own deadline has passed.
 			p.halt(r)
 		}
-		if !there[r] && !held && r.overBy(rep.Clock) {
+		if !there && !held && r.overBy(rep.Clock) {
 			if r.phase == phaseLive {
 				p.conf.Count(EventVanished)
 				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID)
@@ -122,7 +123,7 @@
 		p.conf.Count(EventSurplus)
 		p.halt(r)
 	}
-	j.begun = true
+	j.begin()
 	return r
 }
 
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -63,12 +63,12 @@
 
 // Urgent tells whether a change waits that is worth a write of its own.
 func (p *Pool) Urgent() bool {
-	for _, j := range p.jobs {
-		if j.dirty() && j.urgent {
+	for j := range p.counts.changed {
+		if !j.cleaned && j.dirty() && j.urgent {
 			return true
 		}
 	}
-	for _, w := range p.workers {
+	for _, w := range p.byID() {
 		if w.ends > w.kept && !w.gone || w.waits() {
 			return true
 		}
@@ -79,9 +79,12 @@
 // dirty lists the jobs with changes, the urgent first.
 func (p *Pool) dirty() []*job {
 	var dirty []*job
-	for _, j := range p.jobs {
-		if j.dirty() || j.leaves() {
+	for j := range p.counts.changed {
+		switch {
+		case !j.cleaned && (j.dirty() || j.leaves()):
 			dirty = append(dirty, j)
+		case j.cleaned || j.open():
+			delete(p.counts.changed, j) // any other job leaves when its last run has ended
 		}
 	}
 	slices.SortFunc(dirty, func(a, b *job) int {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -8,6 +8,9 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -45,6 +48,12 @@
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
 	arrived float64       // core-seconds of all jobs adopted so far
+	counts  counts
+	swept   time.Duration // when ended jobs were last forgotten
+
+	sorted []*worker // workers by id; nil: to be sorted anew
+	taking []*worker // memory for the next plan's rooms ...
+	turned turns     // ... and for its turns
 }
 
 // OrderKind is what is ordered.
@@ -93,7 +102,7 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
-		earlier: make(map[string]bool), site: &gauge.Site{},
+		earlier: make(map[string]bool), site: &gauge.Site{}, counts: newCounts(),
 	}
 	for _, id := range c.Earlier {
 		p.earlier[id] = true
@@ -121,6 +130,7 @@
 		if w == nil {
 			w = &worker{runs: make(map[*run]bool)}
 			p.workers[info.ID] = w
+			p.sorted = nil
 			fresh = append(fresh, info)
 			p.conf.Logs.Info("worker listed", "pool", p.conf.Name, "worker", info.ID, "addr", info.Addr)
 		}
@@ -149,12 +159,12 @@
 // wait for them for seconds, with the whole pool's work.
 func (p *Pool) Name() []string {
 	ids := make([]string, 0, len(p.workers))
-	for id, w := range p.workers {
-		if !p.earlier[id] && w.done() {
+	for _, w := range p.byID() {
+		if w.done() && !p.earlier[w.info.ID] {
 			w.noted = false
 			continue
 		}
-		ids = append(ids, id)
+		ids = append(ids, w.info.ID)
 	}
 	for id := range p.earlier {
 		if p.workers[id] == nil {
@@ -244,14 +254,26 @@
 		}
 		if !w.listed && now > w.expiry && (w.silent || w.gone) {
 			delete(p.workers, id)
+			p.sorted = nil
 		}
 	}
-	for _, j := range p.jobs {
-		j.occur(wall, now)
-	}
+	p.counts.occur(wall, now)
 	if now > p.conf.Doubt {
 		clear(p.earlier)
 	}
+	p.forget(now)
+}
+
+// sweepGap is the pause between two looks for ended jobs that may be forgotten: a
+// minute of a large pool's are some ten thousand.
+const sweepGap = time.Second
+
+// forget drops what is remembered of jobs that ended long ago.
+func (p *Pool) forget(now time.Duration) {
+	if now < p.swept+sweepGap {
+		return
+	}
+	p.swept = now
 	for id, j := range p.past {
 		if now > j.ended+pastFor {
 			delete(p.past, id)
@@ -259,6 +281,14 @@
 	}
 }
 
+// byID lists the workers in a fixed order.
+func (p *Pool) byID() []*worker {
+	if p.sorted == nil {
+		p.sorted = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return p.sorted
+}
+
 // occur makes the occurrences that are due.
 func (j *job) occur(wall time.Time, now time.Duration) {
 	if !j.spec.Timed() || !j.open() {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -37,6 +37,7 @@
 	paced    int           // percent of its speed that it was told to work at
 	load     int           // as reported
 	pacing   bool          // a pace is on its way
+	listed   int           // number of the last report that listed it
 }
 
 // worker is one life of a worker as this owner sees it.
@@ -50,7 +51,11 @@
 
 	runs map[*run]bool
 	used gauge.Resources
-	odd  int // runs there of jobs that this owner doesn't know
+	// of these runs: lasting ones, those that fill, and those that do both
+	lasting, fills, lastingFills int
+
+	reports int // that were taken in so far
+	odd     int // runs there of jobs that this owner doesn't know
 
 	clock   time.Duration // worker's clock ...
 	readAt  time.Duration // ... as read at this time on ours
@@ -96,12 +101,28 @@
 func (w *worker) add(r *run) {
 	w.runs[r] = true
 	w.used = w.used.Plus(r.room)
+	w.count(r, 1)
 }
 
 func (w *worker) remove(r *run) {
 	if w.runs[r] {
 		delete(w.runs, r)
 		w.used = w.used.Minus(r.room)
+		w.count(r, -1)
+	}
+}
+
+// count adds a run to what is counted by kind, or takes it off.
+func (w *worker) count(r *run, n int) {
+	spec := r.task.stage.spec
+	if spec.Lasts {
+		w.lasting += n
+	}
+	if spec.Fills {
+		w.fills += n
+	}
+	if spec.Lasts && spec.Fills {
+		w.lastingFills += n
 	}
 }
 
