Benchmark of what an owner spends on a task

Cause: nothing measured the owner's own work around plans: locks, lanes, goroutines, holds, writes.

Ruled out: real connections: the benchmarks of platform measure those.

Change: BenchmarkOwner: 140 workers of 4 places whose tasks end at once, a thousand jobs waiting, with and without log lines.

--- /dev/null
+++ b/internal/owner/cost_bench_test.go
@@ -0,0 +1,171 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/logs"
+	"sapphiregauge/internal/owner"
+	"sapphiregauge/internal/sched"
+	"sapphiregauge/internal/tenure"
+)
+
+// instant are workers on which each task ends, done, as soon as it has started.
+type instant struct {
+	gauge.Workers
+	mu    sync.Mutex
+	began time.Time
+	by    map[string]*ends
+}
+
+// ends are those of one worker that are not acknowledged.
+type ends struct {
+	number int64
+	list   []gauge.EndReport
+	news   chan struct{}
+}
+
+func (w *instant) of(id string) *ends {
+	if w.by[id] == nil {
+		w.by[id] = &ends{news: make(chan struct{}, 1)}
+	}
+	return w.by[id]
+}
+
+func (w *instant) clock() time.Duration { return time.Hour + time.Since(w.began) }
+
+func (w *instant) Start(_ context.Context, to *gauge.Worker, c gauge.StartCall) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.of(to.ID)
+	e.number++
+	e.list = append(e.list, gauge.EndReport{Number: e.number, Task: c.Task, Run: c.Run, How: gauge.EndDone})
+	select {
+	case e.news <- struct{}{}:
+	default:
+	}
+	return w.clock(), nil
+}
+
+// Hold waits for an end that isn't acknowledged.
+func (w *instant) Hold(ctx context.Context, to *gauge.Worker, c gauge.HoldCall) (*gauge.WorkerReport, error) {
+	timer := time.NewTimer(c.Wait)
+	defer timer.Stop()
+	for {
+		w.mu.Lock()
+		e := w.of(to.ID)
+		for len(e.list) > 0 && e.list[0].Number <= c.LastSeen {
+			e.list = e.list[1:]
+		}
+		rep := &gauge.WorkerReport{Clock: w.clock(), Ended: append([]gauge.EndReport(nil), e.list...)}
+		w.mu.Unlock()
+		if len(rep.Ended) > 0 {
+			return rep, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			return rep, nil
+		case <-e.news:
+		}
+	}
+}
+
+// counted takes every transaction, each with a version of its own.
+type counted struct {
+	store
+	version atomic.Int64
+}
+
+func (s *counted) Commit(context.Context, gauge.PartTxn) (gauge.Stamp, []gauge.PartRow, error) {
+	return gauge.Stamp{Version: s.version.Add(1)}, nil, nil
+}
+
+const (
+	costWorkers = 140
+	costPlaces  = 4
+	costTasks   = 8    // of each job
+	costWaiting = 1000 // jobs that are handed in before the first has ended
+)
+
+// BenchmarkOwner is a task from its job's acceptance to its end in the table, with
+// a thousand jobs waiting: what an owner spends on it, calls aside.
+func BenchmarkOwner(b *testing.B) {
+	for name, log := range map[string]logr.Logger{"logs=none": logr.Discard(), "logs=json": logs.New(io.Discard, false)} {
+		b.Run(name, func(b *testing.B) { ownTasks(b, log) })
+	}
+}
+
+func ownTasks(b *testing.B, log logr.Logger) {
+	began := time.Now()
+	now := func() time.Duration { return time.Second + time.Since(began) }
+	table := &counted{}
+	table.version.Store(100)
+	done := make(chan struct{}, costWaiting)
+	ctx, cancel := context.WithCancel(b.Context())
+	o := owner.New(ctx, owner.Config{
+		Pool: "p", Store: table, Workers: &instant{began: began, by: make(map[string]*ends)}, Logs: log, Now: now, Wall: time.Now,
+		Lease: tenure.New(tenure.Config{Lasts: time.Hour, Taken: now(), Store: table, Now: now, Clock: func() int64 { return 1 }}),
+		Grace: time.Second, Hold: 5 * time.Second, Stamp: func(gauge.Stamp, time.Duration) {},
+		Clock: func() int64 { return 1 }, Count: func(string, time.Duration) {}, Event: func(e string) {
+			if e == sched.EventDone {
+				done <- struct{}{}
+			}
+		},
+	})
+	var list []gauge.Worker
+	for i := range costWorkers {
+		room := gauge.Resources{MilliCPU: costPlaces * 1000, MemoryMB: costPlaces * 1000}
+		list = append(list, gauge.Worker{ID: fmt.Sprintf("%012x", i), Pool: "p", Capacity: room})
+	}
+	var group sync.WaitGroup
+	site := &gauge.Site{Queues: []gauge.Queue{{Name: "sheets", Pool: "p", Stretch: 2}}}
+	group.Go(func() { o.Run(site, list) })
+	adopted := 0
+	adopt := func() bool {
+		spec := &gauge.JobSpec{Steps: []gauge.Step{{Count: costTasks, Needs: gauge.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second}}}
+		ok := o.Adopt(fmt.Sprintf("%016x", adopted), "sheets", spec, &gauge.JobRow{State: gauge.JobPending, Pool: "p"}, table.version.Add(1))
+		if ok {
+			adopted++
+		}
+		return ok
+	}
+	poll.WaitOn(b, func(poll.LogT) poll.Result {
+		if adopt() {
+			return poll.Success()
+		}
+		return poll.Continue("the owner takes jobs")
+	})
+	for adopted < costWaiting {
+		assert.Assert(b, adopt())
+	}
+	b.ResetTimer()
+	before := spent(b)
+	for range b.N {
+		<-done
+		assert.Assert(b, adopt())
+	}
+	b.ReportMetric(float64(spent(b)-before)/float64(b.N*costTasks), "cpu-ns/task")
+	b.StopTimer()
+	cancel()
+	group.Wait()
+}
+
+// spent is the processor time that this process has had so far.
+func spent(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
