--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -51,6 +51,7 @@
 	wake       chan struct{} // a change waits to be written
 	stuck      func(failing time.Duration)
 	stuckAfter time.Duration
+	began      time.Duration
 
 	mu       sync.Mutex
 	core     *sched.Pool
@@ -90,6 +91,10 @@
 	// planGap is the least time between two plans. Under load several ends go
 	// into one plan: each plan looks at every job that waits.
 	planGap = 4 * time.Millisecond
+	// startWindow bounds the starts without an answer. An answer takes some 5 ms, so
+	// that it allows 10,000 starts a second; at 10 Mbit/s and 2.6 KB a start those of
+	// the window take a tenth of a second, a third of what an answer is waited for.
+	startWindow = 48
 	// ordersAtOnce to one worker; an order takes some milliseconds.
 	ordersAtOnce = 3
 	// renewEvery is how often the lease is renewed without other writes: four
@@ -124,11 +129,11 @@
 func New(ctx context.Context, c Config) *Owner {
 	now := c.Now()
 	o := &Owner{
-		conf: c,
+		conf: c, began: now,
 		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
-			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
+			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow,
 			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
 		}),
 	}
@@ -294,6 +299,14 @@
 	return empty
 }
 
+// Since is when this owner took the pool; false: it hasn't read the jobs yet, or may
+// not have the lease any more.
+func (o *Owner) Since() (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.began, o.mayAdopt()
+}
+
 // State tells how far a job of a queue is; false: it isn't known here, or another
 // owner may know better.
 func (o *Owner) State(queue, id string) (gauge.JobState, bool) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -124,9 +124,12 @@
 	if len(room.workers) == 0 {
 		return
 	}
+	if p.full() {
+		return
+	}
 	turns := p.turns(room.most, now)
 	// Room only shrinks within a plan: once the smallest task doesn't fit, none does.
-	for len(turns) > 0 && room.most.Holds(p.counts.least) {
+	for len(turns) > 0 && room.most.Holds(p.counts.least) && !p.full() {
 		t := turns.next()
 		if !room.most.Holds(t.stage.spec.Room()) {
 			continue
@@ -140,6 +143,11 @@
 	clear(p.turned) // else it would keep jobs that have ended
 }
 
+// full tells whether as many starts as may be are without an answer. Each carries its
+// job's text: sent at once for all that wait, they would fill a thin link for longer
+// than answers are waited for, with holds and the lease's renewal behind them.
+func (p *Pool) full() bool { return p.conf.Window > 0 && p.flying >= p.conf.Window }
+
 // startEach starts as many tasks of a stage as there is room for.
 func (p *Pool) startEach(t turn, room *rooms, now time.Duration) {
 	on := t.stage.perWorker()
@@ -148,6 +156,9 @@
 		if k.done || len(k.runs) > 0 || p.unknownYet(k) {
 			continue
 		}
+		if p.full() {
+			break
+		}
 		w := room.place(t.stage, on, nil, t.allows(now))
 		if w == nil {
 			p.ask(&t, room, now)
@@ -212,6 +223,7 @@
 	}
 	t.attach(r)
 	w.add(r)
+	p.flying++
 	if !t.job.begun {
 		t.job.begin()
 		if t.job.row.State == gauge.JobPending {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -26,8 +26,10 @@
 	Hold  time.Duration // how far a worker's lease is extended at a time
 	Start time.Duration // a start that arrives later than this is refused
 	Wait  time.Duration // how long a worker may keep a hold waiting
-	Logs  logr.Logger
-	Count func(event string) // counts what an operator should see; nil: nobody counts
+	// Window is how many starts may be without an answer at a time; 0: any number.
+	Window int
+	Logs   logr.Logger
+	Count  func(event string) // counts what an operator should see; nil: nobody counts
 
 	// Earlier are the workers that the owner before this one may have given
 	// orders to, and Doubt is when everything has surely ended that it ordered.
@@ -48,6 +50,7 @@
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
 	arrived float64       // core-seconds of all jobs adopted so far
+	flying  int           // starts that have no answer yet
 	counts  counts
 	swept   time.Duration // when ended jobs were last forgotten
 
