Give the walk over what is to be written a function of its own

Ruled out: nothing.

Change: unwritten and urgent are in counts.go, save.go calls them.

Conclusion: no other behaviour.

--- a/internal/sched/counts.go
+++ b/internal/sched/counts.go
@@ -63,6 +63,30 @@
 // Depths counts by queue the jobs of which no task has started.
 func (p *Pool) Depths() map[string]int { return maps.Clone(p.counts.depths) }
 
+// unwritten lists the jobs with something to be written.
+func (c *counts) unwritten() []*job {
+	var some []*job
+	for j := range c.changed {
+		switch {
+		case !j.cleaned && (j.dirty() || j.leaves()):
+			some = append(some, j)
+		case j.cleaned || j.open():
+			delete(c.changed, j) // any other job leaves when its last run has ended
+		}
+	}
+	return some
+}
+
+// urgent tells whether one of them is worth a write of its own.
+func (c *counts) urgent() bool {
+	for j := range c.changed {
+		if !j.cleaned && j.dirty() && j.urgent {
+			return true
+		}
+	}
+	return false
+}
+
 // offer has a step wait for its turn, if tasks of it may start.
 func (c *counts) offer(st *stage) {
 	if st.queued || st.idle == 0 || !st.job.open() || !st.occ.ready(st) {
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -117,7 +117,7 @@
 // Changed names the jobs that a write is to take along.
 func (p *Pool) Changed() []string {
 	var names []string
-	for _, j := range p.dirty() {
+	for _, j := range p.counts.unwritten() {
 		names = append(names, j.id)
 	}
 	slices.Sort(names)
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -63,10 +63,8 @@
 
 // Urgent tells whether a change waits that is worth a write of its own.
 func (p *Pool) Urgent() bool {
-	for j := range p.counts.changed {
-		if !j.cleaned && j.dirty() && j.urgent {
-			return true
-		}
+	if p.counts.urgent() {
+		return true
 	}
 	for _, w := range p.byID() {
 		if w.ends > w.kept && !w.gone || w.waits() {
@@ -78,15 +76,7 @@
 
 // dirty lists the jobs with changes, the urgent first.
 func (p *Pool) dirty() []*job {
-	var dirty []*job
-	for j := range p.counts.changed {
-		switch {
-		case !j.cleaned && (j.dirty() || j.leaves()):
-			dirty = append(dirty, j)
-		case j.cleaned || j.open():
-			delete(p.counts.changed, j) // any other job leaves when its last run has ended
-		}
-	}
+	dirty := p.counts.unwritten()
 	slices.SortFunc(dirty, func(a, b *job) int {
 		if a.urgent != b.urgent {
 			if a.urgent {
