--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -63,12 +63,10 @@
 
 // Urgent tells whether a change waits that is worth a write of its own.
 func (p *Pool) Urgent() bool {
-	for _, j := range p.jobs {
-		if j.dirty() && j.urgent {
-			return true
-		}
+	if p.counts.urgent() {
+		return true
 	}
-	for _, w := range p.workers {
+	for _, w := range p.byID() {
 		if w.ends > w.kept && !w.gone || w.waits() {
 			return true
 		}
@@ -78,12 +76,7 @@
 
 // dirty lists the jobs with changes, the urgent first.
 func (p *Pool) dirty() []*job {
-	var dirty []*job
-	for _, j := range p.jobs {
-		if j.dirty() || j.leaves() {
-			dirty = append(dirty, j)
-		}
-	}
+	dirty := p.counts.unwritten()
 	slices.SortFunc(dirty, func(a, b *job) int {
 		if a.urgent != b.urgent {
 			if a.urgent {
