Test that an owner without a lease calls no worker empty (red)

An owner that has ended, or whose lease is over, answers from its memory whether a worker is empty; the next owner may have started tasks there.

--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -149,3 +149,26 @@
 		assert.Assert(t, g.table.txns-before <= 26, "%d transactions in a second", g.table.txns-before)
 	})
 }
+
+// Symptom: a machine is moved with tasks at work there.
+// Sequence: a worker is empty; its pool is handed over, and the new owner starts tasks
+// there; the fleet's holder, which doesn't know yet, asks the old one.
+// Cause: an owner that has ended, or whose lease is over, answers from its memory.
+func TestOwnerThatHasEndedCallsNoWorkerEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t)
+		defer g.end()
+		assert.Assert(t, g.owner.Empty("w1", false))
+		g.stop()
+		assert.Assert(t, !g.owner.Empty("w1", false))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t)
+		defer g.end()
+		g.table.mu.Lock()
+		g.table.err = gauge.Fail(gauge.KindOutage, "away")
+		g.table.mu.Unlock()
+		g.pass(3 * time.Second)
+		assert.Assert(t, !g.owner.Empty("w1", false), "another entry may have the lease")
+	})
+}
