Treat workers as the only ones that know ends which the table lacks

A worker counted as empty, and went unnamed, once nothing ran there, though ends that it had listed were in the owner's memory only. An owner replaced before it had written them left nobody to ask. Ends were acknowledged only by a write that left no change, which under load none does; a transaction took 24 jobs whatever they needed. Keeping ends in rows of their own: the job's row has them, one write later. Naming workers whose life is over: nobody can ask them, and a successor would wait. Each end that was taken in remembers the change of its job's row; a worker's mark of ends in the table moves up to the first whose change isn't written. A worker is empty, and needn't be named or remembered, once the mark has reached its last end and it holds none back. A transaction is packed by entries and bytes; the first jobs are picked without sorting all. The benchmark's jobs now arrive at different times, as else nothing has to be sorted.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -114,9 +114,9 @@
 	adviseAgain = 200 * time.Millisecond
 	// ackWait bounds how long a hold waits for the ends before to be written.
 	ackWait = 400 * time.Millisecond
-	// batchJobs jobs at most go into a transaction of at most 100 entries: two
-	// for the lease, four for a job that has ended.
-	batchJobs = 24
+	// batchEntries of a transaction are for changes of jobs: it holds 100 at most, by
+	// the users' figure, and the lease takes two, its check and its write.
+	batchEntries = 100 - 2
 )
 
 // New makes an Owner of a pool whose lease was just taken. With ctx all its work
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -102,7 +102,7 @@
 func (o *Owner) prepare() (pending, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	batch, err := o.core.Batch(batchJobs, o.conf.Clock(), o.avoided)
+	batch, err := o.core.Batch(batchEntries, o.conf.Clock(), o.avoided)
 	if err != nil {
 		return pending{}, err
 	}
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// batchSize is what an owner asks for.
-const batchSize = 24
+// batchSize is what an owner asks for: entries, of which a job that has ended takes four.
+const batchSize = 98
 
 // ended makes a pool with jobs that have just ended, and are to be written.
 func ended(jobs int) *sched.Pool {
@@ -101,7 +101,7 @@
 	reports := make([]gauge.WorkerReport, workers)
 	for i := range jobs {
 		spec := &gauge.JobSpec{Steps: []gauge.Step{step(1)}}
-		p.Adopt(sched.Accepted{ID: jobID(i), Queue: queueName, Spec: spec, Row: &gauge.JobRow{State: gauge.JobRunning}, Version: fence + 1, Arrived: 0}, 0)
+		p.Adopt(sched.Accepted{ID: jobID(i), Queue: queueName, Spec: spec, Row: &gauge.JobRow{State: gauge.JobRunning}, Version: fence + 1, Arrived: time.Duration(i * 7919 % jobs)}, 0)
 		r := &reports[i%workers]
 		r.Ended = append(r.Ended, gauge.EndReport{Number: int64(len(r.Ended) + 1), Task: gauge.TaskID{Job: jobID(i)}, Run: 1, How: gauge.EndDone})
 	}
--- a/internal/sched/empty.go
+++ b/internal/sched/empty.go
@@ -7,9 +7,11 @@
 // may take some seconds from the answer to its effect.
 const emptyFor = 4 * time.Second
 
-// Empty has a worker emptied and tells whether nothing runs there. A worker that
-// isn't known isn't empty: starts may go there as soon as it is. Force: what
-// doesn't end by itself is ended.
+// Empty has a worker emptied and tells whether nothing runs there, and nothing is
+// known there alone: with its machine ends would go that the table doesn't have, and
+// their tasks would start again under the next owner. A worker that isn't known
+// isn't empty: starts may go there as soon as it is. Force: what doesn't end by
+// itself is ended.
 func (p *Pool) Empty(id string, force bool, now time.Duration) bool {
 	w := p.workers[id]
 	if w == nil {
@@ -19,5 +21,5 @@
 		p.conf.Logs.Info("worker to be emptied", "pool", p.conf.Name, "worker", id, "runs", len(w.runs), "force", force)
 	}
 	w.emptyUntil, w.force = now+emptyFor, force
-	return w.heard && !w.silent && len(w.runs) == 0 && w.odd == 0
+	return w.heard && !w.silent && len(w.runs) == 0 && w.odd == 0 && w.settled()
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -29,12 +29,13 @@
 				held = true
 				break
 			}
-			w.ends = e.Number
 			p.ended(w, e, now)
+			w.take(e.Number, p.jobs[e.Task.Job])
 		}
 	}
 	if newest {
 		// An older picture may lack what a newer answer has told.
+		w.held = held
 		p.running(w, rep, held, now)
 	}
 }
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -18,49 +18,78 @@
 	changes int
 }
 
-// Batch is a set of changes, and the ends that the table has once it is written.
+// Batch is a set of changes for one transaction.
 type Batch struct {
 	Queue   string // of all changes
 	Changes []Change
-	ends    map[string]int64
+	More    bool // more wait than go into a transaction, in queues that aren't avoided
 }
 
-// Batch returns up to `most` changes of one queue that the table doesn't have yet,
-// the urgent ones first. Queues to avoid are left out: their part of the table
-// doesn't answer, and would hold up the others. Now is the table's clock in
-// milliseconds.
-func (p *Pool) Batch(most int, now int64, avoid func(queue string) bool) (Batch, error) {
+const (
+	// jobEntries is how many entries of a transaction a job's change takes, its check
+	// and its write, and endEntries how many more one takes with which spec and marker go.
+	jobEntries = 2
+	endEntries = 2
+	// batchBytes of rows at most go together. A transaction may have 1 MB in all, where
+	// rows grow by a third; but one entry's slow link takes 0.3 s for these.
+	batchBytes = 256 << 10
+)
+
+// Batch returns changes of one queue that the table doesn't have yet, as many as go
+// into a transaction with room for so many entries, the urgent ones first. Queues to
+// avoid are left out: their part of the table doesn't answer, and would hold up the
+// others. Now is the table's clock in milliseconds.
+func (p *Pool) Batch(entries int, now int64, avoid func(queue string) bool) (Batch, error) {
 	b := Batch{}
-	waiting := p.dirty()
-	dirty := ofOneQueue(waiting, most, avoid)
-	all := len(dirty) == len(waiting)
-	if len(dirty) > 0 {
-		b.Queue = dirty[0].queue
+	waiting := p.dirty(avoid)
+	if len(waiting) == 0 {
+		return b, nil
 	}
-	for _, j := range dirty {
-		if j.row.State.Final() && j.row.Ended == 0 {
-			j.row.Ended = now
-		}
-		row, err := j.row.Encode()
+	b.Queue = slices.MinFunc(waiting, byUrgency).queue
+	due, left, size := 0, entries, 0
+	for _, j := range waiting {
+		due += j.entries(j.row.State.Final())
+	}
+	b.More = due > entries
+	for _, j := range firstOf(waiting, b.Queue, max(1, entries/jobEntries)) {
+		c, err := j.change(now)
 		if err != nil {
 			return b, err
 		}
-		b.Changes = append(b.Changes, Change{
-			Job: j.id, Queue: j.queue, Row: row, Version: j.version,
-			Final: j.row.State.Final() && len(j.live()) == 0, changes: j.changes,
-		})
-	}
-	if all {
-		b.ends = make(map[string]int64, len(p.workers))
-		for id, w := range p.workers {
-			if w.ends > w.kept {
-				b.ends[id] = w.ends
-			}
+		left -= j.entries(c.Final)
+		size += len(c.Row)
+		if len(b.Changes) > 0 && (left < 0 || size > batchBytes) {
+			b.More = true
+			break
 		}
+		b.Changes = append(b.Changes, c)
 	}
 	return b, nil
 }
 
+// entries is how many entries of a transaction the job's change takes.
+func (j *job) entries(final bool) int {
+	if final {
+		return jobEntries + endEntries
+	}
+	return jobEntries
+}
+
+// change is the job's row as it is to be written.
+func (j *job) change(now int64) (Change, error) {
+	if j.row.State.Final() && j.row.Ended == 0 {
+		j.row.Ended = now
+	}
+	row, err := j.row.Encode()
+	if err != nil {
+		return Change{}, err
+	}
+	return Change{
+		Job: j.id, Queue: j.queue, Row: row, Version: j.version,
+		Final: j.row.State.Final() && len(j.live()) == 0, changes: j.changes,
+	}, nil
+}
+
 // Urgent tells whether a change waits that is worth a write of its own.
 func (p *Pool) Urgent() bool {
 	for _, j := range p.jobs {
@@ -76,38 +105,42 @@
 	return false
 }
 
-// dirty lists the jobs with changes, the urgent first.
-func (p *Pool) dirty() []*job {
+// dirty lists the jobs with changes, those of queues to avoid aside.
+func (p *Pool) dirty(avoid func(queue string) bool) []*job {
 	var dirty []*job
 	for _, j := range p.jobs {
-		if j.dirty() || j.leaves() {
+		if (j.dirty() || j.leaves()) && !avoid(j.queue) {
 			dirty = append(dirty, j)
 		}
 	}
-	slices.SortFunc(dirty, func(a, b *job) int {
-		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.arrived, b.arrived)
-	})
 	return dirty
 }
 
-// ofOneQueue takes up to `most` jobs of the first queue that isn't avoided.
-func ofOneQueue(jobs []*job, most int, avoid func(queue string) bool) []*job {
-	var some []*job
+// byUrgency orders jobs by which is to be written first.
+func byUrgency(a, b *job) int {
+	if a.urgent != b.urgent {
+		if a.urgent {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.arrived, b.arrived)
+}
+
+// firstOf returns the first jobs of a queue, in order. Under a backlog thousands
+// wait, of which a transaction takes some dozens: most need one look, and no sorting.
+func firstOf(jobs []*job, queue string, most int) []*job {
+	first := make([]*job, 0, most+1)
 	for _, j := range jobs {
-		if avoid(j.queue) || len(some) > 0 && j.queue != some[0].queue {
+		if j.queue != queue || len(first) == most && byUrgency(first[most-1], j) <= 0 {
 			continue
 		}
-		if some = append(some, j); len(some) == most {
-			break
+		at, _ := slices.BinarySearchFunc(first, j, byUrgency)
+		if first = slices.Insert(first, at, j); len(first) > most {
+			first = first[:most]
 		}
 	}
-	return some
+	return first
 }
 
 // leaves tells whether a job that has ended has nothing left but its spec and
@@ -134,10 +167,8 @@
 			p.past[c.Job] = past{queue: j.queue, state: j.row.State, ended: now}
 		}
 	}
-	for id, n := range b.ends {
-		if w := p.workers[id]; w != nil {
-			w.kept = max(w.kept, n)
-		}
+	for _, w := range p.workers {
+		w.keep()
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -143,8 +143,8 @@
 // one that it hasn't heard about, may have given orders to. A successor asks all of
 // them before it starts anything again that was there before it.
 //
-// Workers that run nothing and take nothing are left out, and get no start before
-// they are named again. Machines change pools several times a minute: named until
+// Workers that run nothing and take nothing, and whose ends are in the table, are
+// left out, and get no start before they are named again. Machines change pools several times a minute: named until
 // their leases are over, workers of machines that have left would have a successor
 // wait for them for seconds, with the whole pool's work.
 func (p *Pool) Name() []string {
@@ -242,7 +242,7 @@
 				p.end(r, now)
 			}
 		}
-		if !w.listed && now > w.expiry && (w.silent || w.gone) {
+		if !w.listed && now > w.expiry && (w.gone || w.silent && w.kept == w.ends) {
 			delete(p.workers, id)
 		}
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -59,6 +59,8 @@
 
 	ends       int64         // ends up to this number are taken in
 	kept       int64         // ends up to this number are in the table
+	unkept     []unkept      // those in between that wait for a job's row, in their order
+	held       bool          // it has ends that were not taken in, or may have more than it lists
 	emptyUntil time.Duration // it gets no starts before, as it is to be emptied for upkeep or a move
 	force      bool          // what does not end by itself there is to be ended
 	rest       time.Duration // no starts before this, since it fails or is slow
@@ -117,9 +119,13 @@
 	return nil
 }
 
-// done tells whether nothing runs on the worker, and it gets no starts.
+// done tells whether nothing runs on the worker, it gets no starts, and nobody has
+// to ask it for an end. One whose life is over can't be asked.
 func (w *worker) done() bool {
-	return w.heard && len(w.runs) == 0 && w.odd == 0 && (w.gone || w.silent || !w.listed || w.info.Draining)
+	if !w.heard || len(w.runs) > 0 || w.odd > 0 {
+		return false
+	}
+	return w.gone || w.settled() && (w.silent || !w.listed || w.info.Draining)
 }
 
 // waits tells whether a worker could be used but for the lease row.
