Write out what was taken in before a pool is handed over, and backlogs without pauses

A planned handover ended all work at once and dropped the changes that were not written yet; with their worker gone the successor started tasks again that had ended done. A backlog was written with the pauses that are for gathering changes. Draining under the lock that orders offers: an entry with several pools would run out of its second. A renewal right after the last change: it is cut off when the owner ends, and the version that is offered is out of date. The writer goes on without a pause while more than one transaction's worth waits. A hold waits until its worker's ends are written instead of for any write. A handover looks for the successor meanwhile. An owner that is handed over, has ended or has no lease calls no worker empty. Ends that were taken in survive a planned handover while the table answers.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/owner"
 	"sapphiregauge/internal/tenure"
@@ -223,12 +225,17 @@
 }
 
 // handOver ends a pool's work here and has another entry take it at once, or any
-// entry as soon as it sees that the lease is given up.
+// entry as soon as it sees that the lease is given up. Each pool writes out what it
+// has taken in while others are offered: an entry that stops has a second for all.
 func (n *Node) handOver(ctx context.Context, o *owner.Owner, why string) {
+	var group conc.WaitGroup
+	stopped := false
+	group.Go(func() { stopped = o.Stop(why) })
 	n.offering.Lock()
 	defer n.offering.Unlock()
 	to := n.successor(ctx, o.Pool(), 0)
-	if o.Stop(why) && (to == "" || !n.offer(ctx, to, offerOf(o))) {
+	group.Wait()
+	if stopped && (to == "" || !n.offer(ctx, to, offerOf(o))) {
 		o.GiveUp(ctx)
 	}
 }
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -57,7 +57,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.planned, o.planning = now, false
-	if o.loaded && !o.ended {
+	if o.loaded && !o.ended && !o.stopping {
 		o.core.Limit(o.conf.Lease.Until() + o.conf.Grace)
 		orders = o.core.Plan(now)
 	}
@@ -150,10 +150,14 @@
 func (o *Owner) order(order sched.Order, now time.Duration) (time.Duration, error) {
 	o.mu.Lock()
 	stale := o.ended || now >= o.conf.Lease.Until()+o.conf.Grace
+	stopping := o.stopping
 	o.mu.Unlock()
 	if stale {
 		return 0, gauge.Fail(gauge.KindOutage, "the lease is over")
 	}
+	if stopping && order.Kind == sched.OrderStart {
+		return 0, gauge.Fail(gauge.KindOutage, "the pool is handed over")
+	}
 	w := &order.Worker
 	switch order.Kind {
 	case sched.OrderLook:
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -50,6 +50,8 @@
 		assert.Equal(t, g.table.completed(), tasks)
 		assert.Assert(t, took < mostHandover, "took %s", took)
 		assert.Assert(t, strings.Contains(g.left(), `"unwritten"=0`), g.left())
+		g.end()
+		assert.Equal(t, g.table.cut, 0, "what is broken off may be carried out, and the lease's row has another version than was offered")
 	})
 }
 
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"time"
 
 	gauge "sapphiregauge"
@@ -15,7 +16,7 @@
 	}()
 	for o.ctx.Err() == nil {
 		now := o.conf.Now()
-		w, call, written, ok := o.nextHold(id, now)
+		w, call, ok := o.nextHold(id, now)
 		if !ok {
 			return
 		}
@@ -35,17 +36,39 @@
 		}
 		o.act(func(now time.Duration) { o.core.Report(id, rep, now) })
 		if len(rep.Ended) > 0 {
-			// A hold that doesn't acknowledge them would be answered at once.
-			o.rest(written, ackWait)
+			o.restBehind(id)
 		}
 	}
 }
 
-func (o *Owner) nextHold(id string, now time.Duration) (gauge.Worker, gauge.HoldCall, <-chan struct{}, bool) {
+// nextHold is the next hold for a worker; false: there is none any more.
+func (o *Owner) nextHold(id string, now time.Duration) (gauge.Worker, gauge.HoldCall, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	w, call, ok := o.core.Holding(id, now)
-	return w, call, o.written, ok
+	if o.stopping {
+		return gauge.Worker{}, gauge.HoldCall{}, false
+	}
+	return o.core.Holding(id, now)
+}
+
+// restBehind waits until the table has the ends that a worker has listed: a hold that
+// doesn't acknowledge them would be answered at once, and list them again.
+func (o *Owner) restBehind(id string) {
+	ctx, cancel := context.WithTimeout(o.ctx, ackWait)
+	defer cancel()
+	for {
+		o.mu.Lock()
+		behind, written := o.core.Behind(id), o.written
+		o.mu.Unlock()
+		if !behind {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-written:
+		}
+	}
 }
 
 // rest waits for a while, or until something is closed.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -55,7 +55,9 @@
 	mu       sync.Mutex
 	core     *sched.Pool
 	written  chan struct{} // closed at each write, then made anew
+	away     bool          // the table didn't answer the last write
 	ended    bool          // the lease was lost or given up
+	stopping bool          // it is being handed over: nothing new begins
 	planned  time.Duration // when the last plan was made
 	planning bool          // one is due at the end of the gap
 	lanes    map[string]chan struct{}
@@ -161,16 +163,6 @@
 	o.group.Wait()
 }
 
-// Stop ends all work without a word to the table; whoever is offered the pool then
-// needn't wait for anything. False: it had ended already.
-func (o *Owner) Stop(why string) bool {
-	if !o.end() {
-		return false
-	}
-	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
-	return true
-}
-
 // Offer is the lease's row for a successor, and its version as last known.
 func (o *Owner) Offer() (gauge.LeaseRow, int64) {
 	o.mu.Lock()
@@ -287,10 +279,11 @@
 }
 
 // Empty has a worker emptied, for some seconds from now on, and tells whether
-// nothing runs there. Force: what doesn't end by itself is ended.
+// nothing runs there. Force: what doesn't end by itself is ended. Without a lease that
+// lasts nobody can tell: the next owner may have started tasks there.
 func (o *Owner) Empty(worker string, force bool) bool {
 	empty := false
-	o.act(func(now time.Duration) { empty = o.core.Empty(worker, force, now) })
+	o.act(func(now time.Duration) { empty = o.core.Empty(worker, force, now) && o.mayAdopt() && !o.stopping })
 	return empty
 }
 
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -25,6 +25,7 @@
 	jobs    map[string]*gauge.JobRow
 	most    int // entries of the largest transaction
 	txns    int
+	cut     int // transactions that were broken off
 }
 
 func (b *table) Parts(context.Context, string) ([]string, error) { return nil, nil }
@@ -41,6 +42,9 @@
 	b.mu.Unlock()
 	select {
 	case <-ctx.Done():
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.cut++
 		return gauge.Stamp{}, nil, gauge.Fail(gauge.KindUnknown, "broken off")
 	case <-time.After(takes):
 	}
@@ -111,9 +115,9 @@
 	for len(l.ended) > 0 && l.ended[0].Number <= c.LastSeen {
 		l.ended = l.ended[1:]
 	}
-	none, news := len(l.ended) == 0, s.news
+	wait, news := len(l.ended) == 0 && c.Wait > 0, s.news
 	s.mu.Unlock()
-	if none {
+	if wait {
 		select {
 		case <-ctx.Done():
 			return nil, gauge.Fail(gauge.KindUnknown, "broken off")
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -10,20 +10,25 @@
 
 // writeLoop writes what has changed, and renews the lease with every write.
 func (o *Owner) writeLoop() {
-	var failing time.Duration // since when
+	var failing time.Duration // since when no write has gone through
 	for o.ctx.Err() == nil {
 		began := o.conf.Now()
-		if failing > 0 && !o.reaches() || !o.write() {
+		more, err := o.write()
+		if err != nil {
 			if failing == 0 {
 				failing = began
 			}
 			if now := o.conf.Now(); o.stuck != nil && now-failing > o.stuckAfter {
+				o.settle(true) // whoever stops this owner from here can't wait for a write
 				o.stuck(now - failing)
 			}
 			o.rest(nil, writeAgain)
 			continue
 		}
 		failing = 0
+		if more {
+			continue // the pause is for gathering changes, of which there are enough
+		}
 		o.rest(nil, writeGap)
 		timer := time.NewTimer(renewEvery)
 		select {
@@ -35,6 +40,23 @@
 	}
 }
 
+// settle takes in whether the table can't be reached, after a write, and wakes those
+// that wait for one.
+func (o *Owner) settle(away bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.away = away
+	close(o.written)
+	o.written = make(chan struct{})
+}
+
+// isAway tells whether the last write got no answer, or not a whole one.
+func (o *Owner) isAway() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.away
+}
+
 // reaches tells whether the table answers a read, after a write that failed: a write
 // that is begun before the table is back hangs on longer after that.
 func (o *Owner) reaches() bool {
@@ -54,12 +76,16 @@
 	lease gauge.LeaseRow
 }
 
-// write sends one transaction; true: the table has it.
-func (o *Owner) write() bool {
+// write sends one transaction, and takes in that the table has it. More: the next is
+// due at once.
+func (o *Owner) write() (more bool, err error) {
+	if o.isAway() && !o.reaches() {
+		return false, gauge.Fail(gauge.KindOutage, "the table doesn't answer a read")
+	}
 	p, err := o.prepare()
 	if err != nil {
 		o.conf.Logs.Error(err, "write not made", "pool", o.conf.Pool)
-		return false
+		return false, err
 	}
 	sent := o.conf.Now()
 	stamp, rows, err := o.conf.Lease.Commit(o.ctx, p.lease, p.txn)
@@ -68,21 +94,21 @@
 	switch gauge.KindOf(err) {
 	case gauge.KindFenced:
 		o.lose(err.Error())
-		return false
+		return false, err
 	case gauge.KindConflict:
 		o.conf.Logs.Info("write refused", "pool", o.conf.Pool, "changes", len(p.batch.Changes), "rows", len(rows), "took", took)
 		o.conflicted(rows)
-		return false
+		return false, err
 	}
 	if err != nil {
 		o.avoid(p.batch.Queue)
 		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "queue", p.batch.Queue, "changes", len(p.batch.Changes), "lease", o.conf.Lease.Until()-o.conf.Now(),
 			"took", took, "kind", gauge.KindOf(err), "error", err.Error())
-		return false
+		o.settle(true)
+		return false, err
 	}
 	o.conf.Stamp(stamp, sent)
-	o.wrote(p, stamp)
-	return true
+	return o.wrote(p, stamp), nil
 }
 
 // avoid leaves a queue's changes out for a while after a write with them failed.
@@ -124,20 +150,21 @@
 	return gauge.LeaseRow{Workers: o.core.Name(), Depths: o.core.Depths()}
 }
 
-// wrote takes in that a write is in the table.
-func (o *Owner) wrote(p pending, stamp gauge.Stamp) {
-	more := false
+// wrote takes in that a write is in the table; true: the next is due at once.
+func (o *Owner) wrote(p pending, stamp gauge.Stamp) bool {
+	urgent, more := false, false
 	o.locked(func() {
 		o.core.Written(p.batch, stamp.Version, o.conf.Now())
 		o.core.Noted(p.lease.Workers)
-		close(o.written)
-		o.written = make(chan struct{})
-		more = o.core.Urgent()
+		urgent = o.core.Urgent()
+		more = p.batch.More || o.stopping && len(p.batch.Changes) > 0 && o.core.Unwritten() > 0
 	})
-	if more {
+	o.settle(false)
+	if urgent {
 		o.poke()
 	}
 	o.act(nil)
+	return more
 }
 
 // conflicted takes in rows of jobs as the table has them.
