Let each guard of a handover have a test that fails without it

Three guards keep an owner that is handed over from beginning anything, and one test did with any two of them. Tests only: holds and rows of waiting jobs are looked at, too; a test of starts that wait for others to the same worker. None left of the guards of this change without a failing test.

--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -56,7 +56,8 @@
 }
 
 // The room that an end leaves while the pool is being handed over stays free: what
-// started now would start under an owner that is about to end.
+// started now would start under an owner that is about to end. Nor does any job count
+// as begun, or any worker get another hold.
 func TestNothingStartsWhileAPoolIsHandedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const room = workerCount * workerRoom
@@ -69,16 +70,44 @@
 		g.pass(time.Second)
 		g.site.finish(1)
 		g.pass(10 * time.Millisecond)
-		assert.Equal(t, g.site.started(), room+1, "one waited for its room")
+		before, _ := g.site.counts()
+		assert.Equal(t, before, room+1, "one waited for its room")
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
 			g.stop()
 		}()
 		synctest.Wait()
-		g.site.finish(room)
+		_, held := g.site.counts()
+		g.site.finish(5)
 		<-done
-		assert.Equal(t, g.site.started(), room+1)
+		starts, holds := g.site.counts()
+		assert.Equal(t, starts, room+1)
+		assert.Equal(t, holds, held)
+		assert.Equal(t, len(g.table.jobs), room+1, "jobs that wait are as they were")
+	})
+}
+
+// Starts that wait for others to the same worker aren't sent once the pool is being
+// handed over.
+func TestStartsThatWaitTheirTurnAreNotSentDuringAHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRig(t)
+		defer g.end()
+		g.site.mu.Lock()
+		g.site.takes = 20 * time.Millisecond
+		g.site.mu.Unlock()
+		g.table.mu.Lock()
+		g.table.takes = 100 * time.Millisecond
+		g.table.mu.Unlock()
+		g.adopt(t, 0, workerCount*workerRoom)
+		g.pass(50 * time.Millisecond)
+		before, _ := g.site.counts()
+		assert.Assert(t, before > 0)
+		took := g.stop()
+		assert.Assert(t, took > 50*time.Millisecond, "there was time to send more")
+		after, _ := g.site.counts()
+		assert.Equal(t, after, before)
 	})
 }
 
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -89,7 +89,9 @@
 
 	mu     sync.Mutex
 	lives  map[string]*life
+	takes  time.Duration // for each start
 	starts int
+	holds  int
 	listed int           // ends in answers to holds, each time they are listed
 	news   chan struct{} // closed when something ends
 }
@@ -111,6 +113,7 @@
 
 func (s *site) Hold(ctx context.Context, w *gauge.Worker, c gauge.HoldCall) (*gauge.WorkerReport, error) {
 	s.mu.Lock()
+	s.holds++
 	l := s.life(w.ID)
 	for len(l.ended) > 0 && l.ended[0].Number <= c.LastSeen {
 		l.ended = l.ended[1:]
@@ -133,10 +136,20 @@
 	}, nil
 }
 
-func (s *site) Start(_ context.Context, w *gauge.Worker, c gauge.StartCall) (time.Duration, error) {
+func (s *site) Start(ctx context.Context, w *gauge.Worker, c gauge.StartCall) (time.Duration, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.starts++
+	takes := s.takes
+	s.mu.Unlock()
+	if takes > 0 {
+		select {
+		case <-ctx.Done():
+			return 0, gauge.Fail(gauge.KindUnknown, "broken off")
+		case <-time.After(takes):
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	l := s.life(w.ID)
 	l.runs = append(l.runs, gauge.RunReport{Task: c.Task, Run: c.Run})
 	return s.clock(), nil
@@ -159,10 +172,11 @@
 	s.news = make(chan struct{})
 }
 
-func (s *site) started() int {
+// counts are the starts and the holds that were sent.
+func (s *site) counts() (starts, holds int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.starts
+	return s.starts, s.holds
 }
 
 // rig is an owner at work, with time that passes only when all wait.
@@ -246,7 +260,7 @@
 	g := newRig(t)
 	g.adopt(t, 0, tasks)
 	g.pass(5 * time.Second)
-	if n := g.site.started(); n != tasks {
+	if n, _ := g.site.counts(); n != tasks {
 		t.Fatalf("%d tasks started, not %d", n, tasks)
 	}
 	return g
