Have inherited tasks wait for ends that workers have yet to tell

A worker of the owner before counted as heard with its first report, though it may have more ends than it lists, or some were left with it as their jobs could not be read. An inherited task whose end was among those started again. Taking in later ends past one that is left aside: they would be told again and again, and counted against the worker each time. Such a worker stays one that is waited for, also once the owner before can have nothing left that runs, until it has told all, its life is over, or it is silent and its lease has run out. Whether any is waited for is looked up once for each round of starts. While one part of the table can't be read, inherited tasks of the other queues wait for as long as a worker holds an end of the unread ones back. Before they might run twice.

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -152,6 +152,7 @@
 	if len(room.workers) == 0 {
 		return
 	}
+	p.doubts = p.doubtful(now)
 	turns := p.turns(now)
 	slices.SortFunc(turns, compare)
 	for _, t := range turns {
@@ -241,7 +242,7 @@
 }
 
 // unknownYet tells whether a run of the task may exist that nobody has told.
-func (p *Pool) unknownYet(t *task) bool { return p.doubtful() && t.job.inherited }
+func (p *Pool) unknownYet(t *task) bool { return p.doubts && t.job.inherited }
 
 // startGang starts all tasks of a stage or none.
 func (p *Pool) startGang(t turn, room *rooms, now time.Duration) {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -19,7 +19,6 @@
 		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.silent, w.heard, w.heardAt = false, true, now
-	delete(p.earlier, id)
 	newest := rep.Clock >= w.clock
 	w.read(rep.Clock, now)
 	held := len(rep.Ended) >= endsAtOnce // there may be more
@@ -33,6 +32,9 @@
 			w.take(e.Number, p.jobs[e.Task.Job])
 		}
 	}
+	if !held {
+		delete(p.earlier, id) // all that it has to tell of the owner before is told
+	}
 	if newest {
 		// An older picture may lack what a newer answer has told.
 		w.held = held
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -45,6 +45,7 @@
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
 	arrived float64       // core-seconds of all jobs adopted so far
+	doubts  bool          // inherited tasks wait, in this round of starts
 }
 
 // OrderKind is what is ordered.
@@ -270,7 +271,17 @@
 	}
 }
 
-// doubtful tells whether runs of a task may exist that this owner hasn't heard
-// of: the owner before it may have started them on a worker that hasn't answered
-// yet.
-func (p *Pool) doubtful() bool { return len(p.earlier) > 0 }
+// doubtful tells whether runs or ends of a task may exist that this owner hasn't
+// heard of: the owner before it may have started it on a worker that hasn't answered
+// yet, or that has ends left to tell.
+func (p *Pool) doubtful(now time.Duration) bool {
+	if len(p.earlier) > 0 {
+		return true
+	}
+	for _, w := range p.workers {
+		if w.held && !w.gone && !(w.silent && now > w.expiry) {
+			return true
+		}
+	}
+	return false
+}
