Test that a worker may run for as long as the owner before granted (red)

A new owner takes a silent worker's lease to end with its own grants; the owner before may have extended it by seconds. Before -> after. go test ./internal/sched -run MayRunFor: fails, the task starts again.

--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -260,3 +260,25 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Worker.ID, "w2")
 }
+
+// Symptom: a task has two runs at once after a takeover.
+// Sequence: the owner before has extended a worker's lease by seconds; the new one
+// hears the worker and starts a task there; the worker is silent before its next hold.
+// Cause: the lease was taken to end with what this owner itself had granted, the start.
+func TestWorkerMayRunForAsLongAsTheOwnerBeforeGranted(t *testing.T) {
+	g := newRig(t, after("w1"))
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	starts := g.starts()
+	assert.Equal(t, len(starts), 1)
+	g.ok(starts)
+	g.silent("w1")
+	g.list("w2")
+	g.pass(5 * time.Second)
+	g.hear("w2", nil)
+	assert.Equal(t, len(g.starts()), 0)
+	g.pass(1100 * time.Millisecond)
+	g.hear("w2", nil)
+	assert.Equal(t, len(g.starts()), 1, "all that was granted has run out")
+}
