Count what the owner before granted into a worker's lease

A worker that fell silent soon after a takeover was taken for lapsed once this owner's own grants had run out, though the owner before had extended its lease by more; its tasks started again elsewhere while they ran there. Waiting for named workers only: holds, which extend leases, go to all. A worker that falls silent in the first seconds of an owner, with nobody else answering at its address, holds its tasks up to some seconds longer than before.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -120,7 +120,7 @@
 		seen[info.ID] = true
 		w := p.workers[info.ID]
 		if w == nil {
-			w = &worker{runs: make(map[*run]bool)}
+			w = &worker{runs: make(map[*run]bool), expiry: p.inherited()}
 			p.workers[info.ID] = w
 			fresh = append(fresh, info)
 			p.conf.Logs.Info("worker listed", "pool", p.conf.Name, "worker", info.ID, "addr", info.Addr)
@@ -140,6 +140,16 @@
 	return fresh
 }
 
+// inherited is when the grants of the owners before have surely run out. A worker's
+// lease is one for all that runs there and never gets shorter, so that theirs also
+// covers what this owner starts.
+func (p *Pool) inherited() time.Duration {
+	if p.conf.Term == 0 {
+		return 0
+	}
+	return p.conf.Doubt
+}
+
 // Name lists the workers for the lease row: those that this owner, or an earlier
 // one that it hasn't heard about, may have given orders to. A successor asks all of
 // them before it starts anything again that was there before it.
