--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/owner"
 	"sapphiregauge/internal/tenure"
@@ -223,16 +225,24 @@
 }
 
 // handOver ends a pool's work here and has another entry take it at once, or any
-// entry as soon as it sees that the lease is given up.
+// entry as soon as it sees that the lease is given up. Each pool writes out what it
+// has taken in while others are offered: an entry that stops has a second for all.
 func (n *Node) handOver(ctx context.Context, o *owner.Owner, why string) {
+	var group conc.WaitGroup
+	stopped := false
+	group.Go(func() { stopped = o.Stop(why) })
 	n.offering.Lock()
 	defer n.offering.Unlock()
-	n.give(ctx, o, n.successor(ctx, o.Pool(), 0), why)
+	to := n.successor(ctx, o.Pool(), 0)
+	group.Wait()
+	if stopped {
+		n.give(ctx, o, to)
+	}
 }
 
-// give ends a pool's work here and has an entry take it; empty: there is none.
-func (n *Node) give(ctx context.Context, o *owner.Owner, to, why string) {
-	if o.Stop(why) && (to == "" || !n.offer(ctx, to, offerOf(o))) {
+// give has an entry take a pool that is stopped here; empty: there is none.
+func (n *Node) give(ctx context.Context, o *owner.Owner, to string) {
+	if to == "" || !n.offer(ctx, to, offerOf(o)) {
 		o.GiveUp(ctx)
 	}
 }
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -73,7 +73,9 @@
 	}
 	n.offering.Lock()
 	defer n.offering.Unlock()
-	n.give(ctx, o, to, lessBurdened)
+	if o.Stop(lessBurdened) {
+		n.give(ctx, o, to)
+	}
 }
 
 // lighter finds an entry that is ready and so much less burdened that a lease should
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -56,7 +56,9 @@
 	mu       sync.Mutex
 	core     *sched.Pool
 	written  chan struct{} // closed at each write, then made anew
+	away     bool          // the table didn't answer the last write
 	ended    bool          // the lease was lost or given up
+	stopping bool          // it is being handed over: nothing new begins
 	planned  time.Duration // when the last plan was made
 	planning bool          // one is due at the end of the gap
 	lanes    map[string]chan struct{}
@@ -119,9 +121,9 @@
 	adviseAgain = 200 * time.Millisecond
 	// ackWait bounds how long a hold waits for the ends before to be written.
 	ackWait = 400 * time.Millisecond
-	// batchJobs jobs at most go into a transaction of at most 100 entries: two
-	// for the lease, four for a job that has ended.
-	batchJobs = 24
+	// batchEntries of a transaction are for changes of jobs: it holds 100 at most, by
+	// the users' figure, and the lease takes two, its check and its write.
+	batchEntries = 100 - 2
 )
 
 // New makes an Owner of a pool whose lease was just taken. With ctx all its work
@@ -166,16 +168,6 @@
 	o.group.Wait()
 }
 
-// Stop ends all work without a word to the table; whoever is offered the pool then
-// needn't wait for anything. False: it had ended already.
-func (o *Owner) Stop(why string) bool {
-	if !o.end() {
-		return false
-	}
-	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
-	return true
-}
-
 // Offer is the lease's row for a successor, and its version as last known.
 func (o *Owner) Offer() (gauge.LeaseRow, int64) {
 	o.mu.Lock()
@@ -292,10 +284,11 @@
 }
 
 // Empty has a worker emptied, for some seconds from now on, and tells whether
-// nothing runs there. Force: what doesn't end by itself is ended.
+// nothing runs there. Force: what doesn't end by itself is ended. Without a lease that
+// lasts nobody can tell: the next owner may have started tasks there.
 func (o *Owner) Empty(worker string, force bool) bool {
 	empty := false
-	o.act(func(now time.Duration) { empty = o.core.Empty(worker, force, now) })
+	o.act(func(now time.Duration) { empty = o.core.Empty(worker, force, now) && o.mayAdopt() && !o.stopping })
 	return empty
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -127,6 +127,7 @@
 	if p.full() {
 		return
 	}
+	p.doubts = p.doubtful(now)
 	turns := p.turns(room.most, now)
 	// Room only shrinks within a plan: once the smallest task doesn't fit, none does.
 	for len(turns) > 0 && room.most.Holds(p.counts.least) && !p.full() {
@@ -174,7 +175,7 @@
 }
 
 // unknownYet tells whether a run of the task may exist that nobody has told.
-func (p *Pool) unknownYet(t *task) bool { return p.doubtful() && t.job.inherited }
+func (p *Pool) unknownYet(t *task) bool { return p.doubts && t.job.inherited }
 
 // startGang starts all tasks of a stage or none.
 func (p *Pool) startGang(t turn, room *rooms, now time.Duration) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -50,6 +50,7 @@
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
 	arrived float64       // core-seconds of all jobs adopted so far
+	doubts  bool          // inherited tasks wait, in this round of starts
 	flying  int           // starts that have no answer yet
 	counts  counts
 	swept   time.Duration // when ended jobs were last forgotten
@@ -131,7 +132,7 @@
 		seen[info.ID] = true
 		w := p.workers[info.ID]
 		if w == nil {
-			w = &worker{runs: make(map[*run]bool)}
+			w = &worker{runs: make(map[*run]bool), expiry: p.inherited()}
 			p.workers[info.ID] = w
 			p.sorted = nil
 			fresh = append(fresh, info)
@@ -152,12 +153,22 @@
 	return fresh
 }
 
+// inherited is when the grants of the owners before have surely run out. A worker's
+// lease is one for all that runs there and never gets shorter, so that theirs also
+// covers what this owner starts.
+func (p *Pool) inherited() time.Duration {
+	if p.conf.Term == 0 {
+		return 0
+	}
+	return p.conf.Doubt
+}
+
 // Name lists the workers for the lease row: those that this owner, or an earlier
 // one that it hasn't heard about, may have given orders to. A successor asks all of
 // them before it starts anything again that was there before it.
 //
-// Workers that run nothing and take nothing are left out, and get no start before
-// they are named again. Machines change pools several times a minute: named until
+// Workers that run nothing and take nothing, and whose ends are in the table, are
+// left out, and get no start before they are named again. Machines change pools several times a minute: named until
 // their leases are over, workers of machines that have left would have a successor
 // wait for them for seconds, with the whole pool's work.
 func (p *Pool) Name() []string {
@@ -255,7 +266,7 @@
 				p.end(r, now)
 			}
 		}
-		if !w.listed && now > w.expiry && (w.silent || w.gone) {
+		if !w.listed && now > w.expiry && (w.gone || w.silent && w.kept == w.ends) {
 			delete(p.workers, id)
 			p.sorted = nil
 		}
@@ -303,7 +314,17 @@
 	}
 }
 
-// doubtful tells whether runs of a task may exist that this owner hasn't heard
-// of: the owner before it may have started them on a worker that hasn't answered
-// yet.
-func (p *Pool) doubtful() bool { return len(p.earlier) > 0 }
+// doubtful tells whether runs or ends of a task may exist that this owner hasn't
+// heard of: the owner before it may have started it on a worker that hasn't answered
+// yet, or that has ends left to tell.
+func (p *Pool) doubtful(now time.Duration) bool {
+	if len(p.earlier) > 0 {
+		return true
+	}
+	for _, w := range p.workers {
+		if w.held && !w.gone && !(w.silent && now > w.expiry) {
+			return true
+		}
+	}
+	return false
+}
