Let the benchmark's workers tell the time as of their answer

Cause: a hold that waited in vain was answered with the clock from before the wait.

Ruled out: the owner's own fault: a log of such a task shows its run given up at the first report, whose clock is past the run's deadline; a worker would have refused that start as late.

Change: the clock is read when the hold is answered; a Stop is answered, and counted: a benchmark in which a task had two runs fails.

--- a/internal/owner/cost_bench_test.go
+++ b/internal/owner/cost_bench_test.go
@@ -27,6 +27,7 @@
 	mu    sync.Mutex
 	began time.Time
 	by    map[string]*ends
+	stops atomic.Int64 // there should be none
 }
 
 // ends are those of one worker that are not acknowledged.
@@ -58,6 +59,11 @@
 	return w.clock(), nil
 }
 
+func (w *instant) Stop(context.Context, *gauge.Worker, gauge.StopCall) (time.Duration, error) {
+	w.stops.Add(1)
+	return w.clock(), nil
+}
+
 // Hold waits for an end that isn't acknowledged.
 func (w *instant) Hold(ctx context.Context, to *gauge.Worker, c gauge.HoldCall) (*gauge.WorkerReport, error) {
 	timer := time.NewTimer(c.Wait)
@@ -77,6 +83,8 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-timer.C:
+			// As of now: a reading from before the wait would have starts run out.
+			rep.Clock = w.clock()
 			return rep, nil
 		case <-e.news:
 		}
@@ -113,10 +121,11 @@
 	now := func() time.Duration { return time.Second + time.Since(began) }
 	table := &counted{}
 	table.version.Store(100)
+	on := &instant{began: began, by: make(map[string]*ends)}
 	done := make(chan struct{}, costWaiting)
 	ctx, cancel := context.WithCancel(b.Context())
 	o := owner.New(ctx, owner.Config{
-		Pool: "p", Store: table, Workers: &instant{began: began, by: make(map[string]*ends)}, Logs: log, Now: now, Wall: time.Now,
+		Pool: "p", Store: table, Workers: on, Logs: log, Now: now, Wall: time.Now,
 		Lease: tenure.New(tenure.Config{Lasts: time.Hour, Taken: now(), Store: table, Now: now, Clock: func() int64 { return 1 }}),
 		Grace: time.Second, Hold: 5 * time.Second, Stamp: func(gauge.Stamp, time.Duration) {},
 		Clock: func() int64 { return 1 }, Count: func(string, time.Duration) {}, Event: func(e string) {
@@ -161,6 +170,7 @@
 	b.StopTimer()
 	cancel()
 	group.Wait()
+	assert.Equal(b, on.stops.Load(), int64(0), "a task had two runs")
 }
 
 // spent is the processor time that this process has had so far.
