--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -289,7 +289,7 @@
 		return true
 	}
 	for _, w := range p.workers {
-		if w.held && !w.gone && !(w.silent && now > w.expiry) {
+		if w.held && !w.gone && (!w.silent || now <= w.expiry) {
 			return true
 		}
 	}
