--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -28,6 +28,7 @@
 	Wait  time.Duration // how long a worker may keep a hold waiting
 	// Window is how many starts may be without an answer at a time; 0: any number.
 	Window int
+	Lane   int // the same, at one worker; not for gangs
 	Logs   logr.Logger
 	Count  func(event string) // counts what an operator should see; nil: nobody counts
 
--- a/internal/sched/window_test.go
+++ b/internal/sched/window_test.go
@@ -72,3 +72,70 @@
 	}
 	assert.Equal(t, len(g.starts()), 2)
 }
+
+func lane(starts int) option {
+	return func(c *sched.Config) { c.Lane = starts }
+}
+
+// Symptom: no task of a pool starts for two seconds though most workers have room.
+// Sequence: two workers of ten are cut off; starts go there first, as they are the
+// fullest, and get no answer; they are all that may be without one.
+// Cause: the bound was one for the whole pool.
+func TestStartsAtAWorkerThatDoesNotAnswerLeaveTheOthersTheirs(t *testing.T) {
+	g := newRig(t, window(4), lane(2))
+	g.list("a", "b")
+	g.hear("a", nil)
+	g.hear("b", nil)
+	g.adopt(1, false, step(8))
+	at := make(map[string]int)
+	for range 6 {
+		for _, o := range g.starts() {
+			at[o.Worker.ID]++
+			if o.Worker.ID == "b" {
+				g.ok([]sched.Order{o})
+			}
+		}
+	}
+	assert.Equal(t, at["a"], 2)
+	assert.Equal(t, at["b"], 4, "all that it has room for")
+}
+
+// Symptom: the same, for as long as orders to a worker that is gone take to fail.
+// Sequence: the worker's life is known to be over, or it doesn't answer a hold, before
+// its starts are answered.
+// Cause: they counted until then.
+func TestStartsAtAWorkerThatIsSilentOrOverDoNotCount(t *testing.T) {
+	for _, kind := range []gauge.Kind{gauge.KindReplaced, gauge.KindUnknown} {
+		g := newRig(t, window(2))
+		g.list("a")
+		g.hear("a", nil)
+		g.adopt(1, false, step(4))
+		first := g.starts()
+		assert.Equal(t, len(first), 2)
+		g.pool.HoldFailed("a", gauge.Fail(kind, "no answer"), g.now)
+		g.list("b")
+		g.hear("b", nil)
+		second := g.starts()
+		assert.Equal(t, len(second), 2, string(kind))
+		g.ok(first) // late answers count once
+		assert.Equal(t, len(g.starts()), 0, string(kind))
+	}
+}
+
+// Symptom: each round of starts waits for the same worker again.
+// Sequence: a start gets no answer; the worker is the fullest that has room, and gets
+// the next start as well.
+// Cause: it was used on before it had answered anything.
+func TestWorkerThatLeftAStartUnansweredGetsNoneBeforeItIsHeard(t *testing.T) {
+	g := newRig(t)
+	g.list("a")
+	g.hear("a", nil)
+	g.adopt(1, false, step(1))
+	first := g.starts()
+	g.pool.Answered(first[0], 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.adopt(2, false, step(1))
+	assert.Equal(t, len(g.starts()), 0)
+	g.now += time.Millisecond
+	g.hear("a", []gauge.RunReport{running(first[0])})
+	assert.Equal(t, len(g.starts()), 1)
+}
