Bound starts without an answer at each worker too

Cause: starts to workers that are cut off were all that may be without an answer, and counted until their orders failed; such a worker, the fullest with room, then got the next start as well. Change: a bound at each worker (as many as go out to it at a time; a gang is outside it); starts at workers that are silent or over count no more; a worker that left a start unanswered gets none before it is heard. Conclusion: what a cut can hold up is bounded by what is sent to the workers cut off.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -135,7 +135,7 @@
 		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		core: sched.New(sched.Config{
-			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow,
+			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow, Lane: ordersAtOnce,
 			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
 		}),
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -144,11 +144,6 @@
 	clear(p.turned) // else it would keep jobs that have ended
 }
 
-// full tells whether as many starts as may be are without an answer. Each carries its
-// job's text: sent at once for all that wait, they would fill a thin link for longer
-// than answers are waited for, with holds and the lease's renewal behind them.
-func (p *Pool) full() bool { return p.conf.Window > 0 && p.flying >= p.conf.Window }
-
 // startEach starts as many tasks of a stage as there is room for.
 func (p *Pool) startEach(t turn, room *rooms, now time.Duration) {
 	on := t.stage.perWorker()
@@ -160,7 +155,7 @@
 		if p.full() {
 			break
 		}
-		w := room.place(t.stage, on, nil, t.allows(now))
+		w := room.place(t.stage, on, nil, p.bounded(t.allows(now)))
 		if w == nil {
 			p.ask(&t, room, now)
 			break // none of the others fits either
@@ -224,7 +219,7 @@
 	}
 	t.attach(r)
 	w.add(r)
-	p.flying++
+	p.fly(r)
 	if !t.job.begun {
 		t.job.begin()
 		if t.job.row.State == gauge.JobPending {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -18,7 +18,7 @@
 	if !w.heard {
 		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
-	w.silent, w.heard, w.heardAt = false, true, now
+	w.silent, w.mute, w.heard, w.heardAt = false, false, true, now
 	newest := rep.Clock >= w.clock
 	w.read(rep.Clock, now)
 	held := len(rep.Ended) >= endsAtOnce // there may be more
@@ -252,7 +252,7 @@
 	r.worker.read(clock, now)
 	switch o.Kind {
 	case OrderStart:
-		p.flying--
+		p.land(r)
 		p.started(r, clock, err, now)
 	case OrderStop:
 		r.asked = false
@@ -293,6 +293,7 @@
 	switch gauge.KindOf(err) {
 	case gauge.KindUnknown, gauge.KindInternal:
 		r.phase, r.unsure = phaseUnsure, true
+		r.worker.mute = true // it would be the first choice for the next start
 		p.look(r.worker)
 	case gauge.KindStale:
 		r.task.lastRun++
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -230,6 +230,9 @@
 			"expires", w.expiry-now, "error", err.Error())
 	}
 	w.silent = true
+	for r := range w.runs {
+		p.land(r)
+	}
 }
 
 // over takes in that a worker's life has ended: nothing runs there.
@@ -248,6 +251,7 @@
 // end takes a run off all lists: it is over, and can't begin any more.
 func (p *Pool) end(r *run, now time.Duration) {
 	r.worker.remove(r)
+	p.land(r)
 	delete(p.halts, r)
 	r.task.detach(r)
 	r.task.readyAt = now
--- a/internal/sched/window_test.go
+++ b/internal/sched/window_test.go
@@ -109,7 +109,7 @@
 		g := newRig(t, window(2))
 		g.list("a")
 		g.hear("a", nil)
-		g.adopt(1, false, step(4))
+		g.adopt(1, false, step(8))
 		first := g.starts()
 		assert.Equal(t, len(first), 2)
 		g.pool.HoldFailed("a", gauge.Fail(kind, "no answer"), g.now)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -27,6 +27,7 @@
 	phase    phase
 	room     gauge.Resources
 	sent     time.Duration // when it was ordered
+	flying   bool          // its start has no answer yet, and counts for the bound on these
 	until    time.Duration // on the worker's clock: an order that comes later is refused
 	known    time.Duration // on the worker's clock: the worker has had it, or its stop, since
 	stop     bool          // it is to end
@@ -46,6 +47,8 @@
 	listed bool // it is on the platform's list
 	noted  bool // the lease row names it: a successor will ask it first
 	heard  bool // it has answered to this owner's fencing token
+	mute   bool // a start got no answer, and nothing was heard since
+	flying int  // starts that have no answer yet
 	silent bool // its last hold got no answer
 	gone   bool // it is surely over
 
@@ -156,6 +159,6 @@
 
 // takes tells whether new runs may start here.
 func (w *worker) takes(now time.Duration) bool {
-	return w.listed && w.noted && w.heard && !w.silent && !w.gone && !w.info.Draining &&
+	return w.listed && w.noted && w.heard && !w.mute && !w.silent && !w.gone && !w.info.Draining &&
 		now >= w.emptyUntil && w.odd == 0 && w.clock > 0 && now >= w.rest
 }
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -69,7 +69,7 @@
 	w.pool = sched.New(sched.Config{
 		Name: poolName, Fence: w.fence, Term: w.term, Hold: 5 * time.Second, Start: time.Second, Wait: time.Second,
 		Logs: logr.Discard(), Earlier: earlier, Doubt: w.now + 6*time.Second,
-		Window: w.term % 2 * 3, // every other owner bounds its starts
+		Window: w.term % 2 * 3, Lane: w.term % 2 * 2, // every other owner bounds its starts
 	})
 	w.term++
 	w.pool.Configure(&gauge.Site{Version: 1, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 3, Stretch: 2}}})
