Stop runs of jobs that are over until they are gone; wait for workers heard while a queue is read

A run of no open job was stopped once with each report, and only with a report that no order's answer had overtaken: at a busy worker there may be none for as long as the owner is behind. With a queue missing no such run was stopped, also where the job was known to be over. A cancel of a job that wasn't known (being read, or its hand-in's notice still on its way) was forgotten. A worker whose holds got no answer was sent no stop. A report that came between Rehear and the taking in of a job read late had its worker counted as heard, though the runs it told of were left aside: the task started a second time. A job read late makes inherited tasks wait for all workers anew.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -39,6 +39,12 @@
 		j.occurrence(0, now)
 		j.next = 1
 	}
+	p.cancelEarly(j)
+	if a.Inherited && p.partial {
+		// Runs of it that were told of so far were left aside, also those told of while
+		// it was being read.
+		p.Rehear(now)
+	}
 	if a.Inherited && p.conf.Term > 0 {
 		j.skipNumbers(p.conf.Term)
 	}
@@ -101,6 +107,7 @@
 func (p *Pool) Cancel(id string, version int64) {
 	j := p.jobs[id]
 	if j == nil {
+		p.rememberCancel(id, version)
 		return
 	}
 	if version > j.version {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -11,6 +11,7 @@
 // Plan returns the orders that follow from all that has been taken in.
 func (p *Pool) Plan(now time.Duration) []Order {
 	p.stops(now)
+	p.stopOdds(now)
 	p.evacuate(now)
 	p.starts(now)
 	p.pace(now)
@@ -23,13 +24,13 @@
 // sent again: it has no effect twice.
 func (p *Pool) stops(now time.Duration) {
 	for r := range p.halts {
-		if r.worker.gone || r.worker.silent || r.asked || r.phase == phaseStopping || r.phase == phaseSent {
+		if r.worker.gone || r.asked || r.phase == phaseStopping || r.phase == phaseSent {
 			continue
 		}
 		if now < r.again {
 			continue
 		}
-		r.again = now + stopAgain
+		r.again = now + r.worker.stopPause()
 		p.stop(r)
 	}
 }
--- a/internal/sched/rehear_test.go
+++ b/internal/sched/rehear_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
 )
 
 // Symptom: a task has two runs at once after a takeover.
@@ -35,3 +36,22 @@
 	g.hear("w1", left)
 	assert.Equal(t, len(g.starts()), 0)
 }
+
+// Symptom: a task that has failed isn't started again for a while.
+// Sequence: a look at a worker overtakes a hold's answer that was made before; the
+// look tells the run's end, the hold's answer lists it as running.
+// Cause: an older picture is taken for the newest.
+func TestOlderReportBringsNoRunBackThatHasEnded(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	start := g.starts()[0]
+	g.ok([]sched.Order{start})
+	g.pass(100 * time.Millisecond)
+	before := g.clock()
+	g.pass(100 * time.Millisecond)
+	g.hear("w1", nil, g.end("w1", start.Start.Task, 1, gauge.EndFailed))
+	g.hearAt("w1", before, []gauge.RunReport{running(start)})
+	assert.Equal(t, len(g.starts()), 1)
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -19,8 +19,9 @@
 		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.silent, w.heard, w.heardAt = false, true, now
-	delete(p.earlier, id)
-	newest := rep.Clock >= w.clock
+	// Compared with the reports before it alone: answers to orders overtake reports all
+	// the while at a busy worker, and what they tell is kept with each run.
+	newest := rep.Clock >= w.pictured
 	w.read(rep.Clock, now)
 	held := len(rep.Ended) >= endsAtOnce // there may be more
 	for _, e := range rep.Ended {
@@ -34,8 +35,10 @@
 		}
 	}
 	if newest {
-		// An older picture may lack what a newer answer has told.
+		// An older picture may have what has ended since.
+		w.pictured = rep.Clock
 		p.running(w, rep, held, now)
+		delete(p.earlier, id)
 	}
 }
 
@@ -52,9 +55,7 @@
 		r := p.reported(w, rr, rep.Clock, now)
 		if r == nil {
 			w.odd++
-			if !p.partial {
-				p.stopOdd(w, rr)
-			}
+			p.noteOdd(w, rr)
 			continue
 		}
 		there[r] = true
@@ -67,6 +68,7 @@
 			r.task.saved = rr.Saved
 		}
 	}
+	p.keepOdds(w, rep.Running)
 	for r := range w.runs {
 		if !there[r] && r.phase == phaseUnsure {
 			// Once a stop is answered the start can't be carried out any more,
@@ -126,17 +128,6 @@
 	return r
 }
 
-// stopOdd ends a run of a job that is not open: it was cancelled or has failed,
-// and a start of an earlier owner was carried out late.
-func (p *Pool) stopOdd(w *worker, rr gauge.RunReport) {
-	p.conf.Count(EventOdd)
-	p.conf.Logs.Info("run of no open job", "job", rr.Task.Job, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID)
-	p.orders = append(p.orders, Order{
-		Kind: OrderStop, Worker: w.info,
-		Stop: gauge.StopCall{Fence: p.conf.Fence, Task: rr.Task, Run: rr.Run},
-	})
-}
-
 // ended takes in the end of a run.
 func (p *Pool) ended(w *worker, e gauge.EndReport, now time.Duration) {
 	j := p.jobs[e.Task.Job]
@@ -242,6 +233,9 @@
 // Answered takes in the outcome of an order.
 func (p *Pool) Answered(o Order, clock time.Duration, err error, now time.Duration) {
 	r := o.run
+	if o.odd != nil {
+		p.oddAnswered(o.odd, clock, err, now)
+	}
 	if r == nil {
 		return
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -44,7 +44,10 @@
 	partial bool            // jobs may be missing: some could not be read yet
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
-	arrived float64       // core-seconds of all jobs adopted so far
+	odds    map[*oddRun]bool
+	cancels map[string]cancelled // of jobs that aren't known
+	ticked  time.Duration        // when time was last told
+	arrived float64              // core-seconds of all jobs adopted so far
 }
 
 // OrderKind is what is ordered.
@@ -73,6 +76,7 @@
 	stage  *stage
 	valid  time.Duration
 	run    *run
+	odd    *oddRun
 }
 
 // Events that are counted, beside the ends of runs by how they came. The first
@@ -93,7 +97,7 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
-		earlier: make(map[string]bool), site: &gauge.Site{},
+		earlier: make(map[string]bool), site: &gauge.Site{}, odds: make(map[*oddRun]bool), cancels: make(map[string]cancelled),
 	}
 	for _, id := range c.Earlier {
 		p.earlier[id] = true
@@ -217,6 +221,7 @@
 	for r := range w.runs {
 		p.end(r, now)
 	}
+	p.forgetOdds(w)
 	delete(p.earlier, w.info.ID)
 }
 
@@ -234,7 +239,12 @@
 // Tick takes in that time has passed: leases that ran out, occurrences that are
 // due.
 func (p *Pool) Tick(now time.Duration, wall time.Time) {
+	p.ticked = now
+	p.forgetCancels(now)
 	for id, w := range p.workers {
+		if w.silent && now > max(w.expiry, p.conf.Doubt) {
+			p.forgetOdds(w) // whoever ordered them, their leases have run out
+		}
 		if now > w.expiry && (w.silent || !w.listed) && len(w.runs) > 0 {
 			p.conf.Count(EventLapsed)
 			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
@@ -243,6 +253,7 @@
 			}
 		}
 		if !w.listed && now > w.expiry && (w.silent || w.gone) {
+			p.forgetOdds(w)
 			delete(p.workers, id)
 		}
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -50,7 +50,10 @@
 
 	runs map[*run]bool
 	used gauge.Resources
-	odd  int // runs there of jobs that this owner doesn't know
+	odd  int                // runs there of jobs that this owner doesn't know
+	odds map[oddKey]*oddRun // of these, the ones that are to end
+
+	pictured time.Duration // worker's clock in the newest report
 
 	clock   time.Duration // worker's clock ...
 	readAt  time.Duration // ... as read at this time on ours
