Count slow orders as they come and go

Each order that ended had all orders of the last second walked. TestLag unchanged and green; TestSeen is new.

--- a/internal/lag/lag.go
+++ b/internal/lag/lag.go
@@ -1,6 +1,6 @@
 // Package lag tells when a process doesn't get the processor time or the network
 // that it needs: calls that take milliseconds take far longer, to whomever they
-// go.
+// go. It also tells when an owner is behind with its work, and has caught up.
 package lag
 
 import "time"
@@ -13,10 +13,14 @@
 	Peers  int           // slow calls must go to so many different ends, else these are at fault
 }
 
-// Meter watches calls. It is not safe for concurrent use.
+// Meter watches calls. It is not safe for concurrent use. Counts are kept as calls
+// come and go: thousands end each second, and when they are slow there is no
+// processor time to walk them all for each.
 type Meter struct {
 	conf  Config
 	calls []call
+	slow  int            // of calls
+	peers map[string]int // slow calls by the end that they went to
 }
 
 type call struct {
@@ -25,21 +29,45 @@
 	slow bool
 }
 
+// Seen is what a Meter has seen in its window.
+type Seen struct {
+	Calls int
+	Slow  int
+	Peers int // different ends that slow calls went to
+}
+
 // New makes a Meter.
-func New(c Config) *Meter { return &Meter{conf: c} }
+func New(c Config) *Meter { return &Meter{conf: c, peers: make(map[string]int)} }
 
 // Note takes in a call that has ended; true: most calls are slow now.
 func (m *Meter) Note(peer string, took, now time.Duration) bool {
+	m.forget(now)
+	c := call{at: now, peer: peer, slow: took > m.conf.Slow}
+	m.calls = append(m.calls, c)
+	if c.slow {
+		m.slow++
+		m.peers[peer]++
+	}
+	return len(m.calls) >= m.conf.Calls && len(m.peers) >= m.conf.Peers && 2*m.slow > len(m.calls)
+}
+
+// Seen tells what was seen in the window before now.
+func (m *Meter) Seen(now time.Duration) Seen {
+	m.forget(now)
+	return Seen{Calls: len(m.calls), Slow: m.slow, Peers: len(m.peers)}
+}
+
+// forget drops the calls that have left the window.
+func (m *Meter) forget(now time.Duration) {
 	for len(m.calls) > 0 && now-m.calls[0].at > m.conf.Window {
+		c := m.calls[0]
 		m.calls = m.calls[1:]
-	}
-	m.calls = append(m.calls, call{at: now, peer: peer, slow: took > m.conf.Slow})
-	slow, peers := 0, make(map[string]bool)
-	for _, c := range m.calls {
-		if c.slow {
-			slow++
-			peers[c.peer] = true
+		if !c.slow {
+			continue
+		}
+		m.slow--
+		if m.peers[c.peer]--; m.peers[c.peer] == 0 {
+			delete(m.peers, c.peer)
 		}
 	}
-	return len(m.calls) >= m.conf.Calls && len(peers) >= m.conf.Peers && 2*slow > len(m.calls)
 }
--- a/internal/lag/lag_test.go
+++ b/internal/lag/lag_test.go
@@ -40,3 +40,17 @@
 		})
 	}
 }
+
+// What is told of the window is what is in it, by whatever calls it was filled.
+func TestSeen(t *testing.T) {
+	m := lag.New(lag.Config{Window: time.Second, Slow: 150 * time.Millisecond, Calls: 10, Peers: 3})
+	now := time.Hour
+	for i := range 20 {
+		took := time.Duration(i%2) * 300 * time.Millisecond
+		m.Note(fmt.Sprint(i%4), took, now)
+	}
+	assert.Equal(t, m.Seen(now), lag.Seen{Calls: 20, Slow: 10, Peers: 2})
+	m.Note("9", time.Second, now+600*time.Millisecond)
+	assert.Equal(t, m.Seen(now+1200*time.Millisecond), lag.Seen{Calls: 1, Slow: 1, Peers: 1})
+	assert.Equal(t, m.Seen(now+2*time.Second), lag.Seen{})
+}
