Tell when an owner is behind, and what waits there

Neither lines nor metrics told what waits at an owner: changes that the table doesn't have, ends not acknowledged, orders in their lanes. 'owner lags' had the last order's time alone, 'pool left' nothing of what was given up. Times kept with each change, end or order: they cost something per task. What waits is looked at four times a second instead; ages are a quarter of a second short at most. No look in 'lease lost': it is also written after a panic, when the state may be half changed. Change. sched.Pool.Backlog counts, owner/sight.go tells: 'owner behind' at most once a second while the oldest change, end or start has waited a second, 'owner caught up' at half of that; gauges sapphiregauge_owner_* by pool while it is owned here, a histogram of the oldest's age. 'owner lags' has calls, slow, targets; 'pool left' unwritten and ends.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -24,6 +24,7 @@
 	values   *prometheus.GaugeVec
 	calls    *prometheus.HistogramVec
 	events   *prometheus.CounterVec
+	owners   *owners
 }
 
 const prefix = "sapphiregauge_"
@@ -59,6 +60,8 @@
 	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: prefix + "events_total", Help: "What happened to jobs, runs, workers and leases, by event.",
 	}, []string{"event"})
+	m.owners = newOwners()
+	m.owners.register(m.Registry)
 	m.Registry.MustRegister(
 		m.calls, m.events,
 		m.requests, m.seconds, m.attempts, m.ejected, m.moves, m.values,
--- /dev/null
+++ b/internal/meter/owner_test.go
@@ -0,0 +1,46 @@
+package meter_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/meter"
+)
+
+// What waits at an owner is told while its pool is owned here, and no longer.
+func TestBacklogIsToldWhileThePoolIsOwnedHere(t *testing.T) {
+	m := meter.New()
+	m.Backlog("a", &gauge.Backlog{
+		Changes: 3, ChangeAge: 1500 * time.Millisecond, Ends: 20, EndAge: 2 * time.Second, Starts: 7, StartAge: 250 * time.Millisecond,
+		Queued: 4, Workers: 10, Silent: 1, Calls: 40, Slow: 10, Targets: 2,
+	})
+	m.Backlog("b", &gauge.Backlog{})
+	want := map[string]string{
+		"unwritten_changes": "3", "oldest_change_seconds": "1.5", "unacknowledged_ends": "20", "oldest_end_seconds": "2",
+		"unanswered_starts": "7", "oldest_start_seconds": "0.25", "queued_orders": "4", "silent_workers": "1", "slow_calls_ratio": "0.25",
+	}
+	text := scrape(m)
+	for name, value := range want {
+		assert.Assert(t, strings.Contains(text, `sapphiregauge_owner_`+name+`{pool="a"} `+value+"\n"), text)
+		assert.Assert(t, strings.Contains(text, `sapphiregauge_owner_`+name+`{pool="b"} 0`+"\n"), text)
+	}
+	assert.Assert(t, strings.Contains(text, "sapphiregauge_owner_oldest_seconds_count 2\n"), text)
+	m.Backlog("a", nil)
+	text = scrape(m)
+	assert.Assert(t, !strings.Contains(text, `pool="a"`), text)
+	assert.Assert(t, strings.Contains(text, `pool="b"`), text)
+}
+
+// scrape is the metrics as an operator gets them.
+func scrape(m *meter.Meter) string {
+	answer := httptest.NewRecorder()
+	promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	return answer.Body.String()
+}
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -162,7 +162,7 @@
 		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers,
 		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
-		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event,
+		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event, Backlog: n.conf.Backlog,
 	})
 	o.OnStuck(stuckAfter, func(failing time.Duration) { n.leave(ctx, o, failing) })
 	n.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,12 +34,13 @@
 	Now      func() time.Duration // steady clock
 	Wall     func() time.Time
 	Count    func(event string, took time.Duration)
-	Event    func(event string) // counts what an operator should see
-	Longest  time.Duration      // longest lease that a worker takes
-	TurnGap  time.Duration      // two entries may not order one machine within this
-	Upkeep   time.Duration      // length of a machine's upkeep
-	Migrate  time.Duration      // length of a machine's move
-	Keep     time.Duration      // how long an ended job can be asked for
+	Event    func(event string)                  // counts what an operator should see
+	Backlog  func(pool string, b *gauge.Backlog) // told what waits at the owners here; nil: nobody is
+	Longest  time.Duration                       // longest lease that a worker takes
+	TurnGap  time.Duration                       // two entries may not order one machine within this
+	Upkeep   time.Duration                       // length of a machine's upkeep
+	Migrate  time.Duration                       // length of a machine's move
+	Keep     time.Duration                       // how long an ended job can be asked for
 }
 
 const (
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -41,8 +41,10 @@
 	orders, urgent := o.decide()
 	for _, order := range orders {
 		lane := o.lane(order.Worker.ID)
+		o.queued.Add(1)
 		o.run(func() {
 			lane <- struct{}{}
+			o.queued.Add(-1)
 			defer func() { <-lane }()
 			o.send(order)
 		})
@@ -136,11 +138,12 @@
 	o.mu.Lock()
 	lags := o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
 	o.leaving = o.leaving || lags
+	seen := o.lag.Seen(now)
 	o.mu.Unlock()
 	if !lags {
 		return
 	}
-	o.conf.Logs.Info("owner lags", "pool", o.conf.Pool, "took", took)
+	o.conf.Logs.Info("owner lags", "pool", o.conf.Pool, "took", took, "calls", seen.Calls, "slow", seen.Slow, "targets", seen.Peers)
 	o.stuck(0)
 	o.mu.Lock()
 	o.leaving = false
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -62,6 +62,7 @@
 func (o *Owner) tickLoop() {
 	for o.ctx.Err() == nil {
 		o.act(func(now time.Duration) { o.core.Tick(now, o.conf.Wall()) })
+		o.lookAtBacklog()
 		o.rest(nil, tickEvery)
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -40,6 +41,9 @@
 	Clock   func() int64                            // the table's clock in milliseconds, about
 	Count   func(event string, took time.Duration)
 	Event   func(event string) // counts what an operator should see
+	// Backlog is told what waits here, several times a second, and nil when this owner
+	// has ended; nil: nobody is told.
+	Backlog func(pool string, b *gauge.Backlog)
 }
 
 // Owner runs one pool.
@@ -51,6 +55,9 @@
 	wake       chan struct{} // a change waits to be written
 	stuck      func(failing time.Duration)
 	stuckAfter time.Duration
+	queued     atomic.Int64  // orders that wait for their turn at a worker
+	belief     *lag.Belief   // whether this owner is behind; of tickLoop alone
+	sighted    time.Duration // when what waits was last looked at; of tickLoop alone
 
 	mu       sync.Mutex
 	core     *sched.Pool
@@ -127,6 +134,7 @@
 		conf: c,
 		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
+		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait,
 			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
@@ -159,6 +167,7 @@
 	o.run(o.scanLoop)
 	o.run(o.sweepLoop)
 	o.group.Wait()
+	o.blind()
 }
 
 // Stop ends all work without a word to the table; whoever is offered the pool then
@@ -167,7 +176,8 @@
 	if !o.end() {
 		return false
 	}
-	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why)
+	b := o.backlog(o.conf.Now())
+	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why, "unwritten", b.Changes, "ends", b.Ends)
 	return true
 }
 
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -62,3 +62,13 @@
 		})
 	}
 }
+
+// BenchmarkBacklog is one look at what waits; there are four a second.
+func BenchmarkBacklog(b *testing.B) {
+	p := full(b, 140, 1300)
+	now := time.Millisecond
+	for b.Loop() {
+		p.Backlog(now)
+		now += time.Millisecond
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -26,6 +26,7 @@
 	saved   int  // changes that the table has
 	urgent  bool // the changes are worth a write of their own
 	cleaned bool // nothing of it is left to do or to drop
+	mark    mark // of changes, for Backlog
 }
 
 // occurrence is one run through a job's steps.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -62,6 +62,7 @@
 
 	ends       int64         // ends up to this number are taken in
 	kept       int64         // ends up to this number are in the table
+	mark       mark          // of ends, for Backlog
 	emptyUntil time.Duration // it gets no starts before, as it is to be emptied for upkeep or a move
 	force      bool          // what does not end by itself there is to be ended
 	rest       time.Duration // no starts before this, since it fails or is slow
