Send no start that is void; let stops pass by starts that wait

Orders to a worker share three places, first come first served, and a start was sent with its payload however long it had waited: refused as too late by the worker, it still took its share of a link that was full. A stop waited behind all of them. Ordering again at once what was refused: unchanged, it is what happens to a void start too. A fourth connection at once: four rest for each worker already. A start is looked at again when its turn has come (sched.Pool.Void): one whose run is to end, or that would surely come too late by the least that the worker's clock may show, has the outcome 'late' without being sent. Stops have one place of their own. Seeded schedules look at orders before they go out, and at times are suspended after it. How much of a full link that saves is not measured.

--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -40,7 +40,7 @@
 func (o *Owner) plan() {
 	orders, urgent := o.decide()
 	for _, order := range orders {
-		lane := o.lane(order.Worker.ID)
+		lane := o.lane(&order)
 		o.queued.Add(1)
 		o.run(func() {
 			lane <- struct{}{}
@@ -94,18 +94,32 @@
 }
 
 // lane bounds the orders under way to one worker: each takes a connection, and
-// new ones are paid for.
-func (o *Owner) lane(worker string) chan struct{} {
+// new ones are paid for. Stops have a place of their own: where orders take long, they
+// would wait behind starts, and what was cancelled would run on.
+func (o *Owner) lane(order *sched.Order) chan struct{} {
+	places, of := ordersAtOnce, o.lanes
+	if order.Kind == sched.OrderStop {
+		places, of = stopsAtOnce, o.stopLanes
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := o.lanes[worker]
+	l := of[order.Worker.ID]
 	if l == nil {
-		l = make(chan struct{}, ordersAtOnce)
-		o.lanes[worker] = l
+		l = make(chan struct{}, places)
+		of[order.Worker.ID] = l
 	}
 	return l
 }
 
+// void tells whether an order that has waited for its turn is of no use any more. A
+// start carries its payload: on a full link those that come too late keep the others
+// from coming in time.
+func (o *Owner) void(order sched.Order, now time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Void(order, now)
+}
+
 func (o *Owner) poke() {
 	select {
 	case o.wake <- struct{}{}:
@@ -121,6 +135,11 @@
 		o.advise(order, began)
 		return
 	}
+	if o.void(order, began) {
+		err := gauge.Fail(gauge.KindLate, "it waited here for too long, or is not wanted any more")
+		o.act(func(now time.Duration) { o.core.Answered(order, 0, err, now) })
+		return
+	}
 	clock, err := o.order(order, began)
 	now := o.conf.Now()
 	o.conf.Count(string(order.Kind), now-began)
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -11,6 +11,7 @@
 	defer func() {
 		o.mu.Lock()
 		delete(o.lanes, id)
+		delete(o.stopLanes, id)
 		o.mu.Unlock()
 	}()
 	for o.ctx.Err() == nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -59,21 +59,22 @@
 	belief     *lag.Belief   // whether this owner is behind; of tickLoop alone
 	sighted    time.Duration // when what waits was last looked at; of tickLoop alone
 
-	mu       sync.Mutex
-	core     *sched.Pool
-	written  chan struct{} // closed at each write, then made anew
-	ended    bool          // the lease was lost or given up
-	planned  time.Duration // when the last plan was made
-	planning bool          // one is due at the end of the gap
-	lanes    map[string]chan struct{}
-	lag      *lag.Meter // of orders
-	leaving  bool       // a successor is looked for
-	loaded   bool
-	site     *gauge.Site
-	listed   []gauge.Worker           // newest list
-	scans    int                      // of scanLoop alone
-	avoids   map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
-	missing  map[string]bool          // queues that could not be read yet; of load and scanLoop
+	mu        sync.Mutex
+	core      *sched.Pool
+	written   chan struct{}            // closed at each write, then made anew
+	ended     bool                     // the lease was lost or given up
+	planned   time.Duration            // when the last plan was made
+	planning  bool                     // one is due at the end of the gap
+	lanes     map[string]chan struct{} // by worker
+	stopLanes map[string]chan struct{}
+	lag       *lag.Meter // of orders
+	leaving   bool       // a successor is looked for
+	loaded    bool
+	site      *gauge.Site
+	listed    []gauge.Worker           // newest list
+	scans     int                      // of scanLoop alone
+	avoids    map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
+	missing   map[string]bool          // queues that could not be read yet; of load and scanLoop
 }
 
 const (
@@ -99,6 +100,9 @@
 	planGap = 4 * time.Millisecond
 	// ordersAtOnce to one worker; an order takes some milliseconds.
 	ordersAtOnce = 3
+	// stopsAtOnce to one worker, beside these. Together they fill the connections that
+	// rest for a worker.
+	stopsAtOnce = 1
 	// renewEvery is how often the lease is renewed without other writes: four
 	// tries within its term.
 	renewEvery = 400 * time.Millisecond
@@ -132,7 +136,7 @@
 	now := c.Now()
 	o := &Owner{
 		conf: c,
-		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
+		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), stopLanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -20,6 +20,11 @@
 	i := rapid.IntRange(0, len(w.orders)-1).Draw(w.t, "order")
 	o := w.orders[i]
 	w.orders = append(w.orders[:i:i], w.orders[i+1:]...)
+	if w.pool.Void(o, w.now) && rapid.IntRange(0, 3).Draw(w.t, "suspended after the look") > 0 {
+		w.pool.Answered(o, 0, gauge.Fail(gauge.KindLate, "not sent"), w.now)
+		w.plan()
+		return
+	}
 	lost := gauge.Fail(gauge.KindUnknown, "no answer")
 	switch rapid.IntRange(0, 4).Draw(w.t, "fate") {
 	case 0: // never arrives
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -267,6 +267,16 @@
 	}
 }
 
+// Void tells whether a start that hasn't been sent yet is of no use any more: its run is
+// to end, or it would surely come too late. Its outcome is KindLate then.
+func (p *Pool) Void(o Order, now time.Duration) bool {
+	if o.Kind != OrderStart {
+		return false
+	}
+	r := o.run
+	return r.stop || !r.worker.runs[r] || r.worker.clockAt(now) > r.until
+}
+
 // restAfterRefusal is how long a worker that refused a start gets no other.
 // Several holds fit in, so that what it has free is known again.
 const restAfterRefusal = 500 * time.Millisecond
