Let stops use the shared places too

With one place of their own alone, many stops to a worker that answers slowly would go out one after the other, where three went at once before. A stop takes whichever place is free first. All of internal/owner passes 20 times with -race, two processes at once.

--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -40,12 +40,17 @@
 func (o *Owner) plan() {
 	orders, urgent := o.decide()
 	for _, order := range orders {
-		lane := o.lane(&order)
+		shared, own := o.lane(&order)
 		o.queued.Add(1)
 		o.run(func() {
-			lane <- struct{}{}
+			place := shared
+			select {
+			case shared <- struct{}{}:
+			case own <- struct{}{}:
+				place = own
+			}
 			o.queued.Add(-1)
-			defer func() { <-lane }()
+			defer func() { <-place }()
 			o.send(order)
 		})
 	}
@@ -94,19 +99,24 @@
 }
 
 // lane bounds the orders under way to one worker: each takes a connection, and
-// new ones are paid for. Stops have a place of their own: where orders take long, they
-// would wait behind starts, and what was cancelled would run on.
-func (o *Owner) lane(order *sched.Order) chan struct{} {
-	places, of := ordersAtOnce, o.lanes
-	if order.Kind == sched.OrderStop {
-		places, of = stopsAtOnce, o.stopLanes
-	}
+// new ones are paid for. Stops have a place of their own beside those that they share:
+// where orders take long, they would wait behind starts, and what was cancelled would
+// run on. Other orders have none.
+func (o *Owner) lane(order *sched.Order) (shared, own chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := of[order.Worker.ID]
+	shared = laneIn(o.lanes, order.Worker.ID, ordersAtOnce)
+	if order.Kind == sched.OrderStop {
+		own = laneIn(o.stopLanes, order.Worker.ID, stopsAtOnce)
+	}
+	return shared, own
+}
+
+func laneIn(lanes map[string]chan struct{}, worker string, places int) chan struct{} {
+	l := lanes[worker]
 	if l == nil {
 		l = make(chan struct{}, places)
-		of[order.Worker.ID] = l
+		lanes[worker] = l
 	}
 	return l
 }
