--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -40,10 +40,17 @@
 func (o *Owner) plan() {
 	orders, urgent := o.decide()
 	for _, order := range orders {
-		lane := o.lane(order.Worker.ID)
+		shared, own := o.lane(&order)
+		o.queued.Add(1)
 		o.run(func() {
-			lane <- struct{}{}
-			defer func() { <-lane }()
+			place := shared
+			select {
+			case shared <- struct{}{}:
+			case own <- struct{}{}:
+				place = own
+			}
+			o.queued.Add(-1)
+			defer func() { <-place }()
 			o.send(order)
 		})
 	}
@@ -92,18 +99,37 @@
 }
 
 // lane bounds the orders under way to one worker: each takes a connection, and
-// new ones are paid for.
-func (o *Owner) lane(worker string) chan struct{} {
+// new ones are paid for. Stops have a place of their own beside those that they share:
+// where orders take long, they would wait behind starts, and what was cancelled would
+// run on. Other orders have none.
+func (o *Owner) lane(order *sched.Order) (shared, own chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := o.lanes[worker]
+	shared = laneIn(o.lanes, order.Worker.ID, ordersAtOnce)
+	if order.Kind == sched.OrderStop {
+		own = laneIn(o.stopLanes, order.Worker.ID, stopsAtOnce)
+	}
+	return shared, own
+}
+
+func laneIn(lanes map[string]chan struct{}, worker string, places int) chan struct{} {
+	l := lanes[worker]
 	if l == nil {
-		l = make(chan struct{}, ordersAtOnce)
-		o.lanes[worker] = l
+		l = make(chan struct{}, places)
+		lanes[worker] = l
 	}
 	return l
 }
 
+// void tells whether an order that has waited for its turn is of no use any more. A
+// start carries its payload: on a full link those that come too late keep the others
+// from coming in time.
+func (o *Owner) void(order sched.Order, now time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Void(order, now)
+}
+
 func (o *Owner) poke() {
 	select {
 	case o.wake <- struct{}{}:
@@ -119,6 +145,11 @@
 		o.advise(order, began)
 		return
 	}
+	if o.void(order, began) {
+		err := gauge.Fail(gauge.KindLate, "it waited here for too long, or is not wanted any more")
+		o.act(func(now time.Duration) { o.core.Answered(order, 0, err, now) })
+		return
+	}
 	clock, err := o.order(order, began)
 	now := o.conf.Now()
 	o.conf.Count(string(order.Kind), now-began)
@@ -131,16 +162,18 @@
 }
 
 // watchLag has the pool handed over when most orders take far too long: jobs would
-// wait here that another entry could start.
+// wait here that another entry could start. Orders to workers that are silent tell
+// nothing of this host: a rack that is cut off would send the pool from owner to owner.
 func (o *Owner) watchLag(worker string, took, now time.Duration) {
 	o.mu.Lock()
-	lags := o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
+	lags := !o.core.Silent(worker) && o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
 	o.leaving = o.leaving || lags
+	seen := o.lag.Seen(now)
 	o.mu.Unlock()
 	if !lags {
 		return
 	}
-	o.conf.Logs.Info("owner lags", "pool", o.conf.Pool, "took", took)
+	o.conf.Logs.Info("owner lags", "pool", o.conf.Pool, "took", took, "calls", seen.Calls, "slow", seen.Slow, "targets", seen.Peers)
 	o.stuck(0)
 	o.mu.Lock()
 	o.leaving = false
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -12,6 +12,7 @@
 	defer func() {
 		o.mu.Lock()
 		delete(o.lanes, id)
+		delete(o.stopLanes, id)
 		o.mu.Unlock()
 	}()
 	for o.ctx.Err() == nil {
@@ -85,6 +86,7 @@
 func (o *Owner) tickLoop() {
 	for o.ctx.Err() == nil {
 		o.act(func(now time.Duration) { o.core.Tick(now, o.conf.Wall()) })
+		o.lookAtBacklog()
 		o.rest(nil, tickEvery)
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -40,6 +41,9 @@
 	Clock   func() int64                            // the table's clock in milliseconds, about
 	Count   func(event string, took time.Duration)
 	Event   func(event string) // counts what an operator should see
+	// Backlog is told what waits here, several times a second, and nil when this owner
+	// has ended; nil: nobody is told.
+	Backlog func(pool string, b *gauge.Backlog)
 }
 
 // Owner runs one pool.
@@ -52,24 +56,28 @@
 	stuck      func(failing time.Duration)
 	stuckAfter time.Duration
 	began      time.Duration
+	queued     atomic.Int64  // orders that wait for their turn at a worker
+	belief     *lag.Belief   // whether this owner is behind; of tickLoop alone
+	sighted    time.Duration // when what waits was last looked at; of tickLoop alone
 
-	mu       sync.Mutex
-	core     *sched.Pool
-	written  chan struct{} // closed at each write, then made anew
-	away     bool          // the table didn't answer the last write
-	ended    bool          // the lease was lost or given up
-	stopping bool          // it is being handed over: nothing new begins
-	planned  time.Duration // when the last plan was made
-	planning bool          // one is due at the end of the gap
-	lanes    map[string]chan struct{}
-	lag      *lag.Meter // of orders
-	leaving  bool       // a successor is looked for
-	loaded   bool
-	site     *gauge.Site
-	listed   []gauge.Worker           // newest list
-	scans    int                      // of scanLoop alone
-	avoids   map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
-	missing  map[string]bool          // queues that could not be read yet; of load and scanLoop
+	mu        sync.Mutex
+	core      *sched.Pool
+	written   chan struct{}            // closed at each write, then made anew
+	away      bool                     // the table didn't answer the last write
+	ended     bool                     // the lease was lost or given up
+	stopping  bool                     // it is being handed over: nothing new begins
+	planned   time.Duration            // when the last plan was made
+	planning  bool                     // one is due at the end of the gap
+	lanes     map[string]chan struct{} // by worker
+	stopLanes map[string]chan struct{}
+	lag       *lag.Meter // of orders
+	leaving   bool       // a successor is looked for
+	loaded    bool
+	site      *gauge.Site
+	listed    []gauge.Worker           // newest list
+	scans     int                      // of scanLoop alone
+	avoids    map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
+	missing   map[string]bool          // queues that could not be read yet; of load and scanLoop
 }
 
 const (
@@ -99,6 +107,9 @@
 	startWindow = 48
 	// ordersAtOnce to one worker; an order takes some milliseconds.
 	ordersAtOnce = 3
+	// stopsAtOnce to one worker, beside these. Together they fill the connections that
+	// rest for a worker.
+	stopsAtOnce = 1
 	// renewEvery is how often the lease is renewed without other writes: four
 	// tries within its term.
 	renewEvery = 400 * time.Millisecond
@@ -132,8 +143,9 @@
 	now := c.Now()
 	o := &Owner{
 		conf: c, began: now,
-		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}),
+		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), stopLanes: make(map[string]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
+		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow, Lane: ordersAtOnce,
 			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin,
@@ -166,6 +178,7 @@
 	o.run(o.scanLoop)
 	o.run(o.sweepLoop)
 	o.group.Wait()
+	o.blind()
 }
 
 // Offer is the lease's row for a successor, and its version as last known.
--- a/internal/owner/stop.go
+++ b/internal/owner/stop.go
@@ -20,11 +20,9 @@
 	if !o.end() {
 		return false
 	}
-	o.mu.Lock()
-	left := o.core.Unwritten()
-	o.mu.Unlock()
+	b := o.backlog(o.conf.Now())
 	o.conf.Logs.Info("pool left", "pool", o.conf.Pool, "fence", o.conf.Fence, "reason", why,
-		"unwritten", left, "took", o.conf.Now()-began)
+		"unwritten", b.Changes, "ends", b.Ends, "took", o.conf.Now()-began)
 	return true
 }
 
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -111,3 +111,13 @@
 	}
 	return p
 }
+
+// BenchmarkBacklog is one look at what waits; there are four a second.
+func BenchmarkBacklog(b *testing.B) {
+	p := full(b, 140, 1300)
+	now := time.Millisecond
+	for b.Loop() {
+		p.Backlog(now)
+		now += time.Millisecond
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -31,6 +31,7 @@
 	site      *gauge.Site   // configuration in which its queue was looked up ...
 	policy    *gauge.Queue  // ... what was found ...
 	objective time.Duration // ... and how long after its arrival it should be done
+	mark      mark          // of changes, for Backlog
 }
 
 // occurrence is one run through a job's steps.
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -20,6 +20,11 @@
 	i := rapid.IntRange(0, len(w.orders)-1).Draw(w.t, "order")
 	o := w.orders[i]
 	w.orders = append(w.orders[:i:i], w.orders[i+1:]...)
+	if w.pool.Void(o, w.now) && rapid.IntRange(0, 3).Draw(w.t, "suspended after the look") > 0 {
+		w.pool.Answered(o, 0, gauge.Fail(gauge.KindLate, "not sent"), w.now)
+		w.plan()
+		return
+	}
 	lost := gauge.Fail(gauge.KindUnknown, "no answer")
 	switch rapid.IntRange(0, 4).Draw(w.t, "fate") {
 	case 0: // never arrives
@@ -44,11 +49,11 @@
 // ask makes a worker's report; tell delivers it, which may be later.
 func (w *world) ask() {
 	if m := w.some(); m != nil {
-		w.askOf(m)
+		w.hold(m)
 	}
 }
 
-func (w *world) askOf(m *model) {
+func (w *world) hold(m *model) {
 	_, call, ok := w.pool.Holding(m.id, w.now)
 	if !ok || w.fence < m.fence {
 		return
@@ -85,9 +90,7 @@
 	assert.NilError(w.t, err)
 	for _, c := range b.Changes {
 		if w.version[c.Job] != c.Version {
-			row, err := gauge.DecodeJobRow(w.rows[c.Job])
-			assert.NilError(w.t, err)
-			w.pool.Conflicted(c.Job, row, w.version[c.Job])
+			w.conflict(c.Job)
 			return
 		}
 	}
@@ -152,6 +155,7 @@
 		assert.NilError(w.t, err)
 		w.next++
 		w.rows[id], w.version[id] = value, w.next
+		w.cancelled[id] = true
 		if rapid.Bool().Draw(w.t, "told") {
 			w.pool.Cancel(id, w.next)
 		}
@@ -207,7 +211,7 @@
 		return
 	}
 	w.endOn(m)
-	w.askOf(m)
+	w.hold(m)
 	w.tell()
 	if !w.pool.Empty(m.id, rapid.Bool().Draw(w.t, "force"), w.now) {
 		return
@@ -234,7 +238,8 @@
 // Whatever is lost, late, overtaken, crashed, cancelled or taken over, in any
 // order: no task has two runs at once, or starts after one has ended done (but for
 // ends that died with a worker that crashed), no worker has more than it holds, none
-// is called empty that isn't, and nothing panics.
+// is called empty that isn't, nothing panics, and after a while without faults no task
+// of a cancelled job runs.
 func TestAnyOrderOfEventsKeepsThePromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
@@ -259,13 +264,15 @@
 			case 13:
 				w.cancel()
 			case 14:
-				switch rapid.IntRange(0, 3).Draw(t, "rare") {
+				switch rapid.IntRange(0, 5).Draw(t, "rare") {
 				case 0:
 					w.crash()
 				case 1:
 					w.own(w.named)
 				case 2:
 					w.pool.Empty(fmt.Sprintf("w%d", w.lives), true, w.now)
+				case 4, 5:
+					w.unhide()
 				case 3:
 					w.pool.HoldFailed(fmt.Sprintf("w%d", w.lives), gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
 				}
@@ -275,5 +282,7 @@
 				w.tell()
 			}
 		}
+		w.calm()
+		w.nothingUnasked()
 	})
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -19,7 +19,9 @@
 		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.silent, w.mute, w.heard, w.heardAt = false, false, true, now
-	newest := rep.Clock >= w.clock
+	// Compared with the reports before it alone: answers to orders overtake reports all
+	// the while at a busy worker, and what they tell is kept with each run.
+	newest := rep.Clock >= w.pictured
 	w.read(rep.Clock, now)
 	held := len(rep.Ended) >= endsAtOnce // there may be more
 	for _, e := range rep.Ended {
@@ -32,14 +34,14 @@
 			w.take(e.Number, p.jobs[e.Task.Job])
 		}
 	}
-	if !held {
-		delete(p.earlier, id) // all that it has to tell of the owner before is told
-	}
 	if newest {
-		// An older picture may lack what a newer answer has told.
-		w.held = held
+		// An older picture may have what has ended since.
+		w.pictured, w.held = rep.Clock, held
 		p.running(w, rep, held, now)
 	}
+	if newest && !held {
+		delete(p.earlier, id) // all that it has to tell of the owner before is told
+	}
 }
 
 // endsAtOnce is how many ends a worker lists at most. The users' figure.
@@ -55,9 +57,7 @@
 		r := p.reported(w, rr, rep.Clock, now)
 		if r == nil {
 			w.odd++
-			if !p.partial {
-				p.stopOdd(w, rr)
-			}
+			p.noteOdd(w, rr)
 			continue
 		}
 		r.listed = w.reports
@@ -70,6 +70,7 @@
 			r.task.saved = rr.Saved
 		}
 	}
+	p.keepOdds(w, rep.Running)
 	for r := range w.runs {
 		there := r.listed == w.reports
 		if !there && r.phase == phaseUnsure {
@@ -130,17 +131,6 @@
 	return r
 }
 
-// stopOdd ends a run of a job that is not open: it was cancelled or has failed,
-// and a start of an earlier owner was carried out late.
-func (p *Pool) stopOdd(w *worker, rr gauge.RunReport) {
-	p.conf.Count(EventOdd)
-	p.conf.Logs.Info("run of no open job", "job", rr.Task.Job, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID)
-	p.orders = append(p.orders, Order{
-		Kind: OrderStop, Worker: w.info,
-		Stop: gauge.StopCall{Fence: p.conf.Fence, Task: rr.Task, Run: rr.Run},
-	})
-}
-
 // ended takes in the end of a run.
 func (p *Pool) ended(w *worker, e gauge.EndReport, now time.Duration) {
 	j := p.jobs[e.Task.Job]
@@ -246,6 +236,9 @@
 // Answered takes in the outcome of an order.
 func (p *Pool) Answered(o Order, clock time.Duration, err error, now time.Duration) {
 	r := o.run
+	if o.odd != nil {
+		p.oddAnswered(o.odd, clock, err, now)
+	}
 	if r == nil {
 		return
 	}
@@ -278,6 +271,16 @@
 	}
 }
 
+// Void tells whether a start that hasn't been sent yet is of no use any more: its run is
+// to end, or it would surely come too late. Its outcome is KindLate then.
+func (p *Pool) Void(o Order, now time.Duration) bool {
+	if o.Kind != OrderStart {
+		return false
+	}
+	r := o.run
+	return r.stop || !r.worker.runs[r] || r.worker.clockAt(now) > r.until
+}
+
 // restAfterRefusal is how long a worker that refused a start gets no other.
 // Several holds fit in, so that what it has free is known again.
 const restAfterRefusal = 500 * time.Millisecond
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -50,9 +50,12 @@
 	partial bool            // jobs may be missing: some could not be read yet
 	orders  []Order
 	halts   map[*run]bool // runs that are to end
-	arrived float64       // core-seconds of all jobs adopted so far
-	doubts  bool          // inherited tasks wait, in this round of starts
-	flying  int           // starts that have no answer yet
+	odds    map[*oddRun]bool
+	cancels map[string]cancelled // of jobs that aren't known
+	ticked  time.Duration        // when time was last told
+	arrived float64              // core-seconds of all jobs adopted so far
+	doubts  bool                 // inherited tasks wait, in this round of starts
+	flying  int                  // starts that have no answer yet
 	counts  counts
 	swept   time.Duration // when ended jobs were last forgotten
 
@@ -87,6 +90,7 @@
 	stage  *stage
 	valid  time.Duration
 	run    *run
+	odd    *oddRun
 }
 
 // Events that are counted, beside the ends of runs by how they came. The first
@@ -107,7 +111,7 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
-		earlier: make(map[string]bool), site: &gauge.Site{}, counts: newCounts(),
+		earlier: make(map[string]bool), site: &gauge.Site{}, counts: newCounts(), odds: make(map[*oddRun]bool), cancels: make(map[string]cancelled),
 	}
 	for _, id := range c.Earlier {
 		p.earlier[id] = true
@@ -235,6 +239,12 @@
 	}
 }
 
+// Silent tells whether a worker's last hold got no answer.
+func (p *Pool) Silent(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.silent
+}
+
 // over takes in that a worker's life has ended: nothing runs there.
 func (p *Pool) over(w *worker, why string, now time.Duration) {
 	if w.gone {
@@ -245,6 +255,7 @@
 	for r := range w.runs {
 		p.end(r, now)
 	}
+	p.forgetOdds(w)
 	delete(p.earlier, w.info.ID)
 }
 
@@ -263,7 +274,12 @@
 // Tick takes in that time has passed: leases that ran out, occurrences that are
 // due.
 func (p *Pool) Tick(now time.Duration, wall time.Time) {
+	p.ticked = now
+	p.forgetCancels(now)
 	for id, w := range p.workers {
+		if w.silent && now > max(w.expiry, p.conf.Doubt) {
+			p.forgetOdds(w) // whoever ordered them, their leases have run out
+		}
 		if now > w.expiry && (w.silent || !w.listed) && len(w.runs) > 0 {
 			p.conf.Count(EventLapsed)
 			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
@@ -272,6 +288,7 @@
 			}
 		}
 		if !w.listed && now > w.expiry && (w.gone || w.silent && w.kept == w.ends) {
+			p.forgetOdds(w)
 			delete(p.workers, id)
 			p.sorted = nil
 		}
--- a/internal/sched/window_test.go
+++ b/internal/sched/window_test.go
@@ -139,3 +139,19 @@
 	g.hear("a", []gauge.RunReport{running(first[0])})
 	assert.Equal(t, len(g.starts()), 1)
 }
+
+// Symptom: an owner's link is full of starts that workers refuse as too late.
+// Sequence: a start waits in this process for its turn, until its deadline has passed or
+// its job is cancelled.
+// Cause: nobody looked at it again before it was sent.
+func TestStartIsVoidOnceItIsTooLateOrNotWanted(t *testing.T) {
+	g := newRig(t)
+	g.list("a")
+	g.hear("a", nil)
+	id := g.adopt(1, false, step(1))
+	late := g.starts()[0]
+	assert.Assert(t, !g.pool.Void(late, g.now))
+	assert.Assert(t, g.pool.Void(late, g.now+2*time.Second))
+	g.pool.Cancel(id, fence+9)
+	assert.Assert(t, g.pool.Void(late, g.now))
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -57,8 +57,11 @@
 	// of these runs: lasting ones, those that fill, and those that do both
 	lasting, fills, lastingFills int
 
-	reports int // that were taken in so far
-	odd     int // runs there of jobs that this owner doesn't know
+	reports int                // that were taken in so far
+	odd     int                // runs there of jobs that this owner doesn't know
+	odds    map[oddKey]*oddRun // of these, the ones that are to end
+
+	pictured time.Duration // worker's clock in the newest report
 
 	clock   time.Duration // worker's clock ...
 	readAt  time.Duration // ... as read at this time on ours
@@ -69,6 +72,7 @@
 	kept       int64         // ends up to this number are in the table
 	unkept     []unkept      // those in between that wait for a job's row, in their order
 	held       bool          // it has ends that were not taken in, or may have more than it lists
+	mark       mark          // of ends, for Backlog
 	emptyUntil time.Duration // it gets no starts before, as it is to be emptied for upkeep or a move
 	force      bool          // what does not end by itself there is to be ended
 	rest       time.Duration // no starts before this, since it fails or is slow
