--- a/internal/sched/rehear_test.go
+++ b/internal/sched/rehear_test.go
@@ -55,3 +55,31 @@
 	g.hearAt("w1", before, []gauge.RunReport{running(start)})
 	assert.Equal(t, len(g.starts()), 1)
 }
+
+// Symptom: a task runs twice at once after a takeover with a queue that was read late.
+// Sequence: a worker lists a run of a job that isn't read yet and one of a job that is;
+// that one's stop is answered and overtakes an older answer to a hold; the queue is read;
+// the older answer comes.
+// Cause: a picture that is too old to be looked at was taken for all that the worker has
+// to tell.
+func TestOldReportDoesNotSettleWhatTheOwnerBeforeLeft(t *testing.T) {
+	g := newRig(t, after("w1", "w2"))
+	g.pool.Partial(true)
+	g.list("w1", "w2")
+	stopped := g.adopt(2, true, step(1))
+	unread := gauge.RunReport{Task: gauge.TaskID{Job: jobID(9)}, Run: 7}
+	known := gauge.RunReport{Task: gauge.TaskID{Job: jobID(2)}, Run: 5}
+	g.hear("w1", []gauge.RunReport{unread, known})
+	g.hear("w2", nil)
+	g.pool.Cancel(stopped, 900)
+	stops := only(g.plan(), sched.OrderStop)
+	g.pool.Rehear(g.now)
+	g.pool.Partial(false)
+	g.adopt(9, true, step(1))
+	made := g.clock()
+	g.pass(20 * time.Millisecond)
+	g.ok(stops)
+	g.hearAt("w1", made, []gauge.RunReport{unread, known})
+	g.hear("w2", nil)
+	assert.Equal(t, len(g.starts()), 0)
+}
