--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -139,7 +139,6 @@
 	if err != nil {
 		return err
 	}
-	t.conf.Stamp(stamp, sent)
 	if t.conf.Parted {
 		parts, err := t.conf.Store.Parts(ctx, t.conf.Name)
 		if err != nil {
@@ -153,6 +152,8 @@
 	}
 	t.at, t.read = stamp.Version, true
 	t.conf.Tell(rows, true)
+	// Not before: whoever is stamped takes the rows for seen as of then.
+	t.conf.Stamp(stamp, sent)
 	return nil
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -101,3 +101,39 @@
 		}
 	}
 }
+
+// partly answers reads of the rows, but none of a named part.
+type partly struct {
+	table
+	asked func() // called with the read of a part
+}
+
+func (*partly) Parts(context.Context, string) ([]string, error) { return []string{"p"}, nil }
+
+func (p *partly) Range(ctx context.Context, name, part, from, to string) ([]gauge.PartRow, gauge.Stamp, error) {
+	if part != "" {
+		p.asked()
+		return nil, gauge.Stamp{}, gauge.Fail(gauge.KindOutage, "no answer")
+	}
+	return p.table.Range(ctx, name, part, from, to)
+}
+
+// Symptom: an entry claims leases, and says that it can take others, by rows of before an
+// outage.
+// Sequence: the table is back; the first read of all leases is answered, those of the
+// pools' parts aren't.
+// Cause: the leases counted as seen with the first answer.
+func TestRowsThatCouldNotAllBeReadAreNotSeen(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	stamps, rounds := 0, 0
+	store := &partly{}
+	store.asked = func() { stop() }
+	watch.New(watch.Config{
+		Name: "leases", Parted: true, Store: store, Logs: logr.Discard(), Now: func() time.Duration { return 0 },
+		Pause: func() time.Duration { return 0 }, Tell: func([]gauge.PartRow, bool) { rounds++ },
+		Stamp: func(gauge.Stamp, time.Duration) { stamps++ },
+	}).Run(ctx)
+	assert.Equal(t, rounds, 0)
+	assert.Equal(t, stamps, 0)
+}
