--- /dev/null
+++ b/internal/owner/load_test.go
@@ -0,0 +1,214 @@
+package owner_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+)
+
+// Symptom: a pool passes from entry to entry, and nobody runs it.
+// Sequence: an owner takes a pool with many jobs over; reading them takes longer
+// than the lease's term; another entry takes the lease, and reads them anew.
+// Cause: the lease isn't renewed before all is read.
+func TestLeaseIsRenewedWhileThePoolLoads(t *testing.T) {
+	store := newRows()
+	store.job(t, "sheets", jobID(1), "p")
+	store.onRange = func(ctx context.Context, table, _ string, _ []gauge.PartRow) error {
+		if table != gauge.TableSpecs {
+			return nil
+		}
+		select {
+		case <-store.wrote:
+			return nil
+		case <-ctx.Done():
+			return away()
+		}
+	}
+	o := run(t, store, workers{}, logr.Discard(), nil)
+	until(t, "pool loaded", func() bool { return knows(o, "sheets", jobID(1)) })
+}
+
+// Symptom: a pool with a thousand jobs is never read at an entry with a slow link.
+// Sequence: an owner takes it over; no answer of more than some hundred kilobytes
+// arrives within the bound of a call.
+// Cause: all jobs are read at once, or none is.
+func TestLargeQueueIsReadPieceByPiece(t *testing.T) {
+	const jobs = 1000
+	const arrives = 256 << 10
+	store := newRows()
+	var ids []string
+	for n := range jobs {
+		ids = append(ids, jobID(n))
+		store.job(t, "sheets", jobID(n), "p")
+	}
+	store.onRange = func(_ context.Context, _, _ string, found []gauge.PartRow) error {
+		size := 0
+		for _, r := range found {
+			size += len(r.Value)
+		}
+		if size > arrives {
+			return away()
+		}
+		return nil
+	}
+	o := run(t, store, workers{}, logr.Discard(), nil)
+	until(t, "all jobs read", func() bool { return knows(o, "sheets", ids...) })
+}
+
+// Symptom: a large queue is read again and again, and never whole.
+// Sequence: a read of more than a hundred specs takes too long on a slow link, and
+// every third gets no answer.
+// Cause: what was read before a read that fails is thrown away.
+func TestWhatWasReadBeforeAFailureIsKept(t *testing.T) {
+	const jobs = 400
+	store := newRows()
+	var ids []string
+	for n := range jobs {
+		ids = append(ids, jobID(n))
+		store.job(t, "sheets", jobID(n), "p")
+	}
+	var reads, specs atomic.Int64
+	store.onRange = func(_ context.Context, table, _ string, found []gauge.PartRow) error {
+		if table != gauge.TableSpecs {
+			return nil
+		}
+		if reads.Add(1)%3 == 1 || len(found) > 100 {
+			return away()
+		}
+		specs.Add(int64(len(found)))
+		return nil
+	}
+	o := run(t, store, workers{}, logr.Discard(), nil)
+	until(t, "all jobs read", func() bool { return knows(o, "sheets", ids...) })
+	assert.Equal(t, specs.Load(), int64(jobs), "each spec was read once")
+}
+
+// Symptom: an entry with a slow link is busy with rows that it needs not.
+// Sequence: a queue has two jobs of the pool, and five hundred of another between.
+// Cause: all between the first and the last job is read.
+func TestSpecsOfOtherPoolsAreNotRead(t *testing.T) {
+	store := newRows()
+	for n := range 502 {
+		pool := "q"
+		if n == 0 || n == 501 {
+			pool = "p"
+		}
+		store.job(t, "sheets", jobID(n), pool)
+	}
+	var specs atomic.Int64
+	store.onRange = func(_ context.Context, table, _ string, found []gauge.PartRow) error {
+		if table == gauge.TableSpecs {
+			specs.Add(int64(len(found)))
+		}
+		return nil
+	}
+	o := run(t, store, workers{}, logr.Discard(), nil)
+	until(t, "jobs read", func() bool { return knows(o, "sheets", jobID(0), jobID(501)) })
+	assert.Equal(t, specs.Load(), int64(2))
+}
+
+// running answers the holds of workers, each when a test says so; one of them lists
+// a run.
+type running struct {
+	gauge.Workers
+	runs   map[string][]gauge.RunReport
+	report map[string]chan struct{} // each lets one hold of a worker be answered
+	taken  map[string]chan struct{} // a hold came after one was answered: its report was taken in
+
+	mu    sync.Mutex
+	heard map[string]bool
+}
+
+func newRunning(runs map[string][]gauge.RunReport, ids ...string) *running {
+	r := &running{runs: runs, report: make(map[string]chan struct{}), taken: make(map[string]chan struct{}), heard: make(map[string]bool)}
+	for _, id := range ids {
+		r.report[id], r.taken[id] = make(chan struct{}), make(chan struct{})
+	}
+	return r
+}
+
+func (r *running) Hold(ctx context.Context, w *gauge.Worker, _ gauge.HoldCall) (*gauge.WorkerReport, error) {
+	r.mu.Lock()
+	again := r.heard[w.ID]
+	r.heard[w.ID] = true
+	r.mu.Unlock()
+	if again {
+		select {
+		case r.taken[w.ID] <- struct{}{}:
+		case <-ctx.Done():
+		}
+	}
+	select {
+	case <-r.report[w.ID]:
+		return &gauge.WorkerReport{Clock: time.Hour, Running: r.runs[w.ID]}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (r *running) Start(context.Context, *gauge.Worker, gauge.StartCall) (time.Duration, error) {
+	return time.Hour, nil
+}
+
+// hear has a worker's hold answered, and waits until its report was taken in.
+func (r *running) hear(ctx context.Context, id string) {
+	select {
+	case r.report[id] <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-r.taken[id]:
+	case <-ctx.Done():
+	}
+}
+
+// Symptom: a task has two runs at once.
+// Sequence: an owner takes a pool over and can't read one queue; while that is read
+// at last a worker tells of a run of a job in it, which isn't known yet; then the job
+// is taken in.
+// Cause: workers that were heard while the queue was being read count as heard.
+func TestTaskOfAJobThatIsReadLateIsNotStartedAgain(t *testing.T) {
+	store := newRows()
+	store.job(t, "parts", jobID(1), "q")
+	store.job(t, "sheets", jobID(2), "p")
+	w := newRunning(map[string][]gauge.RunReport{"w1": {{Task: gauge.TaskID{Job: jobID(2)}, Run: 1}}}, "w1", "w2")
+	var tries atomic.Int64
+	store.onRange = func(ctx context.Context, table, part string, _ []gauge.PartRow) error {
+		if table != gauge.TableOpen || part != "sheets" {
+			return nil
+		}
+		switch tries.Add(1) {
+		case 1:
+			return away()
+		case 2:
+			w.hear(ctx, "w1")
+			w.hear(ctx, "w2")
+		}
+		return nil
+	}
+	var started atomic.Bool
+	log := funcr.New(func(_, line string) {
+		if strings.Contains(line, `"msg"="run starts"`) {
+			started.Store(true)
+		}
+	}, funcr.Options{})
+	o := run(t, store, w, log, nil, free("w1"), free("w2"))
+	until(t, "job read", func() bool { return knows(o, "sheets", jobID(2)) })
+	lists := store.listed()
+	until(t, "plans made", func() bool { return store.listed() > lists+1 })
+	assert.Assert(t, !started.Load())
+}
+
+func free(id string) gauge.Worker {
+	return gauge.Worker{ID: id, Pool: "p", Capacity: gauge.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+}
