Test which count of waiting jobs is told, with the words for it (red)

A lease row has no way to say that a count isn't known, or how old it is. A negative count as the sign: an entry of the program before would tell it to callers. LeaseRow.Unread, Counted, Depth and CountedAt; owner.Config.Before and Owner.Depth; intake.Config.AskDepth: all behave as the code before did, so that the tests fail by what they check. The set-up of intake's tests names the new fields, with the same answers.

--- /dev/null
+++ b/internal/intake/depth_test.go
@@ -0,0 +1,50 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/intake"
+)
+
+// Symptom: 0 jobs are said to wait where hundreds do.
+// Sequence: the owner of a pool doesn't write any more, or hasn't read what waits.
+// Cause: the count that was seen last is told, whatever its age; one that isn't known
+// is told as 0.
+func TestWhichCountIsTold(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		age   time.Duration
+		seen  bool
+		owner bool // it knows
+		want  int
+		kind  gauge.Kind // empty: told
+	}{
+		{"just seen", 0, true, false, 3, ""},
+		{"seen lately", 2 * time.Second, true, true, 3, ""},
+		{"too old", 2001 * time.Millisecond, true, true, 8, ""},
+		{"too old, the owner doesn't know", 2001 * time.Millisecond, true, false, 0, gauge.KindOutage},
+		{"not seen", 0, false, true, 8, ""},
+		{"not seen, the owner doesn't know", 0, false, false, 0, gauge.KindOutage},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			n := intake.New(intake.Config{
+				Logs:     logr.Discard(),
+				Depth:    func(*gauge.Queue) (int, time.Duration, bool) { return 3, tt.age, tt.seen },
+				AskDepth: func(context.Context, *gauge.Queue) (int, bool) { return 8, tt.owner },
+			})
+			got, err := n.Depth(t.Context(), &gauge.Queue{Name: "sheets", Pool: "brakes"})
+			if tt.kind != "" {
+				assert.Equal(t, gauge.KindOf(err), tt.kind)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -18,11 +18,15 @@
 type Config struct {
 	Store gauge.Parted
 	Logs  logr.Logger
-	Event func(event string)               // counts outcomes of hand-ins
-	Now   func() time.Duration             // steady clock
-	Clock func() int64                     // the table's clock in milliseconds, about
-	Depth func(q *gauge.Queue) (int, bool) // as the pool's owner last told
-	Tell  func(n Notice)                   // tells the owner of the pool
+	Event func(event string)   // counts outcomes of hand-ins
+	Now   func() time.Duration // steady clock
+	Clock func() int64         // the table's clock in milliseconds, about
+	// Depth is how many jobs of a queue have not begun, as the pool's owner last told,
+	// and how old that count is; false: it isn't known.
+	Depth func(q *gauge.Queue) (int, time.Duration, bool)
+	// AskDepth asks the owner itself; false: it doesn't know, or can't be asked.
+	AskDepth func(ctx context.Context, q *gauge.Queue) (int, bool)
+	Tell     func(n Notice) // tells the owner of the pool
 	// Ask asks the owner of the queue's pool how far a job is; false: it doesn't
 	// know, or can't be asked.
 	Ask   func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
@@ -133,7 +137,7 @@
 
 // Depth tells how many jobs of a queue have not begun.
 func (n *Intake) Depth(_ context.Context, q *gauge.Queue) (int, error) {
-	depth, ok := n.conf.Depth(q)
+	depth, _, ok := n.conf.Depth(q)
 	if !ok {
 		return 0, gauge.Fail(gauge.KindOutage, "the queue's pool has no owner at the moment")
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -170,8 +170,9 @@
 	g.intake = intake.New(intake.Config{
 		Relay: r, After: g.timers.After,
 		Store: t, Logs: logr.Discard(), Event: func(string) {}, Now: c.Now, Clock: func() int64 { return 1 },
-		Depth: func(*gauge.Queue) (int, bool) { return 0, true },
-		Ask:   func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
+		Depth:    func(*gauge.Queue) (int, time.Duration, bool) { return 0, 0, true },
+		AskDepth: func(context.Context, *gauge.Queue) (int, bool) { return 0, false },
+		Ask:      func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
 		Tell: func(n intake.Notice) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -180,12 +180,12 @@
 }
 
 // depth is how many jobs of a queue have not begun, as its pool's owner told.
-func (n *Node) depth(q *gauge.Queue) (int, bool) {
+func (n *Node) depth(q *gauge.Queue) (int, time.Duration, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	row, ok := n.board.Holder(q.Pool)
 	if !ok {
-		return 0, false
+		return 0, 0, false
 	}
-	return row.Depths[q.Name], true
+	return row.Depths[q.Name], 0, true
 }
--- /dev/null
+++ b/internal/owner/count_test.go
@@ -0,0 +1,69 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/owner"
+)
+
+// Symptom: 0 jobs are said to wait where 1,354 do.
+// Sequence: an owner takes a pool over; of its two queues one can't be read yet.
+// Cause: the count of a queue that was not read is written as 0.
+func TestCountOfAQueueThatIsNotReadIsNotTold(t *testing.T) {
+	store := newRows()
+	store.job(t, "parts", jobID(1), "p")
+	store.job(t, "sheets", jobID(2), "p")
+	store.onRange = func(_ context.Context, table, part string, _ []gauge.PartRow) error {
+		if table == gauge.TableOpen && part == "sheets" {
+			return away()
+		}
+		return nil
+	}
+	o := run(t, store, workers{}, logr.Discard(), nil)
+	until(t, "pool loaded", func() bool { return knows(o, "parts", jobID(1)) })
+	before := len(store.written())
+	until(t, "written twice", func() bool { return len(store.written()) > before+1 })
+	leases := store.written()
+	last := leases[len(leases)-1]
+	waiting, known := last.Depth("parts")
+	assert.Assert(t, known)
+	assert.Equal(t, waiting, 1)
+	_, known = last.Depth("sheets")
+	assert.Assert(t, !known, "%v", last)
+	_, known = o.Depth("sheets")
+	assert.Assert(t, !known)
+	waiting, known = o.Depth("parts")
+	assert.Assert(t, known)
+	assert.Equal(t, waiting, 1)
+}
+
+// Symptom: 0 jobs are said to wait where hundreds do.
+// Sequence: an owner takes a pool over; it renews the lease before it has read what
+// waits there.
+// Cause: the count of an owner that hasn't counted takes the place of the one before.
+func TestCountOfTheOwnerBeforeGoesOnUntilThePoolIsRead(t *testing.T) {
+	store := newRows()
+	store.job(t, "sheets", jobID(1), "p")
+	store.onRange = func(ctx context.Context, _, _ string, _ []gauge.PartRow) error {
+		<-ctx.Done()
+		return away()
+	}
+	o := run(t, store, workers{}, logr.Discard(), func(c *owner.Config) {
+		c.Before = gauge.LeaseRow{Depths: map[string]int{"sheets": 7}, Unread: []string{"parts"}, Counted: 4000}
+	})
+	until(t, "lease renewed", func() bool { return len(store.written()) > 0 })
+	lease := store.written()[0]
+	waiting, known := lease.Depth("sheets")
+	assert.Assert(t, known)
+	assert.Equal(t, waiting, 7)
+	_, known = lease.Depth("parts")
+	assert.Assert(t, !known)
+	assert.Equal(t, lease.Counted, int64(4000), "it is as old as it was")
+	_, known = o.Depth("sheets")
+	assert.Assert(t, !known, "this owner hasn't counted")
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -24,7 +24,8 @@
 	Lease   *tenure.Tenure
 	Term    int // owners before this one
 	Fence   gauge.Fence
-	Earlier []string // workers of the owner before
+	Earlier []string       // workers of the owner before
+	Before  gauge.LeaseRow // as it was taken: its counts are told until this owner has its own
 
 	Grace time.Duration // how long orders and holds may reach beyond the lease's end
 	Keep  time.Duration // how long an ended job's state is told
@@ -305,6 +306,14 @@
 	return o.core.State(queue, id)
 }
 
+// Depth is how many jobs of a queue have no task started; false: this owner doesn't
+// know.
+func (o *Owner) Depth(queue string) (int, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Depths()[queue], true
+}
+
 // Load tells what the pool has to do.
 func (o *Owner) Load() gauge.PoolLoad {
 	o.mu.Lock()
--- a/leaserow.go
+++ b/leaserow.go
@@ -10,11 +10,20 @@
 	Addr    string           `msgpack:"a"`           // for calls from other entries
 	Term    int              `msgpack:"t"`           // owners before this one
 	Workers []string         `msgpack:"w"`           // that may have orders of this owner or, unheard, of an earlier one
-	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started
+	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started; a queue that isn't named has none
+	Unread  []string         `msgpack:"u,omitempty"` // queues that the owner has not read yet: nobody knows their depths
+	Counted int64            `msgpack:"k,omitempty"` // when Depths was made, the table's clock in milliseconds; 0: with the renewal
 	Renewed int64            `msgpack:"n"`           // when this was sent, the table's clock in milliseconds, up to 0.1 s early
 	Ordered map[string]int64 `msgpack:"o,omitempty"` // the fleet's: machines that were ordered lately, and when by the table's clock in milliseconds
 }
 
+// Depth is how many jobs of a queue had no task started when the row's counts were
+// made; false: that isn't known.
+func (r *LeaseRow) Depth(queue string) (int, bool) { return r.Depths[queue], true }
+
+// CountedAt is when the row's counts were made, the table's clock in milliseconds.
+func (r *LeaseRow) CountedAt() int64 { return r.Counted }
+
 // Encode packs the row.
 func (r *LeaseRow) Encode() ([]byte, error) {
 	b, err := msgpack.Marshal(r)
