Read large queues in pieces, under a lease that is renewed

All jobs between the first and the last unknown one were read at once, and thrown away if a read failed or two seconds passed; the lease wasn't renewed meanwhile; nothing served the pool's workers before all was read. And workers that told of runs while a missing queue was being read counted as heard: the tasks of jobs taken in after that were started a second time. One read a job: thirteen hundred calls. A transaction of conditions that fail, whose answer has just the rows named: a part of the table carries out transactions one after the other, in a slow spell 0.9 s each. After a second the pool is served with what there is, the rest is read beside the work. Renewals begin before the reading; a pool of which nothing can be read for 2 s is given up. Rows of jobs that have ended between two open ones are still read; their specs aren't there any more.

--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -7,27 +7,19 @@
 	"time"
 
 	gauge "sapphiregauge"
-	"sapphiregauge/internal/sched"
 )
 
 // load reads the pool's open jobs, once the lease is held: whatever an earlier
 // owner has written is in the table by now, and it can write no more. Queues in
-// parts of the table that don't answer are read later. False: the lease was lost
-// meanwhile.
+// parts of the table that don't answer, and what of a large queue doesn't come in
+// loadFor, are read later: the pool's workers wait for an owner. False: the lease was
+// lost meanwhile.
 func (o *Owner) load() bool {
 	began := o.conf.Now()
 	for {
 		queues, err := o.conf.Store.Parts(o.ctx, gauge.TableOpen)
-		if err == nil {
-			n := o.loadQueues(queues)
-			if len(o.missing) == 0 || len(o.missing) < len(queues) {
-				o.mu.Lock()
-				o.loaded = true
-				o.mu.Unlock()
-				o.conf.Logs.Info("pool loaded", "pool", o.conf.Pool, "fence", o.conf.Fence, "jobs", n,
-					"missing", len(o.missing), "took", o.conf.Now()-began)
-				return true
-			}
+		if err == nil && o.loadFirst(queues, began) {
+			return true
 		}
 		if o.ctx.Err() != nil {
 			return false
@@ -36,46 +28,98 @@
 			o.lose("the jobs could not be read in time")
 			return false
 		}
-		o.conf.Logs.Info("pool not loaded", "pool", o.conf.Pool, "missing", len(o.missing))
+		if o.conf.Now()-began >= loadMost {
+			o.leaveUnread()
+			return false
+		}
+		o.conf.Logs.Info("pool not loaded", "pool", o.conf.Pool, "missing", len(o.unread()))
 		o.rest(nil, writeAgain)
 	}
 }
 
-// loadQueues reads the jobs of queues that were there before this owner, and
-// notes which could not be read.
-func (o *Owner) loadQueues(queues []string) int {
-	total := 0
-	o.missing = make(map[string]bool)
+// loadFirst reads what it can of the queues within loadFor; false: nothing at all.
+func (o *Owner) loadFirst(queues []string, began time.Duration) bool {
+	o.survey(queues)
+	ctx, cancel := context.WithTimeout(o.ctx, loadFor)
+	defer cancel()
+	n, heard := o.loadQueues(ctx, queues)
+	if len(queues) > 0 && !heard || o.ctx.Err() != nil {
+		return false
+	}
+	o.locked(func() { o.loaded = true })
+	o.conf.Logs.Info("pool loaded", "pool", o.conf.Pool, "fence", o.conf.Fence, "jobs", n,
+		"missing", len(o.unread()), "took", o.conf.Now()-began)
+	return true
+}
+
+const (
+	// loadFor bounds the first reading of a pool's jobs: the workers' leases last 4.5 s
+	// beyond the last hold, and nothing is held before. What a host with a slow link
+	// can't read in this time is read beside the work.
+	loadFor = time.Second
+	// loadMost: a pool of which nothing can be read for so long is left to another
+	// entry. The lease is renewed meanwhile, and would be for ever.
+	loadMost = 2 * time.Second
+)
+
+// leaveUnread gives up a pool that can't be read here.
+func (o *Owner) leaveUnread() {
+	if !o.Stop("the jobs can't be read here") {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), reachWait)
+	defer cancel()
+	o.GiveUp(ctx)
+}
+
+// survey takes in which queues have jobs: none of them is read yet.
+func (o *Owner) survey(queues []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.missing = make(map[string]bool, len(queues))
 	for _, queue := range queues {
-		n, err := o.scan(queue, true)
-		total += n
-		if err != nil {
-			o.missing[queue] = true
-			o.conf.Logs.Info("queue not loaded", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
-		}
+		o.missing[queue] = true
 	}
+	o.surveyed = true
+	o.core.Partial(len(queues) > 0)
+}
+
+// readWhole takes in that all of a queue was read.
+func (o *Owner) readWhole(queue string) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.missing, queue)
 	o.core.Partial(len(o.missing) > 0)
-	o.mu.Unlock()
-	return total
 }
 
-// scanLoop looks for jobs and cancels of which the message was lost, and reads
-// what load could not.
+// unread lists the queues that were not read whole yet.
+func (o *Owner) unread() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Sorted(maps.Keys(o.missing))
+}
+
+// scanLoop reads what load could not, as long as some comes, and looks for jobs and
+// cancels of which the message was lost.
 func (o *Owner) scanLoop() {
+	comes := true
 	for o.ctx.Err() == nil {
-		o.rest(nil, scanEvery)
-		if o.ctx.Err() != nil {
-			return
+		missing := o.unread()
+		if len(missing) == 0 || !comes {
+			o.rest(nil, scanEvery)
+			if o.ctx.Err() != nil {
+				return
+			}
 		}
-		if len(o.missing) > 0 {
-			o.mu.Lock()
-			o.core.Rehear(o.conf.Now())
-			o.mu.Unlock()
-			n := o.loadQueues(slices.Collect(maps.Keys(o.missing)))
-			o.conf.Logs.Info("missing queues read", "pool", o.conf.Pool, "jobs", n, "missing", len(o.missing))
+		comes = false
+		if len(missing) > 0 {
+			n, _ := o.loadQueues(o.ctx, missing)
+			comes = n > 0
+			o.conf.Logs.Info("missing queues read", "pool", o.conf.Pool, "jobs", n, "missing", len(o.unread()))
+		}
+		if !comes {
+			o.scanAll()
 		}
-		o.scanAll()
 		o.act(nil)
 	}
 }
@@ -86,11 +130,12 @@
 		o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "error", err.Error())
 		return
 	}
+	missing := o.unread()
 	for _, queue := range queues {
-		if o.missing[queue] {
+		if slices.Contains(missing, queue) {
 			continue
 		}
-		n, err := o.scan(queue, false)
+		n, err := o.scan(queue)
 		if err != nil {
 			o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
 		}
@@ -101,14 +146,20 @@
 }
 
 // scan reads the marks of a queue's open jobs and adopts those that are unknown.
-func (o *Owner) scan(queue string, inherited bool) (int, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, scanWait)
-	defer cancel()
-	marks, _, err := o.conf.Store.Range(ctx, gauge.TableOpen, queue, "", "")
+func (o *Owner) scan(queue string) (int, error) {
+	marks, _, err := o.conf.Store.Range(o.ctx, gauge.TableOpen, queue, "", "")
 	if err != nil {
 		return 0, err
 	}
-	return o.adoptMarked(ctx, queue, marks, inherited)
+	total := 0
+	for _, keys := range o.unknown(marks) {
+		n, err := o.adoptKeys(o.ctx, queue, keys, false)
+		total += n
+		if err != nil {
+			return total, err
+		}
+	}
+	return total, nil
 }
 
 // queues lists those with open jobs that may be of this pool. Most queues have none,
@@ -128,83 +179,6 @@
 	}), nil
 }
 
-func (o *Owner) adoptMarked(ctx context.Context, queue string, marks []gauge.PartRow, inherited bool) (int, error) {
-	var unknown []string
-	o.mu.Lock()
-	for _, m := range marks {
-		mark := gauge.DecodeMark(m.Value)
-		switch {
-		case mark.Pool != o.conf.Pool:
-		case !o.core.Knows(m.Key):
-			unknown = append(unknown, m.Key)
-		case mark.Cancelled:
-			o.core.Cancel(m.Key, 0)
-		}
-	}
-	o.mu.Unlock()
-	if len(unknown) == 0 {
-		return 0, nil
-	}
-	from, to := unknown[0], unknown[len(unknown)-1]+"\x00"
-	rows, _, err := o.conf.Store.Range(ctx, gauge.TableJobs, queue, from, to)
-	if err != nil {
-		return 0, err
-	}
-	specs, _, err := o.conf.Store.Range(ctx, gauge.TableSpecs, queue, from, to)
-	if err != nil {
-		return 0, err
-	}
-	return o.adoptRows(queue, rows, specs, inherited), nil
-}
-
-// adoptRows takes in the jobs of this pool that are still open.
-func (o *Owner) adoptRows(queue string, rows, specs []gauge.PartRow, inherited bool) int {
-	bySpec := make(map[string][]byte, len(specs))
-	for _, s := range specs {
-		bySpec[s.Key] = s.Value
-	}
-	now := o.conf.Now()
-	n := 0
-	for _, r := range rows {
-		body, open := bySpec[r.Key]
-		if !open {
-			continue
-		}
-		if o.adoptRow(queue, r, body, inherited, now) {
-			n++
-		}
-	}
-	return n
-}
-
-func (o *Owner) adoptRow(queue string, r gauge.PartRow, body []byte, inherited bool, now time.Duration) bool {
-	row, err := gauge.DecodeJobRow(r.Value)
-	if err != nil {
-		o.conf.Logs.Error(err, "job row not read", "job", r.Key, "queue", queue)
-		return false
-	}
-	if row.Pool != o.conf.Pool {
-		return false
-	}
-	spec, err := gauge.DecodeJobSpec(body)
-	if err != nil {
-		o.conf.Logs.Error(err, "job spec not read", "job", r.Key, "queue", queue)
-		return false
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !inherited && !o.mayAdopt() {
-		return false
-	}
-	if o.core.Knows(r.Key) {
-		return false
-	}
-	o.core.Adopt(sched.Accepted{
-		ID: r.Key, Queue: queue, Spec: spec, Row: row, Version: r.Version, Arrived: o.arrival(row, now), Inherited: inherited,
-	}, now)
-	return true
-}
-
 const (
 	// sweepEvery is how often rows of jobs that ended long ago are dropped.
 	sweepEvery = time.Minute
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/owner"
 )
 
 // Symptom: a pool passes from entry to entry, and nobody runs it.
@@ -212,3 +214,20 @@
 func free(id string) gauge.Worker {
 	return gauge.Worker{ID: id, Pool: "p", Capacity: gauge.Resources{MilliCPU: 1000, MemoryMB: 1000}}
 }
+
+// Symptom: a pool stands still under a lease that is renewed.
+// Sequence: an entry takes the pool and can write, but none of its jobs can be read
+// there.
+// Cause: the lease is renewed while the pool loads, however long that takes.
+func TestPoolThatCannotBeReadIsLeftToOthers(t *testing.T) {
+	store := newRows()
+	store.job(t, "sheets", jobID(1), "p")
+	store.onRange = func(context.Context, string, string, []gauge.PartRow) error { return away() }
+	var looks atomic.Int64
+	run(t, store, workers{}, logr.Discard(), func(c *owner.Config) {
+		c.Now = func() time.Duration { return time.Second + time.Duration(looks.Add(1))*100*time.Millisecond }
+	})
+	until(t, "lease given up", func() bool {
+		return slices.ContainsFunc(store.written(), func(r gauge.LeaseRow) bool { return r.Term == 1 && r.Holder == "" })
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,7 +67,8 @@
 	listed   []gauge.Worker           // newest list
 	scans    int                      // of scanLoop alone
 	avoids   map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
-	missing  map[string]bool          // queues that could not be read yet; of load and scanLoop
+	surveyed bool                     // it is known which queues have jobs
+	missing  map[string]bool          // queues that were not read whole yet
 }
 
 const (
@@ -103,8 +104,6 @@
 	writeAgain = 150 * time.Millisecond
 	// scanEvery is how often jobs are looked for of which no message came.
 	scanEvery = 1500 * time.Millisecond
-	// scanWait bounds one scan: the lease's term.
-	scanWait = 2 * time.Second
 	// scansOfAll: so many scans make one of all queues.
 	scansOfAll = 4
 	// doubtMargin covers the difference between two entries' steady clocks.
@@ -143,19 +142,22 @@
 	o.mu.Lock()
 	o.listed = workers
 	o.mu.Unlock()
+	o.run(func() {
+		// The group isn't over before the owner has ended for whatever reason.
+		<-o.ctx.Done()
+		o.end()
+	})
+	// The lease is renewed from now on: reading the jobs may take longer than its term.
+	o.run(o.writeLoop)
 	if !o.load() {
+		o.end()
+		o.group.Wait()
 		return
 	}
 	o.mu.Lock()
 	workers = o.listed
 	o.mu.Unlock()
 	o.List(workers)
-	o.run(func() {
-		// The group isn't over before the owner has ended for whatever reason.
-		<-o.ctx.Done()
-		o.end()
-	})
-	o.run(o.writeLoop)
 	o.run(o.tickLoop)
 	o.run(o.scanLoop)
 	o.run(o.sweepLoop)
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -137,7 +137,7 @@
 	c := owner.Config{
 		Pool: "p", Term: 1, Store: store, Workers: w, Logs: log, Now: still, Wall: time.Now,
 		Lease: tenure.New(tenure.Config{
-			Key:  gauge.RowKey{Table: gauge.TableLeases, Part: "p", Key: gauge.KeyOwner},
+			Key: gauge.RowKey{Table: gauge.TableLeases, Part: "p", Key: gauge.KeyOwner}, Holder: "e/1",
 			Term: 1, Lasts: time.Hour, Store: store, Now: still, Clock: func() int64 { return 5000 },
 		}),
 		Grace: time.Second, Hold: time.Second, Stamp: func(gauge.Stamp, time.Duration) {},
