Tell a count of waiting jobs that is true, or none

A new owner's lease row said 0 for queues that it had not read; a count was told from the row as last seen, however old; a job counted as begun as soon as the start of a task was decided on, though orders may wait for seconds at an owner that lags, or be refused. Keeping the predecessor's figure for a queue that can't be read: with a part of the table out for a minute it is as wrong as 0; it is told on only until the first reading is over, with the age that it has. The row names the queues that its owner hasn't read, and when its counts were made. An entry tells a count of 2 s at most, else asks the owner, for 0.4 s; an owner answers only if it has read the queue and its lease lasts. Otherwise the caller is refused, 503 with Retry-After. A job counts until a worker has told of a run of it. While the table is away for all, counts are refused after 2 s and the lease's term: an owner can't know then whether it still is one.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -135,13 +135,22 @@
 	}
 }
 
-// Depth tells how many jobs of a queue have not begun.
-func (n *Intake) Depth(_ context.Context, q *gauge.Queue) (int, error) {
-	depth, _, ok := n.conf.Depth(q)
-	if !ok {
-		return 0, gauge.Fail(gauge.KindOutage, "the queue's pool has no owner at the moment")
+// countAge is how old a count may be that callers are told: the users' contract allows
+// 2 s.
+const countAge = 2 * time.Second
+
+// Depth tells how many jobs of a queue have not begun. A count that is older than may be
+// is asked of the pool's owner; one that nobody knows is refused, as a wrong one is
+// worse than none.
+func (n *Intake) Depth(ctx context.Context, q *gauge.Queue) (int, error) {
+	if depth, age, ok := n.conf.Depth(q); ok && age <= countAge {
+		return depth, nil
 	}
-	return depth, nil
+	if depth, ok := n.conf.AskDepth(ctx, q); ok {
+		return depth, nil
+	}
+	n.conf.Logs.Info("count not told", "queue", q.Name, "pool", q.Pool)
+	return 0, gauge.Fail(gauge.KindOutage, "how many jobs wait isn't known at the moment")
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,6 +16,11 @@
 	methodState = "job.state"
 	// stateWait bounds that question: the table answers it too.
 	stateWait = 150 * time.Millisecond
+	// methodDepth asks a pool's owner how many jobs of a queue have not begun.
+	methodDepth = "queue.depth"
+	// depthWait bounds that question: an owner answers within some milliseconds, one on
+	// a slow link within tenths of a second, and the caller waits.
+	depthWait = 400 * time.Millisecond
 	// emptyWait bounds one question to a pool's owner.
 	emptyWait = 600 * time.Millisecond
 	// methodEmpty asks a pool's owner to empty a worker.
@@ -162,3 +167,42 @@
 	state, _ := o.State(c.Queue, c.ID)
 	return stateAnswer{State: state}, nil
 }
+
+type depthCall struct {
+	Pool  string `msgpack:"p"`
+	Queue string `msgpack:"q"`
+}
+
+type depthAnswer struct {
+	Depth int  `msgpack:"d"`
+	Known bool `msgpack:"k"`
+}
+
+// askDepth asks the owner of a queue's pool how many jobs of it have not begun.
+func (n *Node) askDepth(ctx context.Context, q *gauge.Queue) (int, bool) {
+	o, addr, err := n.ownerOf(q.Pool)
+	if err != nil {
+		return 0, false
+	}
+	if o != nil {
+		return o.Depth(q.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, depthWait)
+	defer cancel()
+	var a depthAnswer
+	err = n.conf.Mesh.Call(ctx, addr, methodDepth, &depthCall{Pool: q.Pool, Queue: q.Name}, &a)
+	return a.Depth, err == nil && a.Known
+}
+
+func (n *Node) handleDepth(_ context.Context, body []byte) (any, error) {
+	var c depthCall
+	if err := frame.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	o, err := n.local(c.Pool)
+	if err != nil {
+		return nil, err
+	}
+	depth, known := o.Depth(c.Queue)
+	return depthAnswer{Depth: depth, Known: known}, nil
+}
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -104,7 +104,8 @@
 	if c.Version > 0 {
 		term++
 	}
-	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Depths: c.Row.Depths, Renewed: n.clock()}
+	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Renewed: n.clock()}
+	row.CountsOf(&c.Row) // none was made since
 	value, err := row.Encode()
 	if err != nil {
 		n.conf.Logs.Error(err, "lease not claimed", "pool", c.Pool)
@@ -159,7 +160,7 @@
 // own runs a pool until the lease is lost or given up.
 func (n *Node) own(ctx context.Context, pool string, h *held) {
 	o := owner.New(ctx, owner.Config{
-		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers,
+		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers, Before: h.before,
 		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event,
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -179,13 +179,17 @@
 	return n.clock()
 }
 
-// depth is how many jobs of a queue have not begun, as its pool's owner told.
+// depth is how many jobs of a queue have not begun, as its pool's owner told, and how
+// old that count is by the table's clock: a feed that brings nothing, an owner that
+// can't write and one that hasn't read the queue all make it old.
 func (n *Node) depth(q *gauge.Queue) (int, time.Duration, bool) {
+	clock := n.clockIfKnown()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	row, ok := n.board.Holder(q.Pool)
-	if !ok {
+	if !ok || clock == 0 {
 		return 0, 0, false
 	}
-	return row.Depths[q.Name], 0, true
+	depth, known := row.Depth(q.Name)
+	return depth, time.Duration(clock-row.CountedAt()) * time.Millisecond, known
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,13 +140,14 @@
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
 	n.intake = intake.New(intake.Config{
-		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, Tell: n.notify, Ask: n.ask,
+		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, AskDepth: n.askDepth, Tell: n.notify, Ask: n.ask,
 		Relay: relay{n},
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
 	c.Mesh.Handle(methodLoad, n.handleLoad)
 	c.Mesh.Handle(methodState, n.handleState)
+	c.Mesh.Handle(methodDepth, n.handleDepth)
 	c.Mesh.Handle(methodSubmit, n.handleSubmit)
 	c.Mesh.Handle(methodCancel, n.handleCancel)
 	c.Mesh.Handle(methodProbe, n.handleProbe)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -80,7 +80,6 @@
 	for _, queue := range queues {
 		o.missing[queue] = true
 	}
-	o.surveyed = true
 	o.core.Partial(len(queues) > 0)
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,7 +67,6 @@
 	listed   []gauge.Worker           // newest list
 	scans    int                      // of scanLoop alone
 	avoids   map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
-	surveyed bool                     // it is known which queues have jobs
 	missing  map[string]bool          // queues that were not read whole yet
 }
 
@@ -309,10 +308,13 @@
 }
 
 // Depth is how many jobs of a queue have no task started; false: this owner doesn't
-// know.
+// know, as it has not read the queue, or another owner may know better.
 func (o *Owner) Depth(queue string) (int, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.mayAdopt() || o.missing[queue] {
+		return 0, false
+	}
 	return o.core.Depths()[queue], true
 }
 
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -120,8 +122,17 @@
 	return p, nil
 }
 
+// leaseRow has the counts that this owner made, or, before the pool is loaded, those of
+// the owner before, which may be told while they aren't too old. A queue that isn't read
+// then is named: to tell it as empty would be wrong by as many jobs as wait there.
 func (o *Owner) leaseRow() gauge.LeaseRow {
-	return gauge.LeaseRow{Workers: o.core.Name(), Depths: o.core.Depths()}
+	row := gauge.LeaseRow{Workers: o.core.Name()}
+	if !o.loaded {
+		row.CountsOf(&o.conf.Before)
+		return row
+	}
+	row.Depths, row.Unread, row.Counted = o.core.Depths(), slices.Sorted(maps.Keys(o.missing)), o.conf.Clock()
+	return row
 }
 
 // wrote takes in that a write is in the table.
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -34,6 +34,7 @@
 	p.arrived += work(a.Spec)
 	if a.Inherited {
 		j.begun = len(a.Row.Done) > 0 || a.Row.Over > 0
+		j.started = j.begun || len(a.Row.Failures) > 0 || len(a.Row.Saved) > 0
 	}
 	if !a.Spec.Timed() {
 		j.occurrence(0, now)
@@ -142,11 +143,12 @@
 	return j.row.State, true
 }
 
-// Depths counts by queue the jobs of which no task has started.
+// Depths counts by queue the jobs of which no task has started, as far as workers have
+// told: a start that was only decided on may wait here for long, or be refused.
 func (p *Pool) Depths() map[string]int {
 	d := make(map[string]int)
 	for _, j := range p.jobs {
-		if !j.begun && j.open() {
+		if !j.started && j.open() {
 			d[j.queue]++
 		}
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -19,7 +19,8 @@
 	occs      map[int]*occurrence
 	next      int           // first occurrence that is not yet made
 	chain     time.Duration // estimated time of the longest chain of steps
-	begun     bool          // some task has started
+	begun     bool          // the start of some task was decided on
+	started   bool          // a worker has told of a run of it
 	inherited bool          // it was there before this owner took over
 
 	changes int  // grows with each change of the row
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -58,6 +58,7 @@
 			continue
 		}
 		there[r] = true
+		r.task.job.started = true
 		r.load, r.progress = rr.Load, rr.Progress
 		if r.phase != phaseStopping {
 			r.phase = phaseLive
@@ -147,6 +148,7 @@
 	if t == nil {
 		return
 	}
+	j.started = true
 	t.lastRun = max(t.lastRun, e.Run)
 	r := w.find(t, e.Run)
 	var took time.Duration
@@ -319,5 +321,6 @@
 	if r.phase == phaseSent {
 		r.phase = phaseLive
 	}
+	r.task.job.started = true
 	r.known = max(r.known, clock)
 }
--- a/leaserow.go
+++ b/leaserow.go
@@ -1,6 +1,10 @@
 package sapphiregauge
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // LeaseRow is the row of a pool's lease. Its owner rewrites it with every
 // transaction, which renews the lease; another entry may take it when it hasn't
@@ -19,10 +23,32 @@
 
 // Depth is how many jobs of a queue had no task started when the row's counts were
 // made; false: that isn't known.
-func (r *LeaseRow) Depth(queue string) (int, bool) { return r.Depths[queue], true }
+func (r *LeaseRow) Depth(queue string) (int, bool) {
+	if slices.Contains(r.Unread, queue) {
+		return 0, false
+	}
+	return r.Depths[queue], true
+}
 
 // CountedAt is when the row's counts were made, the table's clock in milliseconds.
-func (r *LeaseRow) CountedAt() int64 { return r.Counted }
+func (r *LeaseRow) CountedAt() int64 {
+	if r.Counted == 0 {
+		return r.Renewed // by an older program, which counts with each renewal
+	}
+	return r.Counted
+}
+
+// CountsOf takes over the counts of an earlier row as they are: an owner that has none
+// of its own yet tells them on, no younger than they are.
+func (r *LeaseRow) CountsOf(before *LeaseRow) {
+	r.Depths, r.Unread, r.Counted = before.Depths, before.Unread, before.CountedAt()
+	if r.Counted == 0 {
+		r.Counted = neverCounted
+	}
+}
+
+// neverCounted is the time of the counts of a pool that has had no owner: before any.
+const neverCounted = -1
 
 // Encode packs the row.
 func (r *LeaseRow) Encode() ([]byte, error) {
--- a/test/machines/count_test.go
+++ b/test/machines/count_test.go
@@ -1,10 +1,18 @@
 package machines_test
 
 import (
+	"io"
+	"log"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"sapphiregauge/platform/fakes"
 )
 
 // cutOffBeforeJobsCame is a site whose second entry is cut off from the table, and
@@ -59,3 +67,66 @@
 		return status == http.StatusServiceUnavailable && header.Get("Retry-After") != ""
 	})
 }
+
+// refusing is a way to the table on which the marks of one queue can't be read, until
+// it is healed.
+func refusing(t *testing.T, to, queue string) (addr string, heal func()) {
+	t.Helper()
+	var healed atomic.Bool
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
+	proxy.ErrorLog = log.New(io.Discard, "", 0) // feeds that wait when the test ends
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if q := r.URL.Query(); !healed.Load() && q.Get("table") == "open" && q.Get("part") == queue {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return server.Listener.Addr().String(), func() { healed.Store(true) }
+}
+
+// Symptom: 0 jobs are said to wait where 1,354 do.
+// Sequence: a pool's owner ends; the next one reads one queue of it, but not the other.
+// Cause: the count of a queue that was not read is told as 0.
+func TestCountOfAQueueThatTheNewOwnerCannotReadIsRefused(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 0)
+	s.table.Configure(2, []fakes.Queue{
+		{Name: queueName, Host: queueHost, Prefix: queuePath, Pool: poolName},
+		{Name: "r-parts", Host: queueHost, Prefix: "/parts/", Pool: poolName},
+	}, spareName)
+	s.ready()
+	s.waitFor("the first entry owns both leases", func() bool { return s.logged("lease taken", `"e-0"`) == 2 })
+	way, heal := refusing(t, s.table.Addr(), queueName)
+	next := s.startVia("e-1", way)
+	s.ready()
+	for n := range waitingJobs {
+		assert.Assert(t, s.submit(n, twoSteps(20)))
+	}
+	s.waitFor("the other queue has a job", func() bool {
+		status, _, _ := s.call(s.entries[0], http.MethodPost, "/parts/00000000000000ff", twoSteps(20))
+		return status == http.StatusOK
+	})
+	count := func() (int, any) {
+		status, out, _ := s.call(next, http.MethodGet, queuePath, nil)
+		return status, out["queueDepth"]
+	}
+	told := func() bool {
+		status, depth := count()
+		return status == http.StatusOK && depth == float64(waitingJobs)
+	}
+	s.waitFor("the count is known to the next owner", told)
+	first := s.entries[0]
+	first.kill()
+	<-first.done
+	first.mesh.Close()
+	s.waitFor("the count is refused, and never wrong", func() bool {
+		status, depth := count()
+		assert.Assert(t, status == http.StatusServiceUnavailable || depth == float64(waitingJobs), "%d %v", status, depth)
+		return status == http.StatusServiceUnavailable
+	})
+	heal()
+	s.waitFor("the count is told again", told)
+}
