Have only the jobs that are read late wait for workers to be heard anew

One set of workers to be heard stood for all inherited jobs, so that each piece of a queue that is read beside the work held up the tasks of all others; and it was cleared at a time worked out when the piece was read, while holds that are sent to a silent worker later let its runs go on. Waiting for each worker's next report alone: one that is silent would hold up the jobs for ever. Jobs adopted after Rehear refer to the workers that weren't heard since; a worker is dropped from it when it is heard, is gone, or its holds have run out, those sent since included. The lease row goes on naming such workers.

--- a/internal/owner/piece.go
+++ b/internal/owner/piece.go
@@ -172,25 +172,22 @@
 
 // adoptAll takes in jobs that were read, and returns how many were not known.
 //
-// Workers may have told of runs of theirs before, which was left aside. So with jobs
-// that were there before this owner all workers have to be heard anew, and under one
-// lock with the taking in: a worker that was heard while the jobs were being read would
+// Workers may have told of runs of theirs before, which was left aside. So jobs that
+// were there before this owner wait until all workers are heard anew, from the moment
+// on at which they are taken in: a worker that is heard while they are being read would
 // count as one that has told all.
 func (o *Owner) adoptAll(jobs []sched.Accepted) int {
 	now := o.conf.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n, inherited := 0, false
+	jobs = slices.DeleteFunc(jobs, func(a sched.Accepted) bool {
+		return o.core.Knows(a.ID) || !a.Inherited && !o.mayAdopt()
+	})
+	if o.loaded && slices.ContainsFunc(jobs, func(a sched.Accepted) bool { return a.Inherited }) {
+		o.core.Rehear()
+	}
 	for _, a := range jobs {
-		if o.core.Knows(a.ID) || !a.Inherited && !o.mayAdopt() {
-			continue
-		}
-		inherited = inherited || a.Inherited
 		o.core.Adopt(a, now)
-		n++
-	}
-	if inherited && o.loaded {
-		o.core.Rehear(now)
 	}
-	return n
+	return len(jobs)
 }
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -34,6 +34,7 @@
 	p.arrived += work(a.Spec)
 	if a.Inherited {
 		j.begun = len(a.Row.Done) > 0 || a.Row.Over > 0
+		j.hearing = p.newest
 		j.started = j.begun || len(a.Row.Failures) > 0 || len(a.Row.Saved) > 0
 	}
 	if !a.Spec.Timed() {
@@ -67,19 +68,6 @@
 // stay with the workers.
 func (p *Pool) Partial(missing bool) { p.partial = missing }
 
-// Rehear makes inherited tasks wait until every worker has been heard anew, or can
-// run nothing any more: what they told so far of jobs that are to be adopted now
-// was left aside.
-func (p *Pool) Rehear(now time.Duration) {
-	p.conf.Doubt = max(p.conf.Doubt, now)
-	for id, w := range p.workers {
-		if !w.gone {
-			p.earlier[id] = true
-			p.conf.Doubt = max(p.conf.Doubt, w.expiry)
-		}
-	}
-}
-
 // Knows tells whether a job has been adopted, also if it has ended since.
 func (p *Pool) Knows(id string) bool {
 	_, past := p.past[id]
--- a/internal/sched/ends_test.go
+++ b/internal/sched/ends_test.go
@@ -87,7 +87,7 @@
 
 	g.pass(7 * time.Second) // all that the owner before ordered has ended
 	g.hear("w1", []gauge.RunReport{running}, end)
-	g.pool.Rehear(g.now)
+	g.pool.Rehear()
 	g.adopt(1, true, step(2))
 	g.pool.Partial(false)
 	assert.Equal(t, len(g.starts()), 0, "the worker hasn't told of this job yet")
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -22,6 +22,7 @@
 	begun     bool          // the start of some task was decided on
 	started   bool          // a worker has told of a run of it
 	inherited bool          // it was there before this owner took over
+	hearing   *hearing      // what its tasks wait for, if it was read late
 
 	changes int  // grows with each change of the row
 	saved   int  // changes that the table has
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -240,9 +240,6 @@
 	room.measure()
 }
 
-// unknownYet tells whether a run of the task may exist that nobody has told.
-func (p *Pool) unknownYet(t *task) bool { return p.doubtful() && t.job.inherited }
-
 // startGang starts all tasks of a stage or none.
 func (p *Pool) startGang(t turn, room *rooms, now time.Duration) {
 	number := 0
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -19,7 +19,7 @@
 		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.silent, w.heard, w.heardAt = false, true, now
-	delete(p.earlier, id)
+	p.heard(id)
 	newest := rep.Clock >= w.clock
 	w.read(rep.Clock, now)
 	held := len(rep.Ended) >= endsAtOnce // there may be more
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,10 +41,13 @@
 	past    map[string]past // jobs that ended here
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
-	partial bool            // jobs may be missing: some could not be read yet
-	orders  []Order
-	halts   map[*run]bool // runs that are to end
-	arrived float64       // core-seconds of all jobs adopted so far
+	// hearings are those that aren't over, newest the one that began last.
+	hearings []*hearing
+	newest   *hearing
+	partial  bool // jobs may be missing: some could not be read yet
+	orders   []Order
+	halts    map[*run]bool // runs that are to end
+	arrived  float64       // core-seconds of all jobs adopted so far
 }
 
 // OrderKind is what is ordered.
@@ -149,14 +152,15 @@
 // wait for them for seconds, with the whole pool's work.
 func (p *Pool) Name() []string {
 	ids := make([]string, 0, len(p.workers))
+	awaited := p.awaited()
 	for id, w := range p.workers {
-		if !p.earlier[id] && w.done() {
+		if !awaited[id] && w.done() {
 			w.noted = false
 			continue
 		}
 		ids = append(ids, id)
 	}
-	for id := range p.earlier {
+	for id := range awaited {
 		if p.workers[id] == nil {
 			ids = append(ids, id)
 		}
@@ -217,7 +221,7 @@
 	for r := range w.runs {
 		p.end(r, now)
 	}
-	delete(p.earlier, w.info.ID)
+	p.heard(w.info.ID)
 }
 
 // end takes a run off all lists: it is over, and can't begin any more.
@@ -249,9 +253,7 @@
 	for _, j := range p.jobs {
 		j.occur(wall, now)
 	}
-	if now > p.conf.Doubt {
-		clear(p.earlier)
-	}
+	p.lapse(now)
 	for id, j := range p.past {
 		if now > j.ended+pastFor {
 			delete(p.past, id)
