Test that a worker's lease from the owner before counts for later starts (red)

Late readings are an event of their own in the schedules, which have ten events more, so that the others come as often as before.

--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -93,3 +93,26 @@
 	g.hear("w2", nil)
 	assert.Equal(t, len(g.starts()), 1)
 }
+
+// Symptom: a task has two runs at once.
+// Sequence: an owner takes a pool over; it starts a task on a worker that it has heard,
+// whose lease the owner before had extended by some seconds; the start gets no answer,
+// and the worker goes silent.
+// Cause: what the owner before granted a worker also holds for what is started there
+// later, and is left out.
+func TestStartOnAWorkerThatTheOwnerBeforeHeldIsNotOverEarly(t *testing.T) {
+	g := newRig(t, after("w1", "w2"))
+	g.list("w1", "w2")
+	g.hear("w1", nil)
+	g.adopt(1, false, step(1))
+	orders := g.starts()
+	assert.Equal(t, len(orders), 1)
+	g.pool.Answered(orders[0], 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.silent("w1")
+	g.pass(1500 * time.Millisecond) // beyond what the start granted
+	g.hear("w2", nil)
+	assert.Equal(t, len(g.starts()), 0, "the worker's lease lasts")
+	g.pass(7 * time.Second)
+	g.hear("w2", nil)
+	assert.Equal(t, len(g.starts()), 1)
+}
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -204,8 +204,8 @@
 func TestAnyOrderOfEventsKeepsThePromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		for range rapid.IntRange(1, 150).Draw(t, "events") {
-			switch rapid.IntRange(0, 15).Draw(t, "event") {
+		for range rapid.IntRange(1, 160).Draw(t, "events") {
+			switch rapid.IntRange(0, 16).Draw(t, "event") {
 			case 0, 1:
 				w.adopt()
 			case 2, 3, 4:
@@ -223,22 +223,22 @@
 			case 13:
 				w.cancel()
 			case 14:
-				switch rapid.IntRange(0, 5).Draw(t, "rare") {
+				switch rapid.IntRange(0, 3).Draw(t, "rare") {
 				case 0:
 					w.crash()
 				case 1:
 					w.own(w.named)
 				case 2:
 					w.pool.Empty(fmt.Sprintf("w%d", w.lives), true, w.now)
-				case 3, 4:
-					w.readLate()
-				case 5:
+				case 3:
 					w.pool.HoldFailed(fmt.Sprintf("w%d", w.lives), gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
 				}
 			case 15:
 				w.answer()
 				w.ask()
 				w.tell()
+			case 16:
+				w.readLate()
 			}
 		}
 	})
