Take no run for lapsed while a grant of the owner before may last

A silent worker's runs counted as over when what this owner had granted it had run out; what the owner before granted reaches further, for what runs there and for what is started there later, and tasks were started again while their runs went on. Raising the worker's time when a run of the owner before is found: the schedules then failed with a start of this owner's on such a worker. Nothing lapses before the time at which all has surely ended that the owner before ordered, which is known already. Before -> after (`go test -race ./internal/sched`): the two tests fail -> pass, with all others.

--- a/internal/sched/late.go
+++ b/internal/sched/late.go
@@ -51,7 +51,7 @@
 	clear(p.earlier)
 	for _, h := range slices.Clone(p.hearings) {
 		for id := range h.left {
-			if w := p.workers[id]; w == nil || now > w.expiry {
+			if w := p.workers[id]; w == nil || p.expired(w, now) {
 				p.heard(id)
 			}
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -239,14 +239,14 @@
 // due.
 func (p *Pool) Tick(now time.Duration, wall time.Time) {
 	for id, w := range p.workers {
-		if now > w.expiry && (w.silent || !w.listed) && len(w.runs) > 0 {
+		if p.expired(w, now) && (w.silent || !w.listed) && len(w.runs) > 0 {
 			p.conf.Count(EventLapsed)
 			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
 			for r := range w.runs {
 				p.end(r, now)
 			}
 		}
-		if !w.listed && now > w.expiry && (w.silent || w.gone) {
+		if !w.listed && p.expired(w, now) && (w.silent || w.gone) {
 			delete(p.workers, id)
 		}
 	}
@@ -261,6 +261,12 @@
 	}
 }
 
+// expired tells whether a worker's lease has surely run out: what this owner granted, and
+// what the owner before did, which holds for runs that are started later as well.
+func (p *Pool) expired(w *worker, now time.Duration) bool {
+	return now > w.expiry && now > p.conf.Doubt
+}
+
 // occur makes the occurrences that are due.
 func (j *job) occur(wall time.Time, now time.Duration) {
 	if !j.spec.Timed() || !j.open() {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -54,7 +54,7 @@
 
 	clock   time.Duration // worker's clock ...
 	readAt  time.Duration // ... as read at this time on ours
-	expiry  time.Duration // nothing runs there later than this, on our clock
+	expiry  time.Duration // until when this owner's grants reach, on our clock
 	heardAt time.Duration
 
 	ends       int64         // ends up to this number are taken in
