--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -18,11 +18,15 @@
 type Config struct {
 	Store gauge.Parted
 	Logs  logr.Logger
-	Event func(event string)               // counts outcomes of hand-ins
-	Now   func() time.Duration             // steady clock
-	Clock func() int64                     // the table's clock in milliseconds, about
-	Depth func(q *gauge.Queue) (int, bool) // as the pool's owner last told
-	Tell  func(n Notice)                   // tells the owner of the pool
+	Event func(event string)   // counts outcomes of hand-ins
+	Now   func() time.Duration // steady clock
+	Clock func() int64         // the table's clock in milliseconds, about
+	// Depth is how many jobs of a queue have not begun, as the pool's owner last told,
+	// and how old that count is; false: it isn't known.
+	Depth func(q *gauge.Queue) (int, time.Duration, bool)
+	// AskDepth asks the owner itself; false: it doesn't know, or can't be asked.
+	AskDepth func(ctx context.Context, q *gauge.Queue) (int, bool)
+	Tell     func(n Notice) // tells the owner of the pool
 	// Ask asks the owner of the queue's pool how far a job is; false: it doesn't
 	// know, or can't be asked.
 	Ask   func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
@@ -131,13 +135,22 @@
 	}
 }
 
-// Depth tells how many jobs of a queue have not begun.
-func (n *Intake) Depth(_ context.Context, q *gauge.Queue) (int, error) {
-	depth, ok := n.conf.Depth(q)
-	if !ok {
-		return 0, gauge.Fail(gauge.KindOutage, "the queue's pool has no owner at the moment")
+// countAge is how old a count may be that callers are told: the users' contract allows
+// 2 s.
+const countAge = 2 * time.Second
+
+// Depth tells how many jobs of a queue have not begun. A count that is older than may be
+// is asked of the pool's owner; one that nobody knows is refused, as a wrong one is
+// worse than none.
+func (n *Intake) Depth(ctx context.Context, q *gauge.Queue) (int, error) {
+	if depth, age, ok := n.conf.Depth(q); ok && age <= countAge {
+		return depth, nil
+	}
+	if depth, ok := n.conf.AskDepth(ctx, q); ok {
+		return depth, nil
 	}
-	return depth, nil
+	n.conf.Logs.Info("count not told", "queue", q.Name, "pool", q.Pool)
+	return 0, gauge.Fail(gauge.KindOutage, "how many jobs wait isn't known at the moment")
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -25,7 +25,8 @@
 	Lease   *tenure.Tenure
 	Term    int // owners before this one
 	Fence   gauge.Fence
-	Earlier []string // workers of the owner before
+	Earlier []string       // workers of the owner before
+	Before  gauge.LeaseRow // as it was taken: its counts are told until this owner has its own
 
 	Grace time.Duration // how long orders and holds may reach beyond the lease's end
 	Keep  time.Duration // how long an ended job's state is told
@@ -77,7 +78,7 @@
 	listed    []gauge.Worker           // newest list
 	scans     int                      // of scanLoop alone
 	avoids    map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
-	missing   map[string]bool          // queues that could not be read yet; of load and scanLoop
+	missing   map[string]bool          // queues that were not read whole yet
 }
 
 const (
@@ -120,8 +121,6 @@
 	writeAgain = 150 * time.Millisecond
 	// scanEvery is how often jobs are looked for of which no message came.
 	scanEvery = 1500 * time.Millisecond
-	// scanWait bounds one scan: the lease's term.
-	scanWait = 2 * time.Second
 	// scansOfAll: so many scans make one of all queues.
 	scansOfAll = 4
 	// doubtMargin covers the difference between two entries' steady clocks.
@@ -161,19 +160,22 @@
 	o.mu.Lock()
 	o.listed = workers
 	o.mu.Unlock()
+	o.run(func() {
+		// The group isn't over before the owner has ended for whatever reason.
+		<-o.ctx.Done()
+		o.end()
+	})
+	// The lease is renewed from now on: reading the jobs may take longer than its term.
+	o.run(o.writeLoop)
 	if !o.load() {
+		o.end()
+		o.group.Wait()
 		return
 	}
 	o.mu.Lock()
 	workers = o.listed
 	o.mu.Unlock()
 	o.List(workers)
-	o.run(func() {
-		// The group isn't over before the owner has ended for whatever reason.
-		<-o.ctx.Done()
-		o.end()
-	})
-	o.run(o.writeLoop)
 	o.run(o.tickLoop)
 	o.run(o.scanLoop)
 	o.run(o.sweepLoop)
@@ -324,6 +326,17 @@
 	return o.core.State(queue, id)
 }
 
+// Depth is how many jobs of a queue have no task started; false: this owner doesn't
+// know, as it has not read the queue, or another owner may know better.
+func (o *Owner) Depth(queue string) (int, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.mayAdopt() || o.missing[queue] {
+		return 0, false
+	}
+	return o.core.Depths()[queue], true
+}
+
 // Load tells what the pool has to do.
 func (o *Owner) Load() gauge.PoolLoad {
 	o.mu.Lock()
--- a/internal/sched/calm_test.go
+++ b/internal/sched/calm_test.go
@@ -42,7 +42,7 @@
 	}
 	if !w.rehears {
 		w.rehears = true
-		w.pool.Rehear(w.now)
+		w.pool.Rehear()
 		return
 	}
 	for i := range len(w.specs) {
--- a/internal/sched/counts.go
+++ b/internal/sched/counts.go
@@ -11,7 +11,7 @@
 // or plan: a walk over all jobs each time would take an owner of a thousand jobs more
 // of its processor than all else.
 type counts struct {
-	depths  map[string]int // by queue: open jobs of which no task has started
+	depths  map[string]int // by queue: open jobs of which no worker has told a run
 	changed map[*job]bool  // jobs with something to be written, and some that had
 	timed   map[*job]bool  // open jobs with occurrences to come, and some that had
 
@@ -25,7 +25,7 @@
 
 // enter counts a job that was adopted.
 func (c *counts) enter(j *job) {
-	if j.open() && !j.begun {
+	if j.open() && !j.started {
 		c.depths[j.queue]++
 	}
 	if j.spec.Timed() {
@@ -43,24 +43,26 @@
 	}
 }
 
-// begin notes that a task of the job has started.
-func (j *job) begin() {
-	if !j.begun && j.open() {
+// told notes that a worker has told of a run of the job. A start that was only decided
+// on doesn't count: it may wait here for long, or be refused.
+func (j *job) told() {
+	if !j.started && j.open() {
 		j.counts.leave(j.queue)
 	}
-	j.begun = true
+	j.started = true
 }
 
 // close ends the job for good.
 func (j *job) close(state gauge.JobState) {
-	if !j.begun && j.open() {
+	if !j.started && j.open() {
 		j.counts.leave(j.queue)
 	}
 	j.row.State = state
 	j.counts.changed[j] = true
 }
 
-// Depths counts by queue the jobs of which no task has started.
+// Depths counts by queue the jobs of which no task has started, as far as workers have
+// told.
 func (p *Pool) Depths() map[string]int { return maps.Clone(p.counts.depths) }
 
 // unwritten lists the jobs with something to be written.
--- a/internal/sched/counts_test.go
+++ b/internal/sched/counts_test.go
@@ -61,7 +61,7 @@
 			w.endSome, w.endSome, w.pass, w.cancel, w.crash,
 			func() { w.pool.Tick(w.now, time.Unix(0, 0).Add(w.now)) },
 			func() { w.own(w.named) },
-			func() { w.pool.Rehear(w.now) },
+			func() { w.pool.Rehear() },
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "events") {
 			rapid.SampledFrom(events).Draw(t, "event")()
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -23,7 +23,7 @@
 func (p *Pool) Walk(now time.Duration) Walked {
 	w := Walked{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, Arrived: p.arrived}}
 	for _, j := range p.jobs {
-		if !j.begun && j.open() {
+		if !j.started && j.open() {
 			w.Depths[j.queue]++
 		}
 		w.Urgent = w.Urgent || j.dirty() && j.urgent
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -170,9 +170,6 @@
 	}
 }
 
-// unknownYet tells whether a run of the task may exist that nobody has told.
-func (p *Pool) unknownYet(t *task) bool { return p.doubts && t.job.inherited }
-
 // startGang starts all tasks of a stage or none.
 func (p *Pool) startGang(t turn, room *rooms, now time.Duration) {
 	number := 0
@@ -222,7 +219,7 @@
 	w.add(r)
 	p.fly(r)
 	if !t.job.begun {
-		t.job.begin()
+		t.job.begun = true
 		if t.job.row.State == gauge.JobPending {
 			t.job.row.State = gauge.JobRunning
 			t.job.touch(false)
--- a/internal/sched/rehear_test.go
+++ b/internal/sched/rehear_test.go
@@ -24,7 +24,7 @@
 	g.pass(7 * time.Second)
 	g.hear("w1", left)
 	g.hear("w2", nil)
-	g.pool.Rehear(g.now)
+	g.pool.Rehear()
 	g.pass(100 * time.Millisecond) // the queue is being read
 	g.hear("w1", left)
 	g.hear("w2", nil)
@@ -73,7 +73,7 @@
 	g.hear("w2", nil)
 	g.pool.Cancel(stopped, 900)
 	stops := only(g.plan(), sched.OrderStop)
-	g.pool.Rehear(g.now)
+	g.pool.Rehear()
 	g.pool.Partial(false)
 	g.adopt(9, true, step(1))
 	made := g.clock()
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -40,7 +40,7 @@
 		p.running(w, rep, held, now)
 	}
 	if newest && !held {
-		delete(p.earlier, id) // all that it has to tell of the owner before is told
+		p.heard(id) // all that it has to tell of the owner before is told
 	}
 }
 
@@ -61,6 +61,7 @@
 			continue
 		}
 		r.listed = w.reports
+		r.task.job.told()
 		r.load, r.progress = rr.Load, rr.Progress
 		if r.phase != phaseStopping {
 			r.phase = phaseLive
@@ -127,7 +128,7 @@
 		p.conf.Count(EventSurplus)
 		p.halt(r)
 	}
-	j.begin()
+	j.begun = true
 	return r
 }
 
@@ -141,6 +142,7 @@
 	if t == nil {
 		return
 	}
+	j.told()
 	t.lastRun = max(t.lastRun, e.Run)
 	r := w.find(t, e.Run)
 	var took time.Duration
@@ -328,5 +330,6 @@
 	if r.phase == phaseSent {
 		r.phase = phaseLive
 	}
+	r.task.job.told()
 	r.known = max(r.known, clock)
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -47,17 +47,20 @@
 	past    map[string]past // jobs that ended here
 	workers map[string]*worker
 	earlier map[string]bool // workers of the owner before that haven't been heard
-	partial bool            // jobs may be missing: some could not be read yet
-	orders  []Order
-	halts   map[*run]bool // runs that are to end
-	odds    map[*oddRun]bool
-	cancels map[string]cancelled // of jobs that aren't known
-	ticked  time.Duration        // when time was last told
-	arrived float64              // core-seconds of all jobs adopted so far
-	doubts  bool                 // inherited tasks wait, in this round of starts
-	flying  int                  // starts that have no answer yet
-	counts  counts
-	swept   time.Duration // when ended jobs were last forgotten
+	// hearings are those that aren't over, newest the one that began last.
+	hearings []*hearing
+	newest   *hearing
+	partial  bool // jobs may be missing: some could not be read yet
+	orders   []Order
+	halts    map[*run]bool // runs that are to end
+	odds     map[*oddRun]bool
+	cancels  map[string]cancelled // of jobs that aren't known
+	ticked   time.Duration        // when time was last told
+	arrived  float64              // core-seconds of all jobs adopted so far
+	doubts   bool                 // inherited tasks wait, in this round of starts
+	flying   int                  // starts that have no answer yet
+	counts   counts
+	swept    time.Duration // when ended jobs were last forgotten
 
 	sorted []*worker // workers by id; nil: to be sorted anew
 	taking []*worker // memory for the next plan's rooms ...
@@ -178,14 +181,15 @@
 // wait for them for seconds, with the whole pool's work.
 func (p *Pool) Name() []string {
 	ids := make([]string, 0, len(p.workers))
+	awaited := p.awaited()
 	for _, w := range p.byID() {
-		if w.done() && !p.earlier[w.info.ID] {
+		if w.done() && !awaited[w.info.ID] {
 			w.noted = false
 			continue
 		}
 		ids = append(ids, w.info.ID)
 	}
-	for id := range p.earlier {
+	for id := range awaited {
 		if p.workers[id] == nil {
 			ids = append(ids, id)
 		}
@@ -256,7 +260,7 @@
 		p.end(r, now)
 	}
 	p.forgetOdds(w)
-	delete(p.earlier, w.info.ID)
+	p.heard(w.info.ID)
 }
 
 // end takes a run off all lists: it is over, and can't begin any more.
@@ -294,9 +298,7 @@
 		}
 	}
 	p.counts.occur(wall, now)
-	if now > p.conf.Doubt {
-		clear(p.earlier)
-	}
+	p.lapse(now)
 	p.forget(now)
 }
 
--- a/leaserow.go
+++ b/leaserow.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -14,11 +15,42 @@
 	Addr    string           `msgpack:"a"`           // for calls from other entries
 	Term    int              `msgpack:"t"`           // owners before this one
 	Workers []string         `msgpack:"w"`           // that may have orders of this owner or, unheard, of an earlier one
-	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started
+	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started; a queue that isn't named has none
+	Unread  []string         `msgpack:"u,omitempty"` // queues that the owner has not read yet: nobody knows their depths
+	Counted int64            `msgpack:"k,omitempty"` // when Depths was made, the table's clock in milliseconds; 0: with the renewal
 	Renewed int64            `msgpack:"n"`           // when this was sent, the table's clock in milliseconds, up to 0.1 s early
 	Ordered map[string]int64 `msgpack:"o,omitempty"` // the fleet's: machines that were ordered lately, and when by the table's clock in milliseconds
 }
 
+// Depth is how many jobs of a queue had no task started when the row's counts were
+// made; false: that isn't known.
+func (r *LeaseRow) Depth(queue string) (int, bool) {
+	if slices.Contains(r.Unread, queue) {
+		return 0, false
+	}
+	return r.Depths[queue], true
+}
+
+// CountedAt is when the row's counts were made, the table's clock in milliseconds.
+func (r *LeaseRow) CountedAt() int64 {
+	if r.Counted == 0 {
+		return r.Renewed // by an older program, which counts with each renewal
+	}
+	return r.Counted
+}
+
+// CountsOf takes over the counts of an earlier row as they are: an owner that has none
+// of its own yet tells them on, no younger than they are.
+func (r *LeaseRow) CountsOf(before *LeaseRow) {
+	r.Depths, r.Unread, r.Counted = before.Depths, before.Unread, before.CountedAt()
+	if r.Counted == 0 {
+		r.Counted = neverCounted
+	}
+}
+
+// neverCounted is the time of the counts of a pool that has had no owner: before any.
+const neverCounted = -1
+
 // Encode packs the row.
 func (r *LeaseRow) Encode() ([]byte, error) {
 	b, err := msgpack.Marshal(r)
