Let a test cut an entry off only once it has read the leases

Traced by a failing run's log: "dependency lost", table leases, version 0: the entry was cut off before it had read any lease, and can't know an owner then. The test is of an entry that loses the table, so it waits for "entry known" first; its assertions stay.

--- a/test/machines/cut_test.go
+++ b/test/machines/cut_test.go
@@ -119,6 +119,9 @@
 	way := newPath(t, s.table.Addr())
 	cutOff := s.startVia("e-1", way.listen.Addr().String())
 	s.ready()
+	s.waitFor("it has read the leases", func() bool {
+		return s.logged("entry known", `"entry"="e-1"`, `"peer"="e-0"`) == 1
+	})
 	way.Cut(true)
 	var jobs []int
 	for n := range 6 {
