--- a/internal/sched/calm_test.go
+++ b/internal/sched/calm_test.go
@@ -131,18 +131,8 @@
 func (w *world) save() {
 	b, err := w.pool.Batch(100, w.now.Milliseconds(), nobody)
 	assert.NilError(w.t, err)
-	for _, c := range b.Changes {
-		if w.version[c.Job] != c.Version {
-			w.conflict(c.Job)
-			return
-		}
-	}
-	w.next++
-	for _, c := range b.Changes {
-		w.rows[c.Job], w.version[c.Job] = c.Row, w.next
-		if c.Final {
-			delete(w.rows, c.Job)
-		}
+	if !w.store(b) {
+		return
 	}
 	w.pool.Written(b, w.next, w.now)
 	w.renew()
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -83,15 +83,12 @@
 	w.plan()
 }
 
-// write has the table take a batch, or the answer lost, or refuse it since a
-// caller has cancelled the job.
-func (w *world) write() {
-	b, err := w.pool.Batch(5, w.now.Milliseconds(), nobody)
-	assert.NilError(w.t, err)
+// store has the table take a batch; false: a row has changed meanwhile.
+func (w *world) store(b sched.Batch) bool {
 	for _, c := range b.Changes {
 		if w.version[c.Job] != c.Version {
 			w.conflict(c.Job)
-			return
+			return false
 		}
 	}
 	w.next++
@@ -101,6 +98,17 @@
 			delete(w.rows, c.Job)
 		}
 	}
+	return true
+}
+
+// write has the table take a batch, or the answer lost, or refuse it since a
+// caller has cancelled the job.
+func (w *world) write() {
+	b, err := w.pool.Batch(5, w.now.Milliseconds(), nobody)
+	assert.NilError(w.t, err)
+	if !w.store(b) {
+		return
+	}
 	names := w.pool.Name()
 	w.named = names
 	if rapid.IntRange(0, 4).Draw(w.t, "lost") > 0 || len(b.Changes) == 0 {
