Let tests of leases wait for the line of what the table shows already

Traced: with the lines of leases printed when a test fails, two of 48 runs beside load show the line right after the assertion: the table shows a lease as taken before its holder has the answer and logs it. The same in the assertion at line 70 (1 of 30 runs). Change: both wait for the same lines; failing tests print what was logged of leases.

--- a/test/machines/place_test.go
+++ b/test/machines/place_test.go
@@ -67,7 +67,10 @@
 		}
 		return s.holderOf(poolName) == "strong-0" && s.holderOf(fleetLease) == "strong-0"
 	})
-	assert.Assert(t, s.logged("lease taken", `"entry"="strong-0"`, `"pool"="`+poolName+`"`, `"from"="weak-`) >= 1, "by an offer")
+	// The table shows a lease as taken before its holder has the answer.
+	s.waitFor("it was taken by an offer", func() bool {
+		return s.logged("lease taken", `"entry"="strong-0"`, `"pool"="`+poolName+`"`, `"from"="weak-`) >= 1
+	})
 	s.completed(jobs)
 	assert.Equal(t, s.state(0), "running")
 	assert.Equal(t, s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 0)), 1)
@@ -96,7 +99,10 @@
 	killed.mesh.Close()
 	s.entries = s.entries[1:]
 	s.held("weak")
-	assert.Equal(t, s.logged("lease taken", `"pool"="`+poolName+`"`, `"before"="strong-0/1"`), 1)
+	// The table shows a lease as taken before its holder has the answer.
+	s.waitFor("it was taken from the one that was killed", func() bool {
+		return s.logged("lease taken", `"pool"="`+poolName+`"`, `"before"="strong-0/1"`) == 1
+	})
 	assert.Assert(t, s.submit(2, twoSteps(20)))
 	s.completed([]int{1, 2})
 	s.clean()
--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -51,6 +51,20 @@
 	}, funcr.Options{})
 }
 
+// tellLeases prints what was logged of leases, if the test has failed.
+func (s *site) tellLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.t.Failed() {
+		return
+	}
+	for _, line := range s.lines {
+		if strings.Contains(line, `"msg"="lease`) || strings.Contains(line, `"msg"="pool l`) || strings.Contains(line, `"msg"="holder`) {
+			s.t.Log(line)
+		}
+	}
+}
+
 // logged counts the lines that hold all of some texts.
 func (s *site) logged(texts ...string) int {
 	s.mu.Lock()
@@ -90,6 +104,7 @@
 	s := &site{t: t, table: fakes.NewTable(), journal: fakes.NewJournal()}
 	s.client = http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	s.machines = fakes.NewMachines(s.table, s.journal)
+	t.Cleanup(s.tellLeases)
 	t.Cleanup(s.table.Close)
 	t.Cleanup(s.machines.Close)
 	for i := range hosts {
