Test that orders to silent workers are no sign of lag

Seen failing with that one condition taken out: a successor asked for 44 times in 3 s, want 0; green with it.

--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -94,6 +94,7 @@
 	holds  int
 	listed int           // ends in answers to holds, each time they are listed
 	news   chan struct{} // closed when something ends
+	cut    int           // so many workers answer nothing
 }
 
 type life struct {
@@ -111,7 +112,32 @@
 	return s.lives[id]
 }
 
+// isCut tells whether a worker answers nothing.
+func (s *site) isCut(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n int
+	_, err := fmt.Sscanf(id, "w%d", &n)
+	return err == nil && n < s.cut
+}
+
+// broken is a call that gets no answer in a time.
+func broken(after time.Duration) error {
+	time.Sleep(after)
+	return gauge.Fail(gauge.KindUnknown, "no answer")
+}
+
+func (s *site) Stop(_ context.Context, w *gauge.Worker, _ gauge.StopCall) (time.Duration, error) {
+	if s.isCut(w.ID) {
+		return 0, broken(300 * time.Millisecond)
+	}
+	return s.clock(), nil
+}
+
 func (s *site) Hold(ctx context.Context, w *gauge.Worker, c gauge.HoldCall) (*gauge.WorkerReport, error) {
+	if s.isCut(w.ID) {
+		return nil, broken(800*time.Millisecond + c.Wait)
+	}
 	s.mu.Lock()
 	s.holds++
 	l := s.life(w.ID)
@@ -187,6 +213,7 @@
 	began time.Time
 	mu    sync.Mutex
 	logs  []string
+	lags  int // times that a successor was asked for, as orders lag
 	end   func()
 }
 
@@ -216,6 +243,11 @@
 		Grace: 6 * time.Second, Hold: 4 * time.Second, Stamp: func(gauge.Stamp, time.Duration) {},
 		Clock: clock, Count: func(string, time.Duration) {}, Event: func(string) {},
 	})
+	g.owner.OnStuck(time.Hour, func(time.Duration) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.lags++
+	})
 	var list []gauge.Worker
 	for i := range workerCount {
 		list = append(list, gauge.Worker{ID: fmt.Sprint("w", i), Pool: "p", Capacity: gauge.Resources{MilliCPU: workerRoom, MemoryMB: workerRoom}})
