--- /dev/null
+++ b/cmd/rounds/table.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// What is paid for most, by the names in a report.
+const (
+	priceRoom  = "seconds of machines in pools"
+	priceMoves = "machines moved"
+	priceWaste = "core-seconds of work thrown away"
+	priceLooks = "probes and requests without id"
+)
+
+// Table shows by site, day and tree the means over all seeds, and for each tree but
+// the first how much more it earned than that one on equal days and seeds.
+func Table(plays []*Play) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "site\tday\ttree\tplays\tworth\t±\twhole\twindows\tclass\troom\tmoves\twaste\tlooks\tother\tbroken")
+	for _, group := range groups(plays, func(p *Play) string { return p.Site + "\t" + p.Day + "\t" + p.Tree }) {
+		writeRow(w, group[0].Day, group)
+	}
+	for _, group := range groups(plays, func(p *Play) string { return p.Site + "\t" + p.Tree }) {
+		writeRow(w, "all", group)
+	}
+	_ = w.Flush()
+	for _, line := range differences(plays) {
+		fmt.Fprintln(&b, line)
+	}
+	return b.String()
+}
+
+// groups puts plays with the same key together, in the order of their first one.
+func groups(plays []*Play, key func(*Play) string) [][]*Play {
+	at := make(map[string]int)
+	var list [][]*Play
+	for _, p := range plays {
+		k := key(p)
+		i, ok := at[k]
+		if !ok {
+			i = len(list)
+			at[k] = i
+			list = append(list, nil)
+		}
+		list[i] = append(list[i], p)
+	}
+	return list
+}
+
+func writeRow(w *tabwriter.Writer, day string, group []*Play) {
+	of := func(value func(*Outcome) float64) float64 {
+		mean, _ := Mean(pick(group, value))
+		return mean
+	}
+	worths := pick(group, func(o *Outcome) float64 { return o.Worth })
+	worth, spread := Mean(worths)
+	broken := "-"
+	for _, p := range group {
+		if len(p.Outcome.Broken) > 0 {
+			broken = fmt.Sprint(strings.TrimPrefix(broken, "-"), " ", p.Seed, ":", strings.Join(p.Outcome.Broken, "+"))
+		}
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.3f\t%s\n",
+		strings.TrimSuffix(filepath.Base(group[0].Site), ".toml"), day, group[0].Tree, len(worths), worth, spread,
+		of(func(o *Outcome) float64 { return o.Whole }), of(func(o *Outcome) float64 { return o.Window }),
+		of(func(o *Outcome) float64 { return o.Class }), of(func(o *Outcome) float64 { return o.Prices[priceRoom] }),
+		of(func(o *Outcome) float64 { return o.Counts[priceMoves] }), of(func(o *Outcome) float64 { return o.Counts[priceWaste] }),
+		of(func(o *Outcome) float64 { return o.Counts[priceLooks] }), of(others), broken)
+}
+
+// others is what is paid for all but the room.
+func others(o *Outcome) float64 {
+	sum := 0.0
+	for name, price := range o.Prices {
+		if name != priceRoom {
+			sum += price
+		}
+	}
+	return sum
+}
+
+// pick takes a value of each play that has an outcome.
+func pick(plays []*Play, value func(*Outcome) float64) []float64 {
+	var list []float64
+	for _, p := range plays {
+		if p.Err == nil {
+			list = append(list, value(&p.Outcome))
+		}
+	}
+	return list
+}
+
+// Mean is the mean of some values and their standard deviation.
+func Mean(values []float64) (mean, spread float64) {
+	if len(values) == 0 {
+		return 0, 0
+	}
+	for _, v := range values {
+		mean += v
+	}
+	mean /= float64(len(values))
+	if len(values) == 1 {
+		return mean, 0
+	}
+	for _, v := range values {
+		spread += (v - mean) * (v - mean)
+	}
+	return mean, math.Sqrt(spread / float64(len(values)-1))
+}
+
+// differences compares each tree with the first, site by site.
+func differences(plays []*Play) []string {
+	var lines []string
+	for _, site := range groups(plays, func(p *Play) string { return p.Site }) {
+		first := site[0].Tree
+		var labels []string
+		for _, p := range site {
+			if p.Tree != first && !slices.Contains(labels, p.Tree) {
+				labels = append(labels, p.Tree)
+			}
+		}
+		for _, label := range labels {
+			more := Paired(site, first, label)
+			mean, spread := Mean(more)
+			lines = append(lines, fmt.Sprintf("%s: %s - %s: %+.3f, standard error %.3f, %d pairs",
+				strings.TrimSuffix(filepath.Base(site[0].Site), ".toml"), label, first, mean,
+				spread/math.Sqrt(float64(max(1, len(more)))), len(more)))
+		}
+	}
+	return lines
+}
+
+// Paired lists how much more one tree earned than another on equal days and seeds.
+func Paired(plays []*Play, first, second string) []float64 {
+	var more []float64
+	for _, pair := range groups(plays, func(p *Play) string { return fmt.Sprint(p.Site, p.Day, p.Seed) }) {
+		var a, b *Play
+		for _, p := range pair {
+			switch {
+			case p.Err != nil:
+			case p.Tree == first:
+				a = p
+			case p.Tree == second:
+				b = p
+			}
+		}
+		if a != nil && b != nil {
+			more = append(more, b.Outcome.Worth-a.Outcome.Worth)
+		}
+	}
+	return more
+}
--- /dev/null
+++ b/cmd/rounds/table_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestReadTakesPartsPricesAndBrokenRules(t *testing.T) {
+	o, err := Read([]byte(`{"G":0.389,"parts":[["whole day",0.75,0.7345],["worst windows",0.15,0.25],["worst class",0.1,0.5]],
+		"prices":[["machines moved",340.0,0.0268]],"breaks":{"LOST":1}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, o.Worth, 0.389)
+	assert.Equal(t, o.Whole, 0.7345)
+	assert.Equal(t, o.Window, 0.25)
+	assert.Equal(t, o.Class, 0.5)
+	assert.Equal(t, o.Counts[priceMoves], 340.0)
+	assert.Equal(t, o.Prices[priceMoves], 0.0268)
+	assert.DeepEqual(t, o.Broken, []string{"LOST"})
+}
+
+func TestReadRejectsWhatIsNoReport(t *testing.T) {
+	_, err := Read([]byte("built in 0.1 s"))
+	assert.ErrorContains(t, err, "report")
+}
+
+// A play that failed has no worth: read as zero it would speak against its tree.
+func TestPairedLeavesOutPlaysThatFailed(t *testing.T) {
+	plays := []*Play{
+		{Site: "s", Day: "d", Seed: 1, Tree: "old", Outcome: Outcome{Worth: 0.5}},
+		{Site: "s", Day: "d", Seed: 1, Tree: "new", Outcome: Outcome{Worth: 0.75}},
+		{Site: "s", Day: "d", Seed: 2, Tree: "old", Outcome: Outcome{Worth: 0.5}},
+		{Site: "s", Day: "d", Seed: 2, Tree: "new", Err: eris.New("given up")},
+	}
+	assert.DeepEqual(t, Paired(plays, "old", "new"), []float64{0.25})
+}
+
+func TestMeanAndSpread(t *testing.T) {
+	mean, spread := Mean([]float64{1, 3})
+	assert.Equal(t, mean, 2.0)
+	assert.Assert(t, spread > 1.41 && spread < 1.42)
+}
