--- a/cmd/rounds/main.go
+++ b/cmd/rounds/main.go
@@ -35,6 +35,7 @@
 	jobs    int
 	charged bool
 	why     string
+	kept    string
 }
 
 func main() {
@@ -59,6 +60,7 @@
 	parser.Int(&o.jobs, "", "jobs", "plays at a time")
 	parser.Bool(&o.charged, "", "charged", "charge processor time")
 	parser.String(&o.why, "", "why", "a line for the journal of plays")
+	parser.String(&o.kept, "", "kept", "file with outcomes of earlier plays, which aren't played again; new ones are added")
 	if err := parser.Parse(); err != nil {
 		return eris.Wrap(err, "flags")
 	}
@@ -66,6 +68,9 @@
 	if err != nil {
 		return err
 	}
+	if err := load(o.kept, plays); err != nil {
+		return err
+	}
 	for _, t := range trees(plays) {
 		if err := build(ctx, o.player, t); err != nil {
 			return err
@@ -73,7 +78,7 @@
 	}
 	playAll(ctx, o, plays)
 	fmt.Print(Table(plays))
-	return nil
+	return save(o.kept, plays)
 }
 
 // plays lists all plays, those on equal days and seeds next to each other.
--- a/cmd/rounds/play.go
+++ b/cmd/rounds/play.go
@@ -19,7 +19,8 @@
 	Site, Day, Tree, Dir string
 	Seed                 int64
 	Outcome              Outcome
-	Err                  error
+	Played               bool
+	Err                  error `json:"-"`
 }
 
 // Outcome is what a report says of a day.
@@ -102,11 +103,15 @@
 func playAll(ctx context.Context, o options, plays []*Play) {
 	workers := pool.New().WithMaxGoroutines(max(1, o.jobs))
 	for _, p := range plays {
+		if p.Played {
+			continue
+		}
 		workers.Go(func() {
 			p.Outcome, p.Err = p.run(ctx, &o)
 			if p.Err != nil {
 				fmt.Fprintln(os.Stderr, p.Tree, p.Day, p.Seed, p.Err)
 			}
+			p.Played = p.Err == nil
 		})
 	}
 	workers.Wait()
--- a/cmd/rounds/table_test.go
+++ b/cmd/rounds/table_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"path/filepath"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -42,3 +43,14 @@
 	assert.Equal(t, mean, 2.0)
 	assert.Assert(t, spread > 1.41 && spread < 1.42)
 }
+
+func TestPlaysThatAreKeptAreNotPlayedAgain(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "kept.json")
+	done := &Play{Site: "s", Day: "d", Seed: 1, Tree: "old", Outcome: Outcome{Worth: 0.5}, Played: true}
+	assert.NilError(t, save(file, []*Play{done, {Site: "s", Day: "d", Seed: 2, Tree: "old"}}))
+	again := []*Play{{Site: "s", Day: "d", Seed: 1, Tree: "old"}, {Site: "s", Day: "d", Seed: 2, Tree: "old"}}
+	assert.NilError(t, load(file, again))
+	assert.Assert(t, again[0].Played)
+	assert.Equal(t, again[0].Outcome.Worth, 0.5)
+	assert.Assert(t, !again[1].Played)
+}
