Let a fleet's holder go on after a restart, and hand on orders of all holders before

Besides, a holder handed on only what it had ordered itself, so that the third of three holders might order a machine within the bound after the first (by reading). Change: lists of a holder's own orders and of earlier ones; own ones wait only until they are carried out. Ruled out: that the machines were in a wave's hands or not empty (no such line).

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -54,8 +54,9 @@
 		keeper: waves.New(waves.Config{
 			Upkeep: n.conf.Upkeep, Logs: n.conf.Logs,
 		}),
-		sizer:   sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
-		turns:   turns.New(n.conf.TurnGap+grantMargin, h.before.Ordered, n.clock(), n.conf.Now()),
+		sizer: sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
+		turns: turns.New(n.conf.TurnGap+grantMargin, turns.Lists{Own: h.before.Ordered, Earlier: h.before.Earlier},
+			n.wasMine(&h.before), n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(), taken: n.conf.Now(),
 		async:   newAsync(),
 		unsaved: make(map[int64]bool),
@@ -122,14 +123,19 @@
 // wait. Else it may have ordered any for orderSpan after its last renewal.
 func (n *Node) turnFrom(h *held) time.Duration {
 	now := n.conf.Now()
-	name, _, _ := strings.Cut(h.before.Holder, "/")
-	if name == "" || name == n.conf.Name {
+	if h.before.Holder == "" || n.wasMine(&h.before) {
 		return now // given up, or this holder itself before a restart
 	}
 	since := time.Duration(n.clock()-h.before.Renewed)*time.Millisecond - renewedMargin
 	return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-since)
 }
 
+// wasMine tells whether a lease's holder was this entry, in an earlier process.
+func (n *Node) wasMine(row *gauge.LeaseRow) bool {
+	name, _, _ := strings.Cut(row.Holder, "/")
+	return name == n.conf.Name
+}
+
 // renewedMargin is how far the table's clock, as two entries know it, may be off:
 // each takes readings only from answers that took less than a tenth of a second.
 const renewedMargin = 300 * time.Millisecond
@@ -159,7 +165,10 @@
 	f.over = true
 }
 
-func (f *fleet) row() gauge.LeaseRow { return gauge.LeaseRow{Ordered: f.turns.Lately(f.node.clock())} }
+func (f *fleet) row() gauge.LeaseRow {
+	lists := f.turns.Lately(f.node.clock())
+	return gauge.LeaseRow{Ordered: lists.Own, Earlier: lists.Earlier}
+}
 
 // leave has another entry take the fleet over when writes fail here; true: it
 // was offered.
@@ -231,9 +240,9 @@
 	f.resize(ctx)
 }
 
-// orderedBefore tells whether the holder before has ordered a machine just now.
+// orderedBefore tells whether a holder before has ordered a machine just now.
 func (f *fleet) orderedBefore(machine string) bool {
-	return f.turns.Waits(machine, f.node.conf.Now())
+	return f.turns.Before(machine, f.node.clock())
 }
 
 // commit writes on condition that the fleet's lease is still this entry's.
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -3,28 +3,54 @@
 package turns
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
 
+// settleAfter is how long an order that was under way when its process ended may
+// take effect: most do within some milliseconds, slow ones within half a second.
+const settleAfter = 500 * time.Millisecond
+
+// Lists are the machines that were ordered lately, and when by the table's clock in
+// milliseconds: by a holder itself, and by those before it.
+type Lists struct {
+	Own     map[string]int64
+	Earlier map[string]int64
+}
+
 // Turns keeps two holders of the fleet from ordering one machine within the bound
-// between them: a machine that the holder before has ordered lately waits, the
-// others don't.
+// between them: a machine that a holder before has ordered lately waits, the
+// others don't. What a holder's own process before a restart ordered waits only
+// until it has taken effect: without that, after an outage of all entries no machine
+// that had moved in the seconds before could move, just when demand has piled up.
 type Turns struct {
 	gap time.Duration // between the orders of two holders
 
-	mu     sync.Mutex
-	barred map[string]time.Duration // until when, on our clock
-	mine   map[string]int64         // when this holder ordered, the table's clock in milliseconds
+	mu      sync.Mutex
+	barred  map[string]time.Duration // until when, on our clock
+	own     map[string]int64         // when this holder ordered, the table's clock in milliseconds
+	earlier map[string]int64         // the same of the holders before, and of this one's process before
 }
 
-// New makes Turns that take in what the holder before has ordered; clock is the table's now.
-func New(gap time.Duration, before map[string]int64, clock int64, now time.Duration) *Turns {
-	t := &Turns{gap: gap, barred: make(map[string]time.Duration), mine: make(map[string]int64)}
-	for machine, at := range before {
-		since := time.Duration(clock-at) * time.Millisecond
-		t.barred[machine] = now + gap - since
+// New makes Turns that take in what was ordered before; same: the holder before is
+// this one, in an earlier process. Clock is the table's now.
+func New(gap time.Duration, before Lists, same bool, clock int64, now time.Duration) *Turns {
+	t := &Turns{gap: gap, barred: make(map[string]time.Duration), own: make(map[string]int64), earlier: make(map[string]int64)}
+	bar := func(ordered map[string]int64, gap time.Duration) {
+		for machine, at := range ordered {
+			since := time.Duration(clock-at) * time.Millisecond
+			t.barred[machine] = max(t.barred[machine], now+gap-since)
+			t.earlier[machine] = max(t.earlier[machine], at)
+		}
 	}
+	bar(before.Earlier, gap)
+	if !same {
+		bar(before.Own, gap)
+		return t
+	}
+	bar(before.Own, settleAfter)
+	maps.Copy(t.own, before.Own)
 	return t
 }
 
@@ -35,24 +61,34 @@
 	return now < t.barred[machine]
 }
 
+// Before tells whether a machine was ordered within the bound by a holder before, or
+// by this one's process before: its order may not be in the table.
+func (t *Turns) Before(machine string, clock int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.earlier[machine]
+	return ok && t.lately(at, clock)
+}
+
 // Ordered notes an order that is about to go out.
 func (t *Turns) Ordered(machine string, clock int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.mine[machine] = clock
+	t.own[machine] = clock
+}
+
+func (t *Turns) lately(at, clock int64) bool {
+	return time.Duration(clock-at)*time.Millisecond <= t.gap
 }
 
-// Lately lists the machines whose orders a successor has to heed.
-func (t *Turns) Lately(clock int64) map[string]int64 {
+// Lately lists the machines whose orders a successor has to heed, also those of
+// earlier holders: with two handovers in a row the third one's order may come within
+// the bound after the first one's.
+func (t *Turns) Lately(clock int64) Lists {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]int64)
-	for machine, at := range t.mine {
-		if time.Duration(clock-at)*time.Millisecond > t.gap {
-			delete(t.mine, machine)
-			continue
-		}
-		out[machine] = at
-	}
-	return out
+	old := func(_ string, at int64) bool { return !t.lately(at, clock) }
+	maps.DeleteFunc(t.own, old)
+	maps.DeleteFunc(t.earlier, old)
+	return Lists{Own: maps.Clone(t.own), Earlier: maps.Clone(t.earlier)}
 }
--- a/leaserow.go
+++ b/leaserow.go
@@ -24,6 +24,7 @@
 	Counted int64            `msgpack:"k,omitempty"` // when Depths was made, the table's clock in milliseconds; 0: with the renewal
 	Renewed int64            `msgpack:"n"`           // when this was sent, the table's clock in milliseconds, up to 0.1 s early
 	Ordered map[string]int64 `msgpack:"o,omitempty"` // the fleet's: machines that were ordered lately, and when by the table's clock in milliseconds
+	Earlier map[string]int64 `msgpack:"e,omitempty"` // the same, of machines that holders before this one ordered
 }
 
 // Depth is how many jobs of a queue had no task started when the row's counts were
