--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -81,6 +81,9 @@
 	if !undecided(there) || late && !gauge.Is(there, gauge.KindOutage) {
 		return merge(outcome{err: gauge.Fail(gauge.KindOutage, "not tried here")}, there)
 	}
+	if gauge.Is(there, gauge.KindOutage) && !l.sound(p.id) {
+		return merge(outcome{err: l.refusal()}, there)
+	}
 	return merge(l.store(ctx, p), there)
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -71,10 +71,16 @@
 }
 
 // mayLeave tells whether a run may be stopped so that its worker gets empty.
+//
+// Work that ends by itself is left to end, also if it could go on from a checkpoint
+// elsewhere: a stop costs it what was done since the checkpoint, the restore, and a
+// second wait for room, and the machine is gained a second or two sooner at best.
+// Where demand moves from pool to pool every tenth run was stopped, and of the largest
+// jobs, whose slack is three seconds, a third was late.
 func (p *Pool) mayLeave(w *worker, r *run, room *rooms, now time.Duration) bool {
 	st := r.task.stage.spec
 	if !st.Lasts {
-		return st.Checkpoints || w.force
+		return w.force || st.Checkpoints && w.leavesBefore(r, now)
 	}
 	to := room.place(r.task.stage, r.task.stage.perWorker(), room.promised, anyWorker)
 	if to == nil {
@@ -90,6 +96,16 @@
 	return true
 }
 
+// leavesBefore tells whether a worker that leaves is gone before a run there has ended,
+// as far as estimates go.
+func (w *worker) leavesBefore(r *run, now time.Duration) bool {
+	if !w.info.Draining {
+		return false
+	}
+	left := r.task.stage.spec.Estimate * time.Duration(atFull-min(r.progress, atFull)) / atFull
+	return now+left > w.leaves
+}
+
 // away counts the other tasks of a lasting stage that don't surely serve.
 func (st *stage) away(except *task, now time.Duration) int {
 	n := 0
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -151,6 +151,7 @@
 		}
 		if info.Draining && !w.info.Draining {
 			p.conf.Logs.Info("worker drains", "pool", p.conf.Name, "worker", info.ID, "leaves", info.Leaves)
+			w.leaves = p.ticked + info.Leaves
 		}
 		w.info = info
 		w.listed = true
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -65,6 +65,7 @@
 
 	clock   time.Duration // worker's clock ...
 	readAt  time.Duration // ... as read at this time on ours
+	leaves  time.Duration // it stays until then at least, while it drains
 	expiry  time.Duration // until when this owner's grants reach, on our clock
 	heardAt time.Duration
 
