Keep pools at an entry that stops until the table is quick

Change: an entry that stops asks callers to go elsewhere at once, as before, and gives its pools away once a write takes less than 150 ms again, or when 3 s of its 6 s are over.

--- a/cmd/rounds/play.go
+++ b/cmd/rounds/play.go
@@ -93,7 +93,7 @@
 
 // build has a tree built before its plays, which would all begin with it.
 func build(ctx context.Context, player, dir string) error {
-	cmd := exec.CommandContext(ctx, player, "build") //nolint:gosec // the program is the caller's choice
+	cmd := exec.CommandContext(ctx, player, "build")
 	cmd.Dir = dir
 	out, err := cmd.CombinedOutput()
 	return eris.Wrapf(err, "build in %s: %s", dir, out)
--- a/cmd/rounds/table.go
+++ b/cmd/rounds/table.go
@@ -22,7 +22,7 @@
 func Table(plays []*Play) string {
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "site\tday\ttree\tplays\tworth\t±\twhole\twindows\tclass\troom\tmoves\twaste\tlooks\tother\tbroken")
+	_, _ = fmt.Fprintln(w, "site\tday\ttree\tplays\tworth\t±\twhole\twindows\tclass\troom\tmoves\twaste\tlooks\tother\tbroken")
 	for _, group := range groups(plays, func(p *Play) string { return p.Site + "\t" + p.Day + "\t" + p.Tree }) {
 		writeRow(w, group[0].Day, group)
 	}
@@ -66,7 +66,7 @@
 			broken = fmt.Sprint(strings.TrimPrefix(broken, "-"), " ", p.Seed, ":", strings.Join(p.Outcome.Broken, "+"))
 		}
 	}
-	fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.3f\t%s\n",
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.3f\t%s\n",
 		strings.TrimSuffix(filepath.Base(group[0].Site), ".toml"), day, group[0].Tree, len(worths), worth, spread,
 		of(func(o *Outcome) float64 { return o.Whole }), of(func(o *Outcome) float64 { return o.Window }),
 		of(func(o *Outcome) float64 { return o.Class }), of(func(o *Outcome) float64 { return o.Prices[priceRoom] }),
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -83,6 +83,8 @@
 	answerMargin = 200 * time.Millisecond
 	// releaseWait bounds giving up the leases.
 	releaseWait = time.Second
+	// releaseMargin is kept for it, and for the successors to begin, before the end.
+	releaseMargin = 500 * time.Millisecond
 )
 
 // parts are the connected pieces of a running entry.
@@ -176,19 +178,25 @@
 // the platform has had time to look away.
 func (p *parts) wind() {
 	began := boot.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
-	p.node.Release(ctx)
-	cancel()
-	left := p.settings.Grace - stopMargin - (boot.Now() - began)
+	left := p.settings.Grace - stopMargin
 	p.front.Wind(left + closeWait - answerMargin)
-	if left > 0 {
+	p.release(max(0, left-releaseWait-releaseMargin))
+	if left -= boot.Now() - began; left > 0 {
 		time.Sleep(left)
 	}
-	ctx, cancel = context.WithTimeout(context.Background(), closeWait)
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 	defer cancel()
 	p.logEnd("clients", p.front.Close(ctx))
 }
 
+// release gives the pools to other entries, at once or, while the table is slow, once
+// it is quick again or patience is over.
+func (p *parts) release(patience time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience+releaseWait)
+	defer cancel()
+	p.node.Release(ctx, patience)
+}
+
 func (p *parts) serveMetrics(s *hostSettings) {
 	if s.metrics == 0 {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,9 +188,11 @@
 	n.group.Wait()
 }
 
-// Release gives up the pools that this entry owns and takes no more.
-func (n *Node) Release(ctx context.Context) {
+// Release gives up the pools that this entry owns and takes no more. While the table is
+// slow or away it keeps them for some time, as long as they are better off here.
+func (n *Node) Release(ctx context.Context, patience time.Duration) {
 	n.going.Store(false)
+	until := n.conf.Now() + patience
 	n.mu.Lock()
 	owners := make([]*owner.Owner, 0, len(n.owners))
 	for _, o := range n.owners {
@@ -199,10 +201,18 @@
 	n.mu.Unlock()
 	var group conc.WaitGroup
 	for _, o := range owners {
-		group.Go(func() { n.handOver(ctx, o, "the entry stops") })
+		group.Go(func() {
+			for !o.Calm() && n.conf.Now() < until && ctx.Err() == nil {
+				pause(ctx, calmLook)
+			}
+			n.handOver(ctx, o, "the entry stops")
+		})
 	}
 	group.Wait()
 }
 
+// calmLook is how often an entry that stops looks whether the table is quick again.
+const calmLook = 50 * time.Millisecond
+
 // context is that of the running entry.
 func (n *Node) context() context.Context { return *n.ctx.Load() }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -65,6 +65,8 @@
 	core      *sched.Pool
 	written   chan struct{}            // closed at each write, then made anew
 	away      bool                     // the table didn't answer the last write
+	writing   time.Duration            // when the write under way was sent; 0: none is
+	took      time.Duration            // what the last write took
 	ended     bool                     // the lease was lost or given up
 	stopping  bool                     // it is being handed over: nothing new begins
 	planned   time.Duration            // when the last plan was made
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -90,8 +90,10 @@
 		return false, err
 	}
 	sent := o.conf.Now()
+	o.locked(func() { o.writing = sent })
 	stamp, rows, err := o.conf.Lease.Commit(o.ctx, p.lease, p.txn)
 	took := o.conf.Now() - sent
+	o.locked(func() { o.writing, o.took = 0, took })
 	o.conf.Count("write", took)
 	switch gauge.KindOf(err) {
 	case gauge.KindFenced:
--- a/test/machines/cut_test.go
+++ b/test/machines/cut_test.go
@@ -165,7 +165,7 @@
 	assert.Assert(t, s.submit(1, twoSteps(60_000)))
 	s.waitFor("tasks started", func() bool { return s.journal.Starts(fmt.Sprintf("%016x.0.0.1", 1)) == 1 })
 	way.Cut(true)
-	first.node.Release(t.Context())
+	first.node.Release(t.Context(), 0)
 	s.waitFor("the second entry has the pool by the first one's offer", func() bool {
 		return s.logged("lease taken", `"entry"="e-1"`, `"pool"="`+poolName+`"`, `"from"="e-0/1"`) == 1
 	})
@@ -283,7 +283,7 @@
 		return s.logged("entry known", `"entry"="e-0"`, `"peer"="e-2"`) == 1
 	})
 	s.waitFor("the entry that is cut off takes no pools", func() bool { return !s.takes(cutOff) })
-	s.entries[0].node.Release(t.Context())
+	s.entries[0].node.Release(t.Context(), 0)
 	s.waitFor("the third entry has the pool", func() bool {
 		return s.logged("pool loaded", `"entry"="e-2"`, `"pool"="`+poolName+`"`) == 1
 	})
--- a/test/machines/place_test.go
+++ b/test/machines/place_test.go
@@ -127,7 +127,7 @@
 			return s.logged("entry known", `"entry"="strong-0"`, e.peer) == 0 || !s.takes(e)
 		})
 	})
-	first.node.Release(t.Context())
+	first.node.Release(t.Context(), 0)
 	s.entries = s.entries[1:]
 	s.held("strong-1")
 	assert.Assert(t, s.submit(1, twoSteps(20)))
@@ -240,7 +240,7 @@
 	s.waitFor("both are known", func() bool {
 		return s.logged("entry known", `"peer"="strong-1"`) == 1 && s.logged("entry known", `"peer"="weak-0"`) == 1
 	})
-	first.node.Release(t.Context())
+	first.node.Release(t.Context(), 0)
 	s.waitFor("both leases offered", func() bool { return strong.offers.Load()+weak.offers.Load() == 2 })
 	assert.Equal(t, strong.offers.Load(), int32(2))
 }
