--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -119,6 +119,8 @@
 		}
 		w, err := n.conf.Words.Worker(r)
 		if err != nil {
+			// An earlier row may have named a worker: nobody knows whether that still holds.
+			delete(n.workers, r.Key)
 			n.conf.Logs.Error(err, "worker's row not read", "worker", r.Key, "version", r.Version)
 			continue
 		}
