Let the successor of a lost fleet's holder order what was not announced

Change: a machine is ordered only once the lease's row names it; the successor leaves alone those that the row names. Cost: a write more in rounds with new moves.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -113,18 +113,19 @@
 	if to != "" && n.offer(ctx, to, f.offer()) {
 		return
 	}
-	if err := h.lease.GiveUp(ctx, f.row()); err != nil {
+	if err := h.lease.GiveUp(ctx, f.row(nil)); err != nil {
 		n.conf.Logs.Info("lease not given up", "pool", fleetPool, "error", err.Error())
 	}
 }
 
 // turnFrom is when this holder may order its first machine. If the one before gave
-// the lease up or offered it, it told which machines it had ordered, and only those
-// wait. Else it may have ordered any for orderSpan after its last renewal.
+// the lease up or offered it, or announced its orders, it told which machines it had
+// ordered, and only those wait. Else it may have ordered any for orderSpan after its
+// last renewal.
 func (n *Node) turnFrom(h *held) time.Duration {
 	now := n.conf.Now()
-	if h.before.Holder == "" || n.wasMine(&h.before) {
-		return now // given up, or this holder itself before a restart
+	if h.before.Holder == "" || h.before.Announced || n.wasMine(&h.before) {
+		return now // given up, or known, or this holder itself before a restart
 	}
 	since := time.Duration(n.clock()-h.before.Renewed)*time.Millisecond - renewedMargin
 	return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-since)
@@ -147,11 +148,10 @@
 	f.gate.Lock()
 	defer f.gate.Unlock()
 	now := f.node.conf.Now()
-	if f.over || now >= f.held.lease.Until()-leaseTerm+orderSpan || f.turns.Waits(machine, now) {
+	if f.over || now >= f.held.lease.Until()-leaseTerm+orderSpan {
 		return false
 	}
-	f.turns.Ordered(machine, f.node.clock())
-	return true
+	return f.turns.Order(machine, f.node.clock(), now)
 }
 
 // orderSpan is how long after a renewal the fleet's holder orders machines: two
@@ -165,9 +165,18 @@
 	f.over = true
 }
 
-func (f *fleet) row() gauge.LeaseRow {
-	lists := f.turns.Lately(f.node.clock())
-	return gauge.LeaseRow{Ordered: lists.Own, Earlier: lists.Earlier}
+// row is written by a holder that goes on. It names what may be ordered before the
+// next write.
+func (f *fleet) row(announced map[string]bool) gauge.LeaseRow {
+	lists := f.turns.Ahead(announced, orderSpan, f.node.clock())
+	return gauge.LeaseRow{Ordered: lists.Own, Earlier: lists.Earlier, Announced: true}
+}
+
+// announce has the lease's row name the machines that may be ordered from now on.
+func (f *fleet) announce(ctx context.Context, machines map[string]bool) {
+	if f.turns.Narrow(machines) && f.commitRow(ctx, f.row(machines), gauge.PartTxn{}) {
+		f.turns.Announce(machines)
+	}
 }
 
 // leave has another entry take the fleet over when writes fail here; true: it
@@ -193,7 +202,7 @@
 
 // offer offers the fleet's lease, with what was ordered since its row was written.
 func (f *fleet) offer() offerCall {
-	row := f.row()
+	row := f.row(nil)
 	row.Term = f.held.term
 	return offerCall{Pool: fleetPool, Row: row, Version: f.held.lease.Version()}
 }
@@ -232,12 +241,29 @@
 		return
 	}
 	steps := f.keeper.Next(f.node.conf.Now(), waves.Sight{Moving: f.sizer.Moving, Ordered: f.orderedBefore, Pressed: f.sizer.Pressed})
+	moves := f.moves()
+	f.announce(ctx, ordered(steps, moves))
 	f.ask(ctx, steps.Asks)
 	f.begin(ctx, steps.Begins)
 	for _, number := range steps.Complete {
 		f.complete(ctx, number)
 	}
-	f.resize(ctx)
+	f.resize(ctx, moves)
+}
+
+// ordered lists the machines that are, or are about to be, ordered.
+func ordered(steps waves.Steps, moves []sizing.Move) map[string]bool {
+	machines := make(map[string]bool)
+	for _, a := range steps.Asks {
+		machines[a.Machine] = true
+	}
+	for _, b := range steps.Begins {
+		machines[b.Machine] = true
+	}
+	for _, m := range moves {
+		machines[m.Machine] = true
+	}
+	return machines
 }
 
 // orderedBefore tells whether a holder before has ordered a machine just now.
@@ -247,8 +273,12 @@
 
 // commit writes on condition that the fleet's lease is still this entry's.
 func (f *fleet) commit(ctx context.Context, txn gauge.PartTxn) bool {
+	return f.commitRow(ctx, f.row(f.turns.Announced()), txn)
+}
+
+func (f *fleet) commitRow(ctx context.Context, row gauge.LeaseRow, txn gauge.PartTxn) bool {
 	sent := f.node.conf.Now()
-	stamp, _, err := f.held.lease.Commit(ctx, f.row(), txn)
+	stamp, _, err := f.held.lease.Commit(ctx, row, txn)
 	if err != nil {
 		f.node.conf.Logs.Info("fleet write failed", "kind", gauge.KindOf(err), "error", err.Error())
 		return false
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -29,11 +29,16 @@
 	}
 }
 
-// resize moves machines between pools.
-func (f *fleet) resize(ctx context.Context) {
+// moves are those that are to be emptied or ordered.
+func (f *fleet) moves() []sizing.Move {
 	now := f.node.conf.Now()
 	taken := func(machine string) bool { return f.keeper.Takes(machine) || f.turns.Waits(machine, now) }
-	for _, m := range f.sizer.Next(now, taken, f.keeper.Waits) {
+	return f.sizer.Next(now, taken, f.keeper.Waits)
+}
+
+// resize moves machines between pools.
+func (f *fleet) resize(ctx context.Context, moves []sizing.Move) {
+	for _, m := range moves {
 		began := f.async.do("move "+m.Machine, func() func() {
 			if !m.Empty && !f.emptied(ctx, m) {
 				return func() { f.sizer.Emptied(m.Machine, false) }
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -27,10 +27,11 @@
 type Turns struct {
 	gap time.Duration // between the orders of two holders
 
-	mu      sync.Mutex
-	barred  map[string]time.Duration // until when, on our clock
-	own     map[string]int64         // when this holder ordered, the table's clock in milliseconds
-	earlier map[string]int64         // the same of the holders before, and of this one's process before
+	mu        sync.Mutex
+	announced map[string]bool          // machines that the lease's row in the table names
+	barred    map[string]time.Duration // until when, on our clock
+	own       map[string]int64         // when this holder ordered, the table's clock in milliseconds
+	earlier   map[string]int64         // the same of the holders before, and of this one's process before
 }
 
 // New makes Turns that take in what was ordered before; same: the holder before is
@@ -70,11 +71,43 @@
 	return ok && t.lately(at, clock)
 }
 
-// Ordered notes an order that is about to go out.
-func (t *Turns) Ordered(machine string, clock int64) {
+// Narrow drops announced machines that aren't to be ordered any more, and tells whether
+// some are to be that aren't announced. An order for one that was dropped may be on its
+// way to Order, so that it goes before the row without it is written.
+func (t *Turns) Narrow(machines map[string]bool) (fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.announced, func(m string, _ bool) bool { return !machines[m] })
+	for m := range machines {
+		fresh = fresh || !t.announced[m]
+	}
+	return fresh
+}
+
+// Announce takes in that the lease's row in the table names these machines.
+func (t *Turns) Announce(machines map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announced = maps.Clone(machines)
+}
+
+// Announced are the machines that the row in the table has to go on naming.
+func (t *Turns) Announced() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.announced)
+}
+
+// Order tells whether a machine may be ordered now: it is announced, and the holder
+// before hasn't ordered it just now. A yes is noted for the successor.
+func (t *Turns) Order(machine string, clock int64, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.announced[machine] || now < t.barred[machine] {
+		return false
+	}
 	t.own[machine] = clock
+	return true
 }
 
 func (t *Turns) lately(at, clock int64) bool {
@@ -92,3 +125,16 @@
 	maps.DeleteFunc(t.earlier, old)
 	return Lists{Own: maps.Clone(t.own), Earlier: maps.Clone(t.earlier)}
 }
+
+// Ahead lists the same, and with it, at the latest time possible, what may be ordered
+// within a span from now. Written before, it tells the successor of a holder that is
+// gone without a word which machines to leave alone: it may order all others at once.
+// Not knowing them it left all alone, and a pool whose turn had begun got no machine for
+// five seconds.
+func (t *Turns) Ahead(machines map[string]bool, span time.Duration, clock int64) Lists {
+	l := t.Lately(clock)
+	for machine := range machines {
+		l.Own[machine] = clock + span.Milliseconds()
+	}
+	return l
+}
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -11,6 +11,13 @@
 
 const gap = 3 * time.Second
 
+// order has a machine announced and ordered.
+func order(t *testing.T, x *turns.Turns, machine string, clock int64) {
+	t.Helper()
+	x.Announce(map[string]bool{machine: true})
+	assert.Assert(t, x.Order(machine, clock, time.Hour))
+}
+
 func first() *turns.Turns { return turns.New(gap, turns.Lists{}, false, 0, 0) }
 
 // Symptom: two holders of the fleet order one machine within the bound between
@@ -20,8 +27,8 @@
 // Cause: what was ordered by whom is not handed over machine by machine.
 func TestOnlyMachinesThatWereOrderedLatelyWait(t *testing.T) {
 	f := first()
-	f.Ordered("a", 1000)
-	f.Ordered("b", 3500)
+	order(t, f, "a", 1000)
+	order(t, f, "b", 3500)
 	handed := f.Lately(5000)
 	assert.DeepEqual(t, handed.Own, map[string]int64{"b": 3500})
 
@@ -37,7 +44,7 @@
 // Cause: a holder hands on what it ordered itself, but not what it was told.
 func TestOrdersOfEarlierHoldersAreHandedOn(t *testing.T) {
 	f := first()
-	f.Ordered("a", 1000)
+	order(t, f, "a", 1000)
 	second := turns.New(gap, f.Lately(1100), false, 1200, time.Second)
 	third := turns.New(gap, second.Lately(1300), false, 1400, time.Second)
 	assert.Assert(t, third.Waits("a", time.Second))
@@ -50,7 +57,7 @@
 // Cause: it keeps the bound between two holders from itself.
 func TestHolderWaitsForItsOwnEarlierOrdersOnlyUntilTheyAreCarriedOut(t *testing.T) {
 	f := first()
-	f.Ordered("a", 1000)
+	order(t, f, "a", 1000)
 	again := turns.New(gap, f.Lately(1100), true, 1200, time.Second)
 	assert.Assert(t, again.Waits("a", time.Second), "it may be carried out still")
 	assert.Assert(t, !again.Waits("a", 1400*time.Millisecond))
@@ -63,9 +70,34 @@
 // The bound holds against another entry, through a restart in between.
 func TestRestartDoesNotShortenTheBoundAgainstOthers(t *testing.T) {
 	f := first()
-	f.Ordered("a", 1000)
+	order(t, f, "a", 1000)
 	second := turns.New(gap, f.Lately(1100), false, 1200, time.Second)
 	again := turns.New(gap, second.Lately(1300), true, 1400, time.Second)
 	assert.Assert(t, again.Waits("a", 3*time.Second))
 	assert.Assert(t, !again.Waits("a", 3700*time.Millisecond))
 }
+
+// Symptom: a pool whose turn has begun gets no machine for five seconds.
+// Sequence: the fleet's holder loses power; its successor waits until all that it may
+// have ordered is older than the bound.
+// Cause: nobody knows which machines those are.
+func TestSuccessorOfAHolderThatIsGoneWaitsOnlyForAnnouncedMachines(t *testing.T) {
+	f := first()
+	row := f.Ahead(map[string]bool{"a": true}, time.Second, 1000)
+	next := turns.New(gap, row, false, 3000, time.Minute)
+	assert.Assert(t, next.Waits("a", time.Minute), "it may have been ordered at 2000")
+	assert.Assert(t, next.Waits("a", time.Minute+1900*time.Millisecond))
+	assert.Assert(t, !next.Waits("a", time.Minute+2100*time.Millisecond))
+	assert.Assert(t, !next.Waits("b", time.Minute))
+}
+
+func TestOnlyAnnouncedMachinesAreOrdered(t *testing.T) {
+	f := first()
+	assert.Assert(t, !f.Order("a", 1000, time.Second))
+	assert.Assert(t, f.Narrow(map[string]bool{"a": true, "b": true}))
+	f.Announce(map[string]bool{"a": true, "b": true})
+	assert.Assert(t, f.Order("a", 1000, time.Second))
+	assert.Assert(t, !f.Narrow(map[string]bool{"a": true}), "nothing new has to be written")
+	assert.Assert(t, !f.Order("b", 1000, time.Second), "the next row doesn't name it")
+	assert.DeepEqual(t, f.Announced(), map[string]bool{"a": true})
+}
