--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -15,7 +15,7 @@
 )
 
 // assemble connects the pieces of an entry.
-func assemble(s platform.Settings, _ *hostSettings, log logr.Logger) *parts {
+func assemble(s platform.Settings, without gauge.Without, log logr.Logger) *parts {
 	p := &parts{settings: s, log: log, meter: meter.New()}
 	p.table = platform.NewTable(platform.TableConfig{Addr: s.Table, Read: readTimeout, Commit: tableTimeout, Clock: steady})
 	store := timely.New(timely.Config{
@@ -35,7 +35,7 @@
 	p.node = node.New(node.Config{
 		Name: s.Name, Start: newStart(), Addr: p.peerAddr(), Capacity: s.Capacity(), Store: store, Workers: p.workers, Machines: machines, Adviser: adviser,
 		Words: platform.Words{}, Mesh: p.mesh, Logs: log, Now: boot.Now, Wall: time.Now, Count: p.meter.Call, Event: p.meter.Event,
-		Backlog: p.meter.Backlog, Longest: s.LongestHold, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate, Keep: s.KeepStatus,
+		Backlog: p.meter.Backlog, Longest: s.LongestHold, Without: without, TurnGap: s.TurnGap, Upkeep: s.Upkeep, Migrate: s.Migrate, Keep: s.KeepStatus,
 	})
 	p.front = platform.NewFront(platform.FrontConfig{Jobs: p.node.Jobs(), Site: p.node.Site, Ready: p.node.Ready, Logs: log})
 	return p
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	gauge "sapphiregauge"
 	"sapphiregauge/internal/boot"
 	"sapphiregauge/internal/conf"
 	"sapphiregauge/internal/logs"
@@ -32,11 +33,35 @@
 for as long as it renews their leases.
 
 SIGTERM stops it gracefully: it isn't ready any more and gives up its pools at
-once, goes on answering callers until shortly before the platform would kill it,
-and exits.`
+once, or as soon as the table is quick, goes on answering callers until shortly
+before the platform would kill it, and exits.
+
+--without switches ways of deciding off, at this entry alone: to see what they are
+worth on a site, or to go on without one that does harm. None of them guards a
+promise. They are logged at the start. What each of them does:
+
+  pack: tasks go to the fullest worker with room
+  gather: lasting tasks of different steps go to the same workers
+  scatter: lasting tasks of one step go to different workers
+  deadline: jobs with the earliest objective start first
+  timely: jobs that can meet their objective start before those that can't
+  rest: a worker that fails what it starts gets none for a while
+  finish: work is left to end on machines that are to move
+  rate: pools are sized by arrivals, beside what is in sight
+  standby: machines that no pool wants go to standby
+  redirect: a machine on its way to standby goes to a pool instead
+  overdue: late work gets machines that are left over
+  early: more machines of a wave are emptied than may be down
+  spared: waves leave pools alone that have too few machines
+  balance: leases move to hosts that carry fewer
+  calm: an entry that stops keeps its pools while the table is slow
+  lag: an owner whose orders take long hands its pool over
+  relay: jobs are stored by the owner of their pool
+  backoff: callers come back the later the longer the table is away`
 
 type hostSettings struct {
 	metrics int
+	without string
 }
 
 func newHost() *command {
@@ -45,6 +70,7 @@
 		sub: sub("host", usageHost),
 		settings: conf.List{
 			{Flag: "metrics", Help: "port of /metrics; 0: none", Dest: &s.metrics},
+			{Flag: "without", Help: "ways of deciding to switch off, joined by commas; an unknown name lists all", Dest: &s.without},
 		},
 		run: func(ctx context.Context) error { return runHost(ctx, s) },
 	}
@@ -101,6 +127,10 @@
 }
 
 func runHost(ctx context.Context, s *hostSettings) error {
+	without, err := gauge.ParseWithout(s.without)
+	if err != nil {
+		return err
+	}
 	settings, err := platform.ReadSettings()
 	if err != nil {
 		return eris.Wrap(err, "host")
@@ -108,8 +138,8 @@
 	out := logs.NewBounded(os.Stdout)
 	log := logs.New(out, false).WithValues("entry", settings.Name)
 	started := boot.Now()
-	log.Info("start", "zone", settings.Zone, "version", version)
-	p := assemble(settings, s, log)
+	log.Info("start", "zone", settings.Zone, "version", version, "without", without)
+	p := assemble(settings, without, log)
 	p.meter.Dropped(out.Dropped)
 	err = p.serve(ctx, s)
 	log.Info("stop", "ran", boot.Now()-started, "dropped", out.Dropped())
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,6 +32,8 @@
 	Ask   func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
 	Relay Relay                                  // nil: there are no other entries
 	After func(d time.Duration) <-chan time.Time // default time.After
+	// Without names what is switched off.
+	Without gauge.Without
 }
 
 // Relay has the owner of a queue's pool do what the table denies this entry: it
--- a/internal/intake/lane.go
+++ b/internal/intake/lane.go
@@ -312,6 +312,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	away := l.intake.conf.Now() - l.away
+	if l.intake.conf.Without.Has(gauge.MechanismBackoff) {
+		away = leastBack
+	}
 	return gauge.Fail(gauge.KindOutage, "the table doesn't answer").After(min(max(away, leastBack), mostBack))
 }
 
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -69,7 +69,7 @@
 	if relay == nil {
 		return l.store(ctx, p)
 	}
-	if !relay.Prefer(p.queue) {
+	if !relay.Prefer(p.queue) || n.conf.Without.Has(gauge.MechanismRelay) {
 		here := l.store(ctx, p)
 		if !undecided(here.err) {
 			return here
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -166,6 +166,7 @@
 		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event, Backlog: n.conf.Backlog,
+		Without: n.conf.Without,
 	})
 	o.OnStuck(stuckAfter, func(failing time.Duration) { n.leave(ctx, o, failing) })
 	n.mu.Lock()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -52,9 +52,9 @@
 	f := &fleet{
 		node: n, held: h, states: make(map[int64]bool),
 		keeper: waves.New(waves.Config{
-			Upkeep: n.conf.Upkeep, Logs: n.conf.Logs,
+			Upkeep: n.conf.Upkeep, Without: n.conf.Without, Logs: n.conf.Logs,
 		}),
-		sizer: sizing.New(sizing.Config{Migrate: n.conf.Migrate, Logs: n.conf.Logs}),
+		sizer: sizing.New(sizing.Config{Migrate: n.conf.Migrate, Without: n.conf.Without, Logs: n.conf.Logs}),
 		turns: turns.New(n.conf.TurnGap+grantMargin, turns.Lists{Own: h.before.Ordered, Earlier: h.before.Earlier},
 			n.wasMine(&h.before), n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(), taken: n.conf.Now(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	Upkeep   time.Duration                       // length of a machine's upkeep
 	Migrate  time.Duration                       // length of a machine's move
 	Keep     time.Duration                       // how long an ended job can be asked for
+	Without  gauge.Without                       // what is switched off
 }
 
 const (
@@ -147,7 +148,7 @@
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, AskDepth: n.askDepth, Tell: n.notify, Ask: n.ask,
-		Relay: relay{n},
+		Relay: relay{n}, Without: c.Without,
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodEmpty, n.handleEmpty)
@@ -183,7 +184,9 @@
 	})
 	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
-	n.group.Go(func() { n.spread(ctx) })
+	if !n.conf.Without.Has(gauge.MechanismBalance) {
+		n.group.Go(func() { n.spread(ctx) })
+	}
 	n.group.Go(func() { n.register(ctx) })
 	n.group.Wait()
 }
@@ -202,7 +205,7 @@
 	var group conc.WaitGroup
 	for _, o := range owners {
 		group.Go(func() {
-			for !o.Calm() && n.conf.Now() < until && ctx.Err() == nil {
+			for !n.conf.Without.Has(gauge.MechanismCalm) && !o.Calm() && n.conf.Now() < until && ctx.Err() == nil {
 				pause(ctx, calmLook)
 			}
 			n.handOver(ctx, o, "the entry stops")
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -166,7 +166,7 @@
 // nothing of this host: a rack that is cut off would send the pool from owner to owner.
 func (o *Owner) watchLag(worker string, took, now time.Duration) {
 	o.mu.Lock()
-	lags := !o.core.Silent(worker) && o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
+	lags := !o.conf.Without.Has(gauge.MechanismLag) && !o.core.Silent(worker) && o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
 	o.leaving = o.leaving || lags
 	seen := o.lag.Seen(now)
 	o.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,6 +45,7 @@
 	// Backlog is told what waits here, several times a second, and nil when this owner
 	// has ended; nil: nobody is told.
 	Backlog func(pool string, b *gauge.Backlog)
+	Without gauge.Without // what is switched off
 }
 
 // Owner runs one pool.
@@ -149,7 +150,7 @@
 		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow, Lane: ordersAtOnce,
-			Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin, Over: over(&c.Before, now),
+			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin, Over: over(&c.Before, now),
 		}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -9,12 +9,13 @@
 // rooms are the workers that take starts, for one round of them.
 type rooms struct {
 	workers  []*worker
+	without  gauge.Without
 	most     gauge.Resources             // no worker has more of any kind free
 	promised map[*worker]gauge.Resources // for tasks that are to come from other workers
 }
 
 func (p *Pool) rooms(now time.Duration) *rooms {
-	r := &rooms{workers: p.taking[:0]}
+	r := &rooms{workers: p.taking[:0], without: p.conf.Without}
 	for _, w := range p.byID() {
 		if w.takes(now) {
 			r.workers = append(r.workers, w)
@@ -52,7 +53,7 @@
 		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker {
 			continue
 		}
-		if s := w.score(st, on[w]); best == nil || s > bestScore {
+		if s := w.score(st, on[w], r.without); best == nil || s > bestScore {
 			best, bestScore = w, s
 		}
 	}
@@ -109,18 +110,20 @@
 
 // score says how well a worker suits: the larger the better. The fullest that
 // has room is the best, so that others stay empty and can move to another pool.
-func (w *worker) score(st *stage, on int) float64 {
+func (w *worker) score(st *stage, on int, without gauge.Without) float64 {
 	score := 0.0
-	if w.info.Capacity.MilliCPU > 0 {
+	if w.info.Capacity.MilliCPU > 0 && !without.Has(gauge.MechanismPack) {
 		score = -float64(w.free().MilliCPU) / float64(w.info.Capacity.MilliCPU)
 	}
 	if st.spec.DataRack != "" && w.info.HasLabel(st.spec.DataRack) {
 		score += scoreRack
 	}
 	if st.spec.Lasts {
-		score -= scoreSpread * float64(on)
+		if !without.Has(gauge.MechanismScatter) {
+			score -= scoreSpread * float64(on)
+		}
 		score -= scoreApart * float64(w.disturbers(st.spec.Fills))
-		if w.lasting > 0 {
+		if w.lasting > 0 && !without.Has(gauge.MechanismGather) {
 			score += scoreTogether
 		}
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -80,7 +80,7 @@
 func (p *Pool) mayLeave(w *worker, r *run, room *rooms, now time.Duration) bool {
 	st := r.task.stage.spec
 	if !st.Lasts {
-		return w.force || st.Checkpoints && w.leavesBefore(r, now)
+		return w.force || st.Checkpoints && (p.conf.Without.Has(gauge.MechanismFinish) || w.leavesBefore(r, now))
 	}
 	to := room.place(r.task.stage, r.task.stage.perWorker(), room.promised, anyWorker)
 	if to == nil {
--- a/internal/sched/rest.go
+++ b/internal/sched/rest.go
@@ -30,7 +30,7 @@
 		}
 		w.missed = job
 		w.misses++
-		if w.misses >= missesBeforeRest && p.mayRest(now) {
+		if w.misses >= missesBeforeRest && p.mayRest(now) && !p.conf.Without.Has(gauge.MechanismRest) {
 			w.rest = now + restOfFailing
 			w.misses = missesBeforeRest - 1
 			p.conf.Logs.Info("worker rests", "pool", p.conf.Name, "worker", w.info.ID, "reason", "failures in a row")
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -30,7 +30,9 @@
 	Window int
 	Lane   int // the same, at one worker; not for gangs
 	Logs   logr.Logger
-	Count  func(event string) // counts what an operator should see; nil: nobody counts
+	// Without names what is switched off.
+	Without gauge.Without
+	Count   func(event string) // counts what an operator should see; nil: nobody counts
 
 	// Earlier are the workers that the owner before this one may have given
 	// orders to, and Doubt is when everything has surely ended that it ordered.
--- a/internal/sched/turn.go
+++ b/internal/sched/turn.go
@@ -125,7 +125,11 @@
 	}
 	r.due = j.arrived + j.objective
 	left := r.due - now
+	if p.conf.Without.Has(gauge.MechanismDeadline) {
+		r.due = j.arrived
+	}
 	switch {
+	case p.conf.Without.Has(gauge.MechanismTimely):
 	case left < -j.objective*(lateFactor-1):
 		r.late = 2
 	case left < o.chain()/2:
--- a/internal/sizing/move.go
+++ b/internal/sizing/move.go
@@ -27,7 +27,7 @@
 			s.move(m, pool, now)
 		}
 	}
-	if len(s.standby) == 0 {
+	if len(s.standby) == 0 || s.conf.Without.Has(gauge.MechanismStandby) {
 		return
 	}
 	for _, pool := range pools {
@@ -56,6 +56,9 @@
 // redirect sends a machine that is to go to standby, and isn't ordered yet, to a
 // pool that wants it: there and back would take two moves.
 func (s *Sizer) redirect(pool string) bool {
+	if s.conf.Without.Has(gauge.MechanismRedirect) {
+		return false
+	}
 	var best *Move
 	for _, v := range s.moves {
 		if v.ordered > 0 || v.busy || v.From == pool || !slices.Contains(s.standby, v.To) {
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -24,6 +24,7 @@
 // Config sets up a Sizer.
 type Config struct {
 	Migrate time.Duration // length of a move
+	Without gauge.Without // what is switched off
 	Logs    logr.Logger
 }
 
@@ -279,12 +280,17 @@
 	l, cores := s.loads[pool], s.cores(pool)
 	s.trends[pool] = s.trends[pool].add(s.came[pool].rate(now), now)
 	// A machine that is ordered now serves after its move: for the demand of then.
-	timely := max(l.Timely.Cores(), s.trends[pool].ahead(s.conf.Migrate))
+	timely := l.Timely.Cores()
+	if !s.conf.Without.Has(gauge.MechanismRate) {
+		timely = max(timely, s.trends[pool].ahead(s.conf.Migrate))
+	}
 	// One machine more than lasting tasks need, so that any of them can be
 	// emptied, and more while some have no place.
 	n := need{base: max(least, ceil(l.Lasting*headroom/cores)+1, l.Spread+1) + min(l.Away, mostAway)}
 	n.timely = max(0, ceil((l.Lasting+timely*headroom)/cores)-n.base)
-	n.late = ceil(l.Late.Cores() / cores)
+	if !s.conf.Without.Has(gauge.MechanismOverdue) {
+		n.late = ceil(l.Late.Cores() / cores)
+	}
 	return n
 }
 
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -18,8 +18,9 @@
 
 // Config sets up a Keeper.
 type Config struct {
-	Upkeep time.Duration // length of a machine's upkeep
-	Logs   logr.Logger
+	Upkeep  time.Duration // length of a machine's upkeep
+	Without gauge.Without // what is switched off
+	Logs    logr.Logger
 }
 
 // Keeper carries out waves. It is not safe for concurrent use.
@@ -319,7 +320,11 @@
 			away[m.Pool]++
 		}
 	}
-	most := int(float64(max(1, w.order.AtOnce))*ahead) - len(w.asked)
+	most := max(1, w.order.AtOnce) - len(w.asked)
+	if !k.conf.Without.Has(gauge.MechanismEarly) {
+		most = int(float64(max(1, w.order.AtOnce))*ahead) - len(w.asked)
+	}
+	spared := !force && !k.conf.Without.Has(gauge.MechanismSpared)
 	for range left {
 		if most <= 0 {
 			return
@@ -331,7 +336,7 @@
 				continue
 			}
 			share := float64(away[m.Pool]+1) / float64(max(1, size[m.Pool]))
-			if !k.standby[m.Pool] && !force && (k.sight.Pressed(m.Pool) || share > poolShare && away[m.Pool] > 0) {
+			if !k.standby[m.Pool] && spared && (k.sight.Pressed(m.Pool) || share > poolShare && away[m.Pool] > 0) {
 				continue
 			}
 			if best < 0 || share < bestShare {
--- a/test/whole/docs_test.go
+++ b/test/whole/docs_test.go
@@ -4,9 +4,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
 )
 
 // The reference in docs/ is what the program says of itself.
@@ -41,3 +44,11 @@
 		})
 	}
 }
+
+func TestReferenceTellsWhatCanBeSwitchedOff(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	for _, m := range gauge.Mechanisms() {
+		assert.Assert(t, strings.Contains(string(page), "\n  "+string(m)+": "), m)
+	}
+}
--- /dev/null
+++ b/without.go
@@ -0,0 +1,72 @@
+package sapphiregauge
+
+import (
+	"slices"
+	"strings"
+)
+
+// Mechanism names a way of deciding that an operator can switch off, to see what it is
+// worth on a site or to go on without it when it does harm. None of them guards a
+// promise: without any of them answers stay whole and nothing runs twice.
+type Mechanism string
+
+// The mechanisms.
+const (
+	MechanismPack     Mechanism = "pack"     // tasks go to the fullest worker with room
+	MechanismGather   Mechanism = "gather"   // lasting tasks of different steps go to the same workers
+	MechanismScatter  Mechanism = "scatter"  // lasting tasks of one step go to different workers
+	MechanismDeadline Mechanism = "deadline" // jobs with the earliest objective start first
+	MechanismTimely   Mechanism = "timely"   // jobs that can meet their objective start before those that can't
+	MechanismRest     Mechanism = "rest"     // a worker that fails what it starts gets none for a while
+	MechanismFinish   Mechanism = "finish"   // work is left to end on machines that are to move
+	MechanismRate     Mechanism = "rate"     // pools are sized by arrivals, beside what is in sight
+	MechanismStandby  Mechanism = "standby"  // machines that no pool wants go to standby
+	MechanismRedirect Mechanism = "redirect" // a machine on its way to standby goes to a pool instead
+	MechanismOverdue  Mechanism = "overdue"  // late work gets machines that are left over
+	MechanismEarly    Mechanism = "early"    // more machines of a wave are emptied than may be down
+	MechanismSpared   Mechanism = "spared"   // waves leave pools alone that have too few machines
+	MechanismBalance  Mechanism = "balance"  // leases move to hosts that carry fewer
+	MechanismCalm     Mechanism = "calm"     // an entry that stops keeps its pools while the table is slow
+	MechanismLag      Mechanism = "lag"      // an owner whose orders take long hands its pool over
+	MechanismRelay    Mechanism = "relay"    // jobs are stored by the owner of their pool
+	MechanismBackoff  Mechanism = "backoff"  // callers come back the later the longer the table is away
+)
+
+// Mechanisms lists all that can be switched off.
+func Mechanisms() []Mechanism {
+	return []Mechanism{
+		MechanismPack, MechanismGather, MechanismScatter, MechanismDeadline, MechanismTimely, MechanismRest, MechanismFinish,
+		MechanismRate, MechanismStandby, MechanismRedirect, MechanismOverdue, MechanismEarly, MechanismSpared,
+		MechanismBalance, MechanismCalm, MechanismLag, MechanismRelay, MechanismBackoff,
+	}
+}
+
+// Without names the mechanisms that are switched off.
+type Without []Mechanism
+
+// Has tells whether a mechanism is switched off.
+func (w Without) Has(m Mechanism) bool { return slices.Contains(w, m) }
+
+// ParseWithout reads names, joined by commas.
+func ParseWithout(text string) (Without, error) {
+	var w Without
+	for _, name := range strings.Split(text, ",") {
+		name = strings.TrimSpace(name)
+		if name == "" {
+			continue
+		}
+		if !slices.Contains(Mechanisms(), Mechanism(name)) {
+			return nil, Fail(KindInvalid, "without: %q is none of %s", name, listed())
+		}
+		w = append(w, Mechanism(name))
+	}
+	return w, nil
+}
+
+func listed() string {
+	names := make([]string, 0, len(Mechanisms()))
+	for _, m := range Mechanisms() {
+		names = append(names, string(m))
+	}
+	return strings.Join(names, ", ")
+}
