Take leases of holders that neither renew them nor answer before the term is over

Change: a row that hasn't changed for a second has its holder asked; if it doesn't answer, the lease is claimed. A claim before the term is over makes the new owner wait as much longer for workers that nobody hears.

--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -54,6 +54,7 @@
   early: more machines of a wave are emptied than may be down
   spared: waves leave pools alone that have too few machines
   balance: leases move to hosts that carry fewer
+  suspect: a lease that isn't renewed is taken sooner if its holder doesn't answer
   calm: an entry that stops keeps its pools while the table is slow
   lag: an owner whose orders take long hands its pool over
   relay: jobs are stored by the owner of their pool
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -24,6 +24,7 @@
 		case <-tick.C:
 		}
 		n.checkHolders()
+		n.askSuspects()
 		for _, c := range n.due() {
 			n.group.Go(func() { n.claim(ctx, c, "") })
 		}
@@ -91,6 +92,7 @@
 	fence  gauge.Fence
 	term   int
 	before gauge.LeaseRow
+	early  time.Duration // how much of the term before may not be over
 }
 
 // fleetPool is the name under which the lease of the fleet is kept: its holder
@@ -134,7 +136,7 @@
 		Key: key, Holder: n.holder, Addr: n.conf.Addr, Term: term, Version: stamp.Version, Taken: sent, Lasts: leaseTerm,
 		Store: n.conf.Store, Now: n.conf.Now, Clock: n.clock,
 	})
-	return &held{lease: lease, fence: gauge.Fence(stamp.Version), term: term, before: c.Row}, false
+	return &held{lease: lease, fence: gauge.Fence(stamp.Version), term: term, before: c.Row, early: c.Early}, false
 }
 
 // notTaken takes in that a claim failed; true: it is worth another try at once.
@@ -162,7 +164,7 @@
 // own runs a pool until the lease is lost or given up.
 func (n *Node) own(ctx context.Context, pool string, h *held) {
 	o := owner.New(ctx, owner.Config{
-		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers, Before: h.before,
+		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers, Before: h.before, Early: h.early,
 		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event, Backlog: n.conf.Backlog,
--- a/internal/node/gone.go
+++ b/internal/node/gone.go
@@ -50,6 +50,40 @@
 	}
 }
 
+// suspectAfter is how long a lease may go without a renewal before its holder is asked
+// whether it lives: two renewals and a look at the leases later than due.
+func suspectAfter(without gauge.Without) time.Duration {
+	if without.Has(gauge.MechanismSuspect) {
+		return 0
+	}
+	return time.Second
+}
+
+// askSuspects asks holders whose leases aren't renewed whether they live.
+func (n *Node) askSuspects() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	for _, addr := range n.board.Suspects(now) {
+		if n.asked[addr] {
+			continue
+		}
+		n.asked[addr] = true
+		n.group.Go(func() { n.askSuspect(addr, now) })
+	}
+}
+
+func (n *Node) askSuspect(addr string, now time.Duration) {
+	_, err := n.probe(context.Background(), addr, probeCall{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.asked, addr)
+	if err != nil {
+		n.board.Unanswered(addr, now)
+		n.conf.Logs.Info("holder silent", "addr", addr, "error", err.Error())
+	}
+}
+
 // CheckHolder finds out whether the process that held leases at an address has
 // ended: nothing listens there, or another start of it does.
 func (n *Node) CheckHolder(addr string) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,7 @@
 	offers    map[string]time.Duration // when a successor for a pool was last looked for
 	placed    time.Duration            // until then a place is kept for a lease that is to move here
 	fleet     *fleet                   // nil: another entry has it
+	asked     map[string]bool          // holders' addresses that are asked just now whether they live
 	doubted   map[string]time.Duration // owners' addresses that didn't answer, until when they aren't asked
 	workers   map[string]gauge.Worker
 	waves     map[int64]gauge.UpkeepOrder
@@ -143,9 +144,9 @@
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start,
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
-		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), asked: make(map[string]bool), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
-	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Regain: regainWait})
+	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Suspect: suspectAfter(c.Without), Regain: regainWait})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, AskDepth: n.askDepth, Tell: n.notify, Ask: n.ask,
 		Relay: relay{n}, Without: c.Without,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -28,6 +28,7 @@
 	Earlier []string       // workers of the owner before
 	Before  gauge.LeaseRow // as it was taken: its counts are told until this owner has its own
 
+	Early time.Duration // how much of the lease before may not be over: its holder may go on for so long
 	Grace time.Duration // how long orders and holds may reach beyond the lease's end
 	Keep  time.Duration // how long an ended job's state is told
 	Hold  time.Duration // how far a hold extends a worker's lease
@@ -150,7 +151,7 @@
 		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow, Lane: ordersAtOnce,
-			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Grace + doubtMargin, Over: over(&c.Before, now),
+			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Early + c.Grace + doubtMargin, Over: over(&c.Before, now),
 		}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -25,7 +25,10 @@
 	Capacity float64
 	Spread   time.Duration // free pools are claimed within this, in an order that differs by entry
 	Held     time.Duration // more of a wait for each pool that this entry has already
-	Regain   time.Duration // holders that live have so long to renew their leases when the table is back
+	// Suspect is how long a lease's row must be unchanged before its holder is asked
+	// whether it lives; 0: nobody is asked, and each lease is waited out.
+	Suspect time.Duration
+	Regain  time.Duration // holders that live have so long to renew their leases when the table is back
 }
 
 // seen is a lease row as last read.
@@ -41,6 +44,7 @@
 	Pool    string
 	Version int64 // of the row as it was seen; 0: there is none
 	Row     gauge.LeaseRow
+	Early   time.Duration // how much of the term isn't over: the holder didn't answer
 }
 
 // Board keeps the lease rows. It is not safe for concurrent use.
@@ -52,6 +56,7 @@
 	unsure  map[string]bool           // pools of which a claim got no answer
 	gone    map[string]bool           // holders whose processes have ended
 	alive   map[string]time.Duration  // when holders last answered, while the table was away
+	silent  map[string]time.Duration  // by address: when a holder was last asked, and didn't answer
 	read    bool
 	patient time.Duration // until then a lease that ran out is its holder's to renew
 }
@@ -70,7 +75,7 @@
 	if c.Capacity == 0 {
 		c.Capacity = FullCapacity
 	}
-	return &Board{conf: c, rows: make(map[string]seen), entries: make(map[string]gauge.EntryRow), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool), alive: make(map[string]time.Duration)}
+	return &Board{conf: c, rows: make(map[string]seen), entries: make(map[string]gauge.EntryRow), free: make(map[string]time.Duration), unsure: make(map[string]bool), gone: make(map[string]bool), alive: make(map[string]time.Duration), silent: make(map[string]time.Duration)}
 }
 
 // Tell takes in a lease row. Clock is the table's clock when it was read, at the
@@ -103,6 +108,34 @@
 // Gone takes in that a holder's process has ended: nothing has to be waited for.
 func (b *Board) Gone(holder string) { b.gone[holder] = true }
 
+// Suspects lists the addresses of holders that should have renewed a lease by now: four
+// renewals go into a term, and two of them are overdue.
+func (b *Board) Suspects(now time.Duration) []string {
+	var addrs []string
+	for _, s := range b.rows {
+		if b.overdue(&s, now) && s.row.Addr != b.conf.Addr && !slices.Contains(addrs, s.row.Addr) {
+			addrs = append(addrs, s.row.Addr)
+		}
+	}
+	return addrs
+}
+
+func (b *Board) overdue(s *seen, now time.Duration) bool {
+	return b.conf.Suspect > 0 && s.row.Holder != "" && now-s.at > b.conf.Suspect && now >= b.patient
+}
+
+// Unanswered takes in that a holder that was asked at a time didn't answer.
+func (b *Board) Unanswered(addr string, asked time.Duration) { b.silent[addr] = asked }
+
+// dead tells whether a holder neither renews its lease nor answers. A host without power
+// doesn't refuse connections, so that nothing else shows its end; its pools stood still
+// until the term was over, and no machine moved if it had the fleet. One that is taken
+// for dead by mistake can't order anything once workers have heard its successor.
+func (b *Board) dead(s *seen, now time.Duration) bool {
+	asked, ok := b.silent[s.row.Addr]
+	return ok && asked > s.at && b.overdue(s, now)
+}
+
 // HoldersAt lists the holders whose rows name an address.
 func (b *Board) HoldersAt(addr string) []string {
 	var names []string
@@ -155,7 +188,7 @@
 			continue
 		}
 		s := b.rows[pool]
-		claims = append(claims, Claim{Pool: pool, Version: s.version, Row: s.row})
+		claims = append(claims, Claim{Pool: pool, Version: s.version, Row: s.row, Early: b.early(pool, now)})
 		delete(b.free, pool) // if it fails, the next try waits again
 		delete(b.unsure, pool)
 	}
@@ -170,10 +203,22 @@
 	if answered, ok := b.alive[s.row.Holder]; ok && now < b.patient && now-answered < b.conf.Term {
 		return false
 	}
+	if b.dead(&s, now) {
+		return true
+	}
 	passed := now - s.at
 	return passed > b.conf.Term+clockMargin || passed+s.age > b.conf.Term+clockMargin+tableMargin
 }
 
+// early is how much of a lease's term may not be over, of a holder that may live.
+func (b *Board) early(pool string, now time.Duration) time.Duration {
+	s := b.rows[pool]
+	if !b.dead(&s, now) {
+		return 0
+	}
+	return max(0, b.conf.Term-(now-s.at))
+}
+
 // wasMine tells whether a pool's holder is an earlier start of this entry. That
 // process is gone: this one listens at its address.
 func (b *Board) wasMine(pool string) bool {
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -33,6 +33,45 @@
 	return b.Due(pools, 0, now+spread+held)
 }
 
+// Symptom: a pool stands still, or no machine moves, for two seconds and more.
+// Sequence: the holder's host loses power; its connections don't end.
+// Cause: nothing but the lease's term shows that it is gone.
+func TestLeaseOfASilentHolderIsClaimedBeforeItsTerm(t *testing.T) {
+	const suspect = time.Second
+	addr := row("other").Addr
+	for _, tt := range []struct {
+		name string
+		tell func(b *terms.Board)
+		want bool
+	}{
+		{"it wasn't asked", func(*terms.Board) {}, false},
+		{"it didn't answer", func(b *terms.Board) { b.Unanswered(addr, 1050*time.Millisecond) }, true},
+		{"another one didn't", func(b *terms.Board) { b.Unanswered("10.0.0.2:1", 1050*time.Millisecond) }, false},
+		{"it has renewed since", func(b *terms.Board) {
+			b.Unanswered(addr, 1050*time.Millisecond)
+			b.Tell("p", row("other"), 6, 1100*time.Millisecond, 0)
+		}, false},
+		{"the table is just back", func(b *terms.Board) {
+			b.Unanswered(addr, 1050*time.Millisecond)
+			b.Regained(1300 * time.Millisecond)
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := terms.New(terms.Config{Self: "self", Addr: "10.0.0.9:1", Term: term, Spread: spread, Held: held, Regain: regain, Suspect: suspect})
+			b.Read()
+			b.Tell("p", row("other"), 5, 0, 0)
+			assert.Equal(t, len(b.Suspects(suspect)), 0)
+			assert.DeepEqual(t, b.Suspects(1050*time.Millisecond), []string{addr})
+			tt.tell(b)
+			claims := due(b, 1400*time.Millisecond, "p")
+			assert.Equal(t, len(claims) > 0, tt.want)
+			if tt.want {
+				assert.Assert(t, claims[0].Early > 0, "it may go on for so long")
+			}
+		})
+	}
+}
+
 func TestWhenALeaseIsClaimed(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/without.go
+++ b/without.go
@@ -26,6 +26,7 @@
 	MechanismEarly    Mechanism = "early"    // more machines of a wave are emptied than may be down
 	MechanismSpared   Mechanism = "spared"   // waves leave pools alone that have too few machines
 	MechanismBalance  Mechanism = "balance"  // leases move to hosts that carry fewer
+	MechanismSuspect  Mechanism = "suspect"  // a lease that isn't renewed is taken sooner if its holder doesn't answer
 	MechanismCalm     Mechanism = "calm"     // an entry that stops keeps its pools while the table is slow
 	MechanismLag      Mechanism = "lag"      // an owner whose orders take long hands its pool over
 	MechanismRelay    Mechanism = "relay"    // jobs are stored by the owner of their pool
@@ -37,7 +38,7 @@
 	return []Mechanism{
 		MechanismPack, MechanismGather, MechanismScatter, MechanismDeadline, MechanismTimely, MechanismRest, MechanismFinish,
 		MechanismRate, MechanismStandby, MechanismRedirect, MechanismOverdue, MechanismEarly, MechanismSpared,
-		MechanismBalance, MechanismCalm, MechanismLag, MechanismRelay, MechanismBackoff,
+		MechanismBalance, MechanismSuspect, MechanismCalm, MechanismLag, MechanismRelay, MechanismBackoff,
 	}
 }
 
