Size pools by what arrives, not by how its rate has changed

Cause: with a few large jobs a second the rate is that of one job, and its rise over 0.6 s times 1.5 s is chance: 18, 37, 24, 37, 20 machines were wanted within two seconds.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -54,7 +54,7 @@
 		keeper: waves.New(waves.Config{
 			Upkeep: n.conf.Upkeep, Without: n.conf.Without, Logs: n.conf.Logs,
 		}),
-		sizer: sizing.New(sizing.Config{Migrate: n.conf.Migrate, Without: n.conf.Without, Logs: n.conf.Logs}),
+		sizer: sizing.New(sizing.Config{Without: n.conf.Without, Logs: n.conf.Logs}),
 		turns: turns.New(n.conf.TurnGap+grantMargin, turns.Lists{Own: h.before.Ordered, Earlier: h.before.Earlier},
 			n.wasMine(&h.before), n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(), taken: n.conf.Now(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,6 @@
 	Longest  time.Duration                       // longest lease that a worker takes
 	TurnGap  time.Duration                       // two entries may not order one machine within this
 	Upkeep   time.Duration                       // length of a machine's upkeep
-	Migrate  time.Duration                       // length of a machine's move
 	Keep     time.Duration                       // how long an ended job can be asked for
 	Without  gauge.Without                       // what is switched off
 }
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -5,9 +5,7 @@
 // several times a pool's mean in its turn, so that no fixed split serves it;
 // machines in pools are paid for, those on standby aren't. A move takes one to
 // two seconds and ends all that runs on the machine, so machines are emptied
-// first and those with lasting tasks stay. While demand rises, pools are sized for
-// what it will be when a machine that is ordered now has come: sized for the present,
-// they lag behind it by that time, and quick jobs of the start of a turn are late.
+// first and those with lasting tasks stay.
 package sizing
 
 import (
@@ -23,7 +21,6 @@
 
 // Config sets up a Sizer.
 type Config struct {
-	Migrate time.Duration // length of a move
 	Without gauge.Without // what is switched off
 	Logs    logr.Logger
 }
@@ -50,7 +47,6 @@
 	moves    map[string]*Move
 	wanted   map[string]want
 	came     map[string]arrivals
-	trends   map[string]trend
 	logged   map[string]int
 	later    func(machine string) bool
 	index    index
@@ -99,7 +95,7 @@
 func New(c Config) *Sizer {
 	return &Sizer{
 		conf: c, loads: make(map[string]load), machines: make(map[string]gauge.Machine),
-		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), trends: make(map[string]trend), logged: make(map[string]int),
+		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), logged: make(map[string]int),
 	}
 }
 
@@ -278,11 +274,9 @@
 // need works out what a pool would use, in machines.
 func (s *Sizer) need(pool string, now time.Duration) need {
 	l, cores := s.loads[pool], s.cores(pool)
-	s.trends[pool] = s.trends[pool].add(s.came[pool].rate(now), now)
-	// A machine that is ordered now serves after its move: for the demand of then.
 	timely := l.Timely.Cores()
 	if !s.conf.Without.Has(gauge.MechanismRate) {
-		timely = max(timely, s.trends[pool].ahead(s.conf.Migrate))
+		timely = max(timely, s.came[pool].rate(now))
 	}
 	// One machine more than lasting tasks need, so that any of them can be
 	// emptied, and more while some have no place.
