--- a/cmd/rounds/main.go
+++ b/cmd/rounds/main.go
@@ -23,7 +23,11 @@
 PATH is the program that plays a day ("PATH run FILE DAY --seed N --report OUT", in
 the tree's directory), FILE a deployment. The first tree is the one that the others
 are compared with. Processor time isn't charged unless --charged is given: then
-plays repeat, mostly. Trees must not change while they are played.`
+plays repeat, mostly. Trees must not change while they are played.
+
+  rounds --log FILE
+
+counts by pool why jobs were late or lost, from the log of all entries of a day.`
 
 // options are the flags.
 type options struct {
@@ -36,6 +40,7 @@
 	charged bool
 	why     string
 	kept    string
+	log     string
 }
 
 func main() {
@@ -61,9 +66,13 @@
 	parser.Bool(&o.charged, "", "charged", "charge processor time")
 	parser.String(&o.why, "", "why", "a line for the journal of plays")
 	parser.String(&o.kept, "", "kept", "file with outcomes of earlier plays, which aren't played again; new ones are added")
+	parser.String(&o.log, "", "log", "log of a day, to count why jobs were late or lost")
 	if err := parser.Parse(); err != nil {
 		return eris.Wrap(err, "flags")
 	}
+	if o.log != "" {
+		return reasons(o.log)
+	}
 	plays, err := o.plays()
 	if err != nil {
 		return err
@@ -81,6 +90,21 @@
 	return save(o.kept, plays)
 }
 
+// reasons prints why the jobs of a day were late or lost.
+func reasons(file string) error {
+	f, err := os.Open(file) //nolint:gosec // the caller's choice
+	if err != nil {
+		return eris.Wrap(err, "log")
+	}
+	defer func() { _ = f.Close() }()
+	counts, err := Reasons(f)
+	if err != nil {
+		return err
+	}
+	fmt.Print(ReasonTable(counts))
+	return nil
+}
+
 // plays lists all plays, those on equal days and seeds next to each other.
 func (o *options) plays() ([]*Play, error) {
 	if o.player == "" || len(o.sites) == 0 || len(o.trees) == 0 {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -174,6 +174,20 @@
 	return true
 }
 
+// release notes when the tasks of steps that waited for one became ready: counted from
+// when the job came, the time that a task has waited for room would tell nothing.
+func (o *occurrence) release(done *stage, now time.Duration) {
+	for _, st := range o.steps {
+		if !slices.Contains(st.spec.After, done.tasks[0].id.Step) || !o.ready(st) {
+			continue
+		}
+		st.made = now
+		for _, t := range st.tasks {
+			t.readyAt = now
+		}
+	}
+}
+
 // offer has all steps wait of which tasks may start.
 func (o *occurrence) offer() {
 	for _, st := range o.steps {
@@ -182,7 +196,7 @@
 }
 
 // finish notes that a task is done, and what follows from it.
-func (j *job) finish(t *task) {
+func (j *job) finish(t *task, now time.Duration) {
 	o := j.occs[t.id.Occurrence]
 	if len(t.runs) == 0 {
 		t.stage.idle--
@@ -192,6 +206,7 @@
 	o.left--
 	if t.stage.left == 0 {
 		o.stale = true
+		o.release(t.stage, now)
 		o.offer() // other steps may have waited for this one
 	}
 	if j.row.Done == nil {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -161,7 +161,7 @@
 	switch {
 	case t.stage.spec.Lasts || t.done:
 	case e.How == gauge.EndDone:
-		p.done(j, t)
+		p.done(j, t, now)
 	case e.How == gauge.EndFailed:
 		p.failed(j, t, e.Run)
 	}
@@ -179,23 +179,25 @@
 	j.touch(false)
 }
 
-func (p *Pool) done(j *job, t *task) {
+func (p *Pool) done(j *job, t *task, now time.Duration) {
 	if t.stage.spec.Gang {
 		// One end stands for all members.
 		for _, m := range t.stage.tasks {
 			if !m.done {
-				j.finish(m)
+				j.finish(m, now)
 			}
 		}
 	} else {
-		j.finish(t)
+		j.finish(t, now)
 	}
 	for _, r := range t.runs {
 		p.halt(r)
 	}
 	if j.row.State == gauge.JobCompleted {
 		p.conf.Count(EventDone)
-		p.conf.Logs.Info("job completed", "job", j.id, "pool", p.conf.Name)
+		p.policy(j)
+		took := now - j.arrived
+		p.conf.Logs.Info("job completed", "job", j.id, "pool", p.conf.Name, "took", took, "objective", j.objective, "late", took > j.objective)
 	}
 }
 
