Tell a pool's owner of a cancel before it is acknowledged, also when it was not known yet

By reading: the entry tries once for 150 ms to tell the owner, and not at all if it has not seen the lease; then the caller is answered. Change: the lease's row is read for a cancel if no owner is known, and the try lasts 800 ms.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,8 +91,10 @@
 	keepFactor  = 3
 	noticeTries = 4
 	noticeWait  = time.Second
-	// cancelWait bounds the try to tell of a cancel that its caller waits for.
-	cancelWait = 150 * time.Millisecond
+	// cancelWait bounds the try to tell of a cancel that its caller waits for. A call
+	// takes some milliseconds, the first one to an owner that has little processor time
+	// some hundred; callers wait for 4 s.
+	cancelWait = 800 * time.Millisecond
 )
 
 // Node is one entry.
--- a/internal/node/notice.go
+++ b/internal/node/notice.go
@@ -47,18 +47,38 @@
 	if n.deliver(notice) {
 		return nil
 	}
-	n.mu.Lock()
-	row, ok := n.board.Holder(notice.Pool)
-	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.context(), wait)
+	defer cancel()
+	row, ok := n.holderOf(ctx, notice)
 	if !ok || row.Holder == n.holder {
 		return gauge.Fail(gauge.KindOutage, "pool %s has no owner", notice.Pool)
 	}
-	ctx, cancel := context.WithTimeout(n.context(), wait)
-	defer cancel()
 	var answer noticeAnswer
 	return n.conf.Mesh.Call(ctx, row.Addr, methodNotice, &notice, &answer)
 }
 
+// holderOf finds the owner of a notice's pool. An entry that has just started, or whose
+// pool has just got its first owner, hasn't seen the lease yet; the owner would go on
+// telling that a job runs whose cancel was acknowledged, so that for a cancel the row is
+// read.
+func (n *Node) holderOf(ctx context.Context, notice intake.Notice) (gauge.LeaseRow, bool) {
+	n.mu.Lock()
+	row, ok := n.board.Holder(notice.Pool)
+	n.mu.Unlock()
+	if ok || !notice.Cancelled {
+		return row, ok
+	}
+	rows, _, err := n.conf.Store.Range(ctx, gauge.TableLeases, notice.Pool, gauge.KeyOwner, gauge.KeyOwner+"\x00")
+	if err != nil {
+		n.conf.Logs.Info("lease not read", "pool", notice.Pool, "kind", gauge.KindOf(err), "error", err.Error())
+		return row, false
+	}
+	n.toldLeases(rows, false)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.board.Holder(notice.Pool)
+}
+
 // deliver hands a notice to the owner if that is here.
 func (n *Node) deliver(notice intake.Notice) bool {
 	n.mu.Lock()
