--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -110,6 +110,9 @@
 	}
 	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Renewed: n.clock()}
 	row.CountsOf(&c.Row) // none was made since
+	if c.Pool == fleetPool {
+		n.handOn(&row, &c.Row)
+	}
 	value, err := row.Encode()
 	if err != nil {
 		n.conf.Logs.Error(err, "lease not claimed", "pool", c.Pool)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,67 +117,6 @@
 	}
 }
 
-// turnFrom is when this holder may order its first machine. If the one before gave
-// the lease up or offered it, or announced its orders, it told which machines it had
-// ordered, and only those wait. Else it may have ordered any for orderSpan after its
-// last renewal.
-func (n *Node) turnFrom(h *held) time.Duration {
-	now := n.conf.Now()
-	if h.before.Holder == "" || h.before.Announced || n.wasMine(&h.before) {
-		return now // given up, or known, or this holder itself before a restart
-	}
-	since := time.Duration(n.clock()-h.before.Renewed)*time.Millisecond - renewedMargin
-	return now + max(0, n.conf.TurnGap+grantMargin+orderSpan-since)
-}
-
-// wasMine tells whether a lease's holder was this entry, in an earlier process.
-func (n *Node) wasMine(row *gauge.LeaseRow) bool {
-	name, _, _ := strings.Cut(row.Holder, "/")
-	return name == n.conf.Name
-}
-
-// renewedMargin is how far the table's clock, as two entries know it, may be off:
-// each takes readings only from answers that took less than a tenth of a second.
-const renewedMargin = 300 * time.Millisecond
-
-// mayOrder tells whether a machine may be ordered now: the lease was renewed
-// lately, and the holder before has not just ordered that machine. A yes is noted
-// for the successor.
-func (f *fleet) mayOrder(machine string) bool {
-	f.gate.Lock()
-	defer f.gate.Unlock()
-	now := f.node.conf.Now()
-	if f.over || now >= f.held.lease.Until()-leaseTerm+orderSpan {
-		return false
-	}
-	return f.turns.Order(machine, f.node.clock(), now)
-}
-
-// orderSpan is how long after a renewal the fleet's holder orders machines: two
-// renewals may fail. The shorter, the sooner a successor may begin.
-const orderSpan = 1200 * time.Millisecond
-
-// end lets no order out any more: what a successor is told then is complete.
-func (f *fleet) end() {
-	f.gate.Lock()
-	defer f.gate.Unlock()
-	f.over = true
-}
-
-// row is written by a holder that goes on. It names what may be ordered before the
-// next write.
-func (f *fleet) row(announced map[string]bool) gauge.LeaseRow {
-	lists := f.turns.Ahead(announced, orderSpan, f.node.clock())
-	return gauge.LeaseRow{Ordered: lists.Own, Earlier: lists.Earlier, Announced: true}
-}
-
-// announce has the lease's row name the machines that may be ordered from now on.
-func (f *fleet) announce(ctx context.Context, machines map[string]bool) {
-	if f.turns.Narrow(machines) && f.commitRow(ctx, f.row(machines), gauge.PartTxn{}) {
-		f.turns.Announce(machines)
-	}
-}
-
 // leave has another entry take the fleet over when writes fail here; true: it
 // was offered.
 func (f *fleet) leave(ctx context.Context) bool {
@@ -207,9 +145,6 @@
 	return offerCall{Pool: fleetPool, Row: row, Version: f.held.lease.Version()}
 }
 
-// grantMargin covers the difference between two entries' steady clocks.
-const grantMargin = 200 * time.Millisecond
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -251,26 +186,6 @@
 	f.resize(ctx, moves)
 }
 
-// ordered lists the machines that are, or are about to be, ordered.
-func ordered(steps waves.Steps, moves []sizing.Move) map[string]bool {
-	machines := make(map[string]bool)
-	for _, a := range steps.Asks {
-		machines[a.Machine] = true
-	}
-	for _, b := range steps.Begins {
-		machines[b.Machine] = true
-	}
-	for _, m := range moves {
-		machines[m.Machine] = true
-	}
-	return machines
-}
-
-// orderedBefore tells whether a holder before has ordered a machine just now.
-func (f *fleet) orderedBefore(machine string) bool {
-	return f.turns.Before(machine, f.node.clock())
-}
-
 // commit writes on condition that the fleet's lease is still this entry's.
 func (f *fleet) commit(ctx context.Context, txn gauge.PartTxn) bool {
 	return f.commitRow(ctx, f.row(f.turns.Announced()), txn)
--- /dev/null
+++ b/internal/sched/order.go
@@ -0,0 +1,47 @@
+package sched
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// OrderKind is what is ordered.
+type OrderKind string
+
+// The orders.
+const (
+	OrderStart OrderKind = "start"
+	OrderStop  OrderKind = "stop"
+	OrderPace  OrderKind = "pace"
+	OrderLook  OrderKind = "look" // what runs there now?
+	// OrderAdvise asks the advice service. Its outcome is to be told by Advised.
+	OrderAdvise OrderKind = "advise"
+)
+
+// Order is one call to a worker. Its outcome is to be told by Answered.
+type Order struct {
+	Kind   OrderKind
+	Worker gauge.Worker
+	Start  gauge.StartCall
+	Stop   gauge.StopCall
+	Pace   gauge.PaceCall
+	Look   gauge.HoldCall
+	Step   string   // asked about
+	About  []string // workers
+	stage  *stage
+	valid  time.Duration
+	run    *run
+	odd    *oddRun
+}
+
+// Events that are counted, beside the ends of runs by how they came. The first
+// three are signs of a promise in danger.
+const (
+	EventSurplus  = "surplus run"      // a task had two runs; the surplus one is stopped
+	EventVanished = "run vanished"     // a worker lost a run without an end
+	EventOdd      = "run of ended job" // a run of a job that is not open; stopped
+	EventLapsed   = "worker lapsed"    // a silent worker's lease ran out with runs there
+	EventFailed   = "job failed"
+	EventDone     = "job completed"
+)
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -19,6 +19,21 @@
 	Earlier map[string]int64
 }
 
+// HandedOn are the lists of a holder that has ordered nothing itself yet; same: the one
+// before is this one, in an earlier process.
+func (l Lists) HandedOn(same bool) Lists {
+	if same {
+		return l
+	}
+	earlier := make(map[string]int64)
+	for _, list := range []map[string]int64{l.Own, l.Earlier} {
+		for machine, at := range list {
+			earlier[machine] = max(earlier[machine], at)
+		}
+	}
+	return Lists{Earlier: earlier}
+}
+
 // Turns keeps two holders of the fleet from ordering one machine within the bound
 // between them: a machine that a holder before has ordered lately waits, the
 // others don't. What a holder's own process before a restart ordered waits only
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -101,3 +101,12 @@
 	assert.Assert(t, !f.Order("b", 1000, time.Second), "the next row doesn't name it")
 	assert.DeepEqual(t, f.Announced(), map[string]bool{"a": true})
 }
+
+// Symptom: the first and the third holder order one machine within the bound.
+// Sequence: the second one ends after its claim and before its first renewal.
+// Cause: a claim's row has nothing of what was ordered before.
+func TestClaimHandsOnWhatWasOrderedBefore(t *testing.T) {
+	before := turns.Lists{Own: map[string]int64{"a": 2000}, Earlier: map[string]int64{"a": 1000, "b": 1500}}
+	assert.DeepEqual(t, before.HandedOn(false), turns.Lists{Earlier: map[string]int64{"a": 2000, "b": 1500}})
+	assert.DeepEqual(t, before.HandedOn(true), before)
+}
