--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -17,6 +18,7 @@
 type waveRow struct {
 	Begun []string `msgpack:"b"`
 	Done  bool     `msgpack:"d"`
+	Since int64    `msgpack:"s,omitempty"` // when it was first seen, the table's clock in milliseconds; 0: not known
 }
 
 // takeIn tells the keeper of waves that it doesn't know.
@@ -35,7 +37,12 @@
 			f.node.conf.Logs.Info("wave not read", "wave", w.Wave, "error", err.Error())
 			return false
 		}
-		f.keeper.Order(w, row.Begun, row.Done, f.node.conf.Now())
+		past := waves.Past{Begun: row.Begun, Done: row.Done}
+		if row.Since > 0 {
+			past.Age = max(0, time.Duration(f.node.clock()-row.Since)*time.Millisecond)
+		}
+		f.keeper.Order(w, past, f.node.conf.Now())
+		f.unsaved[w.Wave] = f.unsaved[w.Wave] || row.Since == 0 && !row.Done
 		f.node.conf.Logs.Info("wave taken in", "wave", w.Wave, "machines", len(w.Machines), "begun", len(row.Begun), "done", row.Done)
 	}
 	return true
@@ -95,7 +102,8 @@
 
 // save writes how far a wave is, for the operator and for the next holder.
 func (f *fleet) save(ctx context.Context, number int64, done bool) bool {
-	value, err := msgpack.Marshal(&waveRow{Begun: f.keeper.Lists(number), Done: done})
+	since := f.node.clock() - f.keeper.Age(number, f.node.conf.Now()).Milliseconds()
+	value, err := msgpack.Marshal(&waveRow{Begun: f.keeper.Lists(number), Done: done, Since: since})
 	if err != nil {
 		f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
 		return false
--- a/internal/sched/leave_test.go
+++ b/internal/sched/leave_test.go
@@ -70,3 +70,58 @@
 		})
 	}
 }
+
+// Symptom: a wave misses its end by a few machines, each with one lasting task.
+// Sequence: their pool is in its turn; what gets free on other workers is taken at once
+// by work that waits.
+// Cause: a lasting task leaves only for a place that is free, and none ever is.
+func TestRoomIsKeptForALastingTaskThatIsToLeave(t *testing.T) {
+	g := newRig(t)
+	g.list("w1")
+	g.hear("w1", nil)
+	lasting := step(1)
+	lasting.Lasts, lasting.Needs.MilliCPU = true, 2000
+	g.adopt(1, false, lasting)
+	stays := g.starts()
+	g.ok(stays)
+	serves := running(stays[0])
+	serves.Progress = 100
+	g.list("w1", "w2", "w3")
+	g.hear("w2", nil)
+	g.hear("w3", nil)
+	g.adopt(2, false, step(40))
+	runs := make(map[string][]gauge.RunReport)
+	begin := func() {
+		starts := g.starts()
+		g.ok(starts)
+		for _, o := range starts {
+			runs[o.Worker.ID] = append(runs[o.Worker.ID], running(o))
+		}
+	}
+	begin()
+	g.hear("w1", append([]gauge.RunReport{serves}, runs["w1"]...))
+	g.pool.Empty("w1", false, g.now)
+	left := false
+	for range 6 {
+		g.pass(300 * time.Millisecond)
+		g.hear("w1", append([]gauge.RunReport{serves}, runs["w1"]...))
+		for _, id := range []string{"w2", "w3"} {
+			if len(runs[id]) == 0 {
+				continue
+			}
+			done := runs[id][0]
+			runs[id] = runs[id][1:]
+			g.hear(id, runs[id], g.end(id, done.Task, done.Run, gauge.EndDone))
+		}
+		for _, o := range g.plan() {
+			switch {
+			case o.Kind == sched.OrderStop && o.Stop.Task == serves.Task:
+				left = true
+			case o.Kind == sched.OrderStart:
+				g.ok([]sched.Order{o})
+				runs[o.Worker.ID] = append(runs[o.Worker.ID], running(o))
+			}
+		}
+	}
+	assert.Assert(t, left, "it leaves within two seconds")
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -12,13 +12,18 @@
 	without  gauge.Without
 	most     gauge.Resources             // no worker has more of any kind free
 	promised map[*worker]gauge.Resources // for tasks that are to come from other workers
+	kept     map[*worker]bool            // only for lasting tasks
 }
 
 func (p *Pool) rooms(now time.Duration) *rooms {
 	r := &rooms{workers: p.taking[:0], without: p.conf.Without}
 	for _, w := range p.byID() {
-		if w.takes(now) {
-			r.workers = append(r.workers, w)
+		if !w.takes(now) {
+			continue
+		}
+		r.workers = append(r.workers, w)
+		if now < w.keptUntil {
+			r.keep(w)
 		}
 	}
 	p.taking = r.workers
@@ -26,6 +31,13 @@
 	return r
 }
 
+func (r *rooms) keep(w *worker) {
+	if r.kept == nil {
+		r.kept = make(map[*worker]bool)
+	}
+	r.kept[w] = true
+}
+
 // measure works out anew what is free at most: what doesn't fit in that needn't
 // be tried on each worker.
 func (r *rooms) measure() {
@@ -50,7 +62,7 @@
 		if !w.free().Holds(need) || !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) || !allowed(w) {
 			continue
 		}
-		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker {
+		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker || r.kept[w] && !st.spec.Lasts {
 			continue
 		}
 		if s := w.score(st, on[w], r.without); best == nil || s > bestScore {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -84,6 +84,7 @@
 	}
 	to := room.place(r.task.stage, r.task.stage.perWorker(), room.promised, anyWorker)
 	if to == nil {
+		p.makeRoom(r, room, now)
 		return false
 	}
 	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task, now) >= st.MaxAway {
@@ -93,9 +94,43 @@
 		room.promised = make(map[*worker]gauge.Resources)
 	}
 	room.promised[to] = room.promised[to].Plus(r.room)
+	to.keptUntil = max(to.keptUntil, now+keepPlace)
 	return true
 }
 
+// makeRoom keeps other work from the worker that has the most room for a lasting task that
+// is to leave its own. In a pool in its turn whatever gets free is taken at once, so that a
+// machine with a lasting task wasn't empty in time for its upkeep: waves missed their
+// end by the length of a turn.
+func (p *Pool) makeRoom(r *run, room *rooms, now time.Duration) {
+	st, need := r.task.stage, r.room
+	on := st.perWorker()
+	var best *worker
+	for _, w := range room.workers {
+		switch {
+		case now < w.keptUntil:
+			return // one at a time
+		case !w.info.Capacity.Minus(w.lastingRoom()).Holds(need) || !w.info.HasLabel(st.spec.Label):
+		case st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker:
+		case best == nil || w.free().MilliCPU > best.free().MilliCPU:
+			best = w
+		}
+	}
+	if best != nil {
+		best.keptUntil = now + keepRoom
+		p.conf.Logs.Info("room kept", "pool", p.conf.Name, "worker", best.info.ID, "job", r.task.id.Job, "task", r.task.id.String(), "free", best.free().MilliCPU)
+	}
+}
+
+// keepRoom is how long a worker is kept for a lasting task: what runs there ends in about
+// two seconds, and a few ends are enough.
+const keepRoom = 2 * time.Second
+
+// keepPlace is how long a place that was found is kept for a lasting task while it is
+// stopped where it was: a stop takes 0.4 s at most, and its end is told within a tenth.
+// Taken by other work meanwhile, the task would be away until something ends.
+const keepPlace = 700 * time.Millisecond
+
 // leavesBefore tells whether a worker that leaves is gone before a run there has ended,
 // as far as estimates go.
 func (w *worker) leavesBefore(r *run, now time.Duration) bool {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -75,6 +75,7 @@
 	held       bool          // it has ends that were not taken in, or may have more than it lists
 	mark       mark          // of ends, for Backlog
 	emptyUntil time.Duration // it gets no starts before, as it is to be emptied for upkeep or a move
+	keptUntil  time.Duration // until then only lasting tasks start here
 	force      bool          // what does not end by itself there is to be ended
 	rest       time.Duration // no starts before this, since it fails or is slow
 	misses     int           // failures in a row, of different jobs
@@ -138,6 +139,17 @@
 
 func (w *worker) free() gauge.Resources { return w.info.Capacity.Minus(w.used) }
 
+// lastingRoom is what its lasting tasks use.
+func (w *worker) lastingRoom() gauge.Resources {
+	var sum gauge.Resources
+	for r := range w.runs {
+		if r.task.stage.spec.Lasts {
+			sum = sum.Plus(r.room)
+		}
+	}
+	return sum
+}
+
 // find returns the run of a task with a number; nil if there is none here.
 func (w *worker) find(t *task, number int) *run {
 	for _, r := range t.runs {
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -35,7 +35,8 @@
 
 type wave struct {
 	order gauge.UpkeepOrder
-	seen  time.Duration
+	seen  time.Duration            // by this holder
+	since time.Duration            // by the first holder
 	begun map[string]bool          // in the table
 	down  map[string]time.Duration // since when a machine may be down: the order went out
 	tries map[string]time.Duration // when an order was last sent that may not have been carried out
@@ -70,17 +71,23 @@
 	return &Keeper{conf: c, waves: make(map[int64]*wave), machines: make(map[string]gauge.Machine), standby: make(map[string]bool)}
 }
 
-// Order takes in a wave. Begun lists the machines that have had their order, as
-// the table knows.
-func (k *Keeper) Order(o gauge.UpkeepOrder, begun []string, done bool, now time.Duration) {
+// Past is what the table knows of a wave.
+type Past struct {
+	Begun []string      // machines that have had their order
+	Done  bool          // it is completed
+	Age   time.Duration // since it was first seen
+}
+
+// Order takes in a wave.
+func (k *Keeper) Order(o gauge.UpkeepOrder, past Past, now time.Duration) {
 	if k.waves[o.Wave] != nil {
 		return
 	}
 	w := &wave{
-		order: o, seen: now, begun: make(map[string]bool), down: make(map[string]time.Duration),
-		tries: make(map[string]time.Duration), empty: make(map[string]bool), asked: make(map[string]bool), done: done,
+		order: o, seen: now, since: now - past.Age, begun: make(map[string]bool), down: make(map[string]time.Duration),
+		tries: make(map[string]time.Duration), empty: make(map[string]bool), asked: make(map[string]bool), done: past.Done,
 	}
-	for _, m := range begun {
+	for _, m := range past.Begun {
 		w.begun[m] = true
 		// It may be down still: the order was an earlier holder's.
 		w.down[m] = now
@@ -88,6 +95,11 @@
 	k.waves[o.Wave] = w
 }
 
+// Age is for how long a wave has been known, to this holder or one before.
+func (k *Keeper) Age(number int64, now time.Duration) time.Duration {
+	return now - k.waves[number].since
+}
+
 // Knows tells whether a wave has been taken in.
 func (k *Keeper) Knows(number int64) bool { return k.waves[number] != nil }
 
@@ -292,6 +304,10 @@
 	// forceAfter: from this share of a wave's time on, work that doesn't end by
 	// itself is ended where the wave would be late without.
 	forceAfter = 0.4
+	// hurry is how long before its end a wave is late if machines are left, however few:
+	// a machine with lasting tasks is emptied in three to four seconds, one task after the
+	// other, and its upkeep takes as long as it takes beside.
+	hurry = 6 * time.Second
 	// poolShare of a pool's machines at most are emptied or down at once while a
 	// wave is in time: the rest carries the pool's work.
 	poolShare = 0.34
@@ -305,7 +321,10 @@
 	if w.order.Within <= 0 {
 		return false
 	}
-	passed := float64(now-w.seen) / float64(w.order.Within)
+	if now-w.since > w.order.Within-min(hurry, w.order.Within/3) {
+		return true
+	}
+	passed := float64(now-w.since) / float64(w.order.Within)
 	done := 1 - float64(left)/float64(len(w.order.Machines))
 	return passed > forceAfter && done < passed+(1-passed)*forceAfter
 }
--- a/internal/waves/waves_test.go
+++ b/internal/waves/waves_test.go
@@ -30,7 +30,7 @@
 		g.machines[id] = &gauge.Machine{ID: id, Pool: pool, State: gauge.MachineUp, Worker: "i-" + id}
 		order.Machines = append(order.Machines, id)
 	}
-	g.keeper.Order(order, nil, false, g.now)
+	g.keeper.Order(order, waves.Past{}, g.now)
 	g.pass(time.Millisecond)
 	return g
 }
@@ -117,7 +117,7 @@
 func TestWaveGoesOnUnderANewHolder(t *testing.T) {
 	g := newRig("spare", 3, 1)
 	keeper := waves.New(waves.Config{Upkeep: upkeep, Logs: logr.Discard()})
-	keeper.Order(gauge.UpkeepOrder{Wave: 1, Machines: []string{"m-0", "m-1", "m-2"}, Within: time.Minute, AtOnce: 1}, []string{"m-0"}, false, g.now)
+	keeper.Order(gauge.UpkeepOrder{Wave: 1, Machines: []string{"m-0", "m-1", "m-2"}, Within: time.Minute, AtOnce: 1}, waves.Past{Begun: []string{"m-0"}}, g.now)
 	g.keeper = keeper
 	g.keeper.Standby([]string{"spare"})
 	g.pass(time.Millisecond)
@@ -148,3 +148,42 @@
 	justOrdered := func(id string) bool { return id == "m-1" } // not listed yet
 	assert.Equal(t, len(g.keeper.Next(g.now, waves.Sight{Moving: never, Ordered: justOrdered, Pressed: never}).Begins), 1)
 }
+
+// Symptom: the last machines of a wave have their upkeep seconds after its end.
+// Sequence: the fleet's holder changes in the middle of the wave; two machines of many are
+// left in pools that are busy.
+// Cause: the new holder counts the wave's time from when it saw it, and a wave with so
+// few machines left doesn't count as late.
+func TestWaveIsHurriedBeforeItsEndHoweverFewMachinesAreLeft(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		age   time.Duration
+		force bool
+	}{
+		{"in time", 20 * time.Second, false},
+		{"shortly before its end", 25 * time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			k := waves.New(waves.Config{Upkeep: upkeep, Logs: logr.Discard()})
+			order := gauge.UpkeepOrder{Wave: 1, Within: 30 * time.Second, AtOnce: 2}
+			var past waves.Past
+			var list []gauge.Machine
+			for i := range 20 {
+				id := fmt.Sprintf("m-%02d", i)
+				order.Machines = append(order.Machines, id)
+				list = append(list, gauge.Machine{ID: id, Pool: "p", State: gauge.MachineUp, Worker: "i-" + id})
+				if i > 0 {
+					past.Begun = append(past.Begun, id)
+				}
+			}
+			past.Age = tt.age
+			const now = time.Minute
+			k.Order(order, past, now)
+			k.Machines(list, now+upkeep+time.Millisecond)
+			pressed := func(string) bool { return true }
+			s := k.Next(now+upkeep+time.Millisecond, waves.Sight{Moving: never, Ordered: never, Pressed: pressed})
+			assert.Equal(t, len(s.Asks) > 0 && s.Asks[0].Force, tt.force)
+			assert.Equal(t, k.Age(1, now), tt.age)
+		})
+	}
+}
