--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,6 +27,8 @@
 	// AskDepth asks the owner itself; false: it doesn't know, or can't be asked.
 	AskDepth func(ctx context.Context, q *gauge.Queue) (int, bool)
 	Tell     func(n Notice) // tells the owner of the pool
+	// Unsure tells the owner of a hand-in that may be stored yet; nil: nobody is told.
+	Unsure func(q *gauge.Queue, id string)
 	// Ask asks the owner of the queue's pool how far a job is; false: it doesn't
 	// know, or can't be asked.
 	Ask   func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/intake"
 )
 
 func eventually(t *testing.T, what string, holds func() bool) {
@@ -301,3 +303,33 @@
 		assert.Equal(t, gauge.AsError(g.submit(2+i)).Retry, tt.want)
 	}
 }
+
+// Symptom: a caller is told that its job never runs, and it runs.
+// Sequence: an entry sends a hand-in to the table and gets no answer; the caller asks
+// again at another entry, which asks the pool's owner; the owner sent nothing itself and
+// can't reach the table; the first transaction is carried out.
+// Cause: only the first entry knows that the job may be stored.
+func TestOwnerKnowsOfHandInsThatOthersAreUnsureOf(t *testing.T) {
+	store := newTable()
+	store.silent = true
+	store.answer = func(int, func()) error { return gauge.Fail(gauge.KindUnknown, "no answer") }
+	c := &clock{step: time.Millisecond}
+	ownerTable := newTable()
+	ownerTable.silent, ownerTable.answer = true, outage
+	owner := newRig(ownerTable, c)
+	var told []string
+	entry := intake.New(intake.Config{
+		Store: store, Logs: logr.Discard(), Event: func(string) {}, Now: c.Now, Clock: func() int64 { return 1 },
+		Tell: func(intake.Notice) {}, Relay: &peer{err: gauge.Fail(gauge.KindOutage, "away")},
+		Unsure: func(_ *gauge.Queue, id string) {
+			told = append(told, id)
+			owner.intake.Doubt(id)
+		},
+	})
+	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
+	err := entry.Submit(context.Background(), q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+	assert.Equal(t, gauge.KindOf(err), gauge.KindExpired)
+	assert.DeepEqual(t, told, []string{id(1)})
+	assert.Equal(t, gauge.KindOf(owner.submit(1)), gauge.KindExpired, "it may be stored yet")
+	assert.Equal(t, gauge.KindOf(owner.submit(2)), gauge.KindOutage)
+}
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -49,6 +49,20 @@
 	if gauge.Is(err, gauge.KindExpired) {
 		n.unsure[id] = now + doubtFor
 	}
+	n.prune(now)
+}
+
+// Doubt takes in that a hand-in of this id at another entry may yet be carried out.
+func (n *Intake) Doubt(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	n.unsure[id] = now + doubtFor
+	n.prune(now)
+}
+
+// prune drops ids that nothing is to be waited for any more. The lock is held.
+func (n *Intake) prune(now time.Duration) {
 	if now < n.pruned+doubtFor {
 		return
 	}
@@ -127,6 +141,10 @@
 	case gauge.Is(o.err, gauge.KindExpired):
 		n.conf.Event("job unsettled")
 		n.log("job unsettled", p.queue, p.id, o.err)
+		if n.conf.Unsure != nil {
+			// A repeat at another entry is refused by the owner's word: it has to know.
+			n.conf.Unsure(p.queue, p.id)
+		}
 	case o.err != nil:
 		n.conf.Event("job refused")
 		n.log("job refused", p.queue, p.id, o.err)
