--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -75,8 +75,8 @@
 // Work that ends by itself is left to end, also if it could go on from a checkpoint
 // elsewhere: a stop costs it what was done since the checkpoint, the restore, and a
 // second wait for room, and the machine is gained a second or two sooner at best.
-// Where demand moves from pool to pool every tenth run was stopped, and of the largest
-// jobs, whose slack is three seconds, a third was late.
+// On a day with steady demand every tenth run was stopped, and of the largest jobs,
+// whose slack is three seconds, two in five were late.
 func (p *Pool) mayLeave(w *worker, r *run, room *rooms, now time.Duration) bool {
 	st := r.task.stage.spec
 	if !st.Lasts {
