--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -60,6 +60,7 @@
 		async:   newAsync(),
 		unsaved: make(map[int64]bool),
 	}
+	f.sizer.Learnt(time.Duration(h.before.Kept)*time.Millisecond, n.conf.Now())
 	f.from = n.conf.Now() + firstWait
 	if h.term > 0 {
 		f.from = n.turnFrom(h)
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -36,6 +36,7 @@
 // handOn has a claim's row tell on what was ordered before: if this process ends before
 // its first renewal, the next one has only that row. It announces what it orders.
 func (n *Node) handOn(row, before *gauge.LeaseRow) {
+	row.Kept = before.Kept
 	row.Announced = before.Announced || before.Holder == ""
 	lists := turns.Lists{Own: before.Ordered, Earlier: before.Earlier}.HandedOn(n.wasMine(before))
 	row.Ordered, row.Earlier = lists.Own, lists.Earlier
@@ -73,7 +74,9 @@
 // next write.
 func (f *fleet) row(announced map[string]bool) gauge.LeaseRow {
 	lists := f.turns.Ahead(announced, orderSpan, f.node.clock())
-	return gauge.LeaseRow{Ordered: lists.Own, Earlier: lists.Earlier, Announced: true}
+	return gauge.LeaseRow{
+		Ordered: lists.Own, Earlier: lists.Earlier, Announced: true, Kept: f.sizer.Kept(f.node.conf.Now()).Milliseconds(),
+	}
 }
 
 // announce has the lease's row name the machines that may be ordered from now on.
--- a/internal/sizing/move.go
+++ b/internal/sizing/move.go
@@ -32,7 +32,7 @@
 	}
 	for _, pool := range pools {
 		w := s.wanted[pool]
-		for w.below > 0 && now-w.below > shrinkAfter && s.missing(pool) < 0 {
+		for w.below > 0 && now-w.below > s.keep.now(now) && s.missing(pool) < 0 {
 			m, ok := s.idle(pool, taken, s.later)
 			if !ok {
 				break
@@ -47,6 +47,12 @@
 
 func (s *Sizer) move(m gauge.Machine, to string, now time.Duration) {
 	standby := slices.Contains(s.standby, m.Pool)
+	switch {
+	case standby:
+		s.keep.taken(now)
+	case slices.Contains(s.standby, to):
+		s.keep.given(now)
+	}
 	s.index.has[m.Pool]--
 	s.index.has[to]++
 	s.moves[m.ID] = &Move{Machine: m.ID, From: m.Pool, To: to, Worker: m.Worker, Empty: standby, chosen: now}
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -48,6 +48,7 @@
 	wanted   map[string]want
 	came     map[string]arrivals
 	logged   map[string]int
+	keep     keep
 	later    func(machine string) bool
 	index    index
 }
@@ -109,12 +110,6 @@
 	// mostAway bounds the machines that are added for lasting tasks without a
 	// place at a time.
 	mostAway = 2
-	// shrinkAfter is how long a pool must have too many machines before it gives
-	// some away: demand dips within a queue's turn, and a machine that is given away
-	// in a dip is missed for two moves. Mean worth of 40 simulated days of two sites
-	// with 1.7, 2.5, 3.5, 5 and 8 s: 0.52, 0.56, 0.57, 0.58 and 0.56; the longer ones
-	// cost 4 to 13 % more seconds of machines.
-	shrinkAfter = 4 * time.Second
 	// staleAfter: an older load says nothing.
 	staleAfter = 2 * time.Second
 	// giveUpAfter ends a move whose machine doesn't get empty.
@@ -123,6 +118,14 @@
 	settleAfter = 400 * time.Millisecond
 )
 
+// Kept is how long surplus machines are kept, as learnt here, for the next holder.
+func (s *Sizer) Kept(now time.Duration) time.Duration { return s.keep.now(now) }
+
+// Learnt takes in how long the holder before kept surplus machines; 0: nothing is known.
+func (s *Sizer) Learnt(span, now time.Duration) {
+	s.keep = keep{span: min(max(span, shortestKeep), longestKeep), moved: now}
+}
+
 // Load takes in what an owner told.
 func (s *Sizer) Load(l gauge.PoolLoad, now time.Duration) {
 	old, ok := s.loads[l.Pool]
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -118,6 +118,75 @@
 	assert.Equal(t, to(g.next(), "spare"), 6)
 }
 
+// trip lets pool a want machines for a second, and then none until it gives some away;
+// it returns how long that took.
+func (g *rig) trip(t *testing.T) time.Duration {
+	t.Helper()
+	g.load(gauge.PoolLoad{Pool: "a", Timely: gauge.Demand{Waiting: 100}}, 0)
+	moves := g.next()
+	assert.Assert(t, len(moves) > 0, "machines come from standby")
+	g.carryOut(moves)
+	g.now += time.Second
+	for began := g.now; ; g.now += 100 * time.Millisecond {
+		g.load(gauge.PoolLoad{Pool: "a"}, 0)
+		if moves := g.next(); to(moves, "spare") > 0 {
+			g.carryOut(moves)
+			return g.now - began
+		}
+	}
+}
+
+// carryOut has machines arrive where they are sent.
+func (g *rig) carryOut(moves []sizing.Move) {
+	for _, v := range moves {
+		g.sizer.Emptied(v.Machine, true)
+		g.sizer.Ordered(v.Machine, nil, g.now)
+		for i := range g.machines {
+			if g.machines[i].ID == v.Machine {
+				g.machines[i].Pool = v.To
+			}
+		}
+	}
+	g.now += 500 * time.Millisecond
+	g.list()
+}
+
+// The pattern: machines that go to standby at the end of one queue's turn are wanted
+// back seconds later for the next one's. Grounds: a trip takes two moves of 1.5 s.
+func TestSurplusIsKeptLongerWhereItIsWantedBack(t *testing.T) {
+	g := newRig(map[string]int{"a": 3, "spare": 9})
+	var spans []time.Duration
+	for range 6 {
+		g.now += 5 * time.Second
+		spans = append(spans, g.trip(t))
+	}
+	assert.Assert(t, spans[0] < 5*time.Second, spans)
+	assert.Assert(t, spans[1] > 7*time.Second && spans[2] > 15*time.Second, spans)
+	assert.Assert(t, spans[5] > 29*time.Second && spans[5] < 31*time.Second, "%s: not for ever", spans)
+}
+
+func TestSurplusIsGivenAwaySoonWhereItIsNotWantedBack(t *testing.T) {
+	g := newRig(map[string]int{"a": 3, "spare": 9})
+	for range 4 {
+		g.now += 3 * time.Minute
+		assert.Assert(t, g.trip(t) < 5*time.Second)
+	}
+}
+
+func TestNextHolderKeepsSurplusAsLongAsTheOneBefore(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "spare": 1})
+	g.sizer.Learnt(16*time.Second, g.now)
+	assert.Equal(t, g.sizer.Kept(g.now), 16*time.Second)
+	assert.Equal(t, g.sizer.Kept(g.now+forget), 8*time.Second, "nothing was taken back for long")
+	g.sizer.Learnt(time.Hour, g.now)
+	assert.Equal(t, g.sizer.Kept(g.now), 30*time.Second)
+	g.sizer.Learnt(0, g.now)
+	assert.Equal(t, g.sizer.Kept(g.now), 4*time.Second)
+}
+
+// forget is longer than what was learnt is kept.
+const forget = 3 * time.Minute
+
 // A pool whose owner doesn't tell is left as it is.
 func TestPoolWithoutAFreshLoadIsLeftAlone(t *testing.T) {
 	g := newRig(map[string]int{"a": 9, "b": 9})
--- a/leaserow.go
+++ b/leaserow.go
@@ -25,6 +25,8 @@
 	Renewed int64            `msgpack:"n"`           // when this was sent, the table's clock in milliseconds, up to 0.1 s early
 	Ordered map[string]int64 `msgpack:"o,omitempty"` // the fleet's: machines that were ordered lately, and when by the table's clock in milliseconds
 	Earlier map[string]int64 `msgpack:"e,omitempty"` // the same, of machines that holders before this one ordered
+	// Kept is the fleet's: how long surplus machines are kept, as learnt, in milliseconds.
+	Kept int64 `msgpack:"p,omitempty"`
 	// Announced tells that Ordered also has the machines that may be ordered before the
 	// next write, with the latest time at which they may be.
 	Announced bool `msgpack:"b,omitempty"`
