Read of the table what an entry needs: no list of workers without a pool, small lease rows

Cause: all entries followed the workers' table whole, lease rows with the names of all workers and machines that had orders, and a part of the table for each entry. Ruled out: processor time (18 % of a core at 298 entries), writes (they grow with the machines). Change: entries' rows in one part; workers followed by entries with a pool only; what only the next holder needs in a row of its own, written when it changes and read with a claim; weak hosts without a lease look at the leases half as often; a count of waiting jobs isn't told three seconds after the last look that was answered, as jobs whose notice was lost may be missing in it.

--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,41 @@
+package gate_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sapphiregauge/internal/gate"
+)
+
+func TestALoopWaitsForTheGate(t *testing.T) {
+	g := gate.New()
+	opened := make(chan bool)
+	go func() { opened <- g.Open(t.Context()) }()
+	g.Set(true)
+	assert.Assert(t, <-opened)
+	shut := make(chan bool)
+	go func() { shut <- g.Shut(t.Context(), time.Nanosecond) }()
+	g.Set(false)
+	assert.Assert(t, <-shut)
+}
+
+func TestAGateThatOpensAgainSoonIsNotShut(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	g := gate.New()
+	shut := make(chan bool)
+	go func() { shut <- g.Shut(ctx, time.Hour) }()
+	g.Set(true)
+	cancel()
+	assert.Assert(t, !<-shut)
+}
+
+func TestWaitsEndWithTheirContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	g := gate.New()
+	assert.Assert(t, !g.Open(ctx))
+	assert.Assert(t, !g.Shut(ctx, time.Hour))
+}
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -57,19 +57,59 @@
 	pools = slices.DeleteFunc(pools, func(p string) bool { return n.busy[p] })
 	claims := n.board.Due(pools, len(n.busy), n.conf.Now())
 	for _, c := range claims {
-		n.busy[c.Pool] = true
+		n.begin(c.Pool)
 	}
 	return claims
 }
 
+// begin notes that a lease is claimed or held here. The lock is held.
+func (n *Node) begin(pool string) {
+	n.busy[pool] = true
+	n.ownsSome()
+}
+
+// ownsSome has the list of workers followed for as long as this entry has, or takes,
+// the lease of a pool. The lock is held.
+func (n *Node) ownsSome() {
+	pools := len(n.busy)
+	if n.busy[fleetPool] {
+		pools--
+	}
+	n.listing.Set(pools > 0)
+}
+
+// done notes that a lease is not claimed or held here any more.
+func (n *Node) done(pool string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.busy, pool)
+	n.ownsSome()
+}
+
+func leaseKey(pool string) gauge.RowKey {
+	return gauge.RowKey{Table: gauge.TableLeases, Part: pool, Key: gauge.KeyOwner}
+}
+
+// readGrants reads what the holder before has ordered, of a lease that nobody offers;
+// false: it can't be read.
+func (n *Node) readGrants(ctx context.Context, c *terms.Claim) bool {
+	if c.Version == 0 {
+		return true // nobody has had it
+	}
+	err := tenure.Read(ctx, n.conf.Store, leaseKey(c.Pool), &c.Row)
+	if err != nil {
+		n.conf.Logs.Info("lease not claimed", "pool", c.Pool, "version", c.Version, "error", err.Error())
+	}
+	return err == nil
+}
+
 // claim tries to take a pool's lease and, with it, runs the pool. From is the
 // holder that offers it, empty if nobody does.
 func (n *Node) claim(ctx context.Context, c terms.Claim, from string) {
-	defer func() {
-		n.mu.Lock()
-		delete(n.busy, c.Pool)
-		n.mu.Unlock()
-	}()
+	defer n.done(c.Pool)
+	if from == "" && !n.readGrants(ctx, &c) {
+		return
+	}
 	var h *held
 	for range offerTries {
 		var again bool
@@ -113,16 +153,16 @@
 	if c.Pool == fleetPool {
 		n.handOn(&row, &c.Row)
 	}
-	value, err := row.Encode()
+	key := leaseKey(c.Pool)
+	writes, err := tenure.Writes(key, &row)
 	if err != nil {
 		n.conf.Logs.Error(err, "lease not claimed", "pool", c.Pool)
 		return nil, false
 	}
-	key := gauge.RowKey{Table: gauge.TableLeases, Part: c.Pool, Key: gauge.KeyOwner}
 	sent := n.conf.Now()
 	stamp, rows, err := n.conf.Store.Commit(ctx, gauge.PartTxn{
 		Checks: []gauge.RowCheck{{RowKey: key, Version: c.Version}},
-		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
+		Writes: writes,
 	})
 	if err != nil {
 		n.conf.Logs.Info("lease not taken", "pool", c.Pool, "version", c.Version, "kind", gauge.KindOf(err), "from", from)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -20,15 +20,14 @@
 
 func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
-// workerPause is the pause between two looks at the list of workers. Each worker
-// writes there every second or two, so that a feed never waits long.
-func (n *Node) workerPause() time.Duration {
+// leasePause is the pause between two looks at the leases.
+func (n *Node) leasePause() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.busy) > 0 {
-		return workerPause
+	if len(n.busy) == 0 && n.board.Weak() {
+		return weakPause
 	}
-	return idlePause
+	return leasePause
 }
 
 // stamp takes in a reading of the table's clock, from a call that was sent at a
@@ -107,41 +106,6 @@
 	return os
 }
 
-func (n *Node) toldWorkers(rows []gauge.PartRow, whole bool) {
-	n.mu.Lock()
-	if whole {
-		clear(n.workers)
-	}
-	for _, r := range rows {
-		if r.Dropped {
-			delete(n.workers, r.Key)
-			continue
-		}
-		w, err := n.conf.Words.Worker(r)
-		if err != nil {
-			// An earlier row may have named a worker: nobody knows whether that still holds.
-			delete(n.workers, r.Key)
-			n.conf.Logs.Error(err, "worker's row not read", "worker", r.Key, "version", r.Version)
-			continue
-		}
-		n.workers[w.ID] = *w
-	}
-	list := n.listLocked()
-	owners := n.ownersLocked()
-	n.mu.Unlock()
-	for _, o := range owners {
-		o.List(list)
-	}
-}
-
-func (n *Node) listLocked() []gauge.Worker {
-	list := make([]gauge.Worker, 0, len(n.workers))
-	for _, w := range n.workers {
-		list = append(list, w)
-	}
-	return list
-}
-
 func (n *Node) toldLeases(rows []gauge.PartRow, whole bool) {
 	now := n.conf.Now()
 	n.mu.Lock()
@@ -155,13 +119,7 @@
 }
 
 func (n *Node) toldLease(r gauge.PartRow, now time.Duration) {
-	switch {
-	case r.Dropped:
-		return
-	case r.Key == gauge.KeyEntry:
-		n.toldEntry(r)
-		return
-	case r.Key != gauge.KeyOwner:
+	if r.Dropped || r.Key != gauge.KeyOwner {
 		return
 	}
 	lease, err := gauge.DecodeLeaseRow(r.Value)
@@ -175,14 +133,24 @@
 	n.board.Tell(r.Part, *lease, r.Version, now, n.clockIfKnown())
 }
 
+func (n *Node) toldEntries(rows []gauge.PartRow, _ bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range rows {
+		if !r.Dropped {
+			n.toldEntry(r)
+		}
+	}
+}
+
 func (n *Node) toldEntry(r gauge.PartRow) {
 	row, err := gauge.DecodeEntryRow(r.Value)
 	if err != nil {
-		n.conf.Logs.Error(err, "entry row not read", "peer", r.Part, "version", r.Version)
+		n.conf.Logs.Error(err, "entry row not read", "peer", r.Key, "version", r.Version)
 		return
 	}
-	if n.board.Entry(r.Part, *row) {
-		n.conf.Logs.Info("entry known", "peer", r.Part, "addr", row.Addr, "capacity", row.Capacity, "version", r.Version)
+	if n.board.Entry(r.Key, *row) {
+		n.conf.Logs.Info("entry known", "peer", r.Key, "addr", row.Addr, "capacity", row.Capacity, "version", r.Version)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/gate"
 	"sapphiregauge/internal/intake"
 	"sapphiregauge/internal/mesh"
 	"sapphiregauge/internal/owner"
@@ -75,15 +76,24 @@
 	// leasePause is the time between two looks at the leases, which change with
 	// every write of an owner.
 	leasePause = 300 * time.Millisecond
+	// weakPause is that time at a weak host without a lease: others take what is free
+	// before it would, and who owns a pool is told soon enough for the few callers that
+	// come to it. Hundreds of such hosts look for nothing most of the time.
+	weakPause = 600 * time.Millisecond
+	// entryPause is the time between two looks at the entries' rows, and entryWait how
+	// long a look waits for a change. Rows change when an entry starts; hundreds that
+	// start together are seen in a look or two.
+	entryPause = 2 * time.Second
+	entryWait  = 10 * time.Second
 	// leasesOld: with leases that were seen so long ago nothing is claimed. Each
 	// owner renews several times a second.
 	leasesOld = 1500 * time.Millisecond
-	// workerPause is the time between two looks at the list of workers at an entry
-	// that holds a lease: a new worker is used so much later, on average half of it.
+	// workerPause is the time between two looks at the list of workers, which changes
+	// all the while: a new worker is used so much later, on average half of it.
 	workerPause = 150 * time.Millisecond
-	// idlePause is that time at an entry without a lease, which only has to know
-	// the list when it takes one.
-	idlePause = 600 * time.Millisecond
+	// listLinger is how much longer than it has a pool an entry follows the list of
+	// workers: a claim that fails is tried again within this.
+	listLinger = 2 * time.Second
 	// retryPause is the time between two tries to tell an owner of a job.
 	retryPause = 250 * time.Millisecond
 	// keepFactor: rows of ended jobs are kept for so many times as long as they
@@ -99,14 +109,15 @@
 
 // Node is one entry.
 type Node struct {
-	conf   Config
-	holder string
-	intake *intake.Intake
-	site   atomic.Pointer[gauge.Site]
-	offset atomic.Int64                    // the table's clock less ours, nanoseconds
-	going  atomic.Bool                     // it takes pools
-	ctx    atomic.Pointer[context.Context] // of the running entry
-	group  conc.WaitGroup
+	conf    Config
+	holder  string
+	intake  *intake.Intake
+	site    atomic.Pointer[gauge.Site]
+	offset  atomic.Int64                    // the table's clock less ours, nanoseconds
+	listing *gate.Gate                      // open while the list of workers is followed
+	going   atomic.Bool                     // it takes pools
+	ctx     atomic.Pointer[context.Context] // of the running entry
+	group   conc.WaitGroup
 
 	// offering is held from the choice of a successor to its answer: leases that this
 	// entry offers one after the other go to different entries.
@@ -143,7 +154,7 @@
 		c.Capacity = terms.FullCapacity
 	}
 	n := &Node{
-		conf: c, holder: c.Name + "/" + c.Start,
+		conf: c, holder: c.Name + "/" + c.Start, listing: gate.New(),
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
 		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), asked: make(map[string]bool), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
@@ -183,9 +194,10 @@
 		n.follow(ctx, n.conf.Words.OperatorTable(), false, feedWait, always(0), n.stamp, n.toldOperator)
 	})
 	n.group.Go(func() {
-		n.follow(ctx, n.conf.Words.WorkerTable(), false, workerWait, n.workerPause, n.stamp, n.toldWorkers)
+		n.follow(ctx, gauge.TableEntries, false, entryWait, always(entryPause), n.stamp, n.toldEntries)
 	})
-	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, always(leasePause), n.sawLeases, n.toldLeases) })
+	n.group.Go(func() { n.followWorkers(ctx) })
+	n.group.Go(func() { n.follow(ctx, gauge.TableLeases, true, 0, n.leasePause, n.sawLeases, n.toldLeases) })
 	n.group.Go(func() { n.manage(ctx) })
 	if !n.conf.Without.Has(gauge.MechanismBalance) {
 		n.group.Go(func() { n.spread(ctx) })
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -91,7 +91,7 @@
 		n.conf.Logs.Error(err, "entry not registered")
 		return
 	}
-	row := gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: n.conf.Name, Key: gauge.KeyEntry}, Value: value}
+	row := gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableEntries, Key: n.conf.Name}, Value: value}
 	for ctx.Err() == nil {
 		_, _, err := n.conf.Store.Commit(ctx, gauge.PartTxn{Writes: []gauge.RowWrite{row}})
 		if err == nil {
@@ -104,7 +104,7 @@
 
 // registerAgain is the pause after a try that failed. Until the others know of a strong
 // host weak ones claim as if there were none; they look as often.
-const registerAgain = leasePause
+const registerAgain = 300 * time.Millisecond
 
 // successor finds an entry that can take a pool's lease over: of those that say so
 // at about the same time the one on the least burdened host. Empty: none. Failing is for
@@ -199,7 +199,7 @@
 	if ready {
 		n.mu.Lock()
 		ready = !n.busy[c.Pool]
-		n.busy[c.Pool] = true
+		n.begin(c.Pool)
 		n.mu.Unlock()
 	}
 	if ready {
--- a/internal/owner/count_test.go
+++ b/internal/owner/count_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
@@ -67,3 +69,46 @@
 	_, known = o.Depth("sheets")
 	assert.Assert(t, !known, "this owner hasn't counted")
 }
+
+// Symptom: 0 jobs are said to wait where 12 have waited for five seconds.
+// Sequence: an entry that can't ask the owner stores jobs itself, and its notices are
+// lost; the table turns away the owner's looks for such jobs.
+// Cause: a count was told however long ago the owner had last looked.
+func TestCountIsNotToldLongAfterTheLastLookThatWasAnswered(t *testing.T) {
+	store := newRows()
+	store.job(t, "sheets", jobID(1), "p")
+	var now atomic.Int64
+	now.Store(int64(time.Second))
+	var turnedAway atomic.Bool
+	store.onRange = func(_ context.Context, table, _ string, _ []gauge.PartRow) error {
+		if table == gauge.TableOpen && turnedAway.Load() {
+			return away()
+		}
+		return nil
+	}
+	o := run(t, store, workers{}, logr.Discard(), func(c *owner.Config) {
+		c.Now = func() time.Duration { return time.Duration(now.Load()) }
+	})
+	told := func() bool {
+		_, known := o.Depth("sheets")
+		return known
+	}
+	written := func() bool {
+		before := len(store.written())
+		until(t, "written", func() bool { return len(store.written()) > before+1 })
+		leases := store.written()
+		_, known := leases[len(leases)-1].Depth("sheets")
+		return known
+	}
+	until(t, "told", told)
+	o.Configure(&gauge.Site{Queues: []gauge.Queue{{Name: "sheets", Pool: "p"}}})
+	assert.Assert(t, written())
+	turnedAway.Store(true)
+	now.Add(int64(2900 * time.Millisecond))
+	assert.Assert(t, told(), "the last look was lately")
+	now.Add(int64(200 * time.Millisecond))
+	assert.Assert(t, !told())
+	assert.Assert(t, !written(), "others are told as well")
+	turnedAway.Store(false)
+	until(t, "told after the next look", told)
+}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc/iter"
+
 	gauge "sapphiregauge"
 )
 
@@ -17,8 +19,10 @@
 func (o *Owner) load() bool {
 	began := o.conf.Now()
 	for {
+		looked := o.conf.Now()
 		queues, err := o.conf.Store.Parts(o.ctx, gauge.TableOpen)
 		if err == nil && o.loadFirst(queues, began) {
+			o.locked(func() { o.sights.looked(looked, nil) })
 			return true
 		}
 		if o.ctx.Err() != nil {
@@ -116,7 +120,7 @@
 			comes = n > 0
 			o.conf.Logs.Info("missing queues read", "pool", o.conf.Pool, "jobs", n, "missing", len(o.unread()))
 		}
-		if !comes {
+		if !comes || o.conf.Now()-o.scanned >= scanEvery {
 			o.scanAll()
 		}
 		o.act(nil)
@@ -124,24 +128,34 @@
 }
 
 func (o *Owner) scanAll() {
+	o.scanned = o.conf.Now()
 	queues, err := o.queues()
 	if err != nil {
 		o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "error", err.Error())
 		return
 	}
 	missing := o.unread()
-	for _, queue := range queues {
-		if slices.Contains(missing, queue) {
-			continue
-		}
-		n, err := o.scan(queue)
+	queues = slices.DeleteFunc(queues, func(q string) bool { return slices.Contains(missing, q) })
+	looks := iter.Mapper[string, error]{MaxGoroutines: readsAtOnce}
+	var failed []string
+	for i, err := range looks.Map(queues, func(q *string) error { return o.scanOne(*q) }) {
 		if err != nil {
-			o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
-		}
-		if n > 0 {
-			o.conf.Logs.Info("jobs found by scan", "pool", o.conf.Pool, "queue", queue, "jobs", n)
+			failed = append(failed, queues[i])
 		}
 	}
+	o.locked(func() { o.sights.looked(o.scanned, failed) })
+}
+
+// scanOne looks for jobs of one queue.
+func (o *Owner) scanOne(queue string) error {
+	n, err := o.scan(queue)
+	if err != nil {
+		o.conf.Logs.Info("scan failed", "pool", o.conf.Pool, "queue", queue, "error", err.Error())
+	}
+	if n > 0 {
+		o.conf.Logs.Info("jobs found by scan", "pool", o.conf.Pool, "queue", queue, "jobs", n)
+	}
+	return err
 }
 
 // scan reads the marks of a queue's open jobs and adopts those that are unknown.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -81,8 +81,10 @@
 	site      *gauge.Site
 	listed    []gauge.Worker           // newest list
 	scans     int                      // of scanLoop alone
+	scanned   time.Duration            // when the last scan was begun; of scanLoop alone
 	avoids    map[string]time.Duration // queues whose changes wait, until when; of writeLoop alone
 	missing   map[string]bool          // queues that were not read whole yet
+	sights    sights                   // as of when the queues' jobs are known
 }
 
 const (
@@ -136,8 +138,8 @@
 	// ackWait bounds how long a hold waits for the ends before to be written.
 	ackWait = 400 * time.Millisecond
 	// batchEntries of a transaction are for changes of jobs: it holds 100 at most, by
-	// the users' figure, and the lease takes two, its check and its write.
-	batchEntries = 100 - 2
+	// the users' figure, and the lease takes three, its check and its two writes.
+	batchEntries = 100 - 3
 )
 
 // New makes an Owner of a pool whose lease was just taken. With ctx all its work
@@ -349,11 +351,11 @@
 }
 
 // Depth is how many jobs of a queue have no task started; false: this owner doesn't
-// know, as it has not read the queue, or another owner may know better.
+// know, as it has not read the queue lately, or another owner may know better.
 func (o *Owner) Depth(queue string) (int, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.mayAdopt() || o.missing[queue] {
+	if !o.mayAdopt() || o.missing[queue] || o.sights.old(queue, o.conf.Now()) {
 		return 0, false
 	}
 	return o.core.Depths()[queue], true
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -152,14 +150,15 @@
 
 // leaseRow has the counts that this owner made, or, before the pool is loaded, those of
 // the owner before, which may be told while they aren't too old. A queue that isn't read
-// then is named: to tell it as empty would be wrong by as many jobs as wait there.
+// then, or was not for long, is named: to tell it as empty would be wrong by as many jobs
+// as wait there.
 func (o *Owner) leaseRow() gauge.LeaseRow {
 	row := gauge.LeaseRow{Workers: o.core.Name()}
 	if !o.loaded {
 		row.CountsOf(&o.conf.Before)
 		return row
 	}
-	row.Depths, row.Unread, row.Counted = o.core.Depths(), slices.Sorted(maps.Keys(o.missing)), o.conf.Clock()
+	row.Depths, row.Unread, row.Counted = o.core.Depths(), o.unsighted(), o.conf.Clock()
 	return row
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -32,6 +32,7 @@
 	version int64
 	until   time.Duration
 	lost    bool
+	granted *gauge.GrantRow // as the table surely has it; nil: not known
 }
 
 // New makes a Tenure of a lease that was just taken.
@@ -73,7 +74,7 @@
 // it returns the other rows as the table has them; KindFenced: another holder
 // has the lease.
 func (t *Tenure) Commit(ctx context.Context, row gauge.LeaseRow, txn gauge.PartTxn) (gauge.Stamp, []gauge.PartRow, error) {
-	txn, err := t.with(row, txn)
+	txn, grants, err := t.with(row, txn)
 	if err != nil {
 		return gauge.Stamp{}, nil, err
 	}
@@ -81,10 +82,13 @@
 	stamp, rows, err := t.conf.Store.Commit(ctx, txn)
 	if err == nil {
 		t.mu.Lock()
-		t.version, t.until = stamp.Version, sent+t.conf.Lasts
+		t.version, t.until, t.granted = stamp.Version, sent+t.conf.Lasts, grants
 		t.mu.Unlock()
 		return stamp, nil, nil
 	}
+	t.mu.Lock()
+	t.granted = nil // it may be carried out yet
+	t.mu.Unlock()
 	if !gauge.Is(err, gauge.KindConflict) {
 		return stamp, nil, err
 	}
@@ -96,19 +100,64 @@
 	return stamp, others, err
 }
 
-func (t *Tenure) with(row gauge.LeaseRow, txn gauge.PartTxn) (gauge.PartTxn, error) {
+// with adds the lease's row to a transaction, and what the next holder has to know if
+// the table hasn't got that yet.
+func (t *Tenure) with(row gauge.LeaseRow, txn gauge.PartTxn) (gauge.PartTxn, *gauge.GrantRow, error) {
 	row.Holder, row.Addr, row.Term = t.conf.Holder, t.conf.Addr, t.conf.Term
 	row.Renewed = t.conf.Clock()
-	value, err := row.Encode()
-	if err != nil {
-		return txn, err
-	}
 	t.mu.Lock()
 	check := gauge.RowCheck{RowKey: t.conf.Key, Version: t.version}
+	granted := t.granted
 	t.mu.Unlock()
+	writes, err := Writes(t.conf.Key, &row)
+	if err != nil {
+		return txn, nil, err
+	}
+	_, grants := row.Split()
+	if granted != nil && granted.Equal(&grants) {
+		writes = writes[:1]
+	}
 	txn.Checks = append([]gauge.RowCheck{check}, txn.Checks...)
-	txn.Writes = append([]gauge.RowWrite{{RowKey: t.conf.Key, Value: value}}, txn.Writes...)
-	return txn, nil
+	txn.Writes = append(writes, txn.Writes...)
+	return txn, &grants, nil
+}
+
+// Writes are those of a lease's row: first what all entries read, then what only the
+// next holder does.
+func Writes(key gauge.RowKey, row *gauge.LeaseRow) ([]gauge.RowWrite, error) {
+	all, grants := row.Split()
+	value, err := all.Encode()
+	if err != nil {
+		return nil, err
+	}
+	granted, err := grants.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return []gauge.RowWrite{{RowKey: key, Value: value}, {RowKey: grantsOf(key), Value: granted}}, nil
+}
+
+func grantsOf(key gauge.RowKey) gauge.RowKey {
+	return gauge.RowKey{Table: gauge.TableGrants, Part: key.Part, Key: key.Key}
+}
+
+// Read completes the row of a lease, as all entries read it, by what is for the next
+// holder. That holds for a claim of the version that the row was seen with.
+func Read(ctx context.Context, store gauge.Parted, key gauge.RowKey, row *gauge.LeaseRow) error {
+	at := grantsOf(key)
+	rows, _, err := store.Range(ctx, at.Table, at.Part, at.Key, at.Key+"\x00")
+	if err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		return nil // of an older program, which has it all in one row
+	}
+	grants, err := gauge.DecodeGrantRow(rows[0].Value)
+	if err != nil {
+		return err
+	}
+	row.Join(grants)
+	return nil
 }
 
 // sort takes the lease's row out of those of a refused transaction. A row of
@@ -144,7 +193,7 @@
 		return nil
 	}
 	row.Holder, row.Addr, row.Term = "", "", t.conf.Term
-	value, err := row.Encode()
+	writes, err := Writes(t.conf.Key, &row)
 	if err != nil {
 		return err
 	}
@@ -152,7 +201,7 @@
 		var rows []gauge.PartRow
 		_, rows, err = t.conf.Store.Commit(ctx, gauge.PartTxn{
 			Checks: []gauge.RowCheck{{RowKey: t.conf.Key, Version: version}},
-			Writes: []gauge.RowWrite{{RowKey: t.conf.Key, Value: value}},
+			Writes: writes,
 		})
 		if !gauge.Is(err, gauge.KindConflict) {
 			return err
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -17,6 +17,16 @@
 	row    gauge.PartRow
 	before func() // runs before each transaction
 	fail   error  // given instead of the answer, after it was carried out
+
+	grants  gauge.PartRow
+	granted int // how often it was written
+}
+
+func (t *table) Range(_ context.Context, name, part, from, _ string) ([]gauge.PartRow, gauge.Stamp, error) {
+	if t.granted == 0 || t.grants.RowKey != (gauge.RowKey{Table: name, Part: part, Key: from}) {
+		return nil, gauge.Stamp{}, nil
+	}
+	return []gauge.PartRow{t.grants}, gauge.Stamp{}, nil
 }
 
 //nolint:gochecknoglobals // a constant; Go has no constant structs
@@ -30,6 +40,9 @@
 		return gauge.Stamp{}, []gauge.PartRow{t.row, {RowKey: gauge.RowKey{Table: gauge.TableJobs}}}, gauge.Fail(gauge.KindConflict, "changed")
 	}
 	t.row = gauge.PartRow{RowKey: key, Value: txn.Writes[0].Value, Version: t.row.Version + 1}
+	if len(txn.Writes) > 1 {
+		t.grants, t.granted = gauge.PartRow{RowKey: txn.Writes[1].RowKey, Value: txn.Writes[1].Value}, t.granted+1
+	}
 	if t.fail != nil {
 		return gauge.Stamp{}, nil, t.fail
 	}
@@ -111,3 +124,60 @@
 	assert.NilError(t, err)
 	assert.Equal(t, row.Holder, "")
 }
+
+// What only the next holder needs is not rewritten with each renewal, which all entries
+// read: with 600 workers it is 15 KB.
+func TestWhatIsForTheNextHolderIsWrittenWhenItChanges(t *testing.T) {
+	g := newRig()
+	commit := func(workers ...string) {
+		t.Helper()
+		_, _, err := g.lease.Commit(t.Context(), gauge.LeaseRow{Workers: workers, Depths: map[string]int{"q": 1}}, gauge.PartTxn{})
+		assert.NilError(t, err)
+	}
+	read := func() []string {
+		t.Helper()
+		row, err := gauge.DecodeLeaseRow(g.table.row.Value)
+		assert.NilError(t, err)
+		assert.Equal(t, len(row.Workers), 0)
+		assert.Equal(t, row.Depths["q"], 1)
+		assert.NilError(t, tenure.Read(t.Context(), g.table, key, row))
+		return row.Workers
+	}
+	commit("a")
+	commit("a")
+	assert.Equal(t, g.table.granted, 1)
+	commit("a", "b")
+	assert.Equal(t, g.table.granted, 2)
+	assert.DeepEqual(t, read(), []string{"a", "b"})
+	assert.NilError(t, g.lease.GiveUp(t.Context(), gauge.LeaseRow{Workers: []string{"c"}, Depths: map[string]int{"q": 1}}))
+	assert.DeepEqual(t, read(), []string{"c"})
+}
+
+// Symptom: a successor doesn't ask a worker that has orders.
+// Sequence: a write that names the worker gets no answer; the next, which is carried
+// out, leaves out what the one before had.
+// Cause: what was sent is taken for written.
+func TestWhatIsForTheNextHolderIsWrittenAgainAfterAWriteWithoutAnAnswer(t *testing.T) {
+	g := newRig()
+	row := gauge.LeaseRow{Workers: []string{"a"}}
+	_, _, err := g.lease.Commit(t.Context(), row, gauge.PartTxn{})
+	assert.NilError(t, err)
+	g.table.fail = gauge.Fail(gauge.KindUnknown, "no answer")
+	g.table.before = func() { g.table.row.Version++ } // it is refused: the row has changed
+	row.Workers = []string{"a", "b"}
+	_, _, err = g.lease.Commit(t.Context(), row, gauge.PartTxn{})
+	assert.Assert(t, err != nil)
+	g.table.fail, g.table.before = nil, nil
+	g.table.row.Version = g.lease.Version()
+	_, _, err = g.lease.Commit(t.Context(), row, gauge.PartTxn{})
+	assert.NilError(t, err)
+	assert.NilError(t, tenure.Read(t.Context(), g.table, key, &row))
+	assert.DeepEqual(t, row.Workers, []string{"a", "b"})
+	assert.Equal(t, g.table.granted, 2)
+}
+
+func TestRowOfAnOlderProgramHasWhatIsForTheNextHolder(t *testing.T) {
+	row := gauge.LeaseRow{Workers: []string{"a"}}
+	assert.NilError(t, tenure.Read(t.Context(), &table{}, key, &row))
+	assert.DeepEqual(t, row.Workers, []string{"a"})
+}
--- a/internal/terms/burden.go
+++ b/internal/terms/burden.go
@@ -87,10 +87,15 @@
 	})
 }
 
-// weakness is how much longer a host waits before it claims a pool, with some leases,
-// than one that can carry the most of all. Those that are known may be gone, and while
-// none is known there may be a full one.
-func (b *Board) weakness(held int) time.Duration {
+// Weak tells whether this host can carry less than half of what the best one can.
+func (b *Board) Weak() bool { return b.relative() < weakShare }
+
+// weakShare of the best host's capacity and more isn't weak.
+const weakShare = 0.5
+
+// relative is this host's capacity as a part of the best one's. Those that are known may
+// be gone, and while none is known there may be a full one.
+func (b *Board) relative() float64 {
 	best := 0.0
 	for _, e := range b.entries {
 		if e.Addr != b.conf.Addr {
@@ -100,7 +105,12 @@
 	if best == 0 {
 		best = FullCapacity
 	}
-	relative := min(1, b.conf.Capacity/best)
-	wait := float64(held+1) * (1/relative - 1) * float64(b.conf.Held)
+	return min(1, b.conf.Capacity/best)
+}
+
+// weakness is how much longer a host waits before it claims a pool, with some leases,
+// than one that can carry the most of all.
+func (b *Board) weakness(held int) time.Duration {
+	wait := float64(held+1) * (1/b.relative() - 1) * float64(b.conf.Held)
 	return time.Duration(min(wait, float64(weakMost)))
 }
--- a/leaserow.go
+++ b/leaserow.go
@@ -1,7 +1,6 @@
 package sapphiregauge
 
 import (
-	"math"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -10,11 +9,15 @@
 // LeaseRow is the row of a pool's lease. Its owner rewrites it with every
 // transaction, which renews the lease; another entry may take it when it hasn't
 // changed for the lease's term.
+//
+// Every entry reads it several times a second, so that what only the next holder needs
+// is kept in a row of its own, see GrantRow. It is in this one while it goes from a
+// holder to its successor, and in rows of older programs.
 type LeaseRow struct {
-	Holder  string   `msgpack:"h"` // name of the entry and its start; empty: given up
-	Addr    string   `msgpack:"a"` // for calls from other entries
-	Term    int      `msgpack:"t"` // owners before this one
-	Workers []string `msgpack:"w"` // that may have orders of this owner or, unheard, of an earlier one
+	Holder  string   `msgpack:"h"`           // name of the entry and its start; empty: given up
+	Addr    string   `msgpack:"a"`           // for calls from other entries
+	Term    int      `msgpack:"t"`           // owners before this one
+	Workers []string `msgpack:"w,omitempty"` // that may have orders of this owner or, unheard, of an earlier one
 	// Left is how much longer at the most, in milliseconds, anything may run on workers that
 	// don't answer. It is told with a lease that is given away, of those alone for which it
 	// is known. What comes between the telling and the reading makes the wait longer.
@@ -79,35 +82,6 @@
 	return r, nil
 }
 
-// EntryRow is an entry's own row: where others find it, and how many leases its host
-// can carry beside theirs.
-type EntryRow struct {
-	Addr     string  `msgpack:"a"` // for calls from other entries
-	Capacity float64 `msgpack:"c"` // cores of plain speed; less if the host's link is the narrower
-}
-
-// Encode packs the row.
-func (r *EntryRow) Encode() ([]byte, error) {
-	b, err := msgpack.Marshal(r)
-	if err != nil {
-		return nil, Fail(KindInternal, "entry row").Because(err)
-	}
-	return b, nil
-}
-
-// DecodeEntryRow reads what Encode wrote. A row that gives no capacity to reckon with is
-// malformed: the host would seem to carry any number of leases, or none.
-func DecodeEntryRow(b []byte) (*EntryRow, error) {
-	r := new(EntryRow)
-	if err := msgpack.Unmarshal(b, r); err != nil {
-		return nil, Fail(KindInvalid, "entry row").Because(err)
-	}
-	if r.Addr == "" || !(r.Capacity > 0) || math.IsInf(r.Capacity, 0) {
-		return nil, Fail(KindInvalid, "entry row: address %q, capacity %g", r.Addr, r.Capacity)
-	}
-	return r, nil
-}
-
 // The product's own tables. Rows of jobs are in the part of their queue, so
 // that an id is taken once however the queue is routed; a lease's row is in the
 // part of its pool.
@@ -115,9 +89,13 @@
 	TableJobs   = "jobs"   // id -> JobRow, kept for some time after the end
 	TableSpecs  = "specs"  // id -> JobSpec, until the end
 	TableOpen   = "open"   // id -> mark: jobs with something left to do
-	TableLeases = "leases" // owner -> LeaseRow, in the part of a pool; entry -> EntryRow, in that of an entry
-	KeyOwner    = "owner"
-	KeyEntry    = "entry"
+	TableLeases = "leases" // owner -> LeaseRow, in the part of a pool
+	TableGrants = "grants" // owner -> GrantRow, in the part of a pool
+	// TableEntries has one part, so that all entries are read with a call or two: with a
+	// part each, some hundred entries that start at once would ask for each other some ten
+	// thousand times, and the table turns away what is too much, their next tries too.
+	TableEntries = "entries" // name of an entry -> EntryRow
+	KeyOwner     = "owner"
 )
 
 // Mark is the value of an open job's row in TableOpen.
--- a/test/machines/place_test.go
+++ b/test/machines/place_test.go
@@ -173,7 +173,7 @@
 func TestMalformedEntryRowIsLoggedAndLeftAside(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 0, 2)
-	s.table.Put(gauge.TableLeases, gauge.KeyEntry, "10.0.0.1:7060")
+	s.table.Put(gauge.TableEntries, "e-9", "10.0.0.1:7060")
 	s.start("e-0")
 	s.ready()
 	assert.Assert(t, s.submit(1, twoSteps(20)))
@@ -219,7 +219,7 @@
 	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), Read: patience, Commit: patience, Clock: time.Now})
 	defer table.Close()
 	_, _, err = table.Commit(s.t.Context(), gauge.PartTxn{Writes: []gauge.RowWrite{{
-		RowKey: gauge.RowKey{Table: gauge.TableLeases, Part: name, Key: gauge.KeyEntry}, Value: value,
+		RowKey: gauge.RowKey{Table: gauge.TableEntries, Key: name}, Value: value,
 	}}})
 	assert.NilError(s.t, err)
 	return p
