--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -31,7 +31,8 @@
 const loadWait = 400 * time.Millisecond
 
 type loadCall struct {
-	Pool string `msgpack:"p"`
+	Pool string   `msgpack:"p"`
+	Soon []string `msgpack:"s,omitempty"` // workers that a wave is to empty before long
 }
 
 // ownerOf returns a pool's owner if it is here, else its address.
@@ -62,18 +63,18 @@
 }
 
 // load asks what a pool has to do.
-func (n *Node) load(ctx context.Context, pool string) (gauge.PoolLoad, error) {
+func (n *Node) load(ctx context.Context, c loadCall) (gauge.PoolLoad, error) {
 	var l gauge.PoolLoad
-	o, addr, err := n.ownerOf(pool)
+	o, addr, err := n.ownerOf(c.Pool)
 	if err != nil {
 		return l, err
 	}
 	if o != nil {
-		return o.Load(), nil
+		return o.Load(c.Soon), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadWait)
 	defer cancel()
-	err = n.conf.Mesh.Call(ctx, addr, methodLoad, &loadCall{Pool: pool}, &l)
+	err = n.conf.Mesh.Call(ctx, addr, methodLoad, &c, &l)
 	return l, err
 }
 
@@ -86,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := o.Load()
+	l := o.Load(c.Soon)
 	return &l, nil
 }
 
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -176,7 +176,9 @@
 	if f.listed == 0 || f.node.conf.Now() < f.from {
 		return
 	}
-	steps := f.keeper.Next(f.node.conf.Now(), waves.Sight{Moving: f.sizer.Moving, Ordered: f.orderedBefore, Pressed: f.sizer.Pressed})
+	steps := f.keeper.Next(f.node.conf.Now(), waves.Sight{
+		Moving: f.sizer.Moving, Ordered: f.orderedBefore, Pressed: f.sizer.Pressed, Lasting: f.sizer.Lasting,
+	})
 	moves := f.moves()
 	f.announce(ctx, ordered(steps, moves))
 	f.ask(ctx, steps.Asks)
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -18,8 +18,9 @@
 		if p.Standby {
 			continue
 		}
+		call := loadCall{Pool: p.Name, Soon: f.keeper.Workers(p.Name)}
 		f.async.do("load "+p.Name, func() func() {
-			l, err := f.node.load(ctx, p.Name)
+			l, err := f.node.load(ctx, call)
 			if err != nil {
 				return func() {}
 			}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -361,9 +361,12 @@
 	return o.core.Depths()[queue], true
 }
 
-// Load tells what the pool has to do.
-func (o *Owner) Load() gauge.PoolLoad {
+// Load tells what the pool has to do, and takes in which of its workers are to be
+// emptied before long.
+func (o *Owner) Load(soon []string) gauge.PoolLoad {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.core.Load(o.conf.Now())
+	now := o.conf.Now()
+	o.core.Soon(soon, now)
+	return o.core.Load(now)
 }
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -32,6 +32,7 @@
 	}
 	p.jobs[a.ID] = j
 	p.arrived += work(a.Spec)
+	p.came++
 	if a.Inherited {
 		j.begun = len(a.Row.Done) > 0 || a.Row.Over > 0
 		j.started = j.begun || len(a.Row.Failures) > 0 || len(a.Row.Saved) > 0
--- a/internal/sched/empty.go
+++ b/internal/sched/empty.go
@@ -23,3 +23,17 @@
 	w.emptyUntil, w.force = now+emptyFor, force
 	return w.heard && !w.silent && len(w.runs) == 0 && w.odd == 0 && w.settled()
 }
+
+// soonFor is how long a worker is taken to be emptied soon after it was said to be. It
+// is said several times a second.
+const soonFor = 2 * time.Second
+
+// Soon takes in which workers are to be emptied before long: lasting tasks that start now
+// go elsewhere if they can.
+func (p *Pool) Soon(ids []string, now time.Duration) {
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			w.soonUntil = now + soonFor
+		}
+	}
+}
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -21,7 +21,7 @@
 
 // Walk goes over all jobs and workers.
 func (p *Pool) Walk(now time.Duration) Walked {
-	w := Walked{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, Arrived: p.arrived}}
+	w := Walked{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, Arrived: p.arrived, Jobs: p.came}}
 	for _, j := range p.jobs {
 		if !j.started && j.open() {
 			w.Depths[j.queue]++
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -10,7 +10,7 @@
 
 // Load tells what the pool has to do.
 func (p *Pool) Load(now time.Duration) gauge.PoolLoad {
-	l := gauge.PoolLoad{Pool: p.conf.Name, Arrived: p.arrived}
+	l := gauge.PoolLoad{Pool: p.conf.Name, Arrived: p.arrived, Jobs: p.came}
 	for _, j := range p.jobs {
 		if !j.open() {
 			continue
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -22,6 +22,7 @@
 			continue
 		}
 		r.workers = append(r.workers, w)
+		w.soon = now < w.soonUntil
 		if now < w.keptUntil {
 			r.keep(w)
 		}
@@ -118,6 +119,9 @@
 	// scoreApart keeps tasks that fill away from those with a bound on their
 	// tail, which they disturb.
 	scoreApart = 10.0
+	// scoreSoon keeps lasting tasks off workers that are to be emptied soon, where they
+	// would have to leave again: it outweighs the gathering and any free room.
+	scoreSoon = 8.0
 )
 
 // score says how well a worker suits: the larger the better. The fullest that
@@ -135,6 +139,9 @@
 			score -= scoreSpread * float64(on)
 		}
 		score -= scoreApart * float64(w.disturbers(st.spec.Fills))
+		if w.soon && !without.Has(gauge.MechanismSoon) {
+			score -= scoreSoon
+		}
 		if w.lasting > 0 && !without.Has(gauge.MechanismGather) {
 			score += scoreTogether
 		}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -87,7 +87,8 @@
 		p.makeRoom(r, room, now)
 		return false
 	}
-	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task, now) >= st.MaxAway {
+	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task) >= st.MaxAway {
+		p.lookAtAway(r.task.stage, now)
 		return false
 	}
 	if room.promised == nil {
@@ -142,25 +143,41 @@
 }
 
 // away counts the other tasks of a lasting stage that don't surely serve.
-func (st *stage) away(except *task, now time.Duration) int {
+func (st *stage) away(except *task) int {
 	n := 0
 	for _, t := range st.tasks {
-		if t != except && !t.atWork(now) {
+		if t != except && !t.atWork() {
 			n++
 		}
 	}
 	return n
 }
 
-// settled is how long a lasting task must have run before it counts as at work:
-// its startup takes about a second, and a report of it some more.
-const settled = 3 * time.Second
+// lookAgain is the pause between two looks at a worker for what a task there is waited
+// for: a fourth of the second that a lasting task takes to start.
+const lookAgain = 250 * time.Millisecond
 
-// atWork tells whether a lasting task surely serves its users now.
-func (t *task) atWork(now time.Duration) bool {
+// lookAtAway has the workers asked on which tasks of a stage start up, while others wait
+// to leave their workers until these serve. A hold is kept for up to a second without an
+// end; told by that alone each task of the next ones would leave a second later, and a
+// wave lasts as long as the longest chain of them.
+func (p *Pool) lookAtAway(st *stage, now time.Duration) {
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			w := r.worker
+			if r.phase == phaseLive && !r.stop && r.progress < atFull && !w.silent && now-w.lookedAt >= lookAgain {
+				w.lookedAt = now
+				p.look(w)
+			}
+		}
+	}
+}
+
+// atWork tells whether a lasting task surely serves its users now: its worker has told
+// that it does.
+func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.phase == phaseLive && !r.stop && !r.worker.silent && !r.worker.info.Draining &&
-			r.progress == atFull && now-r.sent > settled {
+		if r.phase == phaseLive && !r.stop && !r.worker.silent && !r.worker.info.Draining && r.progress == atFull {
 			return true
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -62,6 +62,7 @@
 	cancels  map[string]cancelled // of jobs that aren't known
 	ticked   time.Duration        // when time was last told
 	arrived  float64              // core-seconds of all jobs adopted so far
+	came     int                  // how many these are
 	doubts   bool                 // inherited tasks wait, in this round of starts
 	flying   int                  // starts that have no answer yet
 	counts   counts
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -63,11 +63,14 @@
 
 	pictured time.Duration // worker's clock in the newest report
 
-	clock   time.Duration // worker's clock ...
-	readAt  time.Duration // ... as read at this time on ours
-	leaves  time.Duration // it stays until then at least, while it drains
-	expiry  time.Duration // until when this owner's grants reach, on our clock
-	heardAt time.Duration
+	clock     time.Duration // worker's clock ...
+	readAt    time.Duration // ... as read at this time on ours
+	leaves    time.Duration // it stays until then at least, while it drains
+	expiry    time.Duration // until when this owner's grants reach, on our clock
+	heardAt   time.Duration
+	lookedAt  time.Duration // when it was last asked what runs there, beside the holds
+	soonUntil time.Duration // until then it is known to be emptied soon
+	soon      bool          // that is so now, for one round of starts
 
 	ends       int64         // ends up to this number are taken in
 	kept       int64         // ends up to this number are in the table
--- a/internal/sizing/move.go
+++ b/internal/sizing/move.go
@@ -108,10 +108,7 @@
 // idle finds the machine of a pool that is the least work to empty. None with
 // lasting tasks: these would have to move, and their users would notice.
 func (s *Sizer) idle(pool string, taken, later func(string) bool) (gauge.Machine, bool) {
-	runs := make(map[string]gauge.WorkerLoad)
-	for _, w := range s.loads[pool].Workers {
-		runs[w.ID] = w
-	}
+	runs := s.loads[pool].runs
 	var best gauge.Machine
 	found := false
 	for _, m := range s.index.machines[pool] {
--- a/internal/sizing/rate.go
+++ b/internal/sizing/rate.go
@@ -1,6 +1,9 @@
 package sizing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// shortestWindow is the least time over which arrivals are counted: each tenth
@@ -12,26 +15,101 @@
 	// enough arrivals make a rate. With fewer, large jobs that come now and then
 	// would have the wanted machines swing between none and all.
 	enough = 5
+	// riseWindow and riseJobs are the time and the jobs from which a rise is told. A
+	// large pool's turn brings some ten jobs in a quarter of a second: waited for until
+	// there were arrivals at five looks, its machines came most of a second later, which
+	// is the slack of its shortest jobs.
+	riseWindow = 250 * time.Millisecond
+	riseJobs   = 8
+	// riseFactor over the rate of longestWindow is a rise: less is within what eight jobs
+	// of different sizes vary by.
+	riseFactor = 2
 )
 
 // arrival is work that came between two looks at a pool.
 type arrival struct {
-	at   time.Duration
-	work float64 // core-seconds
+	since time.Duration // the look before
+	at    time.Duration
+	work  float64 // core-seconds
+	jobs  int
 }
 
 // arrivals are the last ones of one pool, the oldest first.
 type arrivals []arrival
 
 // add notes work, and forgets what is too old.
-func (a arrivals) add(work float64, now time.Duration) arrivals {
-	for len(a) > 0 && now-a[0].at > longestWindow {
+func (a arrivals) add(n arrival) arrivals {
+	for len(a) > 0 && n.at-a[0].at > longestWindow {
 		a = a[1:]
 	}
-	if work == 0 {
+	if n.work == 0 {
 		return a
 	}
-	return append(a, arrival{at: now, work: work})
+	return append(a, n)
+}
+
+// rise is the cores that the arrivals of the last moment ask for, if they are many and
+// far more than came before; else 0.
+func (a arrivals) rise(now time.Duration) float64 {
+	lately, before := 0.0, 0.0
+	jobs, from := 0, now
+	for _, n := range a {
+		switch {
+		case now-n.at > longestWindow:
+		case now-n.since <= riseWindow+lookMargin:
+			lately += n.work
+			jobs += n.jobs
+			from = min(from, n.since)
+		default:
+			before += n.work
+		}
+	}
+	rate := lately / max(riseWindow, now-from).Seconds()
+	if jobs < riseJobs || rate < riseFactor*(before+lately)/longestWindow.Seconds() {
+		return 0
+	}
+	return rate
+}
+
+// lookMargin: looks are some hundredths of a second late. One that is left out of a
+// window for that would leave out a third of what came in it.
+const lookMargin = 50 * time.Millisecond
+
+const (
+	// trendWindow is the time over which jobs are counted to tell how their rate changes:
+	// this one against the one before.
+	trendWindow = time.Second
+	// trendLead is how far the rate is looked ahead, from the middle of the window: a
+	// machine that is asked for now works in 1.7 s.
+	trendLead = 2 * time.Second
+	// trendMost bounds what is looked ahead, as a part of the rate.
+	trendMost = 1.0
+	// trendDoubt deviations of the counts are left out of a trend. Of a few jobs nothing
+	// is left: on sites with ten jobs a second a look ahead followed noise, and gained
+	// nothing for the machines it took.
+	trendDoubt = 1.5
+)
+
+// ahead is how many cores more the arrivals will ask for when a machine that is asked for
+// now has come, as far as the rise of their number surely tells. A queue's demand rises
+// over some seconds: sized by what came so far, its pool is always a move's time behind.
+func (a arrivals) ahead(now time.Duration) float64 {
+	jobs, before, work := 0.0, 0.0, 0.0
+	for _, n := range a {
+		switch age := now - n.at; {
+		case age < trendWindow:
+			jobs += float64(n.jobs)
+			work += n.work
+		case age < 2*trendWindow:
+			before += float64(n.jobs)
+		}
+	}
+	more := jobs - before - trendDoubt*math.Sqrt(jobs+before)
+	if jobs < riseJobs || more <= 0 {
+		return 0
+	}
+	rate := work / trendWindow.Seconds()
+	return min(rate*more/jobs*trendLead.Seconds()/trendWindow.Seconds(), rate*trendMost)
 }
 
 // rate is the cores that the arrivals ask for, over the shortest time with enough
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -47,6 +47,7 @@
 	moves    map[string]*Move
 	wanted   map[string]want
 	came     map[string]arrivals
+	lasting  map[string]int // lasting tasks by worker
 	logged   map[string]int
 	keep     keep
 	later    func(machine string) bool
@@ -55,7 +56,8 @@
 
 type load struct {
 	gauge.PoolLoad
-	at time.Duration
+	at   time.Duration
+	runs map[string]gauge.WorkerLoad // by worker
 }
 
 // want is how many machines a pool should have, and since when it should have
@@ -96,7 +98,7 @@
 func New(c Config) *Sizer {
 	return &Sizer{
 		conf: c, loads: make(map[string]load), machines: make(map[string]gauge.Machine),
-		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), logged: make(map[string]int),
+		moves: make(map[string]*Move), wanted: make(map[string]want), came: make(map[string]arrivals), lasting: make(map[string]int), logged: make(map[string]int),
 	}
 }
 
@@ -130,9 +132,19 @@
 func (s *Sizer) Load(l gauge.PoolLoad, now time.Duration) {
 	old, ok := s.loads[l.Pool]
 	if ok && l.Arrived >= old.Arrived {
-		s.came[l.Pool] = s.came[l.Pool].add(l.Arrived-old.Arrived, now)
+		s.came[l.Pool] = s.came[l.Pool].add(arrival{at: now, since: old.at, work: l.Arrived - old.Arrived, jobs: l.Jobs - old.Jobs})
 	}
-	s.loads[l.Pool] = load{PoolLoad: l, at: now}
+	runs := make(map[string]gauge.WorkerLoad, len(l.Workers))
+	for _, w := range l.Workers {
+		runs[w.ID] = w
+		s.lasting[w.ID] = w.Lasting
+	}
+	for id := range old.runs {
+		if _, there := runs[id]; !there {
+			delete(s.lasting, id)
+		}
+	}
+	s.loads[l.Pool] = load{PoolLoad: l, at: now, runs: runs}
 }
 
 // Machines takes in the list, as asked for at a time, and the pools on standby.
@@ -157,6 +169,9 @@
 // Moving tells whether a machine is on its way.
 func (s *Sizer) Moving(machine string) bool { return s.moves[machine] != nil }
 
+// Lasting is how many lasting tasks run on a worker, as far as loads have told.
+func (s *Sizer) Lasting(worker string) int { return s.lasting[worker] }
+
 // Pressed tells whether a pool has too few machines for its work now.
 func (s *Sizer) Pressed(pool string) bool {
 	return s.loads[pool].Timely.Waiting > 0 || s.missing(pool) > 0
@@ -271,7 +286,7 @@
 	l := s.loads[pool]
 	s.conf.Logs.Info("pool wants", "pool", pool, "machines", count, "has", s.has(pool), "base", n.base, "timely", n.timely,
 		"late", n.late, "lasting", l.Lasting, "busy", l.Timely.Busy, "waiting", l.Timely.Waiting,
-		"rate", s.came[pool].rate(now), "age", now-l.at)
+		"rate", s.rate(pool, now), "age", now-l.at)
 }
 
 // need works out what a pool would use, in machines.
@@ -279,7 +294,7 @@
 	l, cores := s.loads[pool], s.cores(pool)
 	timely := l.Timely.Cores()
 	if !s.conf.Without.Has(gauge.MechanismRate) {
-		timely = max(timely, s.came[pool].rate(now))
+		timely = max(timely, s.rate(pool, now))
 	}
 	// One machine more than lasting tasks need, so that any of them can be
 	// emptied, and more while some have no place.
@@ -291,6 +306,19 @@
 	return n
 }
 
+// rate is the cores that a pool's arrivals ask for.
+func (s *Sizer) rate(pool string, now time.Duration) float64 {
+	came := s.came[pool]
+	rate := came.rate(now)
+	if !s.conf.Without.Has(gauge.MechanismRise) {
+		rate = max(rate, came.rise(now))
+	}
+	if !s.conf.Without.Has(gauge.MechanismAhead) {
+		rate += came.ahead(now)
+	}
+	return rate
+}
+
 func ceil(f float64) int { return int(math.Ceil(f)) }
 
 // defaultCores is used for a pool without machines.
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -218,6 +218,7 @@
 	Moving  func(machine string) bool // it is on its way to another pool
 	Ordered func(machine string) bool // the holder before has ordered it just now
 	Pressed func(pool string) bool    // it has too few machines as it is
+	Lasting func(worker string) int   // lasting tasks that run there; nil: not known
 }
 
 // Next says what to do now.
@@ -308,12 +309,6 @@
 	// a machine with lasting tasks is emptied in three to four seconds, one task after the
 	// other, and its upkeep takes as long as it takes beside.
 	hurry = 6 * time.Second
-	// poolShare of a pool's machines at most are emptied or down at once while a
-	// wave is in time: the rest carries the pool's work.
-	poolShare = 0.34
-	// ahead: so many machines more than may be down are emptied beforehand, since
-	// emptying takes about as long as an upkeep.
-	ahead = 1.5
 )
 
 // behind tells whether a wave gets late at the present pace.
@@ -329,44 +324,19 @@
 	return passed > forceAfter && done < passed+(1-passed)*forceAfter
 }
 
-// choose picks machines to be emptied, from the pools with the smallest share
-// away first.
-func (k *Keeper) choose(w *wave, left []gauge.Machine, force bool) {
-	size, away := make(map[string]int), make(map[string]int)
-	for _, m := range k.machines {
-		size[m.Pool]++
-		if m.State != gauge.MachineUp || w.asked[m.ID] {
-			away[m.Pool]++
-		}
-	}
-	most := max(1, w.order.AtOnce) - len(w.asked)
-	if !k.conf.Without.Has(gauge.MechanismEarly) {
-		most = int(float64(max(1, w.order.AtOnce))*ahead) - len(w.asked)
-	}
-	spared := !force && !k.conf.Without.Has(gauge.MechanismSpared)
-	for range left {
-		if most <= 0 {
-			return
+// Workers lists those of a pool's machines that a wave has yet to begin with, once they
+// are empty.
+func (k *Keeper) Workers(pool string) []string {
+	var ids []string
+	for _, w := range k.waves {
+		if w.done {
+			continue
 		}
-		best := -1
-		var bestShare float64
-		for i, m := range left {
-			if w.asked[m.ID] || m.State != gauge.MachineUp || k.sight.Moving(m.ID) || k.sight.Ordered(m.ID) {
-				continue
-			}
-			share := float64(away[m.Pool]+1) / float64(max(1, size[m.Pool]))
-			if !k.standby[m.Pool] && spared && (k.sight.Pressed(m.Pool) || share > poolShare && away[m.Pool] > 0) {
-				continue
-			}
-			if best < 0 || share < bestShare {
-				best, bestShare = i, share
+		for _, id := range w.order.Machines {
+			if m, there := k.machines[id]; there && m.Pool == pool && m.Worker != "" && !w.begun[id] {
+				ids = append(ids, m.Worker)
 			}
 		}
-		if best < 0 {
-			return
-		}
-		w.asked[left[best].ID] = true
-		away[left[best].Pool]++
-		most--
 	}
+	return ids
 }
--- a/load.go
+++ b/load.go
@@ -28,6 +28,7 @@
 	Timely  Demand        `msgpack:"d"` // of jobs that can meet their objective
 	Late    Demand        `msgpack:"e"` // of jobs that can't any more
 	Arrived float64       `msgpack:"a"` // core-seconds of all jobs accepted by this owner so far
+	Jobs    int           `msgpack:"j"` // how many these are
 	Oldest  time.Duration `msgpack:"o"` // longest that a task has waited
 	Workers []WorkerLoad  `msgpack:"s"`
 }
--- a/without.go
+++ b/without.go
@@ -25,6 +25,10 @@
 	MechanismOverdue  Mechanism = "overdue"  // late work gets machines that are left over
 	MechanismEarly    Mechanism = "early"    // more machines of a wave are emptied than may be down
 	MechanismSpared   Mechanism = "spared"   // waves leave pools alone that have too few machines
+	MechanismChains   Mechanism = "chains"   // waves begin with machines that have lasting tasks, also in pools with too few
+	MechanismSoon     Mechanism = "soon"     // lasting tasks keep off workers that a wave is to empty
+	MechanismRise     Mechanism = "rise"     // a rise in arrivals is told from a few of them
+	MechanismAhead    Mechanism = "ahead"    // pools are sized for the rate of arrivals when a machine has come
 	MechanismBalance  Mechanism = "balance"  // leases move to hosts that carry fewer
 	MechanismSuspect  Mechanism = "suspect"  // a lease that isn't renewed is taken sooner if its holder doesn't answer
 	MechanismCalm     Mechanism = "calm"     // an entry that stops keeps its pools while the table is slow
@@ -38,6 +42,7 @@
 	return []Mechanism{
 		MechanismPack, MechanismGather, MechanismScatter, MechanismDeadline, MechanismTimely, MechanismRest, MechanismFinish,
 		MechanismRate, MechanismStandby, MechanismRedirect, MechanismOverdue, MechanismEarly, MechanismSpared,
+		MechanismChains, MechanismSoon, MechanismRise, MechanismAhead,
 		MechanismBalance, MechanismSuspect, MechanismCalm, MechanismLag, MechanismRelay, MechanismBackoff,
 	}
 }
