--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -53,6 +53,10 @@
   overdue: late work gets machines that are left over
   early: more machines of a wave are emptied than may be down
   spared: waves leave pools alone that have too few machines
+  chains: waves begin with machines that have lasting tasks, also in pools with too few
+  soon: lasting tasks keep off workers that a wave is to empty
+  rise: a rise in arrivals is told from a few of them
+  ahead: pools are sized for the rate of arrivals when a machine has come
   balance: leases move to hosts that carry fewer
   suspect: a lease that isn't renewed is taken sooner if its holder doesn't answer
   calm: an entry that stops keeps its pools while the table is slow
