Count inherited lasting tasks as away while they may be stopping

Cause (log): an owner orders a stop at 6.96 s and hands the pool over; the next one hears at 7.07 s that the task is at work, as a stop takes some tenths of a second, and stops another at 7.19 s. Ruled out: late stops of the owner before (the worker has heard a newer fencing token). Change: a run that an owner before started counts as at work three seconds after it was found. The new test fails without it.

--- a/internal/sched/chain_test.go
+++ b/internal/sched/chain_test.go
@@ -76,6 +76,36 @@
 	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 1)
 }
 
+// Symptom: two of five lasting tasks are away, of which one may be.
+// Sequence: an owner stops one and hands the pool over; the stop takes some tenths of a
+// second, in which its worker still lists the task as at work. The new owner hears that and
+// stops another.
+// Cause: what a worker lists counted as at work at once, whoever had started it.
+func TestInheritedLastingTaskCountsAsAwayWhileItMayBeStopping(t *testing.T) {
+	g := newRig(t, after("w1", "w2"))
+	g.list("w1", "w2", "w3")
+	st := step(2)
+	st.Lasts, st.MaxAway, st.PerWorker = true, 1, 1
+	id := g.adopt(1, true, st)
+	listed := func(worker string, index int) {
+		task := gauge.TaskID{Job: id, Index: index}
+		g.hear(worker, []gauge.RunReport{{Task: task, Run: 1, Progress: 100}})
+	}
+	g.hear("w3", nil)
+	listed("w1", 0) // the owner before has just stopped it
+	listed("w2", 1)
+	g.pool.Empty("w2", false, g.now)
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 0)
+	g.pass(time.Second)
+	listed("w2", 1)
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 0)
+	g.pass(2100 * time.Millisecond)
+	listed("w1", 0)
+	listed("w2", 1)
+	g.pool.Empty("w2", false, g.now)
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 1, "it was not stopped")
+}
+
 // Symptom: a lasting task is moved three times in one wave.
 // Sequence: its worker is emptied; it goes to one that the wave empties later.
 // Cause: the pool's owner knew of workers only when they were to be emptied.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -87,7 +87,7 @@
 		p.makeRoom(r, room, now)
 		return false
 	}
-	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task) >= st.MaxAway {
+	if !w.info.Draining && st.MaxAway > 0 && r.task.stage.away(r.task, now) >= st.MaxAway {
 		p.lookAtAway(r.task.stage, now)
 		return false
 	}
@@ -143,10 +143,10 @@
 }
 
 // away counts the other tasks of a lasting stage that don't surely serve.
-func (st *stage) away(except *task) int {
+func (st *stage) away(except *task, now time.Duration) int {
 	n := 0
 	for _, t := range st.tasks {
-		if t != except && !t.atWork() {
+		if t != except && !t.atWork(now) {
 			n++
 		}
 	}
@@ -173,10 +173,19 @@
 	}
 }
 
+// foundFor is how long a run that an owner before this one started must have been known
+// before it counts as at work. That owner may have stopped it just before: then its worker
+// goes on listing it for as long as the stop takes, a second by the users' figures at the
+// most. Another task stopped meanwhile would be one too many away.
+const foundFor = 3 * time.Second
+
 // atWork tells whether a lasting task surely serves its users now: its worker has told
 // that it does.
-func (t *task) atWork() bool {
+func (t *task) atWork(now time.Duration) bool {
 	for _, r := range t.runs {
+		if r.found && now-r.sent <= foundFor {
+			continue
+		}
 		if r.phase == phaseLive && !r.stop && !r.worker.silent && !r.worker.info.Draining && r.progress == atFull {
 			return true
 		}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -118,7 +118,7 @@
 	}
 	r := &run{
 		task: t, worker: w, number: rr.Run, phase: phaseLive, room: t.stage.spec.Room(),
-		sent: now, known: clock, progress: rr.Progress, paced: fullSpeed,
+		sent: now, found: true, known: clock, progress: rr.Progress, paced: fullSpeed,
 	}
 	p.conf.Logs.Info("run found", "job", j.id, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID, "others", len(t.runs))
 	surplus := t.done || len(t.runs) > 0 || !j.open()
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -26,7 +26,8 @@
 	number   int
 	phase    phase
 	room     gauge.Resources
-	sent     time.Duration // when it was ordered
+	sent     time.Duration // when it was ordered, or found
+	found    bool          // an owner before this one started it
 	flying   bool          // its start has no answer yet, and counts for the bound on these
 	until    time.Duration // on the worker's clock: an order that comes later is refused
 	known    time.Duration // on the worker's clock: the worker has had it, or its stop, since
