Name machines for the next holder when they can be ordered, not while they are emptied

Change: a machine is announced in the round that may order it; one that gets empty begins that round within 20 ms. A rise is told from whole looks, as a look may be late.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -15,6 +15,9 @@
 const (
 	// fleetEvery is how often the fleet's holder looks at its waves.
 	fleetEvery = 100 * time.Millisecond
+	// readyGap is how long a machine that has got empty waits for others before it is
+	// ordered: each round with new orders is a write.
+	readyGap = 20 * time.Millisecond
 	// fleetRenew is how often the fleet's lease is renewed without other writes.
 	fleetRenew = 400 * time.Millisecond
 	// listEvery is how often the machines are listed.
@@ -38,6 +41,7 @@
 	listed  time.Duration
 	states  map[int64]bool // waves of which the operator was told that they run
 	async   *async
+	ready   chan struct{}  // a machine has got empty that is to move
 	unsaved map[int64]bool // waves with orders that the table doesn't know
 
 	next atomic.Pointer[string] // address of the entry that the lease is to move to
@@ -57,7 +61,7 @@
 		turns: turns.New(n.conf.TurnGap+grantMargin, turns.Lists{Own: h.before.Ordered, Earlier: h.before.Earlier},
 			n.wasMine(&h.before), n.clock(), n.conf.Now()),
 		renewed: n.conf.Now(), taken: n.conf.Now(),
-		async:   newAsync(),
+		async: newAsync(), ready: make(chan struct{}, 1),
 		unsaved: make(map[int64]bool),
 	}
 	f.sizer.Learnt(time.Duration(h.before.Kept)*time.Millisecond, n.conf.Now())
@@ -76,7 +80,7 @@
 			f.handOver(ctx, lessBurdened, *to)
 			return
 		}
-		pause(ctx, fleetEvery)
+		f.rest(ctx)
 	}
 	f.handOver(ctx, "the entry stops", "")
 }
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -89,17 +89,16 @@
 // grantMargin covers the difference between two entries' steady clocks.
 const grantMargin = 200 * time.Millisecond
 
-// ordered lists the machines that are, or are about to be, ordered.
+// ordered lists the machines that are about to be ordered.
 func ordered(steps waves.Steps, moves []sizing.Move) map[string]bool {
 	machines := make(map[string]bool)
-	for _, a := range steps.Asks {
-		machines[a.Machine] = true
-	}
 	for _, b := range steps.Begins {
 		machines[b.Machine] = true
 	}
 	for _, m := range moves {
-		machines[m.Machine] = true
+		if m.Empty {
+			machines[m.Machine] = true
+		}
 	}
 	return machines
 }
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/sizing"
@@ -37,12 +38,17 @@
 	return f.sizer.Next(now, taken, f.keeper.Waits)
 }
 
-// resize moves machines between pools.
+// resize moves machines between pools. One that is in use is emptied first and ordered in
+// a later round, once the lease's row names it: named while it is emptied, which takes up
+// to two seconds, it would have to be left alone by the next holder if this one is gone.
+// After all entries had lost power in a change of turns half of a pool's machines came two
+// seconds later for that.
 func (f *fleet) resize(ctx context.Context, moves []sizing.Move) {
 	for _, m := range moves {
 		began := f.async.do("move "+m.Machine, func() func() {
-			if !m.Empty && !f.emptied(ctx, m) {
-				return func() { f.sizer.Emptied(m.Machine, false) }
+			if !m.Empty {
+				empty := f.emptied(ctx, m)
+				return func() { f.sizer.Emptied(m.Machine, empty) }
 			}
 			err := f.order(ctx, m)
 			return func() {
@@ -61,7 +67,31 @@
 	if err != nil {
 		f.node.conf.Logs.Info("machine not emptied", "machine", m.Machine, "pool", m.From, "error", err.Error())
 	}
-	return empty && err == nil
+	if !empty || err != nil {
+		return false
+	}
+	f.hurry()
+	return true
+}
+
+// hurry has the next round begin soon, as a machine can be ordered.
+func (f *fleet) hurry() {
+	select {
+	case f.ready <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits for the next round.
+func (f *fleet) rest(ctx context.Context) {
+	timer := time.NewTimer(fleetEvery)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.ready:
+		pause(ctx, readyGap)
+	}
 }
 
 // order moves one machine, while the lease surely lasts.
--- a/internal/sizing/rate.go
+++ b/internal/sizing/rate.go
@@ -49,32 +49,32 @@
 }
 
 // rise is the cores that the arrivals of the last moment ask for, if they are many and
-// far more than came before; else 0.
+// far more than came before; else 0. The moment is made of whole looks.
 func (a arrivals) rise(now time.Duration) float64 {
-	lately, before := 0.0, 0.0
-	jobs, from := 0, now
-	for _, n := range a {
-		switch {
-		case now-n.at > longestWindow:
-		case now-n.since <= riseWindow+lookMargin:
-			lately += n.work
-			jobs += n.jobs
-			from = min(from, n.since)
-		default:
+	lately, jobs, from := 0.0, 0, now
+	i := len(a) - 1
+	for ; i >= 0 && (jobs < riseJobs || now-a[i].at < riseWindow); i-- {
+		lately += a[i].work
+		jobs += a[i].jobs
+		from = a[i].since
+	}
+	span := max(riseWindow, now-from)
+	if jobs < riseJobs || span > shortestWindow {
+		return 0
+	}
+	before := 0.0
+	for _, n := range a[:i+1] {
+		if now-n.at <= longestWindow {
 			before += n.work
 		}
 	}
-	rate := lately / max(riseWindow, now-from).Seconds()
-	if jobs < riseJobs || rate < riseFactor*(before+lately)/longestWindow.Seconds() {
+	rate := lately / span.Seconds()
+	if rate < riseFactor*(before+lately)/longestWindow.Seconds() {
 		return 0
 	}
 	return rate
 }
 
-// lookMargin: looks are some hundredths of a second late. One that is left out of a
-// window for that would leave out a third of what came in it.
-const lookMargin = 50 * time.Millisecond
-
 const (
 	// trendWindow is the time over which jobs are counted to tell how their rate changes:
 	// this one against the one before.
--- /dev/null
+++ b/internal/waves/bench_test.go
@@ -0,0 +1,25 @@
+package waves_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sapphiregauge/internal/waves"
+)
+
+// BenchmarkNext is a round of the fleet's holder with a wave of half the machines.
+func BenchmarkNext(b *testing.B) {
+	for _, count := range []int{49, 540, 5900} {
+		b.Run(fmt.Sprintf("machines=%d", count), func(b *testing.B) {
+			lasting := func(string) int { return 1 }
+			sight := waves.Sight{Moving: never, Ordered: never, Pressed: never, Lasting: lasting}
+			for b.Loop() {
+				b.StopTimer()
+				f := newFleet(nil, count, count/2, count/6)
+				b.StartTimer()
+				f.keeper.Next(time.Second, sight)
+			}
+		})
+	}
+}
