A fault soak of the real programs

Entries, and the platform's stand-ins, as separate processes on loopback; signals (kill, pause, stop), paths to the table that are slow, reset, cut one way or silent, calls that fail or are lost, a platform that is paused, configurations and a wave, several at a time, from one seed. Checked from what callers and workers see: accepted jobs complete, refused ones never start, nothing twice, nothing runs after its end or cancel, lasting tasks are back, the newest configuration is in force, a stop ends within its grace. Not yet: paths between entries and to workers, clocks, more entries.

--- /dev/null
+++ b/test/soak/entry_test.go
@@ -0,0 +1,103 @@
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// entry is one entry of the product as a process of its own. Its log is kept in a file.
+type entry struct {
+	t       *testing.T
+	program string
+	name    string
+	ip      string
+	dir     string
+	way     *way
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+const (
+	frontPort = 18624
+	readyPort = 18622
+	peerPort  = 17060
+	graceS    = 6
+)
+
+func newEntry(t *testing.T, program, dir string, number int, p *platform) *entry {
+	e := &entry{t: t, program: program, name: fmt.Sprintf("e-%d", number), dir: dir, way: newWay(t, p.at.Table)}
+	e.ip = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250, 10+number)
+	settings := fmt.Sprintf(`nodeName=%s
+zone=z%d
+ip=%s
+bindAddresses.frontend=%s:%d
+bindAddresses.ready=%s:%d
+internalPorts=%d,%d
+platform.address=%s
+cloudApi.address=%s
+bounds.maxHoldMs=10000
+bounds.leaseMs=1000
+bounds.graceS=%d
+bounds.maintenanceS=0.2
+`, e.name, number%2, e.ip, e.ip, frontPort, e.ip, readyPort, peerPort, peerPort+10, e.way.addr(), p.at.Machines, graceS)
+	assert.NilError(t, os.WriteFile(e.settings(), []byte(settings), 0o600))
+	t.Cleanup(e.kill)
+	return e
+}
+
+func (e *entry) settings() string { return filepath.Join(e.dir, e.name+".conf") }
+
+func (e *entry) front() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
+
+// start starts the process, if it isn't there.
+func (e *entry) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.process != nil {
+		return
+	}
+	log, err := os.OpenFile(filepath.Join(e.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.Check(e.t, err)
+	p := exec.Command(e.program, "host")
+	p.Env = append(os.Environ(), "SAPPHIREGAUGE_SETTINGS="+e.settings())
+	p.Stdout, p.Stderr = log, log
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if !assert.Check(e.t, p.Start()) {
+		return
+	}
+	ended := make(chan struct{})
+	e.process, e.ended = p, ended
+	go func() {
+		_ = p.Wait()
+		_ = log.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.process = nil
+		close(ended)
+	}()
+}
+
+// signal sends a signal to the process, if it is there, and returns what is closed when
+// it has ended.
+func (e *entry) signal(s syscall.Signal) <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.process == nil {
+		gone := make(chan struct{})
+		close(gone)
+		return gone
+	}
+	_ = e.process.Process.Signal(s)
+	return e.ended
+}
+
+func (e *entry) kill() { <-e.signal(syscall.SIGKILL) }
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,251 @@
+// Package soak_test runs the real programs as separate processes and disturbs them from
+// outside: signals, paths that are slow, cut or silent, a platform that misbehaves or is
+// paused, configurations and a wave meanwhile. One seed gives one schedule. The promises
+// are checked from what callers and workers see; nothing is decided by how long anything
+// takes but a stop, which has its grace.
+//
+//	SOAK_SEEDS=1,2,3 SOAK_ENTRIES=8 SOAK_SECONDS=60 go test -run Soak -timeout 2h ./test/soak
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	defaultSeeds   = "1,2"
+	defaultEntries = 4
+	defaultSeconds = 14
+	clients        = 4
+	lastingID      = "feed000000000001"
+	// patience bounds each wait; nothing is decided by it.
+	patience = 2 * time.Minute
+	// stopWait is the grace that the settings tell, and what a busy machine takes to see
+	// that a process has ended.
+	stopWait = (graceS + 4) * time.Second
+)
+
+func setting(name string, missing int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return missing
+}
+
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "sapphiregauge")
+	out, err := exec.Command("go", "build", "-o", program, "sapphiregauge/cmd/sapphiregauge").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	seeds := os.Getenv("SOAK_SEEDS")
+	if seeds == "" {
+		seeds = defaultSeeds
+	}
+	for _, text := range strings.Split(seeds, ",") {
+		t.Run("seed="+text, func(t *testing.T) {
+			seed, err := strconv.ParseUint(text, 10, 64)
+			assert.NilError(t, err)
+			newSoak(t, program, seed).run()
+		})
+	}
+}
+
+// soak is one run.
+type soak struct {
+	t        *testing.T
+	seed     uint64
+	random   *rand.Rand
+	platform *platform
+	entries  []*entry
+	callers  *callers
+	version  int64
+	group    sync.WaitGroup // of events that go on
+}
+
+func newSoak(t *testing.T, program string, seed uint64) *soak {
+	s := &soak{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), platform: startPlatform(t), version: 1}
+	dir := t.TempDir()
+	if keep := os.Getenv("SOAK_LOGS"); keep != "" {
+		dir = filepath.Join(keep, fmt.Sprintf("seed-%d", seed))
+		assert.NilError(t, os.MkdirAll(dir, 0o750))
+	}
+	for i := range setting("SOAK_ENTRIES", defaultEntries) {
+		e := newEntry(t, program, dir, i, s.platform)
+		s.entries = append(s.entries, e)
+		e.start()
+	}
+	s.callers = newCallers(s.entries)
+	return s
+}
+
+func (s *soak) run() {
+	s.until("all serve", func() bool { return s.each(func(e *entry) bool { return s.status(e, prefix) == http.StatusOK }) })
+	s.until("the lasting job is accepted", func() bool {
+		status, _ := s.callers.call(s.entries[0], http.MethodPost, prefix+lastingID, lastingJob())
+		return status == http.StatusOK
+	})
+	ctx, cancel := context.WithTimeout(s.t.Context(), time.Duration(setting("SOAK_SECONDS", defaultSeconds))*time.Second)
+	defer cancel()
+	var working sync.WaitGroup
+	for i := range clients {
+		working.Go(func() { s.callers.work(ctx, i, s.seed) })
+	}
+	for ctx.Err() == nil {
+		s.event()
+		rest(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
+	}
+	working.Wait()
+	s.heal()
+	s.check()
+}
+
+// event begins one disturbance; several go on at a time.
+func (s *soak) event() {
+	e := s.entries[s.random.IntN(len(s.entries))]
+	lasts := time.Duration(200+s.random.IntN(1800)) * time.Millisecond
+	later := func(do func()) {
+		s.group.Go(func() {
+			time.Sleep(lasts) // the schedule's own time
+			do()
+		})
+	}
+	switch s.random.IntN(9) {
+	case 0:
+		<-e.signal(syscall.SIGKILL)
+		later(e.start)
+	case 1:
+		e.signal(syscall.SIGSTOP)
+		later(func() { e.signal(syscall.SIGCONT) })
+	case 2:
+		s.stop(e, later)
+	case 3, 4:
+		modes := []mode{modeSlow, modeReset, modeOneWay, modeSilent}
+		e.way.set(modes[s.random.IntN(len(modes))])
+		later(func() { e.way.set(modeOpen) })
+	case 5:
+		s.platform.do(fmt.Sprintf("/faults?share=%.2f&seed=%d", 0.02+0.2*s.random.Float64(), s.random.Uint64()))
+		later(func() { s.platform.do("/faults?share=0") })
+	case 6:
+		_ = s.platform.process.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(lasts / 2) // nobody may ask it meanwhile
+		_ = s.platform.process.Process.Signal(syscall.SIGCONT)
+	case 7:
+		s.version++
+		s.platform.do(fmt.Sprintf("/configure?version=%d", s.version))
+	default:
+		s.platform.do("/wave")
+	}
+}
+
+// stop stops an entry gracefully, twice the signal now and then, and starts it again.
+func (s *soak) stop(e *entry, later func(do func())) {
+	ended := e.signal(syscall.SIGTERM)
+	s.group.Go(func() {
+		select {
+		case <-ended:
+		case <-time.After(stopWait):
+			// A pause or a kill meanwhile changes nothing: it ends either way.
+			e.signal(syscall.SIGCONT)
+			select {
+			case <-ended:
+			case <-time.After(stopWait):
+				assert.Check(s.t, false, "seed %d: %s doesn't stop within its grace", s.seed, e.name)
+			}
+		}
+		later(e.start)
+	})
+}
+
+// heal ends all disturbances.
+func (s *soak) heal() {
+	s.group.Wait()
+	_ = s.platform.process.Process.Signal(syscall.SIGCONT)
+	s.platform.do("/faults?share=0")
+	for _, e := range s.entries {
+		e.way.set(modeOpen)
+		e.signal(syscall.SIGCONT)
+		e.start()
+	}
+}
+
+// check compares what callers were told with what became of it.
+func (s *soak) check() {
+	s.until("the newest configuration is in force at all", func() bool {
+		return s.each(func(e *entry) bool {
+			return s.version == 1 || s.status(e, fmt.Sprintf("/v%d/", s.version)) == http.StatusOK
+		})
+	})
+	counts := make(map[outcome]int)
+	for id, o := range s.callers.jobs {
+		counts[o]++
+		switch o {
+		case accepted:
+			s.until("job "+id+" completed", func() bool { return s.state(id) == "completed" })
+		case cancelled:
+			s.until("job "+id+" over", func() bool { return s.state(id) == "cancelled" || s.state(id) == "completed" })
+		case refused, unknown:
+		}
+	}
+	s.t.Logf("seed %d: %v, configurations %d", s.seed, counts, s.version)
+	s.until("both lasting tasks run, and nothing else", func() bool {
+		running := s.platform.verdict().Running
+		for id, o := range s.callers.jobs {
+			if o == unknown && s.state(id) != "completed" && s.state(id) != "410" {
+				return false
+			}
+		}
+		return len(running) == 2 && running[lastingID+".0.0.0"] == 1 && running[lastingID+".0.0.1"] == 1
+	})
+	v := s.platform.verdict()
+	assert.Check(s.t, len(v.Faults) == 0, "seed %d: %v", s.seed, v.Faults)
+	for task := range v.Starts {
+		id, _, _ := strings.Cut(task, ".")
+		assert.Check(s.t, s.callers.jobs[id] != refused, "seed %d: %s was refused, and %s ran", s.seed, id, task)
+	}
+}
+
+func (s *soak) each(holds func(e *entry) bool) bool {
+	for _, e := range s.entries {
+		if !holds(e) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *soak) status(e *entry, path string) int {
+	status, _ := s.callers.call(e, http.MethodGet, path, nil)
+	return status
+}
+
+func (s *soak) state(id string) string {
+	status, out := s.callers.call(s.entries[0], http.MethodGet, prefix+id, nil)
+	if status != http.StatusOK {
+		return strconv.Itoa(status)
+	}
+	text, _ := out["state"].(string)
+	return text
+}
+
+func (s *soak) until(what string, holds func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("seed %d: %s", s.seed, what)
+	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
+}
--- /dev/null
+++ b/test/soak/standin_test.go
@@ -0,0 +1,166 @@
+package soak_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sapphiregauge/platform/fakes"
+)
+
+// The platform's stand-ins, table, operator, machine service and workers, are a process
+// of their own, so that it can be paused: this test's program, started anew with standinKey
+// set. The soak speaks to it by a control address.
+
+const standinKey = "SOAK_STANDIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(standinKey) != "" {
+		standin()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// addresses are what the stand-ins print once they listen.
+type addresses struct {
+	Table    string `json:"table"`
+	Machines string `json:"machines"`
+	Control  string `json:"control"`
+}
+
+// verdict is what the stand-ins have seen.
+type verdict struct {
+	Faults  []string       `json:"faults"`
+	Starts  map[string]int `json:"starts"`
+	Running map[string]int `json:"running"`
+	Wave    bool           `json:"wave"`
+}
+
+const (
+	poolName  = "brakes"
+	spareName = "spare"
+	hostName  = "garage.example"
+	prefix    = "/sheets/"
+	machines  = 6
+)
+
+// queues is the configuration of a version: it adds a queue with each.
+func queues(version int64) []fakes.Queue {
+	list := []fakes.Queue{{Name: "r-sheets", Host: hostName, Prefix: prefix, Pool: poolName}}
+	for v := int64(2); v <= version; v++ {
+		list = append(list, fakes.Queue{Name: fmt.Sprintf("r-%d", v), Host: hostName, Prefix: fmt.Sprintf("/v%d/", v), Pool: poolName})
+	}
+	return list
+}
+
+func standin() {
+	table, journal := fakes.NewTable(), fakes.NewJournal()
+	service := fakes.NewMachines(table, journal)
+	var ids []string
+	for i := range machines {
+		ids = append(ids, fmt.Sprintf("m-%d", i))
+		service.Add(ids[i], poolName)
+	}
+	table.Configure(1, queues(1), spareName)
+	mux := http.NewServeMux()
+	mux.HandleFunc("/configure", func(_ http.ResponseWriter, r *http.Request) {
+		version, _ := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+		table.Configure(version, queues(version), spareName)
+	})
+	mux.HandleFunc("/wave", func(http.ResponseWriter, *http.Request) { table.Wave(1, ids, 60, 2) })
+	mux.HandleFunc("/faults", func(_ http.ResponseWriter, r *http.Request) {
+		pick := picker(r)
+		table.Set(pick)
+		service.Each(func(w *fakes.Worker) { w.Set(pick) })
+	})
+	mux.HandleFunc("/verdict", func(w http.ResponseWriter, _ *http.Request) {
+		v := verdict{Faults: journal.Faults(), Wave: table.WaveDone(1)}
+		v.Starts, v.Running = journal.Tasks()
+		_ = json.NewEncoder(w).Encode(v)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	_ = json.NewEncoder(os.Stdout).Encode(addresses{Table: table.Addr(), Machines: service.Addr(), Control: l.Addr().String()})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	panic(server.Serve(l))
+}
+
+// picker has a share of the calls misbehave in a seeded way; nil: none.
+func picker(r *http.Request) func(string) fakes.Fault {
+	share, _ := strconv.ParseFloat(r.URL.Query().Get("share"), 64)
+	seed, _ := strconv.ParseUint(r.URL.Query().Get("seed"), 10, 64)
+	if share == 0 {
+		return nil
+	}
+	kinds := []fakes.Fault{fakes.FaultRefuse, fakes.FaultLost, fakes.FaultDrop, fakes.FaultLate, fakes.FaultHalf}
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 1))
+	return func(string) fakes.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.Float64() >= share {
+			return fakes.FaultNone
+		}
+		return kinds[random.IntN(len(kinds))]
+	}
+}
+
+// platform is the stand-ins' process.
+type platform struct {
+	t       *testing.T
+	process *exec.Cmd
+	at      addresses
+}
+
+func startPlatform(t *testing.T) *platform {
+	program, err := os.Executable()
+	assert.NilError(t, err)
+	p := &platform{t: t, process: exec.Command(program)}
+	p.process.Env = append(os.Environ(), standinKey+"=1")
+	p.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.process.Stderr = os.Stderr
+	out, err := p.process.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, p.process.Start())
+	t.Cleanup(func() {
+		_ = p.process.Process.Kill()
+		_ = p.process.Wait()
+	})
+	line, err := bufio.NewReader(out).ReadBytes('\n')
+	assert.NilError(t, err)
+	assert.NilError(t, json.Unmarshal(line, &p.at))
+	return p
+}
+
+func (p *platform) do(path string) { p.read(path, nil) }
+
+func (p *platform) read(path string, into any) {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.at.Control + path) //nolint:noctx // ends with the process
+	assert.NilError(p.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	if into != nil {
+		assert.NilError(p.t, json.NewDecoder(resp.Body).Decode(into))
+	}
+}
+
+func (p *platform) verdict() verdict {
+	var v verdict
+	p.read("/verdict", &v)
+	return v
+}
