Move machines that get empty first, and look ahead less on few arrivals

Change: machines are chosen by how much longer their runs go on, by estimates; a rise counts by what is left after 2.5 deviations, not 1.5.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -17,7 +17,7 @@
 	fleetEvery = 100 * time.Millisecond
 	// readyGap is how long a machine that has got empty waits for others before it is
 	// ordered: each round with new orders is a write.
-	readyGap = 20 * time.Millisecond
+	readyGap = 40 * time.Millisecond
 	// fleetRenew is how often the fleet's lease is renewed without other writes.
 	fleetRenew = 400 * time.Millisecond
 	// listEvery is how often the machines are listed.
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -43,7 +43,7 @@
 					lasting++
 				}
 			}
-			w.Load.Workers = append(w.Load.Workers, gauge.WorkerLoad{ID: id, Runs: len(k.runs), Lasting: lasting, Takes: k.takes(now)})
+			w.Load.Workers = append(w.Load.Workers, gauge.WorkerLoad{ID: id, Runs: len(k.runs), Lasting: lasting, Takes: k.takes(now), Busy: k.busy(now)})
 		}
 	}
 	slices.Sort(w.Changed)
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -32,7 +32,7 @@
 		if w.gone || !w.listed {
 			continue
 		}
-		l.Workers = append(l.Workers, gauge.WorkerLoad{ID: w.info.ID, Runs: len(w.runs), Lasting: w.lasting, Takes: w.takes(now)})
+		l.Workers = append(l.Workers, gauge.WorkerLoad{ID: w.info.ID, Runs: len(w.runs), Lasting: w.lasting, Takes: w.takes(now), Busy: w.busy(now)})
 	}
 	return l
 }
@@ -77,3 +77,21 @@
 	}
 	return sum * float64(j.Occurrences())
 }
+
+// overrun: a run that has taken longer than estimated is thought to take so much of its
+// time more. Estimates are off by half.
+const overrun = 0.25
+
+// busy is how much longer the runs on the worker go on, lasting ones aside, by estimates.
+func (w *worker) busy(now time.Duration) time.Duration {
+	var most time.Duration
+	for r := range w.runs {
+		if r.task.stage.spec.Lasts {
+			continue
+		}
+		passed := now - r.sent
+		left := max(r.task.stage.spec.Estimate-passed, time.Duration(float64(passed)*overrun))
+		most = max(most, left)
+	}
+	return most
+}
--- a/internal/sizing/move.go
+++ b/internal/sizing/move.go
@@ -132,8 +132,5 @@
 	if later(a.ID) != later(b.ID) {
 		return later(b.ID)
 	}
-	if onA.Runs != onB.Runs {
-		return onA.Runs < onB.Runs
-	}
-	return a.ID < b.ID
+	return cmp.Or(cmp.Compare(onA.Busy, onB.Busy), cmp.Compare(onA.Runs, onB.Runs), cmp.Compare(a.ID, b.ID)) < 0
 }
--- a/internal/sizing/rate.go
+++ b/internal/sizing/rate.go
@@ -87,7 +87,7 @@
 	// trendDoubt deviations of the counts are left out of a trend. Of a few jobs nothing
 	// is left: on sites with ten jobs a second a look ahead followed noise, and gained
 	// nothing for the machines it took.
-	trendDoubt = 1.5
+	trendDoubt = 2.5
 )
 
 // ahead is how many cores more the arrivals will ask for when a machine that is asked for
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -283,3 +283,25 @@
 	}
 	assert.Assert(t, wanted > 20, "%d machines", wanted)
 }
+
+// Symptom: a pool in its turn waits three to four seconds for machines of a pool whose own
+// turn is over.
+// Sequence: the machines are emptied by the end of what runs there, of which the longest
+// takes as long as the longest task; those with the fewest runs go first.
+// Cause: what is left of the runs didn't count.
+func TestMachinesThatGetEmptyFirstMove(t *testing.T) {
+	g := newRig(map[string]int{"a": 9, "b": 3})
+	l := gauge.PoolLoad{Pool: "a"}
+	for i := range 9 {
+		l.Workers = append(l.Workers, gauge.WorkerLoad{
+			ID: fmt.Sprintf("i-a-%02d", i), Runs: 1 + i%3, Busy: time.Duration(9-i) * 100 * time.Millisecond,
+		})
+	}
+	g.sizer.Load(l, g.now)
+	g.load(gauge.PoolLoad{Pool: "b", Timely: gauge.Demand{Waiting: 70}}, 0)
+	var moved []string
+	for _, m := range g.next() {
+		moved = append(moved, m.Machine)
+	}
+	assert.DeepEqual(t, moved, []string{"a-06", "a-07", "a-08"})
+}
--- a/load.go
+++ b/load.go
@@ -8,6 +8,8 @@
 	Runs    int    `msgpack:"r"`
 	Lasting int    `msgpack:"l"` // runs of lasting tasks
 	Takes   bool   `msgpack:"t"` // new runs may start there
+	// Busy is how much longer the runs there go on, lasting ones aside, by estimates.
+	Busy time.Duration `msgpack:"b"`
 }
 
 // Demand is an amount of work: the cores of tasks that run or could run now.
