Have hand-ins wait for the owner that is taking their pool

Change: an entry that claims a pool keeps hand-ins for it until the claim has ended, a second at the most.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -65,9 +65,18 @@
 // begin notes that a lease is claimed or held here. The lock is held.
 func (n *Node) begin(pool string) {
 	n.busy[pool] = true
+	n.taking[pool] = make(chan struct{})
 	n.ownsSome()
 }
 
+// taken notes that a claim has ended, with an owner here or without. The lock is held.
+func (n *Node) taken(pool string) {
+	if over, ok := n.taking[pool]; ok {
+		close(over)
+		delete(n.taking, pool)
+	}
+}
+
 // ownsSome has the list of workers followed for as long as this entry has, or takes,
 // the lease of a pool. The lock is held.
 func (n *Node) ownsSome() {
@@ -83,6 +92,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.busy, pool)
+	n.taken(pool)
 	n.ownsSome()
 }
 
@@ -221,6 +231,7 @@
 		return
 	}
 	n.owners[pool] = o
+	n.taken(pool)
 	list := n.listLocked()
 	n.mu.Unlock()
 	defer func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,7 +130,8 @@
 	leases    time.Duration // when the last look at the leases that was answered was sent
 	restUntil time.Duration // no pool is claimed before
 	owners    map[string]*owner.Owner
-	busy      map[string]bool          // pools that are being claimed
+	busy      map[string]bool          // leases that are claimed or held
+	taking    map[string]chan struct{} // pools that are claimed and have no owner here yet; closed when that is over
 	moves     map[string]move          // where pools' owners have gone, as told
 	offers    map[string]time.Duration // when a successor for a pool was last looked for
 	placed    time.Duration            // until then a place is kept for a lease that is to move here
@@ -155,7 +156,7 @@
 	}
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start, listing: gate.New(),
-		owners: make(map[string]*owner.Owner), busy: make(map[string]bool),
+		owners: make(map[string]*owner.Owner), busy: make(map[string]bool), taking: make(map[string]chan struct{}),
 		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), asked: make(map[string]bool), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Suspect: suspectAfter(c.Without), Regain: regainWait})
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -167,6 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayMost)
 	defer cancel()
+	n.awaitClaim(ctx, q.Pool)
 	if a, elsewhere := n.elsewhere(q.Pool); elsewhere {
 		return a, nil // this entry's word would be worth no more than the caller's
 	}
@@ -187,6 +188,30 @@
 	return answerOf(n.intake.CancelHere(ctx, q, c.ID)), nil
 }
 
+// claimMost bounds the wait for a claim of this entry: in a slow spell it takes a read and a
+// transaction, 0.2 to 0.4 s each.
+const claimMost = time.Second
+
+// awaitClaim waits while this entry claims a pool. The holder that offered it names this
+// entry as the owner, and the table, which this entry would go by, still names that
+// holder: hand-ins went to and fro between the two until they were given up, and their
+// callers got no clear answer just when the table was slow.
+func (n *Node) awaitClaim(ctx context.Context, pool string) {
+	n.mu.Lock()
+	over := n.taking[pool]
+	n.mu.Unlock()
+	if over == nil {
+		return
+	}
+	timer := time.NewTimer(claimMost)
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // elsewhere answers a call for a pool that this entry doesn't own.
 func (n *Node) elsewhere(pool string) (doneAnswer, bool) {
 	_, err := n.local(pool)
