--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -11,6 +11,7 @@
 // writeLoop writes what has changed, and renews the lease with every write.
 func (o *Owner) writeLoop() {
 	var failing time.Duration // since when no write has gone through
+	var usual time.Duration   // what the last one took that did
 	for o.ctx.Err() == nil {
 		began := o.conf.Now()
 		more, err := o.write()
@@ -18,14 +19,14 @@
 			if failing == 0 {
 				failing = began
 			}
-			if now := o.conf.Now(); o.stuck != nil && now-failing > o.stuckAfter {
+			if now := o.conf.Now(); o.stuck != nil && now-failing > o.stuckAfter+min(slowWrites*usual, slowMost) {
 				o.settle(true) // whoever stops this owner from here can't wait for a write
 				o.stuck(now - failing)
 			}
 			o.rest(nil, writeAgain)
 			continue
 		}
-		failing = 0
+		failing, usual = 0, o.conf.Now()-began
 		if more {
 			continue // the pause is for gathering changes, of which there are enough
 		}
@@ -40,6 +41,16 @@
 	}
 }
 
+const (
+	// slowWrites: while the table is slow a write that failed is tried again so many times
+	// before the pool is left. One answer that was lost, and the next try, took longer there
+	// than any answer of a quick table, and the pool went to an entry for which the table
+	// was as slow: it stood still for a second and a half, and did so again after three.
+	slowWrites = 2
+	// slowMost bounds that, as the pool is to be offered before its lease is over.
+	slowMost = 700 * time.Millisecond
+)
+
 // settle takes in whether the table can't be reached, after a write, and wakes those
 // that wait for one.
 func (o *Owner) settle(away bool) {
