Ask more entries for a successor while the first don't answer

Change: while none is ready four more are asked each tenth of a second. The new test (60 silent hosts, 3 s) fails without it.

--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -35,9 +34,11 @@
 	// leasesNew: an entry that saw the leases so long ago at the most takes others'. It
 	// looks every 0.3 s, which takes as long in a slow spell.
 	leasesNew = 800 * time.Millisecond
-	// probesAtOnce entries at most are asked at a time: one that is dead makes the
-	// others wait for offerWait.
+	// probesAtOnce entries are asked at a time, and as many more each probeAgain as long
+	// as none is ready: a call takes some milliseconds, and a tenth of a second more where
+	// a quota of processor time is used up.
 	probesAtOnce = 4
+	probeAgain   = 100 * time.Millisecond
 	// gatherWait is how long entries that are ready as well may take longer to say so:
 	// a call takes some milliseconds.
 	gatherWait = 30 * time.Millisecond
@@ -109,13 +110,40 @@
 // successor finds an entry that can take a pool's lease over: of those that say so
 // at about the same time the one on the least burdened host. Empty: none. Failing is for
 // how long the table has not answered here.
+//
+// Hosts without power don't answer, and may be the least burdened ones: waited for, a
+// dozen of them took up the second in which an entry that stops gives its pools away.
 func (n *Node) successor(ctx context.Context, pool string, failing time.Duration) string {
-	for some := range slices.Chunk(n.peers(pool), probesAtOnce) {
-		if best := n.choose(ctx, some, failing); best.Ready {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := n.peers(pool)
+	replies := make(chan reply, len(peers))
+	more := time.NewTimer(0)
+	defer more.Stop()
+	var best reply
+	var late <-chan time.Time
+	for asked, answered := 0, 0; answered < len(peers); {
+		select {
+		case <-more.C:
+			for range min(probesAtOnce, len(peers)-asked) {
+				n.askReady(ctx, peers[asked], failing, replies)
+				asked++
+			}
+			more.Reset(probeAgain)
+		case r := <-replies:
+			answered++
+			best = better(best, r)
+			if answered == asked && !best.Ready {
+				more.Reset(0)
+			}
+		case <-late:
 			return best.addr
 		}
+		if best.Ready && late == nil {
+			late = time.After(gatherWait)
+		}
 	}
-	return ""
+	return best.addr
 }
 
 // reply is an entry's answer to a probe.
@@ -124,25 +152,36 @@
 	offerAnswer
 }
 
+// better is the one of two that is ready, or on the less burdened host.
+func better(best, r reply) reply {
+	if r.Ready && (!best.Ready || r.burden().Next() < best.burden().Next()) {
+		return r
+	}
+	return best
+}
+
+// askReady asks an entry whether it can take a lease over.
+func (n *Node) askReady(ctx context.Context, addr string, failing time.Duration, replies chan<- reply) {
+	go func() {
+		a, err := n.probe(ctx, addr, probeCall{Failing: failing})
+		a.Ready = a.Ready && err == nil
+		replies <- reply{addr, a}
+	}()
+}
+
 // choose asks some entries at once, and waits for the others for gatherWait once
 // one is ready. Of those that are it returns the one on the least burdened host.
-func (n *Node) choose(ctx context.Context, addrs []string, failing time.Duration) reply {
+func (n *Node) choose(ctx context.Context, addrs []string) reply {
 	replies := make(chan reply, len(addrs))
 	for _, addr := range addrs {
-		go func() {
-			a, err := n.probe(ctx, addr, probeCall{Failing: failing})
-			a.Ready = a.Ready && err == nil
-			replies <- reply{addr, a}
-		}()
+		n.askReady(ctx, addr, 0, replies)
 	}
 	var best reply
 	var late <-chan time.Time
 	for range addrs {
 		select {
 		case r := <-replies:
-			if r.Ready && (!best.Ready || r.burden().Next() < best.burden().Next()) {
-				best = r
-			}
+			best = better(best, r)
 		case <-late:
 			return best
 		}
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -83,7 +83,7 @@
 func (n *Node) lighter(ctx context.Context, pool string) string {
 	here, peers := n.burdens(pool)
 	for some := range slices.Chunk(peers, probesAtOnce) {
-		best := n.choose(ctx, some, 0)
+		best := n.choose(ctx, some)
 		if !best.Ready || !here.Moves(best.burden()) {
 			continue
 		}
--- a/test/machines/place_test.go
+++ b/test/machines/place_test.go
@@ -244,3 +244,32 @@
 	s.waitFor("both leases offered", func() bool { return strong.offers.Load()+weak.offers.Load() == 2 })
 	assert.Equal(t, strong.offers.Load(), int32(2))
 }
+
+// Symptom: an entry that stops has its pools taken only after their leases are over.
+// Sequence: dozens of strong hosts have lost power, and answer nothing; they are the least
+// burdened that the entry knows.
+// Cause: they were asked four at a time, and each four waited for.
+func TestSilentHostsAreNotWaitedForWhenAnEntryStops(t *testing.T) {
+	t.Parallel()
+	const (
+		silent = 60
+		// stopSpan is the entry's time for its stop: a third of what it takes to wait for
+		// each four, and twice what it takes not to.
+		stopSpan = 3 * time.Second
+	)
+	s := newSite(t, 0, 1)
+	first := s.startOn("strong-0", s.table.Addr(), host{capacity: strongHost})
+	s.ready()
+	s.held("strong-0")
+	for n := range silent {
+		s.startPeer(fmt.Sprintf("silent-%02d", n), strongHost, 0, make(chan struct{}))
+	}
+	weak := s.startPeer("weak-0", weakHost, 0, nil)
+	s.waitFor("all are known", func() bool {
+		return s.logged("entry known", `"peer"="silent-`) == silent && s.logged("entry known", `"peer"="weak-0"`) == 1
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), stopSpan)
+	defer cancel()
+	first.node.Release(ctx, 0)
+	assert.Assert(t, weak.offers.Load() > 0)
+}
