--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -47,7 +47,7 @@
 }
 
 func (g *Gate) wait(ctx context.Context, open bool) bool {
-	for {
+	for ctx.Err() == nil {
 		g.mu.Lock()
 		there, changed := g.open == open, g.changed
 		g.mu.Unlock()
@@ -60,4 +60,5 @@
 		case <-changed:
 		}
 	}
+	return false
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -38,4 +38,6 @@
 	g := gate.New()
 	assert.Assert(t, !g.Open(ctx))
 	assert.Assert(t, !g.Shut(ctx, time.Hour))
+	g.Set(true)
+	assert.Assert(t, !g.Open(ctx), "a loop would go on for ever")
 }
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -237,8 +237,9 @@
 	ready := n.mayTake(leasesNew)
 	if ready {
 		n.mu.Lock()
-		ready = !n.busy[c.Pool]
-		n.begin(c.Pool)
+		if ready = !n.busy[c.Pool]; ready {
+			n.begin(c.Pool)
+		}
 		n.mu.Unlock()
 	}
 	if ready {
