--- a/decode_test.go
+++ b/decode_test.go
@@ -68,3 +68,17 @@
 	seeds(f, gauge.Mark{Pool: "p", Cancelled: true}.Encode())
 	f.Fuzz(func(_ *testing.T, b []byte) { _ = gauge.DecodeMark(b) })
 }
+
+func FuzzDecodeGrantRow(f *testing.F) {
+	row := gauge.GrantRow{Workers: []string{"w"}, Left: map[string]int64{"w": 1}, Ordered: map[string]int64{"m": 1}, Announced: true}
+	b, err := row.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	seeds(f, b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if row, err := gauge.DecodeGrantRow(b); err == nil && !row.Equal(row) {
+			t.Errorf("row that differs from itself: %+v", row)
+		}
+	})
+}
