--- a/test/machines/claim_test.go
+++ b/test/machines/claim_test.go
@@ -1,12 +1,7 @@
 package machines_test
 
 import (
-	"io"
-	"log"
 	"net/http"
-	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -20,17 +15,15 @@
 	t.Helper()
 	var mu sync.Mutex
 	var held chan struct{}
-	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
-	proxy.ErrorLog = log.New(io.Discard, "", 0) // feeds that wait when the test ends
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr = proxied(t, to, func(_ http.ResponseWriter, r *http.Request) bool {
 		mu.Lock()
 		wait := held
 		mu.Unlock()
 		if wait != nil && strings.HasSuffix(r.URL.Path, "/rows-tx") {
 			<-wait
 		}
-		proxy.ServeHTTP(w, r)
-	}))
+		return false
+	})
 	letGo = func() {
 		mu.Lock()
 		defer mu.Unlock()
@@ -39,15 +32,13 @@
 			held = nil
 		}
 	}
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
 	t.Cleanup(letGo)
 	hold = func() {
 		mu.Lock()
 		defer mu.Unlock()
 		held = make(chan struct{})
 	}
-	return server.Listener.Addr().String(), hold, letGo
+	return addr, hold, letGo
 }
 
 // Symptom: callers get no clear answer while a pool is handed over and the table is slow.
--- a/test/machines/count_test.go
+++ b/test/machines/count_test.go
@@ -1,12 +1,7 @@
 package machines_test
 
 import (
-	"io"
-	"log"
 	"net/http"
-	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"sync/atomic"
 	"testing"
 
@@ -73,18 +68,15 @@
 func refusing(t *testing.T, to, queue string) (addr string, heal func()) {
 	t.Helper()
 	var healed atomic.Bool
-	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
-	proxy.ErrorLog = log.New(io.Discard, "", 0) // feeds that wait when the test ends
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if q := r.URL.Query(); !healed.Load() && q.Get("table") == "open" && q.Get("part") == queue {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+	addr = proxied(t, to, func(w http.ResponseWriter, r *http.Request) bool {
+		q := r.URL.Query()
+		if healed.Load() || q.Get("table") != "open" || q.Get("part") != queue {
+			return false
 		}
-		proxy.ServeHTTP(w, r)
-	}))
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
-	return server.Listener.Addr().String(), func() { healed.Store(true) }
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	return addr, func() { healed.Store(true) }
 }
 
 // Symptom: 0 jobs are said to wait where 1,354 do.
--- a/test/machines/reads_test.go
+++ b/test/machines/reads_test.go
@@ -2,12 +2,7 @@
 
 import (
 	"fmt"
-	"io"
-	"log"
 	"net/http"
-	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -28,15 +23,11 @@
 // newTally starts a way to the table that counts.
 func newTally(t *testing.T, to string) (addr string, counts *tally) {
 	counts = &tally{calls: make(map[string]int)}
-	way := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
-	way.ErrorLog = log.New(io.Discard, "", 0) // feeds that wait when the test ends
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr = proxied(t, to, func(_ http.ResponseWriter, r *http.Request) bool {
 		counts.count(r.URL.Query().Get("table"), strings.TrimPrefix(r.URL.Path, "/sapphiregauge/"))
-		way.ServeHTTP(w, r)
-	}))
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
-	return strings.TrimPrefix(server.URL, "http://"), counts
+		return false
+	})
+	return addr, counts
 }
 
 func (c *tally) count(table, kind string) {
