Serve callers once it is known who owns their pools

Cause (logs): an entry that had started 0.2 s before, and hadn't seen the leases, sent the hand-in to the table itself and got no answer; it had no owner to tell ("doubt not told"); the caller's next try came to the owner, for which the table was away as well, and was refused; the first had been stored. Ruled out: the owner's own memory of unsure hand-ins (it was never told). Change: an entry serves, and is ready, once it has read the leases; one that can't tell the owner of an unsure hand-in goes on trying for five seconds. The new test fails without the first change.

--- a/internal/node/doubt.go
+++ b/internal/node/doubt.go
@@ -26,21 +26,45 @@
 
 type doubtAnswer struct{}
 
-// tellDoubt tells the owner once, before the caller is answered.
+const (
+	// doubtAgain is the pause between two tries to tell, and doubtTries how many there are:
+	// a hand-in may be stored for some seconds, and a pool has an owner again within three.
+	doubtAgain = 100 * time.Millisecond
+	doubtTries = 50
+)
+
+// tellDoubt tells the owner once before the caller is answered, and goes on behind its
+// back if that fails: its next try may come to the owner later than the word does.
 func (n *Node) tellDoubt(q *gauge.Queue, id string) {
-	o, addr, err := n.ownerOf(q.Pool)
-	if o != nil {
-		return // it is this entry, which remembers it
-	}
+	err := n.sendDoubt(q.Pool, id)
 	if err == nil {
-		ctx, cancel := context.WithTimeout(n.context(), doubtWait)
-		defer cancel()
-		var a doubtAnswer
-		err = n.conf.Mesh.Call(ctx, addr, methodDoubt, &doubtCall{ID: id}, &a)
+		return
 	}
-	if err != nil {
-		n.conf.Logs.Info("doubt not told", "job", id, "pool", q.Pool, "error", err.Error())
+	n.conf.Logs.Info("doubt not told", "job", id, "pool", q.Pool, "error", err.Error())
+	n.group.Go(func() {
+		for try := range doubtTries {
+			pause(n.context(), doubtAgain)
+			if n.context().Err() != nil {
+				return
+			}
+			if n.sendDoubt(q.Pool, id) == nil {
+				n.conf.Logs.Info("doubt told late", "job", id, "pool", q.Pool, "tries", try+2)
+				return
+			}
+		}
+	})
+}
+
+// sendDoubt tells the pool's owner; nil: it knows, also if it is this entry.
+func (n *Node) sendDoubt(pool, id string) error {
+	o, addr, err := n.ownerOf(pool)
+	if err != nil || o != nil {
+		return err // this entry remembers it in any case
 	}
+	ctx, cancel := context.WithTimeout(n.context(), doubtWait)
+	defer cancel()
+	var a doubtAnswer
+	return n.conf.Mesh.Call(ctx, addr, methodDoubt, &doubtCall{ID: id}, &a)
 }
 
 func (n *Node) handleDoubt(_ context.Context, body []byte) (any, error) {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -51,6 +51,7 @@
 		n.back = now
 	}
 	n.leases = sent
+	n.sighted.Store(true)
 }
 
 // stampWithin: a reading from an answer that took longer is not used.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,7 @@
 	offset  atomic.Int64                    // the table's clock less ours, nanoseconds
 	listing *gate.Gate                      // open while the list of workers is followed
 	going   atomic.Bool                     // it takes pools
+	sighted atomic.Bool                     // the leases were read once
 	ctx     atomic.Pointer[context.Context] // of the running entry
 	group   conc.WaitGroup
 
@@ -183,8 +184,19 @@
 // Site is the newest configuration, nil without one.
 func (n *Node) Site() *gauge.Site { return n.site.Load() }
 
+// Serves is the configuration by which callers are served: none before this entry has
+// seen who owns the pools. A hand-in that it sent to the table itself then, and that got no
+// answer, it could tell nobody of, and the owner refused the caller's next try of a job that
+// ran after all.
+func (n *Node) Serves() *gauge.Site {
+	if !n.sighted.Load() {
+		return nil
+	}
+	return n.Site()
+}
+
 // Ready tells whether callers should be sent here.
-func (n *Node) Ready() bool { return n.going.Load() && n.Site() != nil }
+func (n *Node) Ready() bool { return n.going.Load() && n.Serves() != nil }
 
 // Run works until ctx ends, then gives up what it owns; it goes on following the
 // configuration until Stop.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -44,6 +44,9 @@
 			// An entry was still there long after its grace: a caller's connection didn't
 			// close, and the server of the readiness check went on.
 			{17, 8, 30},
+			// A refused job ran: an entry that had just started sent it to the table itself
+			// and couldn't tell the pool's owner, which refused the next try.
+			{55, defaultEntries, defaultSeconds},
 		}
 	}
 	var list []plan
