--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"sapphiregauge/platform/fakes"
 )
 
 // entry is one entry of the product as a process of its own. Its log is kept in a file.
@@ -36,19 +38,10 @@
 func newEntry(t *testing.T, program, dir string, number int, p *platform) *entry {
 	e := &entry{t: t, program: program, name: fmt.Sprintf("e-%d", number), dir: dir, way: newWay(t, p.at.Table)}
 	e.ip = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250, 10+number)
-	settings := fmt.Sprintf(`nodeName=%s
-zone=z%d
-ip=%s
-bindAddresses.frontend=%s:%d
-bindAddresses.ready=%s:%d
-internalPorts=%d,%d
-platform.address=%s
-cloudApi.address=%s
-bounds.maxHoldMs=10000
-bounds.leaseMs=1000
-bounds.graceS=%d
-bounds.maintenanceS=0.2
-`, e.name, number%2, e.ip, e.ip, frontPort, e.ip, readyPort, peerPort, peerPort+10, e.way.addr(), p.at.Machines, graceS)
+	settings := fakes.Host{
+		Name: e.name, Zone: fmt.Sprintf("z%d", number%2), IP: e.ip, Front: frontPort, Ready: readyPort, Peer: peerPort,
+		Table: e.way.addr(), Machines: p.at.Machines, Grace: graceS,
+	}.Settings()
 	assert.NilError(t, os.WriteFile(e.settings(), []byte(settings), 0o600))
 	t.Cleanup(e.kill)
 	return e
@@ -68,7 +61,7 @@
 	log, err := os.OpenFile(filepath.Join(e.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.Check(e.t, err)
 	p := exec.Command(e.program, "host")
-	p.Env = append(os.Environ(), "SAPPHIREGAUGE_SETTINGS="+e.settings())
+	p.Env = append(os.Environ(), fakes.SettingsVariable+"="+e.settings())
 	p.Stdout, p.Stderr = log, log
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if !assert.Check(e.t, p.Start()) {
