--- a/internal/node/doubt.go
+++ b/internal/node/doubt.go
@@ -33,8 +33,8 @@
 	doubtTries = 50
 )
 
-// tellDoubt tells the owner once before the caller is answered, and goes on behind its
-// back if that fails: its next try may come to the owner later than the word does.
+// tellDoubt tells the owner once before the caller is answered, and goes on beside that if
+// it fails: the next try may come to the owner later than the word does.
 func (n *Node) tellDoubt(q *gauge.Queue, id string) {
 	err := n.sendDoubt(q.Pool, id)
 	if err == nil {
