Log each run that is lost with its worker, and how long it had lived

Change: 'run lost' for each, with the address, the life at the least, how many were lost beside it; counted as an event. No decision changes.

--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -41,6 +41,7 @@
 	EventSurplus  = "surplus run"      // a task had two runs; the surplus one is stopped
 	EventVanished = "run vanished"     // a worker lost a run without an end
 	EventOdd      = "run of ended job" // a run of a job that is not open; stopped
+	EventLost     = "run lost"         // a run ended with its worker's life, or with its lease
 	EventLapsed   = "worker lapsed"    // a silent worker's lease ran out with runs there
 	EventFailed   = "job failed"
 	EventDone     = "job completed"
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -60,7 +60,7 @@
 			p.noteOdd(w, rr)
 			continue
 		}
-		r.listed = w.reports
+		r.listed, r.toldAt = w.reports, now
 		r.task.job.told()
 		r.load, r.progress = rr.Load, rr.Progress
 		if r.phase != phaseStopping {
@@ -294,7 +294,7 @@
 		return // its end came first
 	}
 	if err == nil {
-		p.alive(r, clock)
+		p.alive(r, clock, now)
 		return
 	}
 	switch gauge.KindOf(err) {
@@ -328,10 +328,10 @@
 	})
 }
 
-func (p *Pool) alive(r *run, clock time.Duration) {
+func (p *Pool) alive(r *run, clock, now time.Duration) {
 	if r.phase == phaseSent {
 		r.phase = phaseLive
 	}
 	r.task.job.told()
-	r.known = max(r.known, clock)
+	r.known, r.toldAt = max(r.known, clock), now
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -246,8 +246,9 @@
 	}
 	w.gone = true
 	p.conf.Logs.Info("worker over", "pool", p.conf.Name, "worker", w.info.ID, "runs", len(w.runs), "reason", why)
+	lost := len(w.runs)
 	for r := range w.runs {
-		p.end(r, now)
+		p.lose(r, why, lost-1, now)
 	}
 	p.forgetOdds(w)
 	p.heard(w.info.ID)
@@ -276,9 +277,10 @@
 		}
 		if now > w.expiry && (w.silent || !w.listed) && len(w.runs) > 0 {
 			p.conf.Count(EventLapsed)
-			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
+			lost := len(w.runs)
+			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", lost, "listed", w.listed)
 			for r := range w.runs {
-				p.end(r, now)
+				p.lose(r, "its worker's lease has run out", lost-1, now)
 			}
 		}
 		if !w.listed && now > w.expiry && (w.gone || w.silent && w.kept == w.ends) {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -31,6 +31,7 @@
 	flying   bool          // its start has no answer yet, and counts for the bound on these
 	until    time.Duration // on the worker's clock: an order that comes later is refused
 	known    time.Duration // on the worker's clock: the worker has had it, or its stop, since
+	toldAt   time.Duration // when its worker last told that it is there
 	stop     bool          // it is to end
 	unsure   bool          // its start got no answer
 	again    time.Duration // no stop is sent before
