Test that machines on the move excuse no crash (red)

Test: idle machines leave the pool, their workers stay listed until three heartbeats are missing, and the pool's owner wasn't the one that was asked to empty them.

--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -23,6 +23,7 @@
 	lives   time.Duration             // that much later
 	due     map[string]time.Duration  // workers that it ends, and when
 	dead    map[string]time.Duration  // workers that crashed, and when another life answers
+	moved   map[string]time.Duration  // workers of machines that have left, and until when they are listed
 	crashes int                       // because of the bad task
 	starts  map[gauge.TaskID]int      // of each task
 	lost    map[gauge.TaskID]int      // runs that went with a worker
@@ -45,7 +46,7 @@
 func newWard(t *testing.T, workers int) *ward {
 	w := &ward{
 		rig: newRig(t), racks: make(map[string]string), rackOf: make(map[string]string), runs: make(map[string][]sched.Order), due: make(map[string]time.Duration),
-		dead: make(map[string]time.Duration), starts: make(map[gauge.TaskID]int), lost: make(map[gauge.TaskID]int),
+		dead: make(map[string]time.Duration), moved: make(map[string]time.Duration), starts: make(map[gauge.TaskID]int), lost: make(map[gauge.TaskID]int),
 		took: make(map[gauge.TaskID]bool), row: make(map[string]sched.Accepted), rows: make(map[string]*gauge.JobRow),
 		version: 1000, brings: 3 * time.Second,
 	}
@@ -88,6 +89,11 @@
 	for id := range w.dead {
 		list = append(list, w.entry(id)) // nobody has taken its row back
 	}
+	for id, until := range w.moved {
+		if w.now < until {
+			list = append(list, w.entry(id))
+		}
+	}
 	w.pool.Workers(list)
 	w.pool.Noted(w.pool.Name())
 	for _, id := range w.ids() {
@@ -162,6 +168,9 @@
 
 // answerDead has holds at workers that crashed fail, until another life answers there.
 func (w *ward) answerDead() {
+	for id := range w.moved {
+		w.silent(id)
+	}
 	for id, back := range w.dead {
 		if w.now < back {
 			w.silent(id)
@@ -307,6 +316,16 @@
 				w.hand(1000+int(w.now/wardStep), step(8))
 			}
 		}},
+		{name: "idle machines move all the while", step: step(2), most: crashesAllowed, while: func(w *ward) {
+			if w.now%(500*time.Millisecond) < wardStep {
+				w.moveOne(true)
+			}
+		}},
+		{name: "idle machines move for an owner before", step: step(2), most: crashesAllowed, while: func(w *ward) {
+			if w.now%(1500*time.Millisecond) < wardStep {
+				w.moveOne(false)
+			}
+		}},
 		{name: "lasting tasks on all workers", step: step(2), most: crashesAllowed, set: func(w *ward) {
 			s := lasting(6)
 			s.PerWorker = 1
@@ -334,6 +353,20 @@
 	}
 }
 
+// moveOne has an idle machine leave the pool, and another one come. Its worker says nothing more,
+// and is listed until three of its heartbeats are missing.
+func (w *ward) moveOne(asked bool) {
+	for _, id := range w.ids() {
+		if len(w.runs[id]) > 0 || asked && !w.pool.Empty(id, false, w.now) {
+			continue
+		}
+		w.moved[id] = w.now + 4500*time.Millisecond
+		delete(w.racks, id)
+		w.join(fmt.Sprintf("rack%d", w.next%9))
+		return
+	}
+}
+
 // keep has only so many workers.
 func (w *ward) keep(count int) {
 	for _, id := range w.ids()[count:] {
