Excuse a crash only by workers that no task can have ended and that didn't leave

Cause: a crash counts against nobody if other workers were lost with it; idle machines that had moved to another pool were taken for such. They are listed for three heartbeats after, and what told them apart, that they were to be emptied, had run out when the crash was judged, seconds after it, or was known to the owner before only. Change: whether a worker was to leave is looked at as of when it stopped answering; a worker says something only if this owner has heard it; one idle worker says nothing, two do, or one if the whole rack is gone. Losses on which a task began lately no longer excuse each other, however many: tasks that end their workers may come together.

--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -20,6 +20,7 @@
 	rackOf  map[string]string         // of all that ever were
 	runs    map[string][]sched.Order  // on these
 	bad     gauge.TaskID              // ends the worker that starts it
+	worse   map[gauge.TaskID]bool     // more of the kind
 	lives   time.Duration             // that much later
 	due     map[string]time.Duration  // workers that it ends, and when
 	dead    map[string]time.Duration  // workers that crashed, and when another life answers
@@ -143,13 +144,16 @@
 	}
 }
 
+// ends tells whether a task ends its worker.
+func (w *ward) ends(task gauge.TaskID) bool { return task == w.bad || w.worse[task] }
+
 // work ends the tasks on a worker that have run for long enough.
 func (w *ward) work(id string) {
 	var left []sched.Order
 	var ended []gauge.EndReport
 	for _, o := range w.runs[id] {
 		spec := w.row[o.Start.Task.Job].Spec.Steps[o.Start.Task.Step]
-		if spec.Lasts || w.now < o.Start.Until-time.Hour+wardWork-time.Second || o.Start.Task == w.bad {
+		if spec.Lasts || w.now < o.Start.Until-time.Hour+wardWork-time.Second || w.ends(o.Start.Task) {
 			left = append(left, o)
 			continue
 		}
@@ -194,7 +198,7 @@
 		default:
 			w.starts[o.Start.Task]++
 			w.runs[o.Worker.ID] = append(w.runs[o.Worker.ID], o)
-			if o.Start.Task == w.bad {
+			if w.ends(o.Start.Task) {
 				w.due[o.Worker.ID] = w.now + w.lives
 			}
 			if w.dumb {
@@ -321,8 +325,18 @@
 				w.moveOne(true)
 			}
 		}},
-		{name: "idle machines move for an owner before", step: step(2), most: crashesAllowed, while: func(w *ward) {
-			if w.now%(1500*time.Millisecond) < wardStep {
+		{name: "idle machines move, another owner all the while", step: step(2), most: crashesAllowed, while: func(w *ward) {
+			if w.now%(200*time.Millisecond) < wardStep {
+				w.moveOne(true)
+			}
+			if w.now%(8*time.Second) < wardStep {
+				w.moveOne(true)
+				w.moveOne(true)
+				w.takeOver()
+			}
+		}},
+		{name: "an idle machine is gone each three seconds", step: step(2), most: crashesAllowed, while: func(w *ward) {
+			if w.now%(3*time.Second) < wardStep {
 				w.moveOne(false)
 			}
 		}},
@@ -374,6 +388,26 @@
 	}
 }
 
+// Symptom: two tasks end one worker after the other, without an end.
+// Sequence: they came at the same time, and each time end two workers of a rack at once.
+// Cause: workers that are lost together are taken for lost with their rack.
+func TestTasksThatEndWorkersTogetherAreGivenUp(t *testing.T) {
+	for _, count := range []int{2, 4} {
+		w := newWard(t, 6)
+		w.worse = make(map[gauge.TaskID]bool)
+		wide := step(1)
+		wide.Needs.MilliCPU = 3000 // one fits on a worker
+		for n := 1; n <= count; n++ {
+			w.worse[badTask(w.hand(n, wide))] = true
+		}
+		w.pass(90 * time.Second)
+		for task := range w.worse {
+			assert.Equal(t, w.state(task.Job), gauge.JobFailed)
+			assert.Assert(t, w.starts[task] <= crashesAllowed, "%s started %d times", task, w.starts[task])
+		}
+	}
+}
+
 // Symptom: other callers' work is lost again and again.
 // Sequence: what was lost with a worker starts on the next one together with the task that has
 // ended it.
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -35,11 +35,11 @@
 	rack   string
 	at     time.Duration // since when it didn't answer
 	runs   []lostRun
-	// explained: something there began lately, or may have ended a worker before.
-	explained bool
-	planned   bool // it was to leave, or to be emptied
-	alone     bool // tasks of one job were all that ran there
-	judged    bool
+	// innocent: there were runs, and none of them can be why it was lost.
+	innocent bool
+	planned  bool // it was to leave, or to be emptied
+	alone    bool // tasks of one job were all that ran there
+	judged   bool
 	// before: this owner never heard it, so that nobody knows when it was lost.
 	before bool
 }
@@ -133,31 +133,32 @@
 	return one != nil && w.odd == 0
 }
 
-// excuses tells whether what ran on a worker may be why it was lost.
-func (w *worker) excuses() bool {
+// innocent tells whether a worker had runs of which none can be why it was lost.
+func (w *worker) innocent() bool {
 	for r := range w.runs {
 		if r.lived() < soonSpan || r.trial != nil || r.task.trialTask().suspect {
-			return true
+			return false
 		}
 	}
 	for _, l := range w.lost {
 		if l.lived < soonSpan || l.task.trialTask().suspect {
-			return true
+			return false
 		}
 	}
-	return false
+	return len(w.runs)+len(w.lost) > 0
 }
 
 // fell takes in that a worker's life is over, with the runs that were lost there. What
 // it was lost for is judged a little later.
 func (p *Pool) fell(w *worker, now time.Duration) {
 	l := &loss{
-		worker: w.info.ID, rack: w.info.Rack(), at: w.silentAt, runs: w.lost, explained: w.excuses(),
-		planned: w.leaving(now), alone: w.oneJob(),
+		worker: w.info.ID, rack: w.info.Rack(), at: w.silentAt, runs: w.lost, innocent: w.innocent(),
+		alone: w.oneJob(),
 	}
 	if !w.silent {
 		l.at = now
 	}
+	l.planned = w.leaving(l.at)
 	for _, r := range l.runs {
 		r.task.adrift--
 		r.task.awaits++
@@ -166,8 +167,8 @@
 	p.losses = append(p.losses, l)
 }
 
-// leaving tells whether a worker is to leave, or to be emptied.
-func (w *worker) leaving(now time.Duration) bool { return w.info.Draining || now < w.emptyUntil }
+// leaving tells whether a worker was to leave, or to be emptied, when it stopped answering.
+func (w *worker) leaving(at time.Duration) bool { return w.info.Draining || at < w.emptyUntil }
 
 // judgeLosses finds out what workers were lost for, once that can be known.
 func (p *Pool) judgeLosses(now time.Duration) {
@@ -181,7 +182,8 @@
 }
 
 func (p *Pool) judgeLoss(l *loss, now time.Duration) {
-	together := p.lostWithOthers(l, now)
+	toll := p.toll(l, now)
+	together := toll.together()
 	if len(l.runs) > 0 {
 		p.conf.Count(EventCrashed)
 		p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", l.worker, "runs", len(l.runs), "alone", l.alone,
@@ -197,44 +199,64 @@
 			continue
 		}
 		p.try(r.task, gauge.Trial{
-			Run: r.number, Worker: l.worker, Crashed: true, Alone: l.alone && r.told && !p.rackLost(l, now), Lived: r.lived,
+			Run: r.number, Worker: l.worker, Crashed: true, Alone: l.alone && r.told && toll.rackBusy == 0, Lived: r.lived,
 		})
 		p.giveUp(r.task)
 	}
 }
 
-// lostWithOthers tells whether a worker was lost together with one that had no reason of its own,
-// with all of its rack, or with most of them: then it was the rack, the power or a cut. Workers
-// that one task has ended in turn weren't lost together.
-func (p *Pool) lostWithOthers(l *loss, now time.Duration) bool {
-	lost, stay, rackLost, rackStays := 0, 0, 0, 0
+// toll is what else was lost at about the time of a loss.
+type toll struct {
+	innocent  bool // a worker on which nothing can be the reason
+	idle      int  // workers without runs
+	rackIdle  int  // of these, on the same rack
+	rackBusy  int  // workers with runs, on the same rack
+	rackStays int  // workers of the rack that were not lost
+}
+
+// add counts a worker that was lost.
+func (x *toll) add(mate, busy, innocent bool) {
+	x.innocent = x.innocent || innocent
+	x.idle += count(!busy)
+	x.rackIdle += count(mate && !busy)
+	x.rackBusy += count(mate && busy)
+}
+
+func (p *Pool) toll(l *loss, now time.Duration) toll {
+	x := toll{}
 	for _, w := range p.workers {
-		if !w.listed || w.gone || w.info.ID == l.worker {
+		if !w.listed || !w.heard || w.gone || w.info.ID == l.worker || w.since >= l.at || w.silent && w.leaving(w.silentAt) {
 			continue
 		}
 		mate := l.rack != "" && w.info.Rack() == l.rack
-		switch {
-		case !w.lostWith(l, now) || w.sharesTask(l):
-			stay++
-			rackStays += count(mate)
-		case !w.excuses():
-			return true
-		default:
-			lost++
-			rackLost += count(mate)
+		if w.lostWith(l, now) && !w.sharesTask(l) {
+			x.add(mate, len(w.runs)+len(w.lost) > 0, w.innocent())
+			continue
 		}
+		x.rackStays += count(mate)
 	}
 	for _, o := range p.losses {
-		if !o.with(l) {
-			continue
+		if o.with(l) {
+			x.add(l.rack != "" && o.rack == l.rack, len(o.runs) > 0, o.innocent)
 		}
-		if !o.explained {
-			return true
-		}
-		lost++
-		rackLost += count(l.rack != "" && o.rack == l.rack)
 	}
-	return rackLost > 0 && rackStays == 0 || lost > stay+1
+	return x
+}
+
+// together tells whether a worker was lost together with others that no task can have ended:
+// then it was the rack, the power or a cut. A single idle worker says nothing, unless the whole
+// rack is gone: machines move to other pools all the while, and their workers are listed for
+// seconds after. Neither do workers on which a task began lately: tasks that end their workers
+// may come together.
+func (x toll) together() bool {
+	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0
+}
+
+func (p *Pool) lostWithOthers(l *loss, now time.Duration) bool {
+	if l.before {
+		return p.unheardWith(l) > 1
+	}
+	return p.toll(l, now).together()
 }
 
 func count(holds bool) int {
@@ -244,22 +266,9 @@
 	return 0
 }
 
-// rackLost tells whether another worker of the rack was lost at the same time.
-func (p *Pool) rackLost(l *loss, now time.Duration) bool {
-	if l.rack == "" {
-		return false
-	}
-	for _, w := range p.workers {
-		if w.info.ID != l.worker && w.info.Rack() == l.rack && !w.gone && w.lostWith(l, now) && !w.sharesTask(l) {
-			return true
-		}
-	}
-	return slices.ContainsFunc(p.losses, func(o *loss) bool { return o.rack == l.rack && o.with(l) })
-}
-
 // lostWith tells whether a worker stopped answering at about the time of a loss.
 func (w *worker) lostWith(l *loss, now time.Duration) bool {
-	return w.silent && !l.before && !w.leaving(now) && now-w.silentAt >= surelySilent && (w.silentAt-l.at).Abs() <= togetherSpan
+	return w.heard && w.silent && !w.leaving(w.silentAt) && now-w.silentAt >= surelySilent && (w.silentAt-l.at).Abs() <= togetherSpan
 }
 
 // with tells whether two workers were lost together.
@@ -297,6 +306,16 @@
 // answered to this one.
 func (p *Pool) unheard(id string, now time.Duration) {
 	if p.workers[id] == nil {
-		p.losses = append(p.losses, &loss{worker: id, at: now, explained: p.tried[id], judged: true, before: true})
+		p.losses = append(p.losses, &loss{worker: id, at: now, judged: true, before: true})
+	}
+}
+
+// unheardWith counts the workers without a suspect that were not heard either: one may have
+// left the pool meanwhile, several are a rack.
+func (p *Pool) unheardWith(l *loss) int {
+	n := 0
+	for _, o := range p.losses {
+		n += count(o.with(l) && !p.tried[o.worker])
 	}
+	return n
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -110,7 +110,7 @@
 		seen[info.ID] = true
 		w := p.workers[info.ID]
 		if w == nil {
-			w = &worker{runs: make(map[*run]bool), expiry: p.inherited(info.ID)}
+			w = &worker{runs: make(map[*run]bool), expiry: p.inherited(info.ID), since: p.ticked}
 			p.workers[info.ID] = w
 			p.sorted = nil
 			fresh = append(fresh, info)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -48,13 +48,14 @@
 // worker is one life of a worker as this owner sees it.
 type worker struct {
 	info   gauge.Worker
-	listed bool // it is on the platform's list
-	noted  bool // the lease row names it: a successor will ask it first
-	heard  bool // it has answered to this owner's fencing token
-	mute   bool // a start got no answer, and nothing was heard since
-	flying int  // starts that have no answer yet
-	silent bool // its last hold got no answer
-	gone   bool // it is surely over
+	listed bool          // it is on the platform's list
+	since  time.Duration // when it was first
+	noted  bool          // the lease row names it: a successor will ask it first
+	heard  bool          // it has answered to this owner's fencing token
+	mute   bool          // a start got no answer, and nothing was heard since
+	flying int           // starts that have no answer yet
+	silent bool          // its last hold got no answer
+	gone   bool          // it is surely over
 
 	runs map[*run]bool
 	used gauge.Resources
