Keep few workers from others' work for tasks that crashed one worker

Change: after the first crash a suspect gets a worker of its own only while few are kept so (one, or a quarter), else it starts beside others, and nothing is closed. After two it insists, as before. The gain in service is not measured.

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -28,7 +28,8 @@
 	workers []*worker // one for each task of a gang
 	number  int
 	until   time.Duration
-	alone   bool
+	alone   bool // no other job has a task there
+	closed  bool // other jobs' tasks don't start there
 }
 
 // startSuspects starts the tasks that may have ended a worker.
@@ -108,37 +109,54 @@
 // over between the start and the crash would otherwise not know of the run.
 func (p *Pool) reserve(t *task, now time.Duration) {
 	of := turn{job: t.job, stage: t.stage, advice: p.advice(t.job)}
-	alone := true
-	workers := p.places(t, &of, now, func(w *worker) bool { return w.onlyOf(t.job) && !p.rackTries(w, t.job) })
-	if workers == nil {
-		workers = p.places(t, &of, now, func(w *worker) bool { return w.onlyOf(t.job) })
+	at := &place{number: t.nextRun(), until: now + placeSpan}
+	if t.strong() || p.fewAside(now) {
+		at.workers, at.alone = p.placesApart(t, &of, now), true
 	}
-	if workers == nil && t.strong() && now-t.readyAt < apartWait {
+	if at.workers == nil && t.strong() && now-t.readyAt < apartWait {
 		p.setAside(t, now)
 		return
 	}
-	if workers == nil {
-		alone = false
-		workers = p.places(t, &of, now, func(w *worker) bool { return w.triesOnly(t.job) && w.lasting == 0 })
-	}
-	if workers == nil {
-		workers = p.places(t, &of, now, func(w *worker) bool { return w.triesOnly(t.job) })
+	if at.workers == nil {
+		at.workers, at.alone = p.placesBeside(t, &of, now), false
 	}
-	if workers == nil {
+	if at.workers == nil {
 		p.ask(&of, p.apart(now), now)
 		return
 	}
-	t.place = &place{workers: workers, number: t.nextRun(), until: now + placeSpan, alone: alone}
+	// A worker that others use is closed to them only for a task that is likely the cause.
+	at.closed = at.alone || t.strong()
+	t.place = at
 	told := make(map[*worker]bool)
-	for _, w := range workers {
-		w.reserve(t)
+	for _, w := range at.workers {
+		if at.closed {
+			w.reserve(t)
+		}
 		if !told[w] {
 			told[w] = true
-			p.try(t, gauge.Trial{Run: t.place.number, Worker: w.info.ID, Alone: alone})
+			p.try(t, gauge.Trial{Run: at.number, Worker: w.info.ID, Alone: at.alone})
 		}
 	}
 }
 
+// placesApart picks workers without other jobs' tasks, if it can on racks where nothing is tried.
+func (p *Pool) placesApart(t *task, of *turn, now time.Duration) []*worker {
+	workers := p.places(t, of, now, func(w *worker) bool { return w.onlyOf(t.job) && !p.rackTries(w, t.job) })
+	if workers == nil {
+		workers = p.places(t, of, now, func(w *worker) bool { return w.onlyOf(t.job) })
+	}
+	return workers
+}
+
+// placesBeside picks workers that other jobs use, if it can without lasting tasks.
+func (p *Pool) placesBeside(t *task, of *turn, now time.Duration) []*worker {
+	workers := p.places(t, of, now, func(w *worker) bool { return w.triesOnly(t.job) && w.lasting == 0 })
+	if workers == nil {
+		workers = p.places(t, of, now, func(w *worker) bool { return w.triesOnly(t.job) })
+	}
+	return workers
+}
+
 // nextRun is the number of the next run of a suspect, and its gang.
 func (t *task) nextRun() int {
 	number := 0
@@ -191,8 +209,11 @@
 	p.unreserve(t)
 	for i, m := range t.members() {
 		if r := p.start(&of, m, at.workers[i], at.number, now); r != nil {
-			r.trial = t
-			r.worker.trials[t]++
+			r.tried = true
+			if at.closed {
+				r.trial = t
+				r.worker.trials[t]++
+			}
 		}
 	}
 }
@@ -230,33 +251,41 @@
 }
 
 // setAside keeps a worker without lasting tasks free for a suspect, the one that is free
-// soonest. Few are kept so at a time.
+// soonest.
 func (p *Pool) setAside(t *task, now time.Duration) {
+	if !p.fewAside(now) {
+		return
+	}
 	var best *worker
-	aside, all := 0, 0
 	for _, w := range p.byID() {
-		if !w.listed || w.gone {
-			continue
-		}
-		all++
-		if w.setAside(now) {
-			aside++
-			continue
-		}
-		if !w.takes(now) || w.lasting > 0 || !w.info.HasLabel(t.stage.spec.Label) || !w.info.Capacity.Holds(t.stage.spec.Room()) {
+		if !w.takes(now) || w.setAside(now) || w.lasting > 0 || !w.info.HasLabel(t.stage.spec.Label) || !w.info.Capacity.Holds(t.stage.spec.Room()) {
 			continue
 		}
 		if best == nil || w.busy(now) < best.busy(now) {
 			best = w
 		}
 	}
-	if best == nil || aside > 0 && fewOf*(aside+1) > all {
+	if best == nil {
 		return
 	}
 	best.asideUntil = now + asideSpan
 	p.conf.Logs.Info("worker set aside", "pool", p.conf.Name, "worker", best.info.ID, "runs", len(best.runs), "job", t.job.id, "task", t.id.String())
 }
 
+// fewAside tells whether one more worker may be kept from other work: one in any case, and a
+// quarter of them at the most.
+func (p *Pool) fewAside(now time.Duration) bool {
+	aside, all := 0, 0
+	for _, w := range p.workers {
+		if !w.listed || w.gone {
+			continue
+		}
+		all++
+		aside += count(w.setAside(now))
+	}
+	return aside == 0 || fewOf*(aside+1) <= all
+}
+
 // setAside tells whether a worker is kept for suspects: one is tried there, or is to be.
 func (w *worker) setAside(now time.Duration) bool { return w.tries() > 0 || now < w.asideUntil }
 
@@ -335,7 +364,8 @@
 // survived takes in that a worker has told of a suspect's run. Others may start beside it once
 // it has lived long enough.
 func (p *Pool) survived(r *run) {
-	if r.trial != nil && r.lived() >= probation(r.trial.trials()) {
+	if r.tried && r.lived() >= probation(r.task.trials()) {
+		r.tried = false
 		p.conf.Logs.Info("task survived", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID, "lived", r.lived())
 		p.endTrial(r)
 		p.acquit(r.task, r.number)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -41,7 +41,8 @@
 	load     int           // as reported
 	pacing   bool          // a pace is on its way
 	listed   int           // number of the last report that listed it
-	trial    *task         // the suspect that it is a run of, until it has lived long enough
+	tried    bool          // it is one of a suspect, and hasn't lived long enough yet
+	trial    *task         // the suspect that it is a run of, while its worker is closed to others
 	lost     bool          // it ended with its worker's life, or its lease
 }
 
