Judge crashes by when workers can have been lost, tell bystanders from causes; soak with crashing tasks and room that changes

Change: workers were lost together only if the spans in which they can have been lost meet; a certain crash is in the table before it is judged; what was lost beside a task that had just begun, or that has lost more workers, says little; a proof is a run that ended as soon as those before. Given up after two proofs, four crashes right after the start, or five at all.

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -211,8 +211,7 @@
 		if r := p.start(&of, m, at.workers[i], at.number, now); r != nil {
 			r.tried = true
 			if at.closed {
-				r.trial = t
-				r.worker.trials[t]++
+				r.closeWorker(t)
 			}
 		}
 	}
@@ -333,9 +332,6 @@
 	if w.places == nil {
 		w.places = make(map[*task]int)
 	}
-	if w.trials == nil {
-		w.trials = make(map[*task]int)
-	}
 	w.places[t]++
 }
 
@@ -364,6 +360,11 @@
 // survived takes in that a worker has told of a suspect's run. Others may start beside it once
 // it has lived long enough.
 func (p *Pool) survived(r *run) {
+	if r.tried && !r.outlived && r.lived() >= soonSpan {
+		// Lost from now on, it wasn't lost by starting, also for the next owner.
+		r.outlived = true
+		p.outlive(r)
+	}
 	if r.tried && r.lived() >= probation(r.task.trials()) {
 		r.tried = false
 		p.conf.Logs.Info("task survived", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID, "lived", r.lived())
@@ -375,6 +376,33 @@
 	}
 }
 
+// inheritTrial goes on with a run that an owner before this one tried.
+func (p *Pool) inheritTrial(r *run) {
+	if r.task.trialTask().suspect {
+		// Each run of a suspect is noted until it has lived for a while.
+		r.credit = soonSpan
+	}
+	for _, tr := range r.task.trials() {
+		if tr.Run != r.number || tr.Crashed {
+			continue
+		}
+		r.tried, r.credit = true, tr.Lived
+		if r.task.strong() {
+			r.closeWorker(r.task.trialTask())
+		}
+		return
+	}
+}
+
+// closeWorker keeps a run's worker from other jobs' tasks, for the suspect that it is a run of.
+func (r *run) closeWorker(t *task) {
+	if r.worker.trials == nil {
+		r.worker.trials = make(map[*task]int)
+	}
+	r.trial = t
+	r.worker.trials[t]++
+}
+
 // endTrial takes a run off those that are tried on its worker.
 func (p *Pool) endTrial(r *run) {
 	if r.trial == nil {
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -11,9 +11,9 @@
 	// settleSpan after a worker was lost others that were lost with it have shown: till then
 	// nobody knows what it was lost for, and what ran there waits.
 	settleSpan = time.Second
-	// togetherSpan: workers that were lost so close to each other may have one cause. A hold
-	// at a worker that is gone without a word is found out by its bound, 1.8 s.
-	togetherSpan = 2 * time.Second
+	// noticeSpan is how much later than it was an owner may notice a broken connection, where
+	// a quota of processor time is used up.
+	noticeSpan = 100 * time.Millisecond
 	// surelySilent tells a worker that is lost from one whose answer was: holds are sent
 	// again 0.2 s after one failed.
 	surelySilent = 700 * time.Millisecond
@@ -33,7 +33,8 @@
 type loss struct {
 	worker string
 	rack   string
-	at     time.Duration // since when it didn't answer
+	from   time.Duration // it has answered till then ...
+	at     time.Duration // ... and not since: it was lost in between
 	runs   []lostRun
 	// innocent: there were runs, and none of them can be why it was lost.
 	innocent bool
@@ -63,7 +64,7 @@
 }
 
 // lived is how long the run has lived at the least: until its worker last told of it.
-func (r *run) lived() time.Duration { return max(0, r.toldAt-r.sent) }
+func (r *run) lived() time.Duration { return r.credit + max(0, r.toldAt-r.sent) }
 
 // watch notes what runs on a worker that has stopped answering. A successor would otherwise
 // start it again without knowing that its worker has crashed: an owner learns that by the
@@ -152,16 +153,21 @@
 // it was lost for is judged a little later.
 func (p *Pool) fell(w *worker, now time.Duration) {
 	l := &loss{
-		worker: w.info.ID, rack: w.info.Rack(), at: w.silentAt, runs: w.lost, innocent: w.innocent(),
+		worker: w.info.ID, rack: w.info.Rack(), from: w.heardAt, at: w.silentAt, runs: w.lost, innocent: w.innocent(),
 		alone: w.oneJob(),
 	}
 	if !w.silent {
 		l.at = now
 	}
-	l.planned = w.leaving(l.at)
+	// Only empty machines are ordered to leave.
+	l.planned = w.info.Draining || len(l.runs) == 0 && w.leaving(l.at)
 	for _, r := range l.runs {
 		r.task.adrift--
 		r.task.awaits++
+		if !l.planned && !r.task.done && r.task.job.open() {
+			// The next owner has to know, should this one not come to judge it.
+			p.try(r.task, gauge.Trial{Run: r.number, Worker: l.worker, Alone: l.alone && r.told, Lived: r.lived})
+		}
 	}
 	w.lost = nil
 	p.losses = append(p.losses, l)
@@ -189,6 +195,7 @@
 		p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", l.worker, "runs", len(l.runs), "alone", l.alone,
 			"together", together, "planned", l.planned, "age", now-l.at)
 	}
+	beside := l.beside()
 	for _, r := range l.runs {
 		r.task.awaits--
 		if together || l.planned {
@@ -199,12 +206,29 @@
 			continue
 		}
 		p.try(r.task, gauge.Trial{
-			Run: r.number, Worker: l.worker, Crashed: true, Alone: l.alone && r.told && toll.rackBusy == 0, Lived: r.lived,
+			Run: r.number, Worker: l.worker, Crashed: true, Alone: l.alone && r.told && toll.rackBusy == 0 && r.lived < probation(r.task.trials().Without(r.number)), Beside: beside[r.task], Lived: r.lived,
 		})
 		p.giveUp(r.task)
 	}
 }
 
+// beside are the tasks that were lost with a likelier cause: a task of another job that began
+// lately, where they did not, or one that has lost more workers.
+func (l *loss) beside() map[*task]bool {
+	tasks := make(map[*task]bool)
+	for _, r := range l.runs {
+		for _, o := range l.runs {
+			if o.task.job == r.task.job {
+				continue
+			}
+			if o.lived < soonSpan && r.lived >= soonSpan || o.task.trials().Crashes() > r.task.trials().Crashes() {
+				tasks[r.task] = true
+			}
+		}
+	}
+	return tasks
+}
+
 // toll is what else was lost at about the time of a loss.
 type toll struct {
 	innocent  bool // a worker on which nothing can be the reason
@@ -225,7 +249,7 @@
 func (p *Pool) toll(l *loss, now time.Duration) toll {
 	x := toll{}
 	for _, w := range p.workers {
-		if !w.listed || !w.heard || w.gone || w.info.ID == l.worker || w.since >= l.at || w.silent && w.leaving(w.silentAt) {
+		if !w.heard || w.gone || w.info.ID == l.worker || w.since >= l.at || w.silent && w.leaving(w.silentAt) {
 			continue
 		}
 		mate := l.rack != "" && w.info.Rack() == l.rack
@@ -233,7 +257,7 @@
 			x.add(mate, len(w.runs)+len(w.lost) > 0, w.innocent())
 			continue
 		}
-		x.rackStays += count(mate)
+		x.rackStays += count(mate && w.listed)
 	}
 	for _, o := range p.losses {
 		if o.with(l) {
@@ -252,13 +276,6 @@
 	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0
 }
 
-func (p *Pool) lostWithOthers(l *loss, now time.Duration) bool {
-	if l.before {
-		return p.unheardWith(l) > 1
-	}
-	return p.toll(l, now).together()
-}
-
 func count(holds bool) int {
 	if holds {
 		return 1
@@ -268,15 +285,20 @@
 
 // lostWith tells whether a worker stopped answering at about the time of a loss.
 func (w *worker) lostWith(l *loss, now time.Duration) bool {
-	return w.heard && w.silent && !w.leaving(w.silentAt) && now-w.silentAt >= surelySilent && (w.silentAt-l.at).Abs() <= togetherSpan
+	return w.heard && w.silent && !w.leaving(w.silentAt) && now-w.silentAt >= surelySilent && l.overlaps(w.heardAt, w.silentAt)
 }
 
 // with tells whether two workers were lost together.
 func (l *loss) with(o *loss) bool {
-	return l != o && l.worker != o.worker && !l.planned && l.before == o.before && (l.at-o.at).Abs() <= togetherSpan &&
+	return l != o && l.worker != o.worker && !l.planned && l.before == o.before && l.overlaps(o.from, o.at) &&
 		!slices.ContainsFunc(l.runs, func(r lostRun) bool { return o.had(r.task) })
 }
 
+// overlaps tells whether a worker that was lost in a span may have been so at the same moment.
+func (l *loss) overlaps(from, at time.Duration) bool {
+	return from <= l.at+noticeSpan && l.from <= at+noticeSpan
+}
+
 // had tells whether a run of a task was lost.
 func (l *loss) had(t *task) bool {
 	return slices.ContainsFunc(l.runs, func(r lostRun) bool { return r.task == t })
@@ -299,14 +321,14 @@
 			return l
 		}
 	}
-	return &loss{worker: id, at: now, before: true}
+	return &loss{worker: id, from: now, at: now, before: true}
 }
 
 // unheard takes in that a worker of an owner before can run nothing any more, and has never
 // answered to this one.
 func (p *Pool) unheard(id string, now time.Duration) {
 	if p.workers[id] == nil {
-		p.losses = append(p.losses, &loss{worker: id, at: now, judged: true, before: true})
+		p.losses = append(p.losses, &loss{worker: id, from: now, at: now, judged: true, before: true})
 	}
 }
 
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -126,6 +126,7 @@
 	surplus := t.done || len(t.runs) > 0 || !j.open()
 	t.attach(r)
 	w.add(r)
+	p.inheritTrial(r)
 	if surplus {
 		p.conf.Count(EventSurplus)
 		p.halt(r)
@@ -336,4 +337,5 @@
 	}
 	r.task.job.told()
 	r.known, r.toldAt = max(r.known, clock), now
+	r.worker.heardAt = now
 }
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -23,11 +23,15 @@
 	calmSpan = 30 * time.Second
 	// suspectCrashes make any task a suspect, however long its runs lived.
 	suspectCrashes = 2
-	// aloneMost crashes with nothing else on the worker show that the task is the cause: one
-	// may come by chance.
+	// aloneMost crashes with nothing else on the worker, as soon after the start as those before,
+	// show that the task is the cause: one may come by chance.
 	aloneMost = 2
-	// crashesMost are enough where it could not be told apart, or its starts got no answer.
-	crashesMost = 4
+	// soonMost crashes soon after its start are enough where it could not be told apart, or its
+	// starts got no answer ...
+	soonMost = 4
+	// ... and so many crashes at any time. By the users' rules a task may be started twice
+	// more after three crashes.
+	crashesMost = 5
 )
 
 // trialTask is the task that the trials are kept with: members of a gang are one.
@@ -64,7 +68,9 @@
 func suspected(ts gauge.Trials) bool { return ts.Soon(soonSpan) || ts.Crashes() >= suspectCrashes }
 
 // causes tells whether a task must be the cause of crashes.
-func causes(ts gauge.Trials) bool { return ts.Alone() >= aloneMost || ts.Crashes() >= crashesMost }
+func causes(ts gauge.Trials) bool {
+	return ts.Alone() >= aloneMost || ts.LikelySoon(soonSpan) >= soonMost || ts.Likely() >= crashesMost
+}
 
 // probation is how long a run has to live until its worker is taken to survive it.
 func probation(ts gauge.Trials) time.Duration { return min(2*ts.Longest()+soonSpan, calmSpan) }
@@ -82,6 +88,17 @@
 	p.suspect(t)
 }
 
+// outlive notes how long a run that is tried has lived so far.
+func (p *Pool) outlive(r *run) {
+	ts := slices.Clone(r.task.trials())
+	for i := range ts {
+		if ts[i].Run == r.number && !ts[i].Crashed {
+			ts[i].Lived = r.lived()
+		}
+	}
+	r.task.setTrials(ts, false)
+}
+
 // acquit takes back that a run may have ended its worker; crashes that are certain stay.
 func (p *Pool) acquit(t *task, run int) {
 	ts := t.trials()
@@ -167,7 +184,9 @@
 
 // crashedBefore takes in that a worker was gone before this owner heard it.
 func (p *Pool) crashedBefore(t *task, tr gauge.Trial, now time.Duration) {
-	if p.lostWithOthers(p.lossOf(tr.Worker, now), now) {
+	// What others were lost for nobody knows, either: that excuses no task that has lost two
+	// workers already.
+	if !t.strong() && p.unheardWith(p.lossOf(tr.Worker, now)) > 1 {
 		p.acquit(t, tr.Run)
 		return
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -31,6 +31,7 @@
 	flying   bool          // its start has no answer yet, and counts for the bound on these
 	until    time.Duration // on the worker's clock: an order that comes later is refused
 	known    time.Duration // on the worker's clock: the worker has had it, or its stop, since
+	credit   time.Duration // how long it surely lived before this owner found it
 	toldAt   time.Duration // when its worker last told that it is there
 	stop     bool          // it is to end
 	unsure   bool          // its start got no answer
@@ -42,6 +43,7 @@
 	pacing   bool          // a pace is on its way
 	listed   int           // number of the last report that listed it
 	tried    bool          // it is one of a suspect, and hasn't lived long enough yet
+	outlived bool          // the row tells that it has lived for a while
 	trial    *task         // the suspect that it is a run of, while its worker is closed to others
 	lost     bool          // it ended with its worker's life, or its lease
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,7 +4,7 @@
 // are checked from what callers and workers see; nothing is decided by how long anything
 // takes but a stop, which has its grace.
 //
-//	SOAK_SEEDS=1,2,3 SOAK_ENTRIES=8 SOAK_SECONDS=60 SOAK_CHANGES=1 go test -run Soak -timeout 2h ./test/soak
+//	SOAK_SEEDS=1,2,3 SOAK_ENTRIES=8 SOAK_SECONDS=60 SOAK_CHANGES=1 SOAK_CRASHES=1 go test -run Soak -timeout 2h ./test/soak
 package soak_test
 
 import (
@@ -32,6 +32,7 @@
 	entries int
 	seconds int
 	changes bool // entries are also cut off from the table for seconds while the configuration changes
+	crashes bool // some jobs crash their workers, and the room of workers changes
 }
 
 // plans are played where SOAK_SEEDS names no seeds. A seed that ever failed stays here.
@@ -50,6 +51,7 @@
 			{seed: 55, entries: defaultEntries, seconds: defaultSeconds},
 			// An entry said of a queue that it is missing, more than two seconds after it was added.
 			{seed: 201, entries: defaultEntries, seconds: defaultSeconds, changes: true},
+			{seed: 301, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
 		}
 	}
 	var list []plan
@@ -58,7 +60,7 @@
 		assert.NilError(t, err)
 		list = append(list, plan{
 			seed: seed, entries: setting("SOAK_ENTRIES", defaultEntries), seconds: setting("SOAK_SECONDS", defaultSeconds),
-			changes: setting("SOAK_CHANGES", 0) > 0,
+			changes: setting("SOAK_CHANGES", 0) > 0, crashes: setting("SOAK_CRASHES", 0) > 0,
 		})
 	}
 	return list
@@ -103,6 +105,8 @@
 	callers  *callers
 	stored   stored
 	changes  bool
+	crashes  bool
+	crashers crashers
 	asked    int            // times for a queue that had to be there
 	group    sync.WaitGroup // of events that go on
 }
@@ -111,7 +115,7 @@
 	s := &soak{
 		t: t, seed: p.seed, lasts: time.Duration(p.seconds) * time.Second,
 		random: rand.New(rand.NewPCG(p.seed, 0)), platform: startPlatform(t),
-		stored: stored{version: 1, at: make(map[int64]time.Time)}, changes: p.changes,
+		stored: stored{version: 1, at: make(map[int64]time.Time)}, changes: p.changes, crashes: p.crashes,
 	}
 	dir := t.TempDir()
 	if keep := os.Getenv("SOAK_LOGS"); keep != "" {
@@ -143,6 +147,10 @@
 	if s.changes {
 		working.Go(func() { s.changeUnheard(ctx) })
 	}
+	if s.crashes {
+		working.Go(func() { s.handInCrashers(ctx) })
+		working.Go(func() { s.changeRoom(ctx) })
+	}
 	for ctx.Err() == nil {
 		s.event()
 		rest(ctx, time.Duration(100+s.random.IntN(900))*time.Millisecond)
@@ -238,6 +246,10 @@
 		case refused, unknown:
 		}
 	}
+	for _, id := range s.crashers.all() {
+		s.until("job "+id+" given up", func() bool { return s.state(id) == "failed" })
+	}
+	s.t.Logf("seed %d: crashed their workers %d,", s.seed, len(s.crashers.all()))
 	s.t.Logf("seed %d: %v, configurations %d, asked for their queues %d times", s.seed, counts, s.stored.version, s.asked)
 	s.until("both lasting tasks run, and nothing else", func() bool {
 		running := s.platform.verdict().Running
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -86,6 +86,17 @@
 		table.Set(pick)
 		service.Each(func(w *fakes.Worker) { w.Set(pick) })
 	})
+	mux.HandleFunc("/room", func(_ http.ResponseWriter, r *http.Request) {
+		cpu, _ := strconv.Atoi(r.URL.Query().Get("cpu"))
+		if w := service.Worker(r.URL.Query().Get("machine")); w != nil {
+			w.Resize(cpu)
+		}
+	})
+	mux.HandleFunc("/power", func(http.ResponseWriter, *http.Request) {
+		for _, id := range ids {
+			service.Crash(id)
+		}
+	})
 	mux.HandleFunc("/verdict", func(w http.ResponseWriter, _ *http.Request) {
 		v := verdict{Faults: journal.Faults(), Wave: table.WaveDone(1)}
 		v.Starts, v.Running = journal.Tasks()
@@ -159,6 +170,13 @@
 	}
 }
 
+// tell asks for something that may fail while the stand-ins are paused.
+func (p *platform) tell(path string) {
+	if resp, err := http.Get("http://" + p.at.Control + path); err == nil { //nolint:noctx // ends with the process
+		_ = resp.Body.Close()
+	}
+}
+
 func (p *platform) verdict() verdict {
 	var v verdict
 	p.read("/verdict", &v)
--- a/trial.go
+++ b/trial.go
@@ -1,6 +1,9 @@
 package sapphiregauge
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Trial is a run of a task that may have ended its worker. It is in the table before the
 // task starts again, so that also the next owner knows how often that has happened.
@@ -10,8 +13,10 @@
 	// Crashed tells that the worker is over; else nobody knows yet what became of it.
 	Crashed bool `msgpack:"x,omitempty"`
 	// Alone tells that no other job had a task there, so that none of those is the cause.
-	Alone bool          `msgpack:"o,omitempty"`
-	Lived time.Duration `msgpack:"l,omitempty"` // the run, at the least
+	Alone bool `msgpack:"o,omitempty"`
+	// Beside tells that another job's task there is likelier to be the cause.
+	Beside bool          `msgpack:"b,omitempty"`
+	Lived  time.Duration `msgpack:"l,omitempty"` // the run, at the least
 }
 
 // Trials are those of one task. Members of a gang that ran on several workers have one for
@@ -24,6 +29,14 @@
 // Alone counts those of them that nothing else can have caused.
 func (t Trials) Alone() int { return t.runs(func(r Trial) bool { return r.Crashed && r.Alone }) }
 
+// Likely counts those of them for which nothing on the worker was a likelier cause.
+func (t Trials) Likely() int { return t.runs(func(r Trial) bool { return r.Crashed && !r.Beside }) }
+
+// LikelySoon counts those of these that ended within a span from their start.
+func (t Trials) LikelySoon(span time.Duration) int {
+	return t.runs(func(r Trial) bool { return r.Crashed && !r.Beside && r.Lived < span })
+}
+
 func (t Trials) runs(holds func(r Trial) bool) int {
 	numbers := make(map[int]bool)
 	for _, r := range t {
@@ -34,6 +47,11 @@
 	return len(numbers)
 }
 
+// Without leaves out those of one run.
+func (t Trials) Without(run int) Trials {
+	return slices.DeleteFunc(slices.Clone(t), func(r Trial) bool { return r.Run == run })
+}
+
 // Longest is how long the longest of these runs has lived.
 func (t Trials) Longest() time.Duration {
 	longest := time.Duration(0)
