--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -16,8 +16,6 @@
 	// apartWait is how long a task that has crashed two workers waits for one that is free of
 	// other work. Longer it may not stand still, though that worker isn't to be had.
 	apartWait = 2 * time.Second
-	// asideSpan is how long a worker is kept free for that. Most work ends in that time.
-	asideSpan = 2 * time.Second
 	// placeSpan is how long a place is kept until the table has that the task is tried there.
 	// A write takes some 10 ms, in a slow spell 60 times as long.
 	placeSpan = 700 * time.Millisecond
@@ -249,103 +247,6 @@
 	return r
 }
 
-// setAside keeps a worker without lasting tasks free for a suspect, the one that is free
-// soonest.
-func (p *Pool) setAside(t *task, now time.Duration) {
-	if !p.fewAside(now) {
-		return
-	}
-	var best *worker
-	for _, w := range p.byID() {
-		if !w.takes(now) || w.setAside(now) || w.lasting > 0 || !w.info.HasLabel(t.stage.spec.Label) || !w.info.Capacity.Holds(t.stage.spec.Room()) {
-			continue
-		}
-		if best == nil || w.busy(now) < best.busy(now) {
-			best = w
-		}
-	}
-	if best == nil {
-		return
-	}
-	best.asideUntil = now + asideSpan
-	p.conf.Logs.Info("worker set aside", "pool", p.conf.Name, "worker", best.info.ID, "runs", len(best.runs), "job", t.job.id, "task", t.id.String())
-}
-
-// fewAside tells whether one more worker may be kept from other work: one in any case, and a
-// quarter of them at the most.
-func (p *Pool) fewAside(now time.Duration) bool {
-	aside, all := 0, 0
-	for _, w := range p.workers {
-		if !w.listed || w.gone {
-			continue
-		}
-		all++
-		aside += count(w.setAside(now))
-	}
-	return aside == 0 || fewOf*(aside+1) <= all
-}
-
-// setAside tells whether a worker is kept for suspects: one is tried there, or is to be.
-func (w *worker) setAside(now time.Duration) bool { return w.tries() > 0 || now < w.asideUntil }
-
-// tries counts what is tried on a worker, or is to be.
-func (w *worker) tries() int { return len(w.trials) + len(w.places) }
-
-// onlyOf tells whether no other job has a task on a worker.
-func (w *worker) onlyOf(j *job) bool {
-	for r := range w.runs {
-		if r.task.job != j {
-			return false
-		}
-	}
-	return w.triesOnly(j)
-}
-
-// rackTries tells whether another job's suspect is tried on a worker's rack: if both workers are
-// lost at once it can't be told from a loss of the rack.
-func (p *Pool) rackTries(w *worker, j *job) bool {
-	for _, o := range p.workers {
-		if o != w && o.tries() > 0 && o.info.Rack() == w.info.Rack() && !o.triesOnly(j) {
-			return true
-		}
-	}
-	return false
-}
-
-// triesOnly tells whether no other job's suspect is tried on a worker, or is to be.
-func (w *worker) triesOnly(j *job) bool {
-	for t := range w.trials {
-		if t.job != j {
-			return false
-		}
-	}
-	for t := range w.places {
-		if t.job != j {
-			return false
-		}
-	}
-	return true
-}
-
-// reserve keeps a place for one of a suspect's tasks.
-func (w *worker) reserve(t *task) {
-	if w.places == nil {
-		w.places = make(map[*task]int)
-	}
-	w.places[t]++
-}
-
-// reserved is the room that is kept on a worker for suspects.
-func (w *worker) reserved() gauge.Resources {
-	var sum gauge.Resources
-	for t, n := range w.places {
-		for range n {
-			sum = sum.Plus(t.stage.spec.Room())
-		}
-	}
-	return sum
-}
-
 // unreserve lets a suspect's place go.
 func (p *Pool) unreserve(t *task) {
 	if t.place == nil {
@@ -356,60 +257,3 @@
 	}
 	t.place = nil
 }
-
-// survived takes in that a worker has told of a suspect's run. Others may start beside it once
-// it has lived long enough.
-func (p *Pool) survived(r *run) {
-	if r.tried && !r.outlived && r.lived() >= soonSpan {
-		// Lost from now on, it wasn't lost by starting, also for the next owner.
-		r.outlived = true
-		p.outlive(r)
-	}
-	if r.tried && r.lived() >= probation(r.task.trials()) {
-		r.tried = false
-		p.conf.Logs.Info("task survived", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID, "lived", r.lived())
-		p.endTrial(r)
-		p.acquit(r.task, r.number)
-	}
-	if r.lived() >= calmSpan {
-		p.clear(r.task)
-	}
-}
-
-// inheritTrial goes on with a run that an owner before this one tried.
-func (p *Pool) inheritTrial(r *run) {
-	if r.task.trialTask().suspect {
-		// Each run of a suspect is noted until it has lived for a while.
-		r.credit = soonSpan
-	}
-	for _, tr := range r.task.trials() {
-		if tr.Run != r.number || tr.Crashed {
-			continue
-		}
-		r.tried, r.credit = true, tr.Lived
-		if r.task.strong() {
-			r.closeWorker(r.task.trialTask())
-		}
-		return
-	}
-}
-
-// closeWorker keeps a run's worker from other jobs' tasks, for the suspect that it is a run of.
-func (r *run) closeWorker(t *task) {
-	if r.worker.trials == nil {
-		r.worker.trials = make(map[*task]int)
-	}
-	r.trial = t
-	r.worker.trials[t]++
-}
-
-// endTrial takes a run off those that are tried on its worker.
-func (p *Pool) endTrial(r *run) {
-	if r.trial == nil {
-		return
-	}
-	if r.worker.trials[r.trial]--; r.worker.trials[r.trial] <= 0 {
-		delete(r.worker.trials, r.trial)
-	}
-	r.trial = nil
-}
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -11,12 +11,6 @@
 	// settleSpan after a worker was lost others that were lost with it have shown: till then
 	// nobody knows what it was lost for, and what ran there waits.
 	settleSpan = time.Second
-	// noticeSpan is how much later than it was an owner may notice a broken connection, where
-	// a quota of processor time is used up.
-	noticeSpan = 100 * time.Millisecond
-	// surelySilent tells a worker that is lost from one whose answer was: holds are sent
-	// again 0.2 s after one failed.
-	surelySilent = 700 * time.Millisecond
 	// lossesFor is how long a loss is remembered, to be compared with others.
 	lossesFor = 10 * time.Second
 )
@@ -206,112 +200,16 @@
 			continue
 		}
 		p.try(r.task, gauge.Trial{
-			Run: r.number, Worker: l.worker, Crashed: true, Alone: l.alone && r.told && toll.rackBusy == 0 && r.lived < probation(r.task.trials().Without(r.number)), Beside: beside[r.task], Lived: r.lived,
+			Run: r.number, Worker: l.worker, Crashed: true, Alone: toll.rackBusy == 0 && l.proves(r), Beside: beside[r.task], Lived: r.lived,
 		})
 		p.giveUp(r.task)
 	}
 }
 
-// beside are the tasks that were lost with a likelier cause: a task of another job that began
-// lately, where they did not, or one that has lost more workers.
-func (l *loss) beside() map[*task]bool {
-	tasks := make(map[*task]bool)
-	for _, r := range l.runs {
-		for _, o := range l.runs {
-			if o.task.job == r.task.job {
-				continue
-			}
-			if o.lived < soonSpan && r.lived >= soonSpan || o.task.trials().Crashes() > r.task.trials().Crashes() {
-				tasks[r.task] = true
-			}
-		}
-	}
-	return tasks
-}
-
-// toll is what else was lost at about the time of a loss.
-type toll struct {
-	innocent  bool // a worker on which nothing can be the reason
-	idle      int  // workers without runs
-	rackIdle  int  // of these, on the same rack
-	rackBusy  int  // workers with runs, on the same rack
-	rackStays int  // workers of the rack that were not lost
-}
-
-// add counts a worker that was lost.
-func (x *toll) add(mate, busy, innocent bool) {
-	x.innocent = x.innocent || innocent
-	x.idle += count(!busy)
-	x.rackIdle += count(mate && !busy)
-	x.rackBusy += count(mate && busy)
-}
-
-func (p *Pool) toll(l *loss, now time.Duration) toll {
-	x := toll{}
-	for _, w := range p.workers {
-		if !w.heard || w.gone || w.info.ID == l.worker || w.since >= l.at || w.silent && w.leaving(w.silentAt) {
-			continue
-		}
-		mate := l.rack != "" && w.info.Rack() == l.rack
-		if w.lostWith(l, now) && !w.sharesTask(l) {
-			x.add(mate, len(w.runs)+len(w.lost) > 0, w.innocent())
-			continue
-		}
-		x.rackStays += count(mate && w.listed)
-	}
-	for _, o := range p.losses {
-		if o.with(l) {
-			x.add(l.rack != "" && o.rack == l.rack, len(o.runs) > 0, o.innocent)
-		}
-	}
-	return x
-}
-
-// together tells whether a worker was lost together with others that no task can have ended:
-// then it was the rack, the power or a cut. A single idle worker says nothing, unless the whole
-// rack is gone: machines move to other pools all the while, and their workers are listed for
-// seconds after. Neither do workers on which a task began lately: tasks that end their workers
-// may come together.
-func (x toll) together() bool {
-	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0
-}
-
-func count(holds bool) int {
-	if holds {
-		return 1
-	}
-	return 0
-}
-
-// lostWith tells whether a worker stopped answering at about the time of a loss.
-func (w *worker) lostWith(l *loss, now time.Duration) bool {
-	return w.heard && w.silent && !w.leaving(w.silentAt) && now-w.silentAt >= surelySilent && l.overlaps(w.heardAt, w.silentAt)
-}
-
-// with tells whether two workers were lost together.
-func (l *loss) with(o *loss) bool {
-	return l != o && l.worker != o.worker && !l.planned && l.before == o.before && l.overlaps(o.from, o.at) &&
-		!slices.ContainsFunc(l.runs, func(r lostRun) bool { return o.had(r.task) })
-}
-
-// overlaps tells whether a worker that was lost in a span may have been so at the same moment.
-func (l *loss) overlaps(from, at time.Duration) bool {
-	return from <= l.at+noticeSpan && l.from <= at+noticeSpan
-}
-
-// had tells whether a run of a task was lost.
-func (l *loss) had(t *task) bool {
-	return slices.ContainsFunc(l.runs, func(r lostRun) bool { return r.task == t })
-}
-
-// sharesTask tells whether a task that was lost with a worker has a run on this one.
-func (w *worker) sharesTask(l *loss) bool {
-	for r := range w.runs {
-		if l.had(r.task) {
-			return true
-		}
-	}
-	return slices.ContainsFunc(w.lost, func(r lostRun) bool { return l.had(r.task) })
+// proves tells whether nothing but a task can have ended its worker: it ended as soon after
+// its start as those before, and nothing else was there.
+func (l *loss) proves(r lostRun) bool {
+	return l.alone && r.told && r.lived < probation(r.task.trials().Without(r.number))
 }
 
 // lossOf is the loss of a worker that this owner never heard.
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -72,9 +72,6 @@
 	return ts.Alone() >= aloneMost || ts.LikelySoon(soonSpan) >= soonMost || ts.Likely() >= crashesMost
 }
 
-// probation is how long a run has to live until its worker is taken to survive it.
-func probation(ts gauge.Trials) time.Duration { return min(2*ts.Longest()+soonSpan, calmSpan) }
-
 // try notes a run whose worker may crash, or has. One that is noted already is kept up.
 func (p *Pool) try(t *task, tr gauge.Trial) {
 	ts := slices.Clone(t.trials())
@@ -88,17 +85,6 @@
 	p.suspect(t)
 }
 
-// outlive notes how long a run that is tried has lived so far.
-func (p *Pool) outlive(r *run) {
-	ts := slices.Clone(r.task.trials())
-	for i := range ts {
-		if ts[i].Run == r.number && !ts[i].Crashed {
-			ts[i].Lived = r.lived()
-		}
-	}
-	r.task.setTrials(ts, false)
-}
-
 // acquit takes back that a run may have ended its worker; crashes that are certain stay.
 func (p *Pool) acquit(t *task, run int) {
 	ts := t.trials()
