Take no crash for a proof while most workers, or others of the rack, are lost

All workers lost power twice while each was busy with tasks that had just begun, so that nothing showed another cause; both counted as proofs, one by way of a takeover. Change: a loss of most workers at one moment, or beside others that nobody heard since the takeover, still counts but proves nothing. The test of the worker without room waits until the lease reaches beyond a takeover: the run had ended with the 1 s of its start in 2 of 5 runs, as it has to.

--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		p.try(r.task, gauge.Trial{
-			Run: r.number, Worker: l.worker, Crashed: true, Alone: toll.rackBusy == 0 && l.proves(r), Beside: beside[r.task], Lived: r.lived,
+			Run: r.number, Worker: l.worker, Crashed: true, Alone: !toll.unclear() && l.proves(r), Beside: beside[r.task], Lived: r.lived,
 		})
 		p.giveUp(r.task)
 	}
--- a/internal/sched/toll.go
+++ b/internal/sched/toll.go
@@ -41,10 +41,13 @@
 	rackIdle  int  // of these, on the same rack
 	rackBusy  int  // workers with runs, on the same rack
 	rackStays int  // workers of the rack that were not lost
+	lost      int  // workers in all
+	stays     int  // workers that were not lost
 }
 
 // add counts a worker that was lost.
 func (x *toll) add(mate, busy, innocent bool) {
+	x.lost++
 	x.innocent = x.innocent || innocent
 	x.idle += count(!busy)
 	x.rackIdle += count(mate && !busy)
@@ -62,6 +65,7 @@
 			x.add(mate, len(w.runs)+len(w.lost) > 0, w.innocent())
 			continue
 		}
+		x.stays += count(w.listed)
 		x.rackStays += count(mate && w.listed)
 	}
 	for _, o := range p.losses {
@@ -81,6 +85,11 @@
 	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0
 }
 
+// unclear tells whether other workers were lost that may have the same cause: those with tasks on
+// the rack, or most of them, as when the power goes. Then a crash proves nothing, but it counts:
+// tasks that end their workers may come in numbers.
+func (x toll) unclear() bool { return x.rackBusy > 0 || x.lost > x.stays }
+
 func count(holds bool) int {
 	if holds {
 		return 1
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -170,11 +170,14 @@
 
 // crashedBefore takes in that a worker was gone before this owner heard it.
 func (p *Pool) crashedBefore(t *task, tr gauge.Trial, now time.Duration) {
-	// What others were lost for nobody knows, either: that excuses no task that has lost two
-	// workers already.
-	if !t.strong() && p.unheardWith(p.lossOf(tr.Worker, now)) > 1 {
-		p.acquit(t, tr.Run)
-		return
+	if others := p.unheardWith(p.lossOf(tr.Worker, now)) > 1; others {
+		// What those were lost for nobody knows. It excuses no task that has lost two workers
+		// already, but proves nothing, either.
+		if !t.strong() {
+			p.acquit(t, tr.Run)
+			return
+		}
+		tr.Alone = false
 	}
 	tr.Crashed = true
 	p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", tr.Worker, "job", t.job.id, "task", t.id.String(), "run", tr.Run,
--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -171,6 +171,11 @@
 	task := fmt.Sprintf("%016x.0.0.0", 1)
 	s.waitFor("it runs", func() bool { return s.journal.Starts(task) == 1 })
 	s.machines.Each(func(w *fakes.Worker) { w.Resize(0) })
+	s.waitFor("its lease is extended beyond a takeover", func() bool {
+		long := true
+		s.machines.Each(func(w *fakes.Worker) { long = long && w.Granted() > 4*time.Second })
+		return long
+	})
 	s.start("next")
 	s.entries[0].kill()
 	s.waitFor("the next owner has found it", func() bool { return s.logged(`"msg"="run found"`, `"entry"="next"`) == 1 })
