Read when a worker's life began, and log it

Callers saw tasks run twice and lasting tasks away; no line told which life of a worker an answer was of, that an answer was left aside as an older one, or up to which end a worker's were acknowledged. Lines: worker listed, heard and back with born; report overtaken.

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -14,10 +14,11 @@
 	}
 	if w.silent {
 		p.unwatch(w)
-		p.conf.Logs.Info("worker back", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
+		p.conf.Logs.Info("worker back", "pool", p.conf.Name, "worker", id, "born", rep.Born, "runs", len(w.runs),
+			"running", len(rep.Running), "clock", rep.Clock, "before", w.clock, "kept", w.kept)
 	}
 	if !w.heard {
-		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "running", len(rep.Running), "ended", len(rep.Ended))
+		p.conf.Logs.Info("worker heard", "pool", p.conf.Name, "worker", id, "born", rep.Born, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.silent, w.mute, w.heard, w.heardAt = false, false, true, now
 	// Compared with the reports before it alone: answers to orders overtake reports all
@@ -35,6 +36,10 @@
 			w.take(e.Number, p.jobs[e.Task.Job])
 		}
 	}
+	if !newest {
+		p.conf.Logs.Info("report overtaken", "pool", p.conf.Name, "worker", id, "born", rep.Born, "clock", rep.Clock, "newest", w.pictured,
+			"running", len(rep.Running))
+	}
 	if newest {
 		// An older picture may have what has ended since.
 		w.pictured, w.held = rep.Clock, held
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -114,7 +114,7 @@
 			p.workers[info.ID] = w
 			p.sorted = nil
 			fresh = append(fresh, info)
-			p.conf.Logs.Info("worker listed", "pool", p.conf.Name, "worker", info.ID, "addr", info.Addr)
+			p.conf.Logs.Info("worker listed", "pool", p.conf.Name, "worker", info.ID, "born", info.Born, "addr", info.Addr)
 		}
 		if info.Draining && !w.info.Draining {
 			p.conf.Logs.Info("worker drains", "pool", p.conf.Name, "worker", info.ID, "leaves", info.Leaves)
--- a/worker.go
+++ b/worker.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// Worker is one life of a worker process: it gets a new id with each start.
+// Worker is one life of a worker process. It may start again under the same id.
 type Worker struct {
 	ID       string
+	Born     int64 // when this life began, see Life
 	Pool     string
 	Addr     string
 	Zone     string
@@ -17,6 +18,9 @@
 	Leaves   time.Duration // at least so long it stays while draining
 }
 
+// Life tells this life from others of the same worker.
+func (w *Worker) Life() Life { return Life{Worker: w.ID, Born: w.Born} }
+
 // Rack is the label that names the rack, the last one.
 func (w *Worker) Rack() string {
 	if len(w.Labels) == 0 {
@@ -72,6 +76,7 @@
 
 // WorkerReport is a worker's answer to Hold.
 type WorkerReport struct {
+	Born    int64         // of the life that answered; 0: it doesn't tell
 	Clock   time.Duration // the worker's steady clock
 	Running []RunReport
 	Ended   []EndReport
