--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -218,7 +218,7 @@
 func (n *Node) own(ctx context.Context, pool string, h *held) {
 	o := owner.New(ctx, owner.Config{
 		Pool: pool, Lease: h.lease, Term: h.term, Fence: h.fence, Earlier: h.before.Workers, Before: h.before, Early: h.early,
-		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest),
+		Grace: grantGrace, Keep: keepFactor * n.conf.Keep, Hold: min(holdSpan, n.conf.Longest), Longest: n.conf.Longest,
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, Wall: n.conf.Wall,
 		Stamp: n.stamp, Clock: n.clock, Count: n.conf.Count, Event: n.conf.Event, Backlog: n.conf.Backlog,
 		Without: n.conf.Without,
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -105,18 +105,18 @@
 func (o *Owner) lane(order *sched.Order) (shared, own chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	shared = laneIn(o.lanes, order.Worker.ID, ordersAtOnce)
+	shared = laneIn(o.lanes, order.Worker.Life(), ordersAtOnce)
 	if order.Kind == sched.OrderStop {
-		own = laneIn(o.stopLanes, order.Worker.ID, stopsAtOnce)
+		own = laneIn(o.stopLanes, order.Worker.Life(), stopsAtOnce)
 	}
 	return shared, own
 }
 
-func laneIn(lanes map[string]chan struct{}, worker string, places int) chan struct{} {
-	l := lanes[worker]
+func laneIn(lanes map[gauge.Life]chan struct{}, of gauge.Life, places int) chan struct{} {
+	l := lanes[of]
 	if l == nil {
 		l = make(chan struct{}, places)
-		lanes[worker] = l
+		lanes[of] = l
 	}
 	return l
 }
@@ -153,8 +153,8 @@
 	clock, err := o.order(order, began)
 	now := o.conf.Now()
 	o.conf.Count(string(order.Kind), now-began)
-	o.watchLag(order.Worker.ID, now-began, now)
-	if gauge.Is(err, gauge.KindFenced) {
+	o.watchLag(order.Worker.Life(), now-began, now)
+	if gauge.Is(err, gauge.KindFenced) && !o.outdated(order.Worker.Life(), order.Fence()) {
 		o.lose("a worker has seen a newer fencing token")
 		return
 	}
@@ -164,9 +164,9 @@
 // watchLag has the pool handed over when most orders take far too long: jobs would
 // wait here that another entry could start. Orders to workers that are silent tell
 // nothing of this host: a rack that is cut off would send the pool from owner to owner.
-func (o *Owner) watchLag(worker string, took, now time.Duration) {
+func (o *Owner) watchLag(of gauge.Life, took, now time.Duration) {
 	o.mu.Lock()
-	lags := !o.conf.Without.Has(gauge.MechanismLag) && !o.core.Silent(worker) && o.lag.Note(worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
+	lags := !o.conf.Without.Has(gauge.MechanismLag) && !o.core.Silent(of) && o.lag.Note(of.Worker, took, now) && !o.leaving && !o.ended && o.stuck != nil
 	o.leaving = o.leaving || lags
 	seen := o.lag.Seen(now)
 	o.mu.Unlock()
@@ -224,6 +224,6 @@
 	if err != nil {
 		return err
 	}
-	o.act(func(now time.Duration) { o.core.Report(order.Worker.ID, rep, now) })
+	o.report(order.Worker.Life(), order.Look, rep)
 	return nil
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -25,13 +25,15 @@
 	Lease   *tenure.Tenure
 	Term    int // owners before this one
 	Fence   gauge.Fence
-	Earlier []string       // workers of the owner before
+	Earlier []string       // lives of workers of the owner before
 	Before  gauge.LeaseRow // as it was taken: its counts are told until this owner has its own
 
 	Early time.Duration // how much of the lease before may not be over: its holder may go on for so long
 	Grace time.Duration // how long orders and holds may reach beyond the lease's end
 	Keep  time.Duration // how long an ended job's state is told
 	Hold  time.Duration // how far a hold extends a worker's lease
+	// Longest is the longest lease that a worker grants.
+	Longest time.Duration
 
 	Store   gauge.Parted
 	Workers gauge.Workers
@@ -65,16 +67,16 @@
 
 	mu        sync.Mutex
 	core      *sched.Pool
-	written   chan struct{}            // closed at each write, then made anew
-	away      bool                     // the table didn't answer the last write
-	writing   time.Duration            // when the write under way was sent; 0: none is
-	took      time.Duration            // what the last write took
-	ended     bool                     // the lease was lost or given up
-	stopping  bool                     // it is being handed over: nothing new begins
-	planned   time.Duration            // when the last plan was made
-	planning  bool                     // one is due at the end of the gap
-	lanes     map[string]chan struct{} // by worker
-	stopLanes map[string]chan struct{}
+	written   chan struct{} // closed at each write, then made anew
+	away      bool          // the table didn't answer the last write
+	writing   time.Duration // when the write under way was sent; 0: none is
+	took      time.Duration // what the last write took
+	ended     bool          // the lease was lost or given up
+	stopping  bool          // it is being handed over: nothing new begins
+	planned   time.Duration // when the last plan was made
+	planning  bool          // one is due at the end of the gap
+	lanes     map[gauge.Life]chan struct{}
+	stopLanes map[gauge.Life]chan struct{}
 	lag       *lag.Meter // of orders
 	leaving   bool       // a successor is looked for
 	loaded    bool
@@ -148,12 +150,12 @@
 	now := c.Now()
 	o := &Owner{
 		conf: c, began: now,
-		wake: make(chan struct{}, 1), lanes: make(map[string]chan struct{}), stopLanes: make(map[string]chan struct{}),
+		wake: make(chan struct{}, 1), lanes: make(map[gauge.Life]chan struct{}), stopLanes: make(map[gauge.Life]chan struct{}),
 		lag: lag.New(lag.Config{Window: lagWindow, Slow: lagSlow, Calls: lagCalls, Peers: lagPeers}), avoids: make(map[string]time.Duration), written: make(chan struct{}),
 		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow, Lane: ordersAtOnce,
-			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: c.Earlier, Doubt: now + c.Early + c.Grace + doubtMargin, Over: over(&c.Before, now),
+			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: parseLives(c.Earlier), Longest: c.Longest, Doubt: now + c.Early + c.Grace + doubtMargin, Over: over(&c.Before, now),
 		}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -163,13 +165,13 @@
 // over is when nothing runs any more on workers that didn't answer the owner before, as
 // it told when it gave the lease away. A row that it wrote while it went on says nothing
 // of what it granted since.
-func over(before *gauge.LeaseRow, now time.Duration) map[string]time.Duration {
+func over(before *gauge.LeaseRow, now time.Duration) map[gauge.Life]time.Duration {
 	if before.Holder != "" {
 		return nil
 	}
-	until := make(map[string]time.Duration, len(before.Left))
-	for id, left := range before.Left {
-		until[id] = now + time.Duration(left)*time.Millisecond + doubtMargin
+	until := make(map[gauge.Life]time.Duration, len(before.Left))
+	for name, left := range before.Left {
+		until[gauge.ParseLife(name)] = now + time.Duration(left)*time.Millisecond + doubtMargin
 	}
 	return until
 }
@@ -209,11 +211,11 @@
 func (o *Owner) Offer() (gauge.LeaseRow, int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	row := o.leaseRow()
+	row := o.leaseRow(o.core.Name())
 	row.Term = o.conf.Term
 	row.Left = make(map[string]int64)
-	for id, left := range o.core.Left(o.conf.Now()) {
-		row.Left[id] = left.Milliseconds() + 1
+	for l, left := range o.core.Left(o.conf.Now()) {
+		row.Left[l.String()] = left.Milliseconds() + 1
 	}
 	return row, o.conf.Lease.Version()
 }
@@ -280,19 +282,13 @@
 
 // List takes in the platform's list of workers.
 func (o *Owner) List(workers []gauge.Worker) {
-	var fresh []gauge.Worker
 	o.locked(func() {
 		o.listed = workers
 		if o.loaded && !o.ended { // else a report would be of jobs that aren't known yet
-			fresh = o.core.Workers(workers)
+			o.core.Workers(workers)
 		}
 	})
-	for _, w := range fresh {
-		o.run(func() { o.holdLoop(w.ID) })
-	}
-	if len(fresh) > 0 {
-		o.poke() // the lease row has to name them before they are used
-	}
+	o.holdFresh()
 	o.act(nil)
 }
 
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -85,6 +85,7 @@
 	batch sched.Batch
 	txn   gauge.PartTxn
 	lease gauge.LeaseRow
+	names []gauge.Life // of workers, in the lease's row
 }
 
 // write sends one transaction, and takes in that the table has it. More: the next is
@@ -145,7 +146,8 @@
 	if err != nil {
 		return pending{}, err
 	}
-	p := pending{batch: batch, lease: o.leaseRow()}
+	names := o.core.Name()
+	p := pending{batch: batch, lease: o.leaseRow(names), names: names}
 	for _, c := range batch.Changes {
 		job := gauge.RowKey{Table: gauge.TableJobs, Part: c.Queue, Key: c.Job}
 		p.txn.Checks = append(p.txn.Checks, gauge.RowCheck{RowKey: job, Version: c.Version})
@@ -163,8 +165,8 @@
 // the owner before, which may be told while they aren't too old. A queue that isn't read
 // then, or was not for long, is named: to tell it as empty would be wrong by as many jobs
 // as wait there.
-func (o *Owner) leaseRow() gauge.LeaseRow {
-	row := gauge.LeaseRow{Workers: o.core.Name()}
+func (o *Owner) leaseRow(names []gauge.Life) gauge.LeaseRow {
+	row := gauge.LeaseRow{Workers: lifeNames(names)}
 	if !o.loaded {
 		row.CountsOf(&o.conf.Before)
 		return row
@@ -173,12 +175,28 @@
 	return row
 }
 
+func lifeNames(lives []gauge.Life) []string {
+	names := make([]string, len(lives))
+	for i, l := range lives {
+		names[i] = l.String()
+	}
+	return names
+}
+
+func parseLives(names []string) []gauge.Life {
+	lives := make([]gauge.Life, len(names))
+	for i, name := range names {
+		lives[i] = gauge.ParseLife(name)
+	}
+	return lives
+}
+
 // wrote takes in that a write is in the table; true: the next is due at once.
 func (o *Owner) wrote(p pending, stamp gauge.Stamp) bool {
 	urgent, more := false, false
 	o.locked(func() {
 		o.core.Written(p.batch, stamp.Version, o.conf.Now())
-		o.core.Noted(p.lease.Workers)
+		o.core.Noted(p.names, stamp.Version)
 		urgent = o.core.Urgent()
 		more = p.batch.More || o.stopping && len(p.batch.Changes) > 0 && o.core.Unwritten() > 0
 	})
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -12,8 +12,8 @@
 // them.
 type advised struct {
 	asking  bool
-	tickets map[string]ticket        // by worker
-	asked   map[string]time.Duration // workers that were asked about, and when
+	tickets map[gauge.Life]ticket        // each holds for one life of a worker
+	asked   map[gauge.Life]time.Duration // those that were asked about, and when
 }
 
 type ticket struct {
@@ -38,7 +38,7 @@
 	if t.advice == nil {
 		return "", true
 	}
-	k, ok := t.stage.advised.tickets[w.info.ID]
+	k, ok := t.stage.advised.tickets[w.info.Life()]
 	return k.text, ok && now < k.until-ticketMargin
 }
 
@@ -51,7 +51,7 @@
 	}
 	var about []*worker
 	for _, w := range room.workers {
-		asked, known := a.asked[w.info.ID]
+		asked, known := a.asked[w.info.Life()]
 		if w.free().Holds(t.stage.spec.Room()) && (!known || now > asked+max(adviceAgain, t.advice.Valid)) {
 			about = append(about, w)
 		}
@@ -64,6 +64,7 @@
 	order := Order{Kind: OrderAdvise, stage: t.stage, Step: t.stage.tasks[0].id.StepName(), valid: t.advice.Valid}
 	for _, w := range about[:min(len(about), adviceMost)] {
 		order.About = append(order.About, w.info.ID)
+		order.lives = append(order.lives, w.info.Life())
 	}
 	p.orders = append(p.orders, order)
 }
@@ -81,14 +82,15 @@
 		valid = o.valid // the service doesn't say: as configured
 	}
 	if a.tickets == nil {
-		a.tickets, a.asked = make(map[string]ticket), make(map[string]time.Duration)
+		a.tickets, a.asked = make(map[gauge.Life]ticket), make(map[gauge.Life]time.Duration)
 	}
-	for _, id := range o.About {
-		a.asked[id] = asked
-		delete(a.tickets, id)
+	lives := make(map[string]gauge.Life, len(o.lives))
+	for _, l := range o.lives {
+		a.asked[l], lives[l.Worker] = asked, l
+		delete(a.tickets, l)
 	}
 	for _, t := range tickets {
-		a.tickets[t.Worker] = ticket{text: t.Text, until: asked + valid}
+		a.tickets[lives[t.Worker]] = ticket{text: t.Text, until: asked + valid}
 	}
 	p.conf.Logs.Info("advice", "job", o.stage.tasks[0].id.Job, "step", o.Step, "about", len(o.About), "good", len(tickets), "valid", valid)
 }
--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -132,7 +132,7 @@
 		}
 		if !told[w] {
 			told[w] = true
-			p.try(t, gauge.Trial{Run: at.number, Worker: w.info.ID, Alone: at.alone})
+			p.try(t, gauge.Trial{Run: at.number, Worker: w.info.ID, Born: w.info.Born, Alone: at.alone})
 		}
 	}
 }
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -25,9 +25,9 @@
 		list, ids = append(list, w), append(ids, w.ID)
 	}
 	p.Workers(list)
-	p.Noted(ids)
+	p.Noted(livesOf(ids...), fence)
 	for _, id := range ids {
-		p.Report(id, &gauge.WorkerReport{Clock: time.Hour}, 0)
+		p.Report(life(id), gauge.HoldCall{}, &gauge.WorkerReport{Clock: time.Hour}, 0)
 	}
 	for i := range workers/2 + jobs {
 		spec := &gauge.JobSpec{Steps: []gauge.Step{step(8)}}
@@ -107,7 +107,7 @@
 	}
 	for i := range reports {
 		reports[i].Clock = time.Hour
-		p.Report(list[i].ID, &reports[i], 0)
+		p.Report(life(list[i].ID), gauge.HoldCall{}, &reports[i], 0)
 	}
 	return p
 }
--- a/internal/sched/calm_test.go
+++ b/internal/sched/calm_test.go
@@ -68,6 +68,7 @@
 // calm lets time pass with nothing lost, late or refused.
 func (w *world) calm() {
 	w.pass()
+	w.calming = true
 	w.unhide()
 	w.unhide()
 	for i := range calmSteps {
@@ -102,12 +103,13 @@
 		switch {
 		case m == nil:
 		case !m.up:
-			w.pool.HoldFailed(m.id, gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
+			w.pool.HoldFailed(m.life(), gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
 		default:
 			w.hold(m)
-			if r := w.reports[m.id]; r != nil {
+			if r, some := w.reports[m.id]; some {
 				delete(w.reports, m.id)
-				w.pool.Report(m.id, r, w.now)
+				w.pool.Report(r.asked, r.call, r.rep, w.now)
+				w.hear()
 			}
 		}
 	}
--- a/internal/sched/cost_bench_test.go
+++ b/internal/sched/cost_bench_test.go
@@ -41,9 +41,9 @@
 		list, ids = append(list, w), append(ids, w.ID)
 	}
 	p.Workers(list)
-	p.Noted(ids)
+	p.Noted(livesOf(ids...), fence)
 	for _, id := range ids {
-		p.Report(id, &gauge.WorkerReport{Clock: time.Hour}, 0)
+		p.Report(life(id), gauge.HoldCall{}, &gauge.WorkerReport{Clock: time.Hour}, 0)
 	}
 	for i := range jobs + (workers*places+7)/8 {
 		second := step(5)
@@ -100,7 +100,7 @@
 				b.StopTimer()
 				p, rep := busy(b, log)
 				b.StartTimer()
-				p.Report("w0", rep, time.Millisecond)
+				p.Report(life("w0"), gauge.HoldCall{}, rep, time.Millisecond)
 			}
 		})
 	}
@@ -112,8 +112,8 @@
 	w := worker("w0")
 	w.Capacity = gauge.Resources{MilliCPU: 30000, MemoryMB: 30000}
 	p.Workers([]gauge.Worker{w})
-	p.Noted([]string{w.ID})
-	p.Report(w.ID, &gauge.WorkerReport{Clock: time.Hour}, 0)
+	p.Noted(livesOf(w.ID), fence)
+	p.Report(life(w.ID), gauge.HoldCall{}, &gauge.WorkerReport{Clock: time.Hour}, 0)
 	rep := &gauge.WorkerReport{Clock: time.Hour + time.Second}
 	for i, o := range p.Plan(0) {
 		p.Answered(o, time.Hour, nil, 0)
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -96,9 +96,9 @@
 		}
 	}
 	w.pool.Workers(list)
-	w.pool.Noted(w.pool.Name())
+	w.pool.Noted(w.pool.Name(), int64(fence))
 	for _, id := range w.ids() {
-		_, call, _ := w.pool.Holding(id, w.now)
+		_, call, _ := w.pool.Holding(life(id), w.now)
 		assert.Assert(w.t, call.Fence > 0)
 		var running []gauge.RunReport
 		for _, o := range w.runs[id] {
@@ -181,7 +181,7 @@
 			continue
 		}
 		delete(w.dead, id)
-		w.pool.HoldFailed(id, gauge.Fail(gauge.KindReplaced, "status 421"), w.now)
+		w.pool.HoldFailed(life(id), gauge.Fail(gauge.KindReplaced, "status 421"), w.now)
 	}
 }
 
--- a/internal/sched/ends_test.go
+++ b/internal/sched/ends_test.go
@@ -23,10 +23,10 @@
 	g.ok(starts)
 	g.pass(time.Second)
 	g.hear("w1", []gauge.RunReport{running(starts[1])}, g.end("w1", starts[0].Start.Task, 1, gauge.EndDone))
-	_, call, _ := g.pool.Holding("w1", g.now)
+	_, call, _ := g.pool.Holding(life("w1"), g.now)
 	assert.Equal(t, call.LastSeen, int64(0))
 	g.save(500)
-	_, call, _ = g.pool.Holding("w1", g.now)
+	_, call, _ = g.pool.Holding(life("w1"), g.now)
 	assert.Equal(t, call.LastSeen, int64(1))
 }
 
@@ -82,7 +82,7 @@
 	g.hear("w1", []gauge.RunReport{running}, end)
 	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 0)
 	g.save(500)
-	_, call, _ := g.pool.Holding("w1", g.now)
+	_, call, _ := g.pool.Holding(life("w1"), g.now)
 	assert.Equal(t, call.LastSeen, int64(0))
 
 	g.pass(7 * time.Second) // all that the owner before ordered has ended
--- a/internal/sched/kept.go
+++ b/internal/sched/kept.go
@@ -1,5 +1,7 @@
 package sched
 
+import gauge "sapphiregauge"
+
 // An end lasts in two places: with the worker, which lists it until it is
 // acknowledged, and in the table, once the row of its job is written. In between an
 // owner must treat the worker as the only one that knows: name it for a successor to
@@ -44,8 +46,8 @@
 func (w *worker) settled() bool { return w.kept == w.ends && !w.held }
 
 // Behind tells whether a worker has listed ends that the table doesn't have yet.
-func (p *Pool) Behind(id string) bool {
-	w := p.workers[id]
+func (p *Pool) Behind(l gauge.Life) bool {
+	w := p.current(l)
 	return w != nil && w.kept < w.ends
 }
 
--- a/internal/sched/kept_test.go
+++ b/internal/sched/kept_test.go
@@ -26,7 +26,7 @@
 
 // lastSeen is what the next hold of a worker acknowledges.
 func (g *rig) lastSeen(id string) int64 {
-	_, call, _ := g.pool.Holding(id, g.now)
+	_, call, _ := g.pool.Holding(life(id), g.now)
 	return call.LastSeen
 }
 
@@ -124,7 +124,7 @@
 
 func named(g *rig, id string) bool {
 	for _, n := range g.pool.Name() {
-		if n == id {
+		if n == life(id) {
 			return true
 		}
 	}
@@ -326,7 +326,7 @@
 func TestInheritedTaskDoesNotWaitForEndsOfAWorkerThatIsGone(t *testing.T) {
 	for name, leave := range map[string]func(g *rig){
 		"another life": func(g *rig) {
-			g.pool.HoldFailed("w1", gauge.Fail(gauge.KindReplaced, "status 421"), g.now)
+			g.pool.HoldFailed(life("w1"), gauge.Fail(gauge.KindReplaced, "status 421"), g.now)
 		},
 		"silent for longer than its lease": func(g *rig) {
 			g.silent("w1")
--- a/internal/sched/late.go
+++ b/internal/sched/late.go
@@ -61,10 +61,10 @@
 // lapse takes in that time has passed: what ran on a worker has ended when its lease has
 // run out, with the holds that were sent since.
 func (p *Pool) lapse(now time.Duration) {
-	for id := range p.earlier {
-		if now > p.doubtedUntil(id) {
+	for id, l := range p.earlier {
+		if now > p.doubtedUntil(l) {
 			delete(p.earlier, id)
-			p.unheard(id, now)
+			p.unheard(l, now)
 		}
 	}
 	for _, h := range slices.Clone(p.hearings) {
@@ -78,10 +78,10 @@
 
 // awaited are the workers that inherited tasks wait for.
 func (p *Pool) awaited() map[string]bool {
-	if len(p.hearings) == 0 {
-		return p.earlier
+	ids := make(map[string]bool, len(p.earlier))
+	for id := range p.earlier {
+		ids[id] = true
 	}
-	ids := maps.Clone(p.earlier)
 	for _, h := range p.hearings {
 		maps.Copy(ids, h.left)
 	}
--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -71,7 +71,7 @@
 // hold sends a worker a hold, whose answer is the test's to say.
 func (g *rig) hold(id string) {
 	g.pool.Limit(g.now + 9*time.Second)
-	_, _, ok := g.pool.Holding(id, g.now)
+	_, _, ok := g.pool.Holding(life(id), g.now)
 	assert.Assert(g.t, ok)
 }
 
--- a/internal/sched/left_test.go
+++ b/internal/sched/left_test.go
@@ -19,11 +19,11 @@
 	first.hear("w1", nil)
 	first.adopt(1, false, step(1))
 	first.ok(first.starts())
-	first.pool.Holding("w1", first.now) // grants 5 s
+	first.pool.Holding(life("w1"), first.now) // grants 5 s
 	first.pass(time.Second)
 	first.silent("w1")
 	left := first.pool.Left(first.now)
-	assert.Equal(t, left["w1"], 4*time.Second)
+	assert.Equal(t, left[life("w1")], 4*time.Second)
 
 	second := newRig(t, after("w1"), func(c *sched.Config) { c.Over = left })
 	second.list("w1", "w2")
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -21,15 +21,19 @@
 	number int
 	lived  time.Duration
 	told   bool // its worker has told that it was there
+	order  *run // its worker hasn't, and the next life may have had the order; else nil
 }
 
+// spared tells whether the run was not lost after all.
+func (l lostRun) spared() bool { return l.order != nil && l.order.spared }
+
 // loss is a worker whose life is over.
 type loss struct {
-	worker string
-	rack   string
-	from   time.Duration // it has answered till then ...
-	at     time.Duration // ... and not since: it was lost in between
-	runs   []lostRun
+	life gauge.Life
+	rack string
+	from time.Duration // it has answered till then ...
+	at   time.Duration // ... and not since: it was lost in between
+	runs []lostRun
 	// innocent: there were runs, and none of them can be why it was lost.
 	innocent bool
 	planned  bool // it was to leave, or to be emptied
@@ -71,7 +75,7 @@
 	alone := w.oneJob()
 	for r := range w.runs {
 		if r.trial == nil && r.task.job.open() {
-			p.try(r.task, gauge.Trial{Run: r.number, Worker: w.info.ID, Alone: alone && r.toldAt > 0, Lived: r.lived()})
+			p.try(r.task, gauge.Trial{Run: r.number, Worker: w.info.ID, Born: w.info.Born, Alone: alone && r.toldAt > 0, Lived: r.lived()})
 		}
 	}
 }
@@ -147,7 +151,7 @@
 // it was lost for is judged a little later.
 func (p *Pool) fell(w *worker, now time.Duration) {
 	l := &loss{
-		worker: w.info.ID, rack: w.info.Rack(), from: w.heardAt, at: w.silentAt, runs: w.lost, innocent: w.innocent(),
+		life: w.info.Life(), rack: w.info.Rack(), from: w.heardAt, at: w.silentAt, runs: w.lost, innocent: w.innocent(),
 		alone: w.oneJob(),
 	}
 	if !w.silent {
@@ -160,7 +164,7 @@
 		r.task.awaits++
 		if !l.planned && !r.task.done && r.task.job.open() {
 			// The next owner has to know, should this one not come to judge it.
-			p.try(r.task, gauge.Trial{Run: r.number, Worker: l.worker, Alone: l.alone && r.told, Lived: r.lived})
+			p.try(r.task, gauge.Trial{Run: r.number, Worker: l.life.Worker, Born: l.life.Born, Alone: l.alone && r.told, Lived: r.lived})
 		}
 	}
 	w.lost = nil
@@ -186,13 +190,13 @@
 	together := toll.together()
 	if len(l.runs) > 0 {
 		p.conf.Count(EventCrashed)
-		p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", l.worker, "runs", len(l.runs), "alone", l.alone,
+		p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", l.life.Worker, "born", l.life.Born, "runs", len(l.runs), "alone", l.alone,
 			"together", together, "planned", l.planned, "age", now-l.at)
 	}
 	beside := l.beside()
 	for _, r := range l.runs {
 		r.task.awaits--
-		if together || l.planned {
+		if together || l.planned || r.spared() {
 			p.acquit(r.task, r.number)
 			continue
 		}
@@ -200,7 +204,7 @@
 			continue
 		}
 		p.try(r.task, gauge.Trial{
-			Run: r.number, Worker: l.worker, Crashed: true, Alone: !toll.unclear() && l.proves(r), Beside: beside[r.task], Lived: r.lived,
+			Run: r.number, Worker: l.life.Worker, Born: l.life.Born, Crashed: true, Alone: !toll.unclear() && l.proves(r), Beside: beside[r.task], Lived: r.lived,
 		})
 		p.giveUp(r.task)
 	}
@@ -213,20 +217,20 @@
 }
 
 // lossOf is the loss of a worker that this owner never heard.
-func (p *Pool) lossOf(id string, now time.Duration) *loss {
+func (p *Pool) lossOf(of gauge.Life, now time.Duration) *loss {
 	for _, l := range p.losses {
-		if l.worker == id {
+		if l.life == of {
 			return l
 		}
 	}
-	return &loss{worker: id, from: now, at: now, before: true}
+	return &loss{life: of, from: now, at: now, before: true}
 }
 
 // unheard takes in that a worker of an owner before can run nothing any more, and has never
 // answered to this one.
-func (p *Pool) unheard(id string, now time.Duration) {
-	if p.workers[id] == nil {
-		p.losses = append(p.losses, &loss{worker: id, from: now, at: now, judged: true, before: true})
+func (p *Pool) unheard(l gauge.Life, now time.Duration) {
+	if p.workers[l.Worker] == nil {
+		p.losses = append(p.losses, &loss{life: l, from: now, at: now, judged: true, before: true})
 	}
 }
 
@@ -235,7 +239,7 @@
 func (p *Pool) unheardWith(l *loss) int {
 	n := 0
 	for _, o := range p.losses {
-		n += count(o.with(l) && !p.tried[o.worker])
+		n += count(o.with(l) && !p.tried[o.life])
 	}
 	return n
 }
--- a/internal/sched/odd.go
+++ b/internal/sched/odd.go
@@ -115,7 +115,7 @@
 		o.asked, o.again = true, now+o.worker.stopPause()
 		p.orders = append(p.orders, Order{
 			Kind: OrderStop, Worker: o.worker.info, odd: o,
-			Stop: gauge.StopCall{Fence: p.conf.Fence, Task: o.key.task, Run: o.key.run},
+			Stop: gauge.StopCall{Fence: p.fence(o.worker), Task: o.key.task, Run: o.key.run},
 		})
 	}
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -29,12 +29,27 @@
 	Look   gauge.HoldCall
 	Step   string   // asked about
 	About  []string // workers
+	lives  []gauge.Life
 	stage  *stage
 	valid  time.Duration
 	run    *run
 	odd    *oddRun
 }
 
+// Fence is the fencing token that the order was sent with.
+func (o *Order) Fence() gauge.Fence {
+	switch o.Kind {
+	case OrderStart:
+		return o.Start.Fence
+	case OrderStop:
+		return o.Stop.Fence
+	case OrderPace:
+		return o.Pace.Fence
+	default:
+		return o.Look.Fence
+	}
+}
+
 // Events that are counted, beside the ends of runs by how they came. The first
 // three are signs of a promise in danger.
 const (
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -36,7 +36,7 @@
 			r.pacing = true
 			p.orders = append(p.orders, Order{
 				Kind: OrderPace, Worker: w.info, run: r,
-				Pace: gauge.PaceCall{Fence: p.conf.Fence, Task: r.task.id, Run: r.number, Percent: want},
+				Pace: gauge.PaceCall{Fence: p.fence(w), Task: r.task.id, Run: r.number, Percent: want},
 			})
 			p.conf.Logs.Info("run paced", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
 				"worker", w.info.ID, "from", r.paced, "to", want, "tail", worst)
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -73,7 +73,7 @@
 	g.hear("w1", nil)
 	g.adopt(1, false, step(1))
 	assert.Equal(t, len(g.starts()), 0)
-	g.pool.Noted([]string{"w1"})
+	g.pool.Noted(livesOf("w1"), fence)
 	assert.Equal(t, len(g.starts()), 1)
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -41,7 +41,7 @@
 	p.conf.Logs.Info("run stops", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID)
 	p.orders = append(p.orders, Order{
 		Kind: OrderStop, Worker: r.worker.info, run: r,
-		Stop: gauge.StopCall{Fence: p.conf.Fence, Task: r.task.id, Run: r.number},
+		Stop: gauge.StopCall{Fence: p.fence(r.worker), Task: r.task.id, Run: r.number},
 	})
 }
 
@@ -309,7 +309,7 @@
 	p.orders = append(p.orders, Order{
 		Kind: OrderStart, Worker: w.info, run: r,
 		Start: gauge.StartCall{
-			Fence: p.conf.Fence, Task: t.id, Run: number, Payload: t.job.spec.Payload, Until: until, Saved: t.saved, Ticket: text,
+			Fence: p.fence(w), Task: t.id, Run: number, Payload: t.job.spec.Payload, Until: until, Saved: t.saved, Ticket: text,
 		},
 	})
 	return r
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -54,31 +54,45 @@
 }
 
 func (w *world) hold(m *model) {
-	_, call, ok := w.pool.Holding(m.id, w.now)
-	if !ok || w.fence < m.fence {
+	asked := w.held[m.id]
+	_, call, ok := w.pool.Holding(asked, w.now)
+	if !ok || call.Fence < m.fence {
 		return
 	}
-	m.fence = w.fence
-	m.until = max(m.until, call.Until)
-	for len(m.ended) > 0 && m.ended[0].Number <= call.LastSeen {
-		m.ended = m.ended[1:]
+	if !w.calming && rapid.IntRange(0, 5).Draw(w.t, "late hold") == 0 {
+		w.lateFor = append(w.lateFor, lateHold{m.id, call})
+		return
 	}
-	r := &gauge.WorkerReport{Clock: w.clock(m), Ended: append([]gauge.EndReport(nil), m.ended...)}
+	w.takeHold(m, call)
+	r := &gauge.WorkerReport{Born: m.born, Clock: w.clock(m), Ended: append([]gauge.EndReport(nil), m.ended...)}
 	for task, run := range m.runs {
 		r.Running = append(r.Running, gauge.RunReport{Task: task, Run: run})
 	}
-	w.reports[m.id] = r
+	w.reports[m.id] = told{asked, call, r}
+}
+
+// takeHold has a worker do what a hold says.
+func (w *world) takeHold(m *model, call gauge.HoldCall) {
+	if call.Fence < m.fence {
+		return
+	}
+	m.fence = call.Fence
+	m.until = max(m.until, min(call.Until, w.clock(m)+longest))
+	for len(m.ended) > 0 && m.ended[0].Number <= call.LastSeen {
+		m.ended = m.ended[1:]
+	}
 }
 
 func (w *world) tell() {
 	for i := 1; i <= w.lives; i++ {
 		id := fmt.Sprintf("w%d", i)
-		r := w.reports[id]
-		if r == nil || rapid.IntRange(0, 2).Draw(w.t, "arrives") == 0 {
+		r, some := w.reports[id]
+		if !some || rapid.IntRange(0, 2).Draw(w.t, "arrives") == 0 {
 			continue
 		}
 		delete(w.reports, id)
-		w.pool.Report(id, r, w.now)
+		w.pool.Report(r.asked, r.call, r.rep, w.now)
+		w.hear()
 	}
 	w.plan()
 }
@@ -113,7 +127,7 @@
 	w.named = names
 	if rapid.IntRange(0, 4).Draw(w.t, "lost") > 0 || len(b.Changes) == 0 {
 		w.pool.Written(b, w.next, w.now)
-		w.pool.Noted(names)
+		w.pool.Noted(names, w.next)
 		return
 	}
 	for _, c := range b.Changes {
@@ -198,15 +212,38 @@
 	for _, e := range m.ended {
 		delete(w.done, e.Task) // nobody may have heard of it
 	}
+	if rapid.Bool().Draw(w.t, "starts again under its id") {
+		w.again(m)
+		return
+	}
 	w.gone(m)
 }
 
+// again has a worker start again under its id. The owner, whose hold has broken, asks whether it
+// is there before anything reaches it that was sent late; the answer may come late, or be lost.
+func (w *world) again(m *model) {
+	next := &model{
+		id: m.id, born: m.born + 1, before: m.born, up: true, began: w.now - time.Duration(rapid.IntRange(0, 7200).Draw(w.t, "clock"))*time.Second,
+		runs: make(map[gauge.TaskID]int), stopped: make(map[gauge.TaskID]int),
+	}
+	w.pool.HoldFailed(w.held[m.id], gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
+	w.models[m.id] = next
+	old, pending := w.reports[m.id]
+	if _, call, ok := w.pool.Holding(w.held[m.id], w.now); ok {
+		w.takeHold(next, call)
+		w.reports[m.id] = told{w.held[m.id], call, &gauge.WorkerReport{Born: next.born, Clock: w.clock(next)}}
+	}
+	if pending && rapid.Bool().Draw(w.t, "answer of the life before") {
+		w.reports[m.id] = old
+	}
+}
+
 // gone tells the owner, one way or another, that a worker's life is over.
 func (w *world) gone(m *model) {
 	if rapid.Bool().Draw(w.t, "replaced") {
-		w.pool.HoldFailed(m.id, gauge.Fail(gauge.KindReplaced, "another life"), w.now)
+		w.pool.HoldFailed(m.life(), gauge.Fail(gauge.KindReplaced, "another life"), w.now)
 	} else {
-		w.pool.HoldFailed(m.id, gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
+		w.pool.HoldFailed(m.life(), gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
 	}
 	w.join()
 }
@@ -239,6 +276,12 @@
 		_ = w.carryOut(o)
 	}
 	w.late = nil
+	for _, h := range w.lateFor {
+		if m := w.models[h.id]; m.up {
+			w.takeHold(m, h.call)
+		}
+	}
+	w.lateFor = nil
 	w.pool.Tick(w.now, time.Unix(0, 0))
 	w.plan()
 }
@@ -284,7 +327,7 @@
 				case 4, 5:
 					w.unhide()
 				case 3:
-					w.pool.HoldFailed(fmt.Sprintf("w%d", w.lives), gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
+					w.pool.HoldFailed(w.held[fmt.Sprintf("w%d", w.lives)], gauge.Fail(gauge.KindUnknown, "no answer"), w.now)
 				}
 			case 15:
 				w.answer()
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -6,11 +6,19 @@
 	gauge "sapphiregauge"
 )
 
-// Report takes in a worker's answer to a hold.
-func (p *Pool) Report(id string, rep *gauge.WorkerReport, now time.Duration) {
-	w := p.workers[id]
-	if w == nil || w.gone {
-		return
+// Report takes in the answer to a hold that was sent to a life of a worker; false: it is of
+// none that still counts.
+func (p *Pool) Report(asked gauge.Life, call gauge.HoldCall, rep *gauge.WorkerReport, now time.Duration) bool {
+	w := p.answering(asked, rep.Born, now)
+	if w == nil {
+		return false
+	}
+	id := w.info.ID
+	if w.follows && w.fence > 0 && call.Fence >= w.fence {
+		// Nothing that was meant for the life before is carried out from now on; till now
+		// its lease may have been extended.
+		w.follows = false
+		w.expiry = max(w.expiry, now+p.conf.Longest)
 	}
 	if w.silent {
 		p.unwatch(w)
@@ -48,6 +56,7 @@
 	if newest && !held {
 		p.heard(id) // all that it has to tell of the owner before is told
 	}
+	return true
 }
 
 // endsAtOnce is how many ends a worker lists at most. The users' figure.
@@ -67,6 +76,7 @@
 			continue
 		}
 		r.listed, r.toldAt = w.reports, now
+		p.arrive(r)
 		r.task.job.told()
 		r.load, r.progress = rr.Load, rr.Progress
 		if r.phase != phaseStopping {
@@ -156,6 +166,7 @@
 	var took time.Duration
 	if r != nil {
 		took = now - r.sent
+		p.spare(r)
 		p.end(r, now)
 	}
 	p.conf.Count("run " + string(e.How))
@@ -254,6 +265,10 @@
 	if r == nil {
 		return
 	}
+	if r.worker.info.Life() != o.Worker.Life() {
+		p.answeredTooLate(o, err, now)
+		return
+	}
 	r.worker.read(clock, now)
 	switch o.Kind {
 	case OrderStart:
@@ -283,6 +298,47 @@
 	}
 }
 
+// answeredTooLate takes in the outcome of an order to a life that is over. Which life was it
+// that answered isn't known: only a refusal says something of the run, as it was no start then.
+func (p *Pool) answeredTooLate(o Order, err error, now time.Duration) {
+	r := o.run
+	kind := gauge.KindOf(err)
+	switch {
+	case o.Kind == OrderStop:
+		r.asked = false
+	case o.Kind == OrderPace:
+		r.pacing = false
+	case err != nil && kind != gauge.KindUnknown && kind != gauge.KindInternal && r.worker.runs[r]:
+		p.spare(r)
+		p.end(r, now)
+	}
+	p.conf.Logs.Info("order to an earlier life", "order", o.Kind, "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
+		"worker", o.Worker.ID, "born", o.Worker.Born, "kind", kind)
+}
+
+// spare takes back that a run was lost with a life that is over: its order reached the next one,
+// or none.
+func (p *Pool) spare(r *run) {
+	if !r.lost {
+		return
+	}
+	r.lost, r.spared = false, true
+	p.acquit(r.task, r.number)
+}
+
+// arrive takes in that a worker lists a run. One that was ordered of the life before goes on in
+// the next, unless its stop is on its way.
+func (p *Pool) arrive(r *run) {
+	if !r.lost {
+		return
+	}
+	p.spare(r)
+	if !r.asked && !r.task.done && r.task.job.open() {
+		r.stop = false
+		delete(p.halts, r)
+	}
+}
+
 // Void tells whether a start that hasn't been sent yet is of no use any more: its run is
 // to end, or it would surely come too late. Its outcome is KindLate then.
 func (p *Pool) Void(o Order, now time.Duration) bool {
@@ -313,11 +369,11 @@
 	case gauge.KindStale:
 		r.task.lastRun++
 		p.end(r, now)
-	case gauge.KindOutage, gauge.KindLate, gauge.KindReplaced:
+	case gauge.KindOutage, gauge.KindLate, gauge.KindReplaced, gauge.KindFenced:
 		p.end(r, now)
 	case gauge.KindTicket:
-		delete(r.task.stage.advised.tickets, r.worker.info.ID)
-		delete(r.task.stage.advised.asked, r.worker.info.ID)
+		delete(r.task.stage.advised.tickets, r.worker.info.Life())
+		delete(r.task.stage.advised.asked, r.worker.info.Life())
 		p.end(r, now)
 	default:
 		p.end(r, now)
@@ -329,10 +385,10 @@
 }
 
 // look asks what runs on a worker: a run that was never there has no end that a
-// waiting hold would tell.
+// waiting hold would tell. It acknowledges no ends, as a hold does that too.
 func (p *Pool) look(w *worker) {
 	p.orders = append(p.orders, Order{
-		Kind: OrderLook, Worker: w.info, Look: gauge.HoldCall{Fence: p.conf.Fence, LastSeen: w.kept},
+		Kind: OrderLook, Worker: w.info, Look: gauge.HoldCall{Fence: p.fence(w)},
 	})
 }
 
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -31,7 +31,7 @@
 func after(earlier ...string) option {
 	return func(c *sched.Config) {
 		c.Term = 1
-		c.Earlier = earlier
+		c.Earlier = livesOf(earlier...)
 		c.Doubt = 6 * time.Second
 	}
 }
@@ -48,6 +48,17 @@
 	return g
 }
 
+// life is the only one of a worker.
+func life(id string) gauge.Life { return gauge.Life{Worker: id} }
+
+func livesOf(ids ...string) []gauge.Life {
+	var lives []gauge.Life
+	for _, id := range ids {
+		lives = append(lives, life(id))
+	}
+	return lives
+}
+
 func worker(id string) gauge.Worker {
 	return gauge.Worker{
 		ID: id, Pool: poolName, Addr: "10.0.0.1:80", Labels: []string{"a", "r-" + id},
@@ -62,7 +73,7 @@
 		ws = append(ws, worker(id))
 	}
 	g.pool.Workers(ws)
-	g.pool.Noted(ids)
+	g.pool.Noted(livesOf(ids...), fence)
 }
 
 // clock is what a worker's clock shows: an hour more than ours.
@@ -73,11 +84,11 @@
 }
 
 func (g *rig) hearAt(id string, clock time.Duration, running []gauge.RunReport, ended ...gauge.EndReport) {
-	g.pool.Report(id, &gauge.WorkerReport{Clock: clock, Running: running, Ended: ended}, g.now)
+	g.pool.Report(life(id), gauge.HoldCall{}, &gauge.WorkerReport{Clock: clock, Running: running, Ended: ended}, g.now)
 }
 
 func (g *rig) silent(id string) {
-	g.pool.HoldFailed(id, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.pool.HoldFailed(life(id), gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
 }
 
 func (g *rig) end(id string, task gauge.TaskID, run int, how gauge.Ending) gauge.EndReport {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -36,11 +36,14 @@
 
 	// Earlier are the workers that the owner before this one may have given
 	// orders to, and Doubt is when everything has surely ended that it ordered.
-	Earlier []string
+	Earlier []gauge.Life
 	Doubt   time.Duration
 	// Over is when that is for workers of which the owner before knew: those that didn't
 	// answer it. Without this each owner would wait anew for the same silent workers.
-	Over map[string]time.Duration
+	Over map[gauge.Life]time.Duration
+	// Longest is the longest lease that a worker grants. One that has started again may have one
+	// that was meant for its life before, by another clock.
+	Longest time.Duration
 }
 
 // Pool is the state of one pool at its owner. It is not safe for concurrent use.
@@ -49,9 +52,11 @@
 	site    *gauge.Site
 	limit   time.Duration // no grant reaches beyond this
 	jobs    map[string]*job
-	past    map[string]past // jobs that ended here
-	workers map[string]*worker
-	earlier map[string]bool // workers of the owner before that haven't been heard
+	past    map[string]past       // jobs that ended here
+	workers map[string]*worker    // by id, as there is one life at a time
+	earlier map[string]gauge.Life // workers of the owner before that haven't been heard
+	unheld  []gauge.Worker        // lives that no hold is kept at yet
+	written gauge.Fence           // version of the newest write of the lease's row
 	// hearings are those that aren't over, newest the one that began last.
 	hearings []*hearing
 	newest   *hearing
@@ -61,7 +66,7 @@
 	odds     map[*oddRun]bool
 	suspects map[*task]bool       // tasks that may end their workers
 	losses   []*loss              // workers that were lost lately
-	tried    map[string]bool      // workers on which owners before this one tried suspects
+	tried    map[gauge.Life]bool  // workers on which owners before this one tried suspects
 	cancels  map[string]cancelled // of jobs that aren't known
 	ticked   time.Duration        // when time was last told
 	arrived  float64              // core-seconds of all jobs adopted so far
@@ -83,11 +88,13 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
-		earlier: make(map[string]bool), site: &gauge.Site{}, counts: newCounts(), odds: make(map[*oddRun]bool), cancels: make(map[string]cancelled),
-		suspects: make(map[*task]bool), tried: make(map[string]bool),
+		earlier: make(map[string]gauge.Life), site: &gauge.Site{}, counts: newCounts(), odds: make(map[*oddRun]bool), cancels: make(map[string]cancelled),
+		suspects: make(map[*task]bool), tried: make(map[gauge.Life]bool),
 	}
-	for _, id := range c.Earlier {
-		p.earlier[id] = true
+	for _, l := range c.Earlier {
+		if !l.Before(p.earlier[l.Worker]) {
+			p.earlier[l.Worker] = l
+		}
 	}
 	return p
 }
@@ -99,21 +106,19 @@
 // can have taken over.
 func (p *Pool) Limit(t time.Duration) { p.limit = t }
 
-// Workers takes in the platform's list. It returns those that are new.
-func (p *Pool) Workers(list []gauge.Worker) []gauge.Worker {
+// Workers takes in the platform's list.
+func (p *Pool) Workers(list []gauge.Worker) {
 	seen := make(map[string]bool, len(list))
-	var fresh []gauge.Worker
 	for _, info := range list {
 		if info.Pool != p.conf.Name {
 			continue
 		}
-		seen[info.ID] = true
-		w := p.workers[info.ID]
+		w := p.listedAs(info)
 		if w == nil {
-			w = &worker{runs: make(map[*run]bool), expiry: p.inherited(info.ID), since: p.ticked}
-			p.workers[info.ID] = w
-			p.sorted = nil
-			fresh = append(fresh, info)
+			continue
+		}
+		seen[info.ID] = true
+		if !w.listed {
 			p.conf.Logs.Info("worker listed", "pool", p.conf.Name, "worker", info.ID, "born", info.Born, "addr", info.Addr)
 		}
 		if info.Draining && !w.info.Draining {
@@ -126,40 +131,39 @@
 	for id, w := range p.workers {
 		if w.listed && !seen[id] {
 			w.listed = false
-			p.conf.Logs.Info("worker unlisted", "pool", p.conf.Name, "worker", id, "runs", len(w.runs))
+			p.conf.Logs.Info("worker unlisted", "pool", p.conf.Name, "worker", id, "born", w.info.Born, "runs", len(w.runs))
 		}
 	}
-	return fresh
 }
 
 // inherited is when the grants of the owners before to a worker have surely run out. A
 // worker's lease is one for all that runs there and never gets shorter, so that theirs
 // also covers what this owner starts.
-func (p *Pool) inherited(id string) time.Duration {
+func (p *Pool) inherited(l gauge.Life) time.Duration {
 	if p.conf.Term == 0 {
 		return 0
 	}
-	return p.doubtedUntil(id)
+	return p.doubtedUntil(l)
 }
 
 // doubtedUntil is when everything has surely ended on a worker that owners before this
 // one ordered.
-func (p *Pool) doubtedUntil(id string) time.Duration {
-	if over, ok := p.conf.Over[id]; ok {
+func (p *Pool) doubtedUntil(l gauge.Life) time.Duration {
+	if over, ok := p.conf.Over[l]; ok {
 		return min(over, p.conf.Doubt)
 	}
 	return p.conf.Doubt
 }
 
 // Left tells how much longer anything may run on the workers that don't answer.
-func (p *Pool) Left(now time.Duration) map[string]time.Duration {
-	left := make(map[string]time.Duration)
-	for id := range p.earlier {
-		left[id] = max(0, p.doubtedUntil(id)-now)
+func (p *Pool) Left(now time.Duration) map[gauge.Life]time.Duration {
+	left := make(map[gauge.Life]time.Duration)
+	for _, l := range p.earlier {
+		left[l] = max(0, p.doubtedUntil(l)-now)
 	}
-	for id, w := range p.workers {
-		if w.silent && !w.gone {
-			left[id] = max(0, w.expiry-now, left[id])
+	for _, w := range p.workers {
+		if l := w.info.Life(); w.silent && !w.gone {
+			left[l] = max(0, w.expiry-now, left[l])
 		}
 	}
 	return left
@@ -173,42 +177,58 @@
 // left out, and get no start before they are named again. Machines change pools several times a minute: named until
 // their leases are over, workers of machines that have left would have a successor
 // wait for them for seconds, with the whole pool's work.
-func (p *Pool) Name() []string {
-	ids := make([]string, 0, len(p.workers))
+func (p *Pool) Name() []gauge.Life {
+	lives := make([]gauge.Life, 0, len(p.workers))
 	awaited := p.awaited()
 	for _, w := range p.byID() {
 		if w.done() && !awaited[w.info.ID] {
 			w.noted = false
 			continue
 		}
-		ids = append(ids, w.info.ID)
+		lives = append(lives, w.info.Life())
 	}
 	for id := range awaited {
 		if p.workers[id] == nil {
-			ids = append(ids, id)
+			lives = append(lives, p.earlierLife(id))
 		}
 	}
-	return ids
+	return lives
+}
+
+// earlierLife is the life of a worker that isn't listed, as owners before knew it.
+func (p *Pool) earlierLife(id string) gauge.Life {
+	if l, ok := p.earlier[id]; ok {
+		return l
+	}
+	return gauge.Life{Worker: id}
 }
 
-// Noted tells that the lease row in the table names these workers.
-func (p *Pool) Noted(ids []string) {
-	for _, id := range ids {
-		if w := p.workers[id]; w != nil {
-			w.noted = true
+// Noted tells that the lease row in the table names these lives, as of a version.
+func (p *Pool) Noted(lives []gauge.Life, version int64) {
+	p.written = max(p.written, gauge.Fence(version))
+	for _, l := range lives {
+		w := p.current(l)
+		if w == nil {
+			continue
+		}
+		w.noted = true
+		if w.fence == 0 {
+			p.raise(w)
 		}
 	}
 }
 
-// Holding returns the next hold for a worker, false if there is none: the
-// worker is over.
-func (p *Pool) Holding(id string, now time.Duration) (gauge.Worker, gauge.HoldCall, bool) {
-	w := p.workers[id]
+// Holding returns the next hold for a life of a worker, false if there is none: it is over.
+func (p *Pool) Holding(l gauge.Life, now time.Duration) (gauge.Worker, gauge.HoldCall, bool) {
+	w := p.current(l)
 	if w == nil || w.gone {
 		return gauge.Worker{}, gauge.HoldCall{}, false
 	}
-	c := gauge.HoldCall{Fence: p.conf.Fence, LastSeen: w.kept}
+	c := gauge.HoldCall{Fence: p.fence(w)}
 	if !w.silent && w.heard {
+		// One that doesn't answer may have started again, and would forget its ends by the
+		// numbers of those of its life before.
+		c.LastSeen = w.kept
 		// A worker that doesn't answer gets no extension: what runs there has
 		// to end some time, so that it can start elsewhere.
 		c.Until = w.grant(now, min(p.conf.Hold, p.limit-now))
@@ -217,9 +237,9 @@
 	return w.info, c, true
 }
 
-// HoldFailed takes in that a hold got no answer.
-func (p *Pool) HoldFailed(id string, err error, now time.Duration) {
-	w := p.workers[id]
+// HoldFailed takes in that a hold at a life of a worker got no answer.
+func (p *Pool) HoldFailed(l gauge.Life, err error, now time.Duration) {
+	w := p.current(l)
 	if w == nil {
 		return
 	}
@@ -228,38 +248,48 @@
 		return
 	}
 	if !w.silent {
-		p.conf.Logs.Info("worker silent", "pool", p.conf.Name, "worker", id, "runs", len(w.runs),
+		p.conf.Logs.Info("worker silent", "pool", p.conf.Name, "worker", l.Worker, "born", l.Born, "runs", len(w.runs),
 			"expires", w.expiry-now, "error", err.Error())
 		w.silentAt = now
 	} else {
 		p.watch(w) // not at once: often it is the answer that was lost
 	}
 	w.silent = true
+	p.raise(w)
 	for r := range w.runs {
 		p.land(r)
 	}
 }
 
-// Silent tells whether a worker's last hold got no answer.
-func (p *Pool) Silent(id string) bool {
-	w := p.workers[id]
-	return w != nil && w.silent
+// Silent tells whether the last hold at a life of a worker got no answer, or the life is over.
+func (p *Pool) Silent(l gauge.Life) bool {
+	w := p.current(l)
+	return w == nil || w.silent
 }
 
-// over takes in that a worker's life has ended: nothing runs there.
+// over takes in that a worker's life has ended, and none of the same worker answers at its
+// address: nothing runs there.
 func (p *Pool) over(w *worker, why string, now time.Duration) {
+	if w.gone {
+		return
+	}
+	p.die(w, why, now)
+	p.heard(w.info.ID)
+}
+
+// die ends a worker's life, with what runs there.
+func (p *Pool) die(w *worker, why string, now time.Duration) {
 	if w.gone {
 		return
 	}
 	w.gone = true
-	p.conf.Logs.Info("worker over", "pool", p.conf.Name, "worker", w.info.ID, "runs", len(w.runs), "reason", why)
+	p.conf.Logs.Info("worker over", "pool", p.conf.Name, "worker", w.info.ID, "born", w.info.Born, "runs", len(w.runs), "reason", why)
 	lost := len(w.runs)
 	for r := range w.runs {
 		p.lose(r, why, lost-1, now)
 	}
 	p.fell(w, now)
 	p.forgetOdds(w)
-	p.heard(w.info.ID)
 }
 
 // end takes a run off all lists: it is over, and can't begin any more.
--- a/internal/sched/toll.go
+++ b/internal/sched/toll.go
@@ -57,7 +57,7 @@
 func (p *Pool) toll(l *loss, now time.Duration) toll {
 	x := toll{}
 	for _, w := range p.workers {
-		if !w.heard || w.gone || w.info.ID == l.worker || w.since >= l.at || w.silent && w.leaving(w.silentAt) {
+		if !w.heard || w.gone || w.info.ID == l.life.Worker || w.since >= l.at || w.silent && w.leaving(w.silentAt) {
 			continue
 		}
 		mate := l.rack != "" && w.info.Rack() == l.rack
@@ -104,7 +104,7 @@
 
 // with tells whether two workers were lost together.
 func (l *loss) with(o *loss) bool {
-	return l != o && l.worker != o.worker && !l.planned && l.before == o.before && l.overlaps(o.from, o.at) &&
+	return l != o && l.life.Worker != o.life.Worker && !l.planned && l.before == o.before && l.overlaps(o.from, o.at) &&
 		!slices.ContainsFunc(l.runs, func(r lostRun) bool { return o.had(r.task) })
 }
 
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -75,7 +75,7 @@
 // try notes a run whose worker may crash, or has. One that is noted already is kept up.
 func (p *Pool) try(t *task, tr gauge.Trial) {
 	ts := slices.Clone(t.trials())
-	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Worker == tr.Worker })
+	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Life() == tr.Life() })
 	if at < 0 {
 		ts = append(ts, tr)
 	} else {
@@ -137,7 +137,7 @@
 		for _, tr := range ts {
 			t.lastRun = max(t.lastRun, tr.Run)
 			if !tr.Crashed {
-				p.tried[tr.Worker], t.unsettled = true, true
+				p.tried[tr.Life()], t.unsettled = true, true
 			}
 		}
 		p.suspect(t)
@@ -158,7 +158,7 @@
 		}
 		w := p.workers[tr.Worker]
 		switch {
-		case w == nil || w.gone:
+		case w == nil || w.gone || tr.Life().Before(w.info.Life()):
 			p.crashedBefore(t, tr, now)
 		case w.heard && !w.silent:
 			p.acquit(t, tr.Run) // it lives, and hasn't the run
@@ -170,7 +170,7 @@
 
 // crashedBefore takes in that a worker was gone before this owner heard it.
 func (p *Pool) crashedBefore(t *task, tr gauge.Trial, now time.Duration) {
-	if others := p.unheardWith(p.lossOf(tr.Worker, now)) > 1; others {
+	if others := p.unheardWith(p.lossOf(tr.Life(), now)) > 1; others {
 		// What those were lost for nobody knows. It excuses no task that has lost two workers
 		// already, but proves nothing, either.
 		if !t.strong() {
@@ -180,7 +180,7 @@
 		tr.Alone = false
 	}
 	tr.Crashed = true
-	p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", tr.Worker, "job", t.job.id, "task", t.id.String(), "run", tr.Run,
+	p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", tr.Worker, "born", tr.Born, "job", t.job.id, "task", t.id.String(), "run", tr.Run,
 		"alone", tr.Alone, "lived", tr.Lived, "seen", "by an owner before")
 	p.try(t, tr)
 	p.giveUp(t)
--- a/internal/sched/twice_test.go
+++ b/internal/sched/twice_test.go
@@ -31,9 +31,9 @@
 	}
 	g.list(start.Worker.ID)
 	g.silent(left[0])
-	assert.DeepEqual(t, g.pool.Name(), []string{start.Worker.ID})
+	assert.DeepEqual(t, g.pool.Name(), livesOf(start.Worker.ID))
 	g.silent(start.Worker.ID)
-	assert.DeepEqual(t, g.pool.Name(), []string{start.Worker.ID}) // its run may go on
+	assert.DeepEqual(t, g.pool.Name(), livesOf(start.Worker.ID)) // its run may go on
 }
 
 // Symptom: a task runs twice after a handover.
@@ -52,9 +52,9 @@
 	assert.Equal(t, len(g.starts()), 0)
 	assert.Assert(t, g.pool.Urgent(), "the row is to be written")
 	named := g.pool.Name()
-	assert.DeepEqual(t, named, []string{"w1"})
+	assert.DeepEqual(t, named, livesOf("w1"))
 	assert.Equal(t, len(g.starts()), 0, "not before the table has it")
-	g.pool.Noted(named)
+	g.pool.Noted(named, fence)
 	assert.Equal(t, len(g.starts()), 1)
 }
 
@@ -229,10 +229,10 @@
 	if on == "w1" {
 		other = "w2"
 	}
-	_, call, _ := g.pool.Holding(on, g.now)
+	_, call, _ := g.pool.Holding(life(on), g.now)
 	assert.Assert(t, call.Until > 0)
 	g.silent(on)
-	_, call, _ = g.pool.Holding(on, g.now)
+	_, call, _ = g.pool.Holding(life(on), g.now)
 	assert.Equal(t, call.Until, time.Duration(0), "a silent worker gets no extension")
 	g.list(other)
 	g.pass(4900 * time.Millisecond)
@@ -255,7 +255,7 @@
 	g.ok(g.starts())
 	g.list("w2")
 	g.hear("w2", nil)
-	g.pool.HoldFailed("w1", gauge.Fail(gauge.KindReplaced, "status 421"), g.now)
+	g.pool.HoldFailed(life("w1"), gauge.Fail(gauge.KindReplaced, "status 421"), g.now)
 	starts := g.starts()
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Worker.ID, "w2")
--- a/internal/sched/unasked_test.go
+++ b/internal/sched/unasked_test.go
@@ -217,7 +217,7 @@
 		g.list("w1")
 		g.hear("w1", nil)
 		g.list("w2")
-		_, _, held := g.pool.Holding("w1", g.now)
+		_, _, held := g.pool.Holding(life("w1"), g.now)
 		assert.Assert(t, held)
 		g.hear("w1", []gauge.RunReport{stray()})
 		assert.Equal(t, len(g.stops()), 1)
--- a/internal/sched/window_test.go
+++ b/internal/sched/window_test.go
@@ -64,7 +64,7 @@
 	g.adopt(1, false, step(4))
 	first := g.starts()
 	assert.Equal(t, len(first), 2)
-	g.pool.HoldFailed("a", gauge.Fail(gauge.KindReplaced, "another life"), g.now)
+	g.pool.HoldFailed(life("a"), gauge.Fail(gauge.KindReplaced, "another life"), g.now)
 	g.list("b")
 	g.hear("b", nil)
 	for _, o := range first {
@@ -112,7 +112,7 @@
 		g.adopt(1, false, step(8))
 		first := g.starts()
 		assert.Equal(t, len(first), 2)
-		g.pool.HoldFailed("a", gauge.Fail(kind, "no answer"), g.now)
+		g.pool.HoldFailed(life("a"), gauge.Fail(kind, "no answer"), g.now)
 		g.list("b")
 		g.hear("b", nil)
 		second := g.starts()
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -12,9 +12,14 @@
 	"sapphiregauge/internal/sched"
 )
 
+// longest is the longest lease that workers grant.
+const longest = 10 * time.Second
+
 // model is one life of a worker as it really is.
 type model struct {
 	id      string
+	born    int64
+	before  int64 // when the life before began; 0: there is none
 	began   time.Duration
 	up      bool
 	fence   gauge.Fence
@@ -36,9 +41,12 @@
 	lives   int
 	orders  []sched.Order // sent, not yet answered
 	late    []sched.Order // answered as lost, carried out yet
-	reports map[string]*gauge.WorkerReport
-	named   []string          // workers in the lease row, as the table has it
-	rows    map[string][]byte // as the table has them
+	lateFor []lateHold    // the same
+	reports map[string]told
+	held    map[string]gauge.Life // lives that the owner keeps holds at
+	named   []gauge.Life          // workers in the lease row, as the table has it
+	calming bool                  // nothing is stale any more
+	rows    map[string][]byte     // as the table has them
 	version map[string]int64
 	specs   map[string]*gauge.JobSpec
 	next    int64
@@ -51,12 +59,27 @@
 	hidden    map[string]bool // jobs that the owner could not read yet
 	rehears   bool            // it has begun to read them
 
-	over map[string]time.Duration // when silent workers are over, by the owner that gives the pool away
+	over map[gauge.Life]time.Duration // when silent workers are over, by the owner that gives the pool away
+}
+
+// lateHold is a hold that got no answer and is carried out yet.
+type lateHold struct {
+	id   string
+	call gauge.HoldCall
 }
 
+// told is an answer to a hold.
+type told struct {
+	asked gauge.Life
+	call  gauge.HoldCall
+	rep   *gauge.WorkerReport
+}
+
+func (m *model) life() gauge.Life { return gauge.Life{Worker: m.id, Born: m.born} }
+
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, models: make(map[string]*model), reports: make(map[string]*gauge.WorkerReport),
+		t: t, models: make(map[string]*model), reports: make(map[string]told), held: make(map[string]gauge.Life),
 		rows: make(map[string][]byte), version: make(map[string]int64), specs: make(map[string]*gauge.JobSpec),
 		ran: make(map[gauge.TaskID]int), done: make(map[gauge.TaskID]bool), next: 10,
 		cancelled: make(map[string]bool),
@@ -70,22 +93,23 @@
 
 // give has an owner give the pool away, and tell what it knows of silent workers.
 func (w *world) give() {
-	w.over = make(map[string]time.Duration)
-	for id, left := range w.pool.Left(w.now) {
-		w.over[id] = w.now + left
+	w.over = make(map[gauge.Life]time.Duration)
+	for l, left := range w.pool.Left(w.now) {
+		w.over[l] = w.now + left
 	}
 	w.own(w.pool.Name())
 }
 
 // own starts an owner from what the table has.
-func (w *world) own(earlier []string) {
+func (w *world) own(earlier []gauge.Life) {
 	w.next++
 	w.fence = gauge.Fence(w.next)
-	w.orders, w.reports = nil, make(map[string]*gauge.WorkerReport)
+	w.orders, w.reports = nil, make(map[string]told)
+	clear(w.held)
 	w.pool = sched.New(sched.Config{
 		Name: poolName, Fence: w.fence, Term: w.term, Hold: 5 * time.Second, Start: time.Second, Wait: time.Second,
 		Logs: logr.Discard(), Earlier: earlier, Doubt: w.now + 6*time.Second,
-		Over:   w.over,
+		Over: w.over, Longest: longest,
 		Window: w.term % 2 * 3, Lane: w.term % 2 * 2, // every other owner bounds its starts
 	})
 	w.term++
@@ -104,23 +128,42 @@
 	var ws []gauge.Worker
 	for _, m := range w.models {
 		if m.up {
-			ws = append(ws, worker(m.id))
+			ws = append(ws, w.entry(m))
 		}
 	}
 	w.pool.Workers(ws)
+	w.hear()
 	w.renew()
 }
 
+// entry is a worker's row, now and then that of its life before.
+func (w *world) entry(m *model) gauge.Worker {
+	row := worker(m.id)
+	row.Born = m.born
+	if !w.calming && m.before > 0 && rapid.IntRange(0, 3).Draw(w.t, "stale row") == 0 {
+		row.Born = m.before
+	}
+	return row
+}
+
+// hear has the owner keep holds at the lives that it has heard of.
+func (w *world) hear() {
+	for _, info := range w.pool.Unheld() {
+		w.held[info.ID] = info.Life()
+	}
+}
+
 // renew writes the lease row.
 func (w *world) renew() {
+	w.next++
 	w.named = w.pool.Name()
-	w.pool.Noted(w.named)
+	w.pool.Noted(w.named, w.next)
 }
 
 func (w *world) join() {
 	w.lives++
 	m := &model{
-		id: fmt.Sprintf("w%d", w.lives), began: w.now - time.Hour, up: true,
+		id: fmt.Sprintf("w%d", w.lives), born: 1, began: w.now - time.Hour, up: true,
 		runs: make(map[gauge.TaskID]int), stopped: make(map[gauge.TaskID]int),
 	}
 	w.models[m.id] = m
@@ -199,7 +242,7 @@
 		return nil
 	}
 	assert.Assert(w.t, !w.done[c.Task], "%s starts again after it was done", c.Task)
-	m.until = max(m.until, c.Until)
+	m.until = max(m.until, min(c.Until, w.clock(m)+longest))
 	m.runs[c.Task] = c.Run
 	w.ran[c.Task]++
 	assert.Assert(w.t, w.ran[c.Task] <= 1, "%s has two runs", c.Task)
--- a/trial.go
+++ b/trial.go
@@ -10,6 +10,7 @@
 type Trial struct {
 	Run    int    `msgpack:"r"`
 	Worker string `msgpack:"w"`
+	Born   int64  `msgpack:"n,omitempty"` // which life of it
 	// Crashed tells that the worker is over; else nobody knows yet what became of it.
 	Crashed bool `msgpack:"x,omitempty"`
 	// Alone tells that no other job had a task there, so that none of those is the cause.
@@ -19,6 +20,9 @@
 	Lived  time.Duration `msgpack:"l,omitempty"` // the run, at the least
 }
 
+// Life is that of the worker.
+func (t *Trial) Life() Life { return Life{Worker: t.Worker, Born: t.Born} }
+
 // Trials are those of one task. Members of a gang that ran on several workers have one for
 // each of these, with one run's number.
 type Trials []Trial
