Give a worker's next life no lower fencing token than the life before

An owner gave up its pool, and started a task that crashes its workers three times more after three crashes. Cause: a silent worker's token had risen, the retried hold reached the next life with it; the row then told of that life, whose first hold carried the owner's first token, was refused, and the owner took that for another owner's doing. A start that was answered before its worker went was also counted as never told of, so that crashes proved less. Change: a next life goes on from the token of the life before, and rises above it with the next write. The random test now holds that a refusal for an owner's own token is known as such.

--- a/internal/sched/life.go
+++ b/internal/sched/life.go
@@ -63,6 +63,7 @@
 func (p *Pool) begin(info gauge.Worker) *worker {
 	w := &worker{info: info, runs: make(map[*run]bool), expiry: p.inherited(info.Life()), since: p.ticked}
 	w.info.Draining = false // that is taken in with its row
+	p.raise(w)
 	before, awaited := p.earlier[info.ID]
 	w.follows = awaited && before != info.Life()
 	p.workers[info.ID] = w
@@ -79,8 +80,9 @@
 	w.follows = true
 	w.expiry = max(w.expiry, now+p.conf.Longest)
 	w.emptyUntil, w.force, w.soonUntil = old.emptyUntil, old.force, old.soonUntil
-	if p.written > p.fence(old) {
-		w.fence = p.written
+	w.fence, w.unfenced = p.fence(old), old.unfenced
+	if !old.silent || old.unfenced {
+		p.raise(w)
 	}
 	p.conf.Logs.Info("worker started again", "pool", p.conf.Name, "worker", info.ID, "born", info.Born, "before", old.info.Born,
 		"runs", len(old.runs), "kept", old.kept, "ends", old.ends)
@@ -102,7 +104,7 @@
 		p.land(r)
 		p.endTrial(r)
 		old.remove(r)
-		old.leave(lostRun{task: r.task, number: r.number, order: r})
+		old.leave(lostRun{task: r.task, number: r.number, lived: r.lived(), told: r.toldAt > 0, order: r})
 		r.lost = true
 		r.worker, r.phase, r.unsure, r.until, r.known = next, phaseUnsure, true, math.MaxInt64, 0
 		next.add(r)
@@ -116,8 +118,14 @@
 // reaches the next owner's, who takes the lease by a later write.
 func (p *Pool) fence(w *worker) gauge.Fence { return max(p.conf.Fence, w.fence) }
 
-// raise has nothing carried out any more, once the worker has answered, that was sent before.
-func (p *Pool) raise(w *worker) { w.fence = max(w.fence, p.written) }
+// raise has nothing carried out any more, once the worker has answered, that was sent before. With
+// no write since the last time it waits for the next one.
+func (p *Pool) raise(w *worker) {
+	w.unfenced = p.written <= p.fence(w)
+	if !w.unfenced {
+		w.fence = p.written
+	}
+}
 
 // Outdated tells whether a call's fencing token is an earlier one of this owner's own, or was
 // for a life that is over: refused by it the call tells of no other owner.
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -56,7 +56,11 @@
 func (w *world) hold(m *model) {
 	asked := w.held[m.id]
 	_, call, ok := w.pool.Holding(asked, w.now)
-	if !ok || call.Fence < m.fence {
+	if !ok {
+		return
+	}
+	if call.Fence < m.fence {
+		assert.Assert(w.t, w.pool.Outdated(asked, call.Fence), "taken for another owner's token: its own")
 		return
 	}
 	if !w.calming && rapid.IntRange(0, 5).Draw(w.t, "late hold") == 0 {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -14,7 +14,7 @@
 		return false
 	}
 	id := w.info.ID
-	if w.follows && w.fence > 0 && call.Fence >= w.fence {
+	if w.follows && !w.unfenced && call.Fence >= w.fence {
 		// Nothing that was meant for the life before is carried out from now on; till now
 		// its lease may have been extended.
 		w.follows = false
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -206,14 +206,15 @@
 // Noted tells that the lease row in the table names these lives, as of a version.
 func (p *Pool) Noted(lives []gauge.Life, version int64) {
 	p.written = max(p.written, gauge.Fence(version))
+	for _, w := range p.workers {
+		if w.unfenced {
+			p.raise(w)
+		}
+	}
 	for _, l := range lives {
 		w := p.current(l)
-		if w == nil {
-			continue
-		}
-		w.noted = true
-		if w.fence == 0 {
-			p.raise(w)
+		if w != nil {
+			w.noted = true
 		}
 	}
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -51,17 +51,18 @@
 
 // worker is one life of a worker as this owner sees it.
 type worker struct {
-	info    gauge.Worker
-	listed  bool          // it is on the platform's list
-	since   time.Duration // when it was first
-	noted   bool          // the lease row names it: a successor will ask it first
-	fence   gauge.Fence   // its own, see Pool.fence; 0: the lease row hasn't named it yet
-	follows bool          // its worker had orders in an earlier life
-	heard   bool          // it has answered to this owner's fencing token
-	mute    bool          // a start got no answer, and nothing was heard since
-	flying  int           // starts that have no answer yet
-	silent  bool          // its last hold got no answer
-	gone    bool          // it is surely over
+	info     gauge.Worker
+	listed   bool          // it is on the platform's list
+	since    time.Duration // when it was first
+	noted    bool          // the lease row names it: a successor will ask it first
+	fence    gauge.Fence   // its own, see Pool.fence
+	unfenced bool          // what was sent before may be carried out yet: its token is to rise
+	follows  bool          // its worker had orders in an earlier life
+	heard    bool          // it has answered to this owner's fencing token
+	mute     bool          // a start got no answer, and nothing was heard since
+	flying   int           // starts that have no answer yet
+	silent   bool          // its last hold got no answer
+	gone     bool          // it is surely over
 
 	runs map[*run]bool
 	used gauge.Resources
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -217,6 +217,7 @@
 	}
 	fence := max(o.Start.Fence, o.Stop.Fence, o.Look.Fence)
 	if fence < m.fence {
+		assert.Assert(w.t, fence < w.fence || w.pool.Outdated(o.Worker.Life(), fence), "taken for another owner's token: its own")
 		return gauge.Fail(gauge.KindFenced, "old owner")
 	}
 	m.fence = fence
