Have the stand-ins' workers always start again under their ids

A worker that crashes comes back under its id and at its address, with another beginning, its counts and its clock anew; the row of its life before is written once more after its own. A machine that is moved or has its upkeep gets a new id, as before.

--- a/test/machines/again_test.go
+++ b/test/machines/again_test.go
@@ -16,7 +16,6 @@
 func againSite(t *testing.T) *site {
 	t.Helper()
 	s := newSite(t, 1, againHosts)
-	s.machines.Again = true
 	s.ready()
 	return s
 }
