Acknowledge ends only on a connection on which their worker has answered

Trace: an owner waits for the table before its next hold, 0.4 s at most; the worker crashed and started again in that time; starts, sent every 4 ms to an address where nobody listened, reached the next life, which carried them out; the next hold acknowledged the ends of these by the number of the last one of the life before. Cause: a hold on a new connection reaches whoever has the address now, also another life of the same worker, which nothing else in the call tells apart. Change: ends are acknowledged on a resting connection alone, which reaches the process that has answered on it or nobody; without one the hold goes out without acknowledging. A worker that can't be connected to gets no start before it has answered again. The test with restarts crashes all workers at once: one after the other its jobs were given up, which a trace showed (two crashes alone, each within a second of the start), and the users' rules allow.

--- a/internal/exch/exch.go
+++ b/internal/exch/exch.go
@@ -78,12 +78,28 @@
 	if err != nil {
 		return false, gauge.Fail(gauge.KindOutage, "exch.Do: connect to %s", addr).Because(err)
 	}
+	return p.use(ctx, c, req, resp)
+}
+
+// DoResting is Do on a connection that rests: it reaches the process that has answered on it,
+// or nobody, where a new one may reach another process that has the address now. Without one
+// nothing is sent, and the kind is KindOutage.
+func (p *Pool) DoResting(ctx context.Context, addr string, req *fasthttp.Request, resp *fasthttp.Response) (sent bool, err error) {
+	c := p.wake(addr)
+	if c == nil {
+		return false, gauge.Fail(gauge.KindOutage, "exch.DoResting: no connection to %s rests", addr)
+	}
+	return p.use(ctx, c, req, resp)
+}
+
+// use sends req on a connection and reads the whole answer into resp before ctx ends.
+func (p *Pool) use(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response) (sent bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	err = c.exchange(req, resp, p.conf.Answer)
 	inTime := stop()
 	if err != nil {
 		_ = c.Close() // a late answer may still come on it
-		return true, gauge.Fail(gauge.KindUnknown, "exch.Do: %s", addr).Because(err)
+		return true, gauge.Fail(gauge.KindUnknown, "exch.Do: %s", c.addr).Because(err)
 	}
 	if !inTime || resp.ConnectionClose() {
 		_ = c.Close()
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -369,7 +369,10 @@
 	case gauge.KindStale:
 		r.task.lastRun++
 		p.end(r, now)
-	case gauge.KindOutage, gauge.KindLate, gauge.KindReplaced, gauge.KindFenced:
+	case gauge.KindOutage:
+		r.worker.mute = true // nobody listens there, or this host can't connect
+		p.end(r, now)
+	case gauge.KindLate, gauge.KindReplaced, gauge.KindFenced:
 		p.end(r, now)
 	case gauge.KindTicket:
 		delete(r.task.stage.advised.tickets, r.worker.info.Life())
--- a/test/machines/again_test.go
+++ b/test/machines/again_test.go
@@ -20,16 +20,20 @@
 	return s
 }
 
-// crashAll has each worker crash once, one after the other.
+// crashAll has all workers crash at once: one after the other they would have been lost, as far
+// as anybody can know, for the tasks that start on the next one each time.
 func (s *site) crashAll() {
 	s.t.Helper()
+	before := make(map[string]*fakes.Worker)
 	for i := range againHosts {
 		id := fmt.Sprintf("m-%d", i)
-		before := s.machines.Worker(id)
+		before[id] = s.machines.Worker(id)
 		s.machines.Crash(id)
+	}
+	for id, w := range before {
 		s.waitFor(id+" is back", func() bool {
-			w := s.machines.Worker(id)
-			return w != nil && w != before
+			next := s.machines.Worker(id)
+			return next != nil && next != w
 		})
 	}
 }
