Judge crashes only once this process has run for a while after a pause

Trace: all six workers lost power and started again while their owner was paused; awake, it heard of two, judged them at once, their losses a second old by then, and was paused again; of the other four it heard 1.8 s later. So a lasting task counted as lost alone with its worker, twice. Cause: a second after a loss is enough for others to show only if this process runs meanwhile. Change: the second counts from the end of a pause, which shows by ticks that didn't come. Tests for what is kept by a worker's life, each seen failing with its mechanism left out.

--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -114,3 +114,21 @@
 	assert.Equal(t, len(paced(70)), 0)
 	assert.Equal(t, paced(20)[0].Pace.Percent, 10)
 }
+
+// A ticket of a worker's life that is over, which the next life refuses.
+func TestTicketHoldsForOneLifeOfAWorker(t *testing.T) {
+	g := newRig(t)
+	g.pool.Configure(&gauge.Site{Version: 2, Queues: []gauge.Queue{{
+		Name: queueName, Pool: poolName, MaxAttempts: 2, Advice: &gauge.Advice{Valid: 3 * time.Second},
+	}}})
+	g.rows(200, row("w1", 1))
+	g.answer(lifeOf("w1", 1), 1, time.Hour, nil)
+	g.adopt(1, false, step(1))
+	ask := only(g.plan(), sched.OrderAdvise)[0]
+	g.rows(300, row("w1", 2))
+	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
+	g.pool.Advised(ask, []gauge.Ticket{{Worker: "w1", Text: "t"}}, 0, nil, g.now)
+	orders := g.plan()
+	assert.Equal(t, len(only(orders, sched.OrderStart)), 0)
+	assert.Equal(t, len(only(orders, sched.OrderAdvise)), 1, "asked anew about the life that is there")
+}
--- /dev/null
+++ b/internal/sched/life_test.go
@@ -0,0 +1,279 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
+)
+
+func lifeOf(id string, born int64) gauge.Life { return gauge.Life{Worker: id, Born: born} }
+
+// row is the platform's row of a life of a worker.
+func row(id string, born int64) gauge.Worker {
+	w := worker(id)
+	w.Born = born
+	return w
+}
+
+// rows tells of lives of workers, and that the lease row names them, as of a version.
+func (g *rig) rows(version int64, rows ...gauge.Worker) {
+	g.pool.Workers(rows)
+	g.pool.Noted(g.pool.Name(), version)
+}
+
+// answer has a life of a worker answer the hold that the owner keeps at another, or the same.
+func (g *rig) answer(asked gauge.Life, born int64, clock time.Duration, running []gauge.RunReport, ended ...gauge.EndReport) bool {
+	_, call, _ := g.pool.Holding(asked, g.now)
+	return g.pool.Report(asked, call, &gauge.WorkerReport{Born: born, Clock: clock, Running: running, Ended: ended}, g.now)
+}
+
+// born1 is a rig with a worker in its first life that has one run of a lasting task, long enough
+// not to be suspected if the worker is lost.
+func born1(t *testing.T) (*rig, sched.Order) {
+	t.Helper()
+	return livedFor(t, 2*time.Second)
+}
+
+func livedFor(t *testing.T, lived time.Duration) (*rig, sched.Order) {
+	t.Helper()
+	g := newRig(t, func(c *sched.Config) { c.Longest = longest })
+	g.rows(200, row("w1", 1))
+	g.answer(lifeOf("w1", 1), 1, time.Hour, nil)
+	s := step(1)
+	s.Lasts = true
+	g.adopt(1, false, s)
+	start := g.starts()[0]
+	g.ok([]sched.Order{start})
+	g.now += lived
+	g.answer(lifeOf("w1", 1), 1, time.Hour+lived, []gauge.RunReport{running(start)})
+	return g, start
+}
+
+// Runs that went with a worker's life and are taken for at work in the next one, whose clock is
+// behind.
+func TestRunsOfALifeThatIsOverStartAgain(t *testing.T) {
+	for _, clock := range []time.Duration{time.Second, 9 * time.Hour} {
+		g, first := born1(t)
+		g.silent2(lifeOf("w1", 1))
+		assert.Assert(t, g.answer(lifeOf("w1", 1), 2, clock, nil))
+		g.rows(300, row("w1", 2))
+		g.answer(lifeOf("w1", 2), 2, clock+time.Millisecond, nil)
+		again := g.starts()
+		assert.Equal(t, len(again), 1)
+		assert.Equal(t, again[0].Start.Task, first.Start.Task)
+		assert.Equal(t, again[0].Worker.Born, int64(2))
+		assert.Assert(t, again[0].Start.Until < clock+2*time.Second, "a deadline on the clock of the life before")
+	}
+}
+
+// silent2 has a hold at a life of a worker fail.
+func (g *rig) silent2(l gauge.Life) {
+	g.pool.HoldFailed(l, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+}
+
+// The first ends of a worker's next life, which are forgotten by the number of the last of the life before.
+func TestEndsOfTheNextLifeAreTakenInAndNotAcknowledgedBefore(t *testing.T) {
+	g, start := born1(t)
+	other := gauge.TaskID{Job: jobID(9)}
+	g.answer(lifeOf("w1", 1), 1, time.Hour+3*time.Second, []gauge.RunReport{running(start)},
+		gauge.EndReport{Number: 1, Task: other, Run: 1, How: gauge.EndDone}, gauge.EndReport{Number: 2, Task: other, Run: 2, How: gauge.EndDone})
+	_, call, _ := g.pool.Holding(lifeOf("w1", 1), g.now)
+	assert.Equal(t, call.LastSeen, int64(2))
+	g.silent2(lifeOf("w1", 1))
+	_, call, _ = g.pool.Holding(lifeOf("w1", 1), g.now)
+	assert.Equal(t, call.LastSeen, int64(0), "it may be another life by now")
+
+	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
+	g.rows(300, row("w1", 2))
+	_, call, _ = g.pool.Holding(lifeOf("w1", 2), g.now)
+	assert.Equal(t, call.LastSeen, int64(0))
+	id := g.adopt(2, false, step(1))
+	g.answer(lifeOf("w1", 2), 2, 2*time.Second, nil)
+	var order sched.Order
+	for _, o := range g.starts() {
+		if o.Start.Task.Job == id {
+			order = o
+		}
+	}
+	g.pool.Answered(order, 2*time.Second, nil, g.now)
+	g.answer(lifeOf("w1", 2), 2, 3*time.Second, nil, gauge.EndReport{Number: 1, Task: order.Start.Task, Run: 1, How: gauge.EndDone})
+	g.save(400)
+	state, _ := g.pool.State(queueName, id)
+	assert.Equal(t, state, gauge.JobCompleted)
+}
+
+// A row or an answer of the life before that comes after the next one's.
+func TestWhatComesLateOfALifeThatIsOverCountsNoMore(t *testing.T) {
+	g, start := born1(t)
+	g.rows(300, row("w1", 2))
+	assert.Assert(t, !g.answer(lifeOf("w1", 1), 1, time.Hour+3*time.Second, []gauge.RunReport{running(start)}))
+	_, _, held := g.pool.Holding(lifeOf("w1", 1), g.now)
+	assert.Assert(t, !held)
+	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
+
+	g.rows(301, row("w1", 1))
+	assert.Equal(t, len(g.starts()), 0, "no row names the life that is there")
+	g.rows(302, row("w1", 0))
+	assert.Equal(t, len(g.starts()), 0, "nor one that doesn't tell its life")
+	g.rows(303, row("w1", 2))
+	g.answer(lifeOf("w1", 2), 2, 2*time.Second, nil)
+	assert.Equal(t, len(g.starts()), 1)
+}
+
+// A start that got no answer and reached the next life: its task has two runs.
+func TestStartThatMayHaveReachedTheNextLifeIsSettledThere(t *testing.T) {
+	for _, reached := range []bool{true, false} {
+		g, _ := born1(t)
+		id := g.adopt(2, false, step(1))
+		order := only(g.plan(), sched.OrderStart)[0]
+		g.rows(300, row("w1", 2), row("w2", 1))
+		g.answer(lifeOf("w2", 1), 1, time.Hour, nil)
+		g.pool.Answered(order, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+		orders := g.plan()
+		assert.Assert(t, !starts(orders, id), "it may run in the next life of the worker")
+		if reached {
+			g.answer(lifeOf("w1", 2), 2, time.Second, []gauge.RunReport{running(order)})
+			assert.Assert(t, !starts(g.plan(), id), "it runs there")
+			continue
+		}
+		for _, o := range only(orders, sched.OrderStop) {
+			assert.Equal(t, o.Worker.Born, int64(2))
+			g.pool.Answered(o, time.Second, nil, g.now)
+		}
+		g.answer(lifeOf("w1", 2), 2, 2*time.Second, nil)
+		for range 15 { // what its worker was lost for is judged first
+			g.pass(100 * time.Millisecond)
+		}
+		g.answer(lifeOf("w1", 2), 2, 4*time.Second, nil)
+		g.save(400)
+		orders = append(g.plan(), g.plan()...)
+		assert.Assert(t, starts(orders, id))
+	}
+}
+
+func starts(orders []sched.Order, job string) bool {
+	for _, o := range only(orders, sched.OrderStart) {
+		if o.Start.Task.Job == job {
+			return true
+		}
+	}
+	return false
+}
+
+// What was sent before a worker started again, and is carried out after.
+func TestTokenRisesWithEachSilence(t *testing.T) {
+	g, start := born1(t)
+	g.pool.Noted(g.pool.Name(), 250)
+	g.silent2(lifeOf("w1", 1))
+	_, call, _ := g.pool.Holding(lifeOf("w1", 1), g.now)
+	assert.Assert(t, call.Fence > start.Start.Fence)
+	assert.Assert(t, g.pool.Outdated(lifeOf("w1", 1), start.Start.Fence), "its refusal tells of no other owner")
+	assert.Assert(t, !g.pool.Outdated(lifeOf("w1", 1), call.Fence))
+}
+
+// A worker whose machine is to be taken away, and that gets work since it has started again.
+func TestWorkerThatIsToBeEmptiedIsSoInItsNextLife(t *testing.T) {
+	g, _ := born1(t)
+	g.pool.Empty("w1", false, g.now)
+	g.silent2(lifeOf("w1", 1))
+	g.rows(300, row("w1", 2))
+	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
+	assert.Equal(t, len(g.starts()), 0)
+	assert.Assert(t, g.pool.Empty("w1", false, g.now))
+}
+
+// A worker that drains, and is taken for leaving when it has started again.
+func TestNextLifeDoesNotDrainForTheLifeBefore(t *testing.T) {
+	g, _ := born1(t)
+	leaving := row("w1", 1)
+	leaving.Draining = true
+	g.rows(250, leaving)
+	g.silent2(lifeOf("w1", 1))
+	g.rows(300, row("w1", 2))
+	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
+	assert.Equal(t, len(g.starts()), 1)
+}
+
+// A task that crashes its workers, of whose crash the next owner doesn't know as the worker is back.
+func TestCrashCountsWhenTheNextOwnerHearsTheNextLife(t *testing.T) {
+	g, start := livedFor(t, time.Millisecond)
+	g.silent2(lifeOf("w1", 1))
+	g.silent2(lifeOf("w1", 1)) // it is noted that the worker may have crashed
+	batch, err := g.pool.Batch(100, 1, nobody)
+	assert.NilError(t, err)
+	noted, err := gauge.DecodeJobRow(batch.Changes[0].Row)
+	assert.NilError(t, err)
+	next := newRig(t, after("w1"))
+	next.rows(500, row("w1", 2))
+	s := step(1)
+	s.Lasts = true
+	next.pool.Adopt(sched.Accepted{
+		ID: start.Start.Task.Job, Queue: queueName, Spec: &gauge.JobSpec{Steps: []gauge.Step{s}}, Row: noted, Version: 400, Inherited: true,
+	}, 0)
+	next.answer(lifeOf("w1", 2), 2, time.Second, nil)
+	next.plan()
+	batch, err = next.pool.Batch(100, 1, nobody)
+	assert.NilError(t, err)
+	noted, err = gauge.DecodeJobRow(batch.Changes[0].Row)
+	assert.NilError(t, err)
+	assert.Equal(t, noted.Trials["0.0.0"].Crashes(), 1)
+}
+
+// Workers that lost power together, of which an owner that stood still hears one by one.
+func TestOwnerThatStoodStillWaitsForOtherLosses(t *testing.T) {
+	g, start := born1(t)
+	g.rows(210, row("w1", 1), row("w2", 1), row("w3", 1))
+	for _, id := range []string{"w2", "w3"} {
+		g.answer(lifeOf(id, 1), 1, time.Hour, nil)
+	}
+	g.pass(50 * time.Millisecond)
+	g.silent2(lifeOf("w1", 1))
+	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
+	g.pass(3 * time.Second) // stood still
+	for _, id := range []string{"w2", "w3"} {
+		g.silent2(lifeOf(id, 1))
+		g.answer(lifeOf(id, 1), 2, time.Second, nil)
+	}
+	for range 20 {
+		g.pass(100 * time.Millisecond)
+	}
+	batch := g.save(400)
+	for _, c := range batch.Changes {
+		noted, err := gauge.DecodeJobRow(c.Row)
+		assert.NilError(t, err)
+		if c.Job == start.Start.Task.Job {
+			assert.Equal(t, len(noted.Trials), 0, "%v", noted.Trials)
+		}
+	}
+}
+
+// A lease that is longer than this owner knows: it was meant for the life before, by another clock.
+func TestNextLifeMayHaveTheLongestLease(t *testing.T) {
+	g, _ := born1(t)
+	g.silent2(lifeOf("w1", 1))
+	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
+	g.silent2(lifeOf("w1", 2))
+	assert.Equal(t, g.pool.Left(g.now)[lifeOf("w1", 2)], longest)
+}
+
+// A stop that the life before has answered, and that keeps the next one from nothing.
+func TestStopAnsweredByTheLifeBeforeIsSentAgain(t *testing.T) {
+	g, _ := born1(t)
+	id := g.adopt(2, false, step(1))
+	order := only(g.plan(), sched.OrderStart)[0]
+	g.pool.Answered(order, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+	g.pool.Cancel(id, 500)
+	stops := only(g.plan(), sched.OrderStop)
+	assert.Equal(t, len(stops), 1)
+	g.rows(300, row("w1", 2))
+	g.pool.Answered(stops[0], time.Hour+3*time.Second, nil, g.now)
+	g.answer(lifeOf("w1", 2), 2, 3*time.Hour, nil)
+	g.pass(250 * time.Millisecond)
+	again := only(g.plan(), sched.OrderStop)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Worker.Born, int64(2))
+}
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -11,6 +11,9 @@
 	// settleSpan after a worker was lost others that were lost with it have shown: till then
 	// nobody knows what it was lost for, and what ran there waits.
 	settleSpan = time.Second
+	// pausedSpan without a tick, of which there are ten a second: this process stood still, and
+	// heard of none of the losses meanwhile.
+	pausedSpan = 500 * time.Millisecond
 	// lossesFor is how long a loss is remembered, to be compared with others.
 	lossesFor = 10 * time.Second
 )
@@ -177,7 +180,7 @@
 // judgeLosses finds out what workers were lost for, once that can be known.
 func (p *Pool) judgeLosses(now time.Duration) {
 	for _, l := range p.losses {
-		if !l.judged && now >= l.at+settleSpan {
+		if !l.judged && now >= max(l.at, p.resumed)+settleSpan {
 			l.judged = true
 			p.judgeLoss(l, now)
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -69,6 +69,7 @@
 	tried    map[gauge.Life]bool  // workers on which owners before this one tried suspects
 	cancels  map[string]cancelled // of jobs that aren't known
 	ticked   time.Duration        // when time was last told
+	resumed  time.Duration        // when it was, after a pause of this process
 	arrived  float64              // core-seconds of all jobs adopted so far
 	came     int                  // how many these are
 	doubts   bool                 // inherited tasks wait, in this round of starts
@@ -312,6 +313,9 @@
 // Tick takes in that time has passed: leases that ran out, occurrences that are
 // due.
 func (p *Pool) Tick(now time.Duration, wall time.Time) {
+	if p.ticked > 0 && now-p.ticked > pausedSpan {
+		p.resumed = now
+	}
 	p.ticked = now
 	p.forgetCancels(now)
 	for id, w := range p.workers {
