--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,6 +149,7 @@
 	asked     map[string]bool          // holders' addresses that are asked just now whether they live
 	doubted   map[string]time.Duration // owners' addresses that didn't answer, until when they aren't asked
 	workers   map[string]gauge.Worker
+	spreads   chan struct{} // doubts that all entries are being told of
 	waves     map[int64]gauge.UpkeepOrder
 }
 
@@ -168,7 +169,7 @@
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.Start, listing: gate.New(), known: newKnowledge(),
 		owners: make(map[string]*owner.Owner), busy: make(map[string]bool), taking: make(map[string]chan struct{}),
-		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), asked: make(map[string]bool), workers: make(map[string]gauge.Worker), waves: make(map[int64]gauge.UpkeepOrder),
+		moves: make(map[string]move), offers: make(map[string]time.Duration), doubted: make(map[string]time.Duration), asked: make(map[string]bool), workers: make(map[string]gauge.Worker), spreads: make(chan struct{}, spreadsAtOnce), waves: make(map[int64]gauge.UpkeepOrder),
 	}
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Suspect: suspectAfter(c.Without), Regain: regainWait})
 	n.intake = intake.New(intake.Config{
--- a/test/machines/untold_test.go
+++ b/test/machines/untold_test.go
@@ -14,7 +14,7 @@
 // Sequence: the pool's owner is killed; an entry that is cut off doesn't hear who owns the pool
 // now. It sends a hand-in to the table, which stores it, and the answer is lost; it has nobody to
 // tell. The caller's next try comes to the new owner, for which the table is away as well.
-// Cause: a doubt is told to the owner alone, and not mended yet.
+// Cause: a doubt was told to the owner alone, which the entry that had it could not know.
 func TestOwnerThatWasNotToldOfADoubtRefusesNoRepeat(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 0, 1)
