Count places that are kept for suspects against the bound of their step

What was seen: a task started beside two others of its step where two may be on one worker, about a second after workers had crashed. Cause: a suspect's place was picked by what runs on a worker, not by the places that are kept there for other suspects of the step, and asked for room, ticket and company when it was used, not for the bound of the step. The class: a place that is kept counts for one bound and not for another. Change: one function tells whether a worker has what a task of a stage needs (room, label, the bound of its step); ordinary starts, gangs, moves, and suspects ask it, these both when a place is kept and when it is used. Places that are kept count as runs do. Looked at besides: draining, emptied, unlisted, other pool's (takes), tickets, other jobs' tasks and a worker's next life are asked at both moments already; what fills beside what serves isn't asked by suspects at all, as before (open).

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -197,7 +197,7 @@
 			return
 		}
 	}
-	if now >= at.until || at.number != t.nextRun() || !p.fits(t) {
+	if now >= at.until || at.number != t.nextRun() || !t.placeFits() {
 		p.giveBack(t)
 		return
 	}
@@ -215,16 +215,17 @@
 	}
 }
 
-// fits tells whether a suspect's place still has the room, which may have shrunk.
-func (p *Pool) fits(t *task) bool {
-	need := make(map[*worker]gauge.Resources)
+// placeFits tells whether a suspect's place still has what it needs: room may have shrunk, and
+// other tasks of the step have started there.
+func (t *task) placeFits() bool {
+	st := t.stage
+	on := st.perWorker() // counts the place itself
+	taken := make(map[*worker]gauge.Resources)
 	for _, w := range t.place.workers {
-		need[w] = need[w].Plus(t.stage.spec.Room())
-	}
-	for w, room := range need {
-		if !w.free().Holds(room) {
+		if !st.fits(w, st.spec.Room(), taken[w], on[w]-1) {
 			return false
 		}
+		taken[w] = taken[w].Plus(st.spec.Room())
 	}
 	return true
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -59,11 +59,7 @@
 	var bestScore float64
 	need := st.spec.Room()
 	for _, w := range r.workers {
-		// First what is cheap and rules most workers out.
-		if !w.free().Holds(need) || !w.info.HasLabel(st.spec.Label) || !w.free().Minus(taken[w]).Holds(need) || !allowed(w) {
-			continue
-		}
-		if st.spec.PerWorker > 0 && on[w] >= st.spec.PerWorker || r.kept[w] && !st.spec.Lasts {
+		if !st.fits(w, need, taken[w], on[w]) || !allowed(w) || r.kept[w] && !st.spec.Lasts {
 			continue
 		}
 		if s := w.score(st, on[w], r.without); best == nil || s > bestScore {
@@ -73,6 +69,14 @@
 	return best
 }
 
+// fits tells whether a worker has what a task of a stage needs, beside what is taken there: room,
+// the label, and no more tasks of the stage than may be on one worker.
+func (st *stage) fits(w *worker, need, taken gauge.Resources, on int) bool {
+	// First what is cheap and rules most workers out.
+	return w.free().Holds(need) && w.info.HasLabel(st.spec.Label) && w.free().Minus(taken).Holds(need) &&
+		(st.spec.PerWorker == 0 || on < st.spec.PerWorker)
+}
+
 // allows tells on which workers the turn's stage may run, as far as its queue's
 // advice goes.
 func (t *turn) allows(now time.Duration) func(*worker) bool {
@@ -93,7 +97,8 @@
 	}
 }
 
-// perWorker counts the stage's runs by worker, if it matters where they are.
+// perWorker counts the stage's runs by worker, and the places that are kept for its suspects, if
+// it matters where they are.
 func (st *stage) perWorker() spread {
 	if st.spec.PerWorker == 0 && !st.spec.Lasts {
 		return nil
@@ -103,6 +108,11 @@
 		for _, r := range t.runs {
 			on.add(r.worker)
 		}
+		if t.place != nil {
+			for _, w := range t.place.workers {
+				on.add(w)
+			}
+		}
 	}
 	return on
 }
