Tell after a takeover which workers were lost together though they have started again

Trace: all workers lost power, their owner lost its lease with that, and the next one heard all of them in their next lives; the trials that were noted before counted as crashes, nothing excused them. Cause: what was lost together before a takeover was told by the workers that are never heard again. Under the same id they are heard: what the next life answers held true of the one before. Change: a life that the lease's row names, and that has been replaced when the next owner first hears of its worker, counts among the losses that nobody of that owner has seen. Measured: sched: TestWorkersThatWereLostTogetherBeforeATakeoverExcuseTheirTasks red without, green with it.

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -35,6 +35,7 @@
 	if len(p.suspects) == 0 {
 		return
 	}
+	p.loseReplaced(now)
 	for _, t := range p.suspectsInTurn() {
 		if t.done || !t.job.open() || p.jobs[t.job.id] != t.job {
 			p.unreserve(t)
--- a/internal/sched/late.go
+++ b/internal/sched/late.go
@@ -61,6 +61,7 @@
 // lapse takes in that time has passed: what ran on a worker has ended when its lease has
 // run out, with the holds that were sent since.
 func (p *Pool) lapse(now time.Duration) {
+	p.loseReplaced(now)
 	for id, l := range p.earlier {
 		if now > p.doubtedUntil(l) {
 			delete(p.earlier, id)
--- a/internal/sched/life.go
+++ b/internal/sched/life.go
@@ -65,7 +65,9 @@
 	w.info.Draining = false // that is taken in with its row
 	p.raise(w)
 	before, awaited := p.earlier[info.ID]
-	w.follows = awaited && before != info.Life()
+	if w.follows = awaited && before != info.Life(); w.follows {
+		p.replaced = append(p.replaced, before)
+	}
 	p.workers[info.ID] = w
 	p.sorted = nil
 	p.unheld = append(p.unheld, info)
--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -277,3 +277,30 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Worker.Born, int64(2))
 }
+
+// A sound task that counts as the cause of a crash, as the next owner hears of no worker that it is gone.
+func TestWorkersThatWereLostTogetherBeforeATakeoverExcuseTheirTasks(t *testing.T) {
+	g, start := livedFor(t, time.Millisecond)
+	g.silent2(lifeOf("w1", 1))
+	g.silent2(lifeOf("w1", 1))
+	batch, err := g.pool.Batch(100, 1, nobody)
+	assert.NilError(t, err)
+	noted, err := gauge.DecodeJobRow(batch.Changes[0].Row)
+	assert.NilError(t, err)
+	next := newRig(t, after("w1", "w2", "w3"), func(c *sched.Config) {
+		c.Earlier = []gauge.Life{lifeOf("w1", 1), lifeOf("w2", 1), lifeOf("w3", 1)}
+	})
+	next.rows(500, row("w1", 2), row("w2", 2), row("w3", 2))
+	next.pool.Adopt(sched.Accepted{
+		ID: start.Start.Task.Job, Queue: queueName, Spec: &gauge.JobSpec{Steps: []gauge.Step{lasting(1)}}, Row: noted, Version: 400, Inherited: true,
+	}, 0)
+	for _, id := range []string{"w1", "w2", "w3"} {
+		next.answer(lifeOf(id, 2), 2, time.Second, nil)
+	}
+	next.plan()
+	batch, err = next.pool.Batch(100, 1, nobody)
+	assert.NilError(t, err)
+	noted, err = gauge.DecodeJobRow(batch.Changes[0].Row)
+	assert.NilError(t, err)
+	assert.Equal(t, noted.Trials["0.0.0"].Crashes(), 0)
+}
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -237,6 +237,15 @@
 	}
 }
 
+// loseReplaced takes in the workers that have started again before this owner heard their lives
+// before: what these were lost for it doesn't know, but which were lost.
+func (p *Pool) loseReplaced(now time.Duration) {
+	for _, l := range p.replaced {
+		p.losses = append(p.losses, &loss{life: l, from: now, at: now, judged: true, before: true})
+	}
+	p.replaced = nil
+}
+
 // unheardWith counts the workers without a suspect that were not heard either: one may have
 // left the pool meanwhile, several are a rack.
 func (p *Pool) unheardWith(l *loss) int {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -66,6 +66,7 @@
 	odds     map[*oddRun]bool
 	suspects map[*task]bool       // tasks that may end their workers
 	losses   []*loss              // workers that were lost lately
+	replaced []gauge.Life         // over before this owner heard them, and not among the losses yet
 	tried    map[gauge.Life]bool  // workers on which owners before this one tried suspects
 	cancels  map[string]cancelled // of jobs that aren't known
 	ticked   time.Duration        // when time was last told
