--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -258,6 +258,28 @@
 	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
 	g.silent2(lifeOf("w1", 2))
 	assert.Equal(t, g.pool.Left(g.now)[lifeOf("w1", 2)], longest)
+
+	g.pass(3 * time.Second)
+	g.pool.Noted(g.pool.Name(), 300) // its token rises; till it answers to that it may be granted more
+	g.answer(lifeOf("w1", 2), 2, 4*time.Second, nil)
+	g.silent2(lifeOf("w1", 2))
+	assert.Equal(t, g.pool.Left(g.now)[lifeOf("w1", 2)], longest)
+}
+
+// A worker that drains when it is first heard of, and is taken for leaving at once.
+func TestWorkerThatDrainsFromTheStartStaysAsLongAsItSays(t *testing.T) {
+	g := newRig(t)
+	g.rows(200, row("w1", 1), row("w2", 1))
+	leaving := row("w1", 2)
+	leaving.Draining, leaving.Leaves = true, 20*time.Second
+	g.answer(lifeOf("w1", 1), 1, time.Hour, nil)
+	job := step(1)
+	job.Checkpoints, job.Estimate = true, 5*time.Second
+	g.adopt(1, false, job)
+	start := g.starts()[0]
+	g.rows(300, leaving)
+	g.answer(lifeOf("w1", 2), 2, time.Second, []gauge.RunReport{running(start)})
+	assert.Equal(t, len(only(g.plan(), sched.OrderStop)), 0, "it ends before its worker leaves")
 }
 
 // A stop that the life before has answered, and that keeps the next one from nothing.
