Hold no life of a worker that began in another pool

Read in the code, not seen: a worker whose next life is another pool's still answered the hold of the pool that had its life before, by its id and address; that owner then took it for its own, and two owners' tokens shut each other out. The one that is refused gave up its whole pool. The class: what was promised to one life's owner held true of another's. A row that names the worker in another pool ends it here, unless it was listed here in that same life; a worker that was never heard and refuses a token tells of no other owner of this pool: it is asked again with a newer one. The lease's row tells of another owner in any case.

--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -43,8 +43,6 @@
 				o.lose("a worker has seen a newer fencing token")
 				return
 			}
-			o.rest(nil, holdAgain)
-			continue
 		}
 		if err == nil && !o.report(l, call, rep) {
 			err = gauge.Fail(gauge.KindUnknown, "the answer is of an earlier life")
--- a/internal/sched/life.go
+++ b/internal/sched/life.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// elsewhere takes in that another pool has a worker. A life that began there isn't this owner's
+// to hold, also if it has answered a hold that was meant for the life before.
+func (p *Pool) elsewhere(info gauge.Worker) {
+	w := p.workers[info.ID]
+	if w == nil || info.Life().Before(w.info.Life()) || w.known && info.Life() == w.info.Life() {
+		return
+	}
+	p.over(w, "it has started again in another pool", p.ticked)
+}
+
 // answering is the worker whose life has answered to a call; nil: it is over, or another has
 // begun since it answered.
 func (p *Pool) answering(asked gauge.Life, born int64, now time.Duration) *worker {
@@ -130,10 +140,12 @@
 }
 
 // Outdated tells whether a call's fencing token is an earlier one of this owner's own, or was
-// for a life that is over: refused by it the call tells of no other owner.
+// for a life that is over, or that this owner has never heard: refused by it the call tells of no
+// other owner of this pool. One that was never heard may have been called by another pool's owner,
+// who held its life before.
 func (p *Pool) Outdated(l gauge.Life, sent gauge.Fence) bool {
 	w := p.current(l)
-	return w == nil || sent < p.fence(w)
+	return w == nil || !w.heard || sent < p.fence(w)
 }
 
 // Unheld lists the lives that were begun since it was last asked: a hold is to be kept at each.
--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -326,3 +326,39 @@
 	assert.NilError(t, err)
 	assert.Equal(t, noted.Trials["0.0.0"].Crashes(), 0)
 }
+
+// A worker that has started again in another pool, and that two owners hold with tokens that shut
+// each other out.
+func TestLifeThatBeganInAnotherPoolIsNotHeld(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		g, _ := born1(t)
+		g.silent2(lifeOf("w1", 1))
+		if answered {
+			g.answer(lifeOf("w1", 1), 2, time.Second, nil)
+		}
+		other := row("w1", 2)
+		other.Pool = "other"
+		g.rows(300, other)
+		for born := range int64(3) {
+			_, _, held := g.pool.Holding(lifeOf("w1", born), g.now)
+			assert.Assert(t, !held)
+		}
+		g.rows(301, row("w2", 1))
+		g.answer(lifeOf("w2", 1), 1, time.Hour, nil)
+		assert.Equal(t, len(g.starts()), 1, "what ran there starts elsewhere")
+	}
+}
+
+// An owner that gives up its pool as a worker that it hears first has been called by another pool's.
+func TestTokenThatAWorkerNeverHeardRefusesTellsOfNoOtherOwner(t *testing.T) {
+	g := newRig(t)
+	g.rows(200, row("w1", 2))
+	_, call, _ := g.pool.Holding(lifeOf("w1", 2), g.now)
+	assert.Assert(t, g.pool.Outdated(lifeOf("w1", 2), call.Fence))
+	g.pool.HoldFailed(lifeOf("w1", 2), gauge.Fail(gauge.KindFenced, "fence"), g.now)
+	g.pool.Noted(g.pool.Name(), 300)
+	_, again, _ := g.pool.Holding(lifeOf("w1", 2), g.now)
+	assert.Assert(t, again.Fence > call.Fence)
+	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
+	assert.Assert(t, !g.pool.Outdated(lifeOf("w1", 2), again.Fence))
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -113,6 +113,7 @@
 	seen := make(map[string]bool, len(list))
 	for _, info := range list {
 		if info.Pool != p.conf.Name {
+			p.elsewhere(info)
 			continue
 		}
 		w := p.listedAs(info)
@@ -128,7 +129,7 @@
 			w.leaves = p.ticked + info.Leaves
 		}
 		w.info = info
-		w.listed = true
+		w.listed, w.known = true, true
 	}
 	for id, w := range p.workers {
 		if w.listed && !seen[id] {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -53,6 +53,7 @@
 type worker struct {
 	info     gauge.Worker
 	listed   bool          // it is on the platform's list
+	known    bool          // it was, in this pool
 	since    time.Duration // when it was first
 	noted    bool          // the lease row names it: a successor will ask it first
 	fence    gauge.Fence   // its own, see Pool.fence
