--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -52,6 +52,9 @@
 			// An entry said of a queue that it is missing, more than two seconds after it was added.
 			{seed: 201, entries: defaultEntries, seconds: defaultSeconds, changes: true},
 			{seed: 301, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
+			// A sound lasting job was given up: its workers lost power together while their owner
+			// was paused, and another took the pool.
+			{seed: 501, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
 		}
 	}
 	var list []plan
