--- a/worker.go
+++ b/worker.go
@@ -88,9 +88,11 @@
 
 // HoldCall extends the lease of everything on a worker and asks for news.
 type HoldCall struct {
-	Fence    Fence
-	Until    time.Duration // on the worker's clock; 0: no extension
-	LastSeen int64         // ends up to this number may be forgotten
+	Fence Fence
+	Until time.Duration // on the worker's clock; 0: no extension
+	// Ends up to this number may be forgotten. It is told only to a process that has answered
+	// a hold before: another life of the worker would forget its own ends by it.
+	LastSeen int64
 	Wait     time.Duration // answer as soon as there is an end, at the latest after this
 }
 
@@ -121,12 +123,14 @@
 }
 
 // Workers gives orders to workers. Each call is sent once and is never repeated
-// by the implementation. The clock is the worker's own, 0 if the answer has none.
+// by the implementation. It may reach a later life of the worker than is meant, which
+// carries it out: only the answer to Hold tells which one it was. The clock is the
+// worker's own, 0 if the answer has none.
 //
 // Errors by kind: KindOutage: not sent; KindUnknown: sent, no whole answer, it
 // may be carried out seconds later; KindFenced, KindStale, KindLate, KindNoRoom,
-// KindTicket: refused by the worker, nothing done; KindReplaced: another life
-// answers at that address, so the one meant is over; KindUnhealthy: refused by a
+// KindTicket: refused by the worker, nothing done; KindReplaced: another worker
+// answers at that address, so the life that is meant is over; KindUnhealthy: refused by a
 // worker in trouble, nothing done; KindInvalid: the worker doesn't take it.
 type Workers interface {
 	Hold(ctx context.Context, w *Worker, c HoldCall) (*WorkerReport, error)
