--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -149,6 +149,7 @@
 	steps := []gauge.Step{step(rapid.IntRange(1, 4).Draw(w.t, "count"))}
 	steps[0].Lasts = rapid.IntRange(0, 3).Draw(w.t, "lasts") == 0
 	steps[0].Gang = !steps[0].Lasts && rapid.IntRange(0, 3).Draw(w.t, "gang") == 0
+	steps[0].PerWorker = rapid.IntRange(0, 2).Draw(w.t, "most on a worker")
 	if !steps[0].Lasts {
 		second := step(2)
 		second.After = []int{0}
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -243,6 +243,7 @@
 		return nil
 	}
 	assert.Assert(w.t, !w.done[c.Task], "%s starts again after it was done", c.Task)
+	w.boundHolds(m, c.Task)
 	m.until = max(m.until, min(c.Until, w.clock(m)+longest))
 	m.runs[c.Task] = c.Run
 	w.ran[c.Task]++
@@ -251,6 +252,21 @@
 	return nil
 }
 
+// boundHolds checks that no more tasks of a step are on one worker than may be.
+func (w *world) boundHolds(m *model, task gauge.TaskID) {
+	most := w.specs[task.Job].Steps[task.Step].PerWorker
+	if most == 0 {
+		return
+	}
+	there := 1
+	for other := range m.runs {
+		if other.Job == task.Job && other.Step == task.Step && other != task {
+			there++
+		}
+	}
+	assert.Assert(w.t, there <= most, "%d tasks of %s's step on %s, where %d may be", there, task, m.id, most)
+}
+
 func (w *world) plan() {
 	w.pool.Limit(w.now + 6*time.Second)
 	w.orders = append(w.orders, w.pool.Plan(w.now)...)
