--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -362,3 +362,15 @@
 	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
 	assert.Assert(t, !g.pool.Outdated(lifeOf("w1", 2), again.Fence))
 }
+
+// A start that the next life has answered, and that a late report of the life before doesn't list.
+func TestStartAnsweredByALaterLifeIsNotTakenForVanished(t *testing.T) {
+	g, first := born1(t)
+	id := g.adopt(2, false, step(1))
+	order := only(g.plan(), sched.OrderStart)[0]
+	g.pool.Answered(order, time.Minute, nil, g.now) // a clock far behind
+	g.answer(lifeOf("w1", 1), 1, time.Hour+3*time.Second, []gauge.RunReport{running(first)})
+	assert.Assert(t, !starts(g.plan(), id), "it runs in the next life")
+	g.answer(lifeOf("w1", 1), 2, time.Minute+time.Second, []gauge.RunReport{running(order)})
+	assert.Assert(t, !starts(g.plan(), id))
+}
