--- a/internal/sched/answer.go
+++ b/internal/sched/answer.go
@@ -20,7 +20,7 @@
 		p.answeredTooLate(o, err, now)
 		return
 	}
-	if r.worker.behind(clock, r.sent) {
+	if r.worker.cannotShow(clock, r.sent) {
 		p.answeredByAnother(o)
 		return
 	}
@@ -74,9 +74,9 @@
 // clockSlack covers what a worker's clock may have been read wrong by.
 const clockSlack = time.Second
 
-// behind tells whether a clock that an order was answered with can't be this life's: it shows less
+// cannotShow tells whether a clock that an order was answered with can't be this life's: it shows less
 // than when the run was ordered. A later life of the worker has answered.
-func (w *worker) behind(clock, sent time.Duration) bool {
+func (w *worker) cannotShow(clock, sent time.Duration) bool {
 	return clock > 0 && w.clock > 0 && clock < w.clockAt(sent)-clockSlack
 }
 
--- a/internal/sched/bound_test.go
+++ b/internal/sched/bound_test.go
@@ -55,7 +55,7 @@
 	assert.Equal(g.t, len(runs), 3)
 	for _, id := range []string{"w1", "w2"} {
 		g.answer(lifeOf(id, born), born, time.Hour+g.now, reports(runs, id))
-		g.silent2(lifeOf(id, born))
+		g.noAnswer(lifeOf(id, born))
 	}
 	g.pool.Workers(nil)
 	for _, id := range []string{"w1", "w2"} {
--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -58,7 +58,7 @@
 func TestRunsOfALifeThatIsOverStartAgain(t *testing.T) {
 	for _, clock := range []time.Duration{time.Second, 9 * time.Hour} {
 		g, first := born1(t)
-		g.silent2(lifeOf("w1", 1))
+		g.noAnswer(lifeOf("w1", 1))
 		assert.Assert(t, g.answer(lifeOf("w1", 1), 2, clock, nil))
 		g.rows(300, row("w1", 2))
 		g.answer(lifeOf("w1", 2), 2, clock+time.Millisecond, nil)
@@ -70,8 +70,8 @@
 	}
 }
 
-// silent2 has a hold at a life of a worker fail.
-func (g *rig) silent2(l gauge.Life) {
+// noAnswer has a hold at a life of a worker fail.
+func (g *rig) noAnswer(l gauge.Life) {
 	g.pool.HoldFailed(l, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
 }
 
@@ -83,7 +83,7 @@
 		gauge.EndReport{Number: 1, Task: other, Run: 1, How: gauge.EndDone}, gauge.EndReport{Number: 2, Task: other, Run: 2, How: gauge.EndDone})
 	_, call, _ := g.pool.Holding(lifeOf("w1", 1), g.now)
 	assert.Equal(t, call.LastSeen, int64(2))
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	_, call, _ = g.pool.Holding(lifeOf("w1", 1), g.now)
 	assert.Equal(t, call.LastSeen, int64(0), "it may be another life by now")
 
@@ -168,7 +168,7 @@
 func TestTokenRisesWithEachSilence(t *testing.T) {
 	g, start := born1(t)
 	g.pool.Noted(g.pool.Name(), 250)
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	_, call, _ := g.pool.Holding(lifeOf("w1", 1), g.now)
 	assert.Assert(t, call.Fence > start.Start.Fence)
 	assert.Assert(t, g.pool.Outdated(lifeOf("w1", 1), start.Start.Fence), "its refusal tells of no other owner")
@@ -179,7 +179,7 @@
 func TestWorkerThatIsToBeEmptiedIsSoInItsNextLife(t *testing.T) {
 	g, _ := born1(t)
 	g.pool.Empty("w1", false, g.now)
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	g.rows(300, row("w1", 2))
 	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
 	assert.Equal(t, len(g.starts()), 0)
@@ -192,7 +192,7 @@
 	leaving := row("w1", 1)
 	leaving.Draining = true
 	g.rows(250, leaving)
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	g.rows(300, row("w1", 2))
 	g.answer(lifeOf("w1", 2), 2, time.Second, nil)
 	assert.Equal(t, len(g.starts()), 1)
@@ -201,8 +201,8 @@
 // A task that crashes its workers, of whose crash the next owner doesn't know as the worker is back.
 func TestCrashCountsWhenTheNextOwnerHearsTheNextLife(t *testing.T) {
 	g, start := livedFor(t, time.Millisecond)
-	g.silent2(lifeOf("w1", 1))
-	g.silent2(lifeOf("w1", 1)) // it is noted that the worker may have crashed
+	g.noAnswer(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1)) // it is noted that the worker may have crashed
 	batch, err := g.pool.Batch(100, 1, nobody)
 	assert.NilError(t, err)
 	noted, err := gauge.DecodeJobRow(batch.Changes[0].Row)
@@ -231,11 +231,11 @@
 		g.answer(lifeOf(id, 1), 1, time.Hour, nil)
 	}
 	g.pass(50 * time.Millisecond)
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
 	g.pass(3 * time.Second) // stood still
 	for _, id := range []string{"w2", "w3"} {
-		g.silent2(lifeOf(id, 1))
+		g.noAnswer(lifeOf(id, 1))
 		g.answer(lifeOf(id, 1), 2, time.Second, nil)
 	}
 	for range 20 {
@@ -254,15 +254,15 @@
 // A lease that is longer than this owner knows: it was meant for the life before, by another clock.
 func TestNextLifeMayHaveTheLongestLease(t *testing.T) {
 	g, _ := born1(t)
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
-	g.silent2(lifeOf("w1", 2))
+	g.noAnswer(lifeOf("w1", 2))
 	assert.Equal(t, g.pool.Left(g.now)[lifeOf("w1", 2)], longest)
 
 	g.pass(3 * time.Second)
 	g.pool.Noted(g.pool.Name(), 300) // its token rises; till it answers to that it may be granted more
 	g.answer(lifeOf("w1", 2), 2, 4*time.Second, nil)
-	g.silent2(lifeOf("w1", 2))
+	g.noAnswer(lifeOf("w1", 2))
 	assert.Equal(t, g.pool.Left(g.now)[lifeOf("w1", 2)], longest)
 }
 
@@ -303,8 +303,8 @@
 // A sound task that counts as the cause of a crash, as the next owner hears of no worker that it is gone.
 func TestWorkersThatWereLostTogetherBeforeATakeoverExcuseTheirTasks(t *testing.T) {
 	g, start := livedFor(t, time.Millisecond)
-	g.silent2(lifeOf("w1", 1))
-	g.silent2(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
+	g.noAnswer(lifeOf("w1", 1))
 	batch, err := g.pool.Batch(100, 1, nobody)
 	assert.NilError(t, err)
 	noted, err := gauge.DecodeJobRow(batch.Changes[0].Row)
@@ -332,7 +332,7 @@
 func TestLifeThatBeganInAnotherPoolIsNotHeld(t *testing.T) {
 	for _, answered := range []bool{true, false} {
 		g, _ := born1(t)
-		g.silent2(lifeOf("w1", 1))
+		g.noAnswer(lifeOf("w1", 1))
 		if answered {
 			g.answer(lifeOf("w1", 1), 2, time.Second, nil)
 		}
