--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -198,15 +198,23 @@
 	assert.Equal(t, len(g.starts()), 1)
 }
 
+// changed is the one job's row that waits to be written.
+func (g *rig) changed() *gauge.JobRow {
+	g.t.Helper()
+	batch, err := g.pool.Batch(100, 1, nobody)
+	assert.NilError(g.t, err)
+	assert.Equal(g.t, len(batch.Changes), 1)
+	row, err := gauge.DecodeJobRow(batch.Changes[0].Row)
+	assert.NilError(g.t, err)
+	return row
+}
+
 // A task that crashes its workers, of whose crash the next owner doesn't know as the worker is back.
 func TestCrashCountsWhenTheNextOwnerHearsTheNextLife(t *testing.T) {
 	g, start := livedFor(t, time.Millisecond)
 	g.noAnswer(lifeOf("w1", 1))
 	g.noAnswer(lifeOf("w1", 1)) // it is noted that the worker may have crashed
-	batch, err := g.pool.Batch(100, 1, nobody)
-	assert.NilError(t, err)
-	noted, err := gauge.DecodeJobRow(batch.Changes[0].Row)
-	assert.NilError(t, err)
+	noted := g.changed()
 	next := newRig(t, after("w1"))
 	next.rows(500, row("w1", 2))
 	s := step(1)
@@ -216,10 +224,7 @@
 	}, 0)
 	next.answer(lifeOf("w1", 2), 2, time.Second, nil)
 	next.plan()
-	batch, err = next.pool.Batch(100, 1, nobody)
-	assert.NilError(t, err)
-	noted, err = gauge.DecodeJobRow(batch.Changes[0].Row)
-	assert.NilError(t, err)
+	noted = next.changed()
 	assert.Equal(t, noted.Trials["0.0.0"].Crashes(), 1)
 }
 
@@ -305,10 +310,7 @@
 	g, start := livedFor(t, time.Millisecond)
 	g.noAnswer(lifeOf("w1", 1))
 	g.noAnswer(lifeOf("w1", 1))
-	batch, err := g.pool.Batch(100, 1, nobody)
-	assert.NilError(t, err)
-	noted, err := gauge.DecodeJobRow(batch.Changes[0].Row)
-	assert.NilError(t, err)
+	noted := g.changed()
 	next := newRig(t, after("w1", "w2", "w3"), func(c *sched.Config) {
 		c.Earlier = []gauge.Life{lifeOf("w1", 1), lifeOf("w2", 1), lifeOf("w3", 1)}
 	})
@@ -320,10 +322,7 @@
 		next.answer(lifeOf(id, 2), 2, time.Second, nil)
 	}
 	next.plan()
-	batch, err = next.pool.Batch(100, 1, nobody)
-	assert.NilError(t, err)
-	noted, err = gauge.DecodeJobRow(batch.Changes[0].Row)
-	assert.NilError(t, err)
+	noted = next.changed()
 	assert.Equal(t, noted.Trials["0.0.0"].Crashes(), 0)
 }
 
@@ -374,3 +373,14 @@
 	g.answer(lifeOf("w1", 1), 2, time.Minute+time.Second, []gauge.RunReport{running(order)})
 	assert.Assert(t, !starts(g.plan(), id))
 }
+
+// Starts that are sent again and again to an address where nobody listens, till the next life does.
+func TestWorkerThatCannotBeConnectedToGetsNoStartBeforeItAnswers(t *testing.T) {
+	g, first := born1(t)
+	g.adopt(2, false, step(1))
+	order := only(g.plan(), sched.OrderStart)[0]
+	g.pool.Answered(order, 0, gauge.Fail(gauge.KindOutage, "connection refused"), g.now)
+	assert.Equal(t, len(g.starts()), 0)
+	g.answer(lifeOf("w1", 1), 1, time.Hour+3*time.Second, []gauge.RunReport{running(first)})
+	assert.Equal(t, len(g.starts()), 1)
+}
