Have a task wait for the table after its first crash, too

What callers saw: workers went on crashing for one task; it was started three times more after three of them had crashed under it (BUDGET).

A worker crashed under the task, which started again some 10 ms later and crashed the next one; the owner then lost its lease, with two crashes that the table never heard of. The next owner counted four or five more of its own.

Cause: only a suspect with two crashes waited until the table knew of them, and of its next run. After the first it didn't wait, so that two could be lost with an owner; the bounds leave room for one.

Change: each start of a suspect is in the table before it goes out, from the first crash on. What it costs: a task that is lost in its first second waits for one write, and while the table is away it doesn't start again.

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -98,8 +98,7 @@
 }
 
 // noted tells whether the table knows all that has to be known of a suspect before it starts.
-// After the first crash it needn't wait: most were only beside the cause.
-func (t *task) noted() bool { return !t.strong() || t.job.saved >= t.written }
+func (t *task) noted() bool { return t.job.saved >= t.written }
 
 // strong tells whether a suspect has lost so many workers that it starts apart only.
 func (t *task) strong() bool { return t.trials().Crashes() >= suspectCrashes }
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -146,6 +146,17 @@
 	return b
 }
 
+// restarts are the starts where the table takes all changes at once: a task that may have ended
+// its worker waits for that.
+func (g *rig) restarts() []sched.Order {
+	var starts []sched.Order
+	for range 2 {
+		g.save(int64(2*fence) + g.now.Milliseconds())
+		starts = append(starts, g.starts()...)
+	}
+	return starts
+}
+
 func running(o sched.Order) gauge.RunReport {
 	return gauge.RunReport{Task: o.Start.Task, Run: o.Start.Run}
 }
