Count crashes that were excused, or that no owner noted, in part

Cause: a crash that is excused left no trace, however often that happened to one task; and one that the owner before had no time to note was never guessed at. The bounds (four crashes soon after a start) leave room for one such crash.

Change: the job's row keeps how many crashes soon after a task's start were excused, lay beside a likelier cause, or may have come unnoted: there is one of the last kind where workers were lost before this owner heard them and the table knows of no crash. Two of these lower the bound from four to three; more lower it no further, so that a task that only went with racks or the power isn't given up for that (TestHealthyJobIsNotGivenUp as it was). A task that lives for half a minute is cleared of them. Two owners in a row that note nothing are still two crashes that nobody counts.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -73,6 +73,7 @@
 	awaySince time.Duration // lasting tasks: since when it is not at work
 
 	suspect   bool   // it may end the worker that starts it
+	noticed   bool   // a run of it is known that may have ended its worker
 	unsettled bool   // owners before noted runs of which it isn't known what became
 	adrift    int    // runs that were lost on workers of which it isn't known whether they crashed
 	awaits    int    // lost workers of which it isn't known yet why they were
@@ -234,6 +235,7 @@
 	if len(j.row.Trials) > 0 {
 		delete(j.row.Trials, t.trialTask().key())
 	}
+	delete(j.row.Excused, t.trialTask().key())
 	j.touch(true)
 	j.advance()
 }
--- a/internal/sched/late.go
+++ b/internal/sched/late.go
@@ -46,7 +46,11 @@
 
 // heard takes in that a worker has told all that it runs, or runs nothing any more.
 func (p *Pool) heard(id string) {
-	delete(p.earlier, id)
+	if _, awaited := p.earlier[id]; awaited {
+		delete(p.earlier, id)
+		w := p.workers[id]
+		p.lostBefore = p.lostBefore || w == nil || !w.heard
+	}
 	closed := false
 	for _, h := range p.hearings {
 		h.begun = h.begun || h.left[id]
--- a/internal/sched/life.go
+++ b/internal/sched/life.go
@@ -77,6 +77,7 @@
 	before, awaited := p.earlier[info.ID]
 	if w.follows = awaited && before != info.Life(); w.follows {
 		p.replaced = append(p.replaced, before)
+		p.lostBefore = true
 	}
 	p.workers[info.ID] = w
 	p.sorted = nil
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -199,10 +199,14 @@
 	beside := l.beside()
 	for _, r := range l.runs {
 		r.task.awaits--
-		if together || l.planned || r.spared() {
+		if r.spared() {
 			p.acquit(r.task, r.number)
 			continue
 		}
+		if together || l.planned {
+			p.excuse(r.task, r.number, r.lived)
+			continue
+		}
 		if r.task.done || !r.task.job.open() {
 			continue
 		}
@@ -232,6 +236,7 @@
 // unheard takes in that a worker of an owner before can run nothing any more, and has never
 // answered to this one.
 func (p *Pool) unheard(l gauge.Life, now time.Duration) {
+	p.lostBefore = true
 	if p.workers[l.Worker] == nil {
 		p.losses = append(p.losses, &loss{life: l, from: now, at: now, judged: true, before: true})
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -78,6 +78,8 @@
 	counts   counts
 	swept    time.Duration // when ended jobs were last forgotten
 
+	lostBefore bool // workers were lost before this owner heard them
+
 	sorted []*worker // workers by id; nil: to be sorted anew
 	taking []*worker // memory for the next plan's rooms ...
 	turned turns     // ... and for its turns
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -32,6 +32,10 @@
 	// ... and so many crashes at any time. By the users' rules a task may be started twice
 	// more after three crashes.
 	crashesMost = 5
+	// excusedMost crashes that were excused, or were not seen, count in part: so many take one off
+	// soonMost. More of them take no more off, else a sound task would be given up for the
+	// loss of racks alone.
+	excusedMost = 2
 )
 
 // trialTask is the task that the trials are kept with: members of a gang are one.
@@ -68,13 +72,47 @@
 func suspected(ts gauge.Trials) bool { return ts.Soon(soonSpan) || ts.Crashes() >= suspectCrashes }
 
 // causes tells whether a task must be the cause of crashes.
-func causes(ts gauge.Trials) bool {
-	return ts.Alone() >= aloneMost || ts.LikelySoon(soonSpan) >= soonMost || ts.Likely() >= crashesMost
+func (t *task) causes() bool {
+	ts := t.trials()
+	soon := soonMost - count(t.excused()+ts.Beside(soonSpan) >= excusedMost)
+	return ts.Alone() >= aloneMost || ts.LikelySoon(soonSpan) >= soon || ts.Likely() >= crashesMost
+}
+
+// excused is how many crashes soon after its starts count for the task only in part.
+func (t *task) excused() int { return t.job.row.Excused[t.trialTask().key()] }
+
+// countExcused takes in one more of them.
+func (t *task) countExcused() {
+	j := t.job
+	if t.excused() == excusedMost {
+		return
+	}
+	if j.row.Excused == nil {
+		j.row.Excused = make(map[string]int)
+	}
+	j.row.Excused[t.trialTask().key()]++
+	j.touch(true)
+}
+
+// excuse takes in that a run was lost with its worker for another reason, as far as that can
+// be known.
+func (p *Pool) excuse(t *task, run int, lived time.Duration) {
+	if lived < soonSpan && !t.done && t.job.open() {
+		t.countExcused()
+	}
+	p.acquit(t, run)
+	p.giveUp(t)
 }
 
 // try notes a run whose worker may crash, or has. One that is noted already is kept up.
 func (p *Pool) try(t *task, tr gauge.Trial) {
 	ts := slices.Clone(t.trials())
+	if lead := t.trialTask(); !lead.noticed {
+		lead.noticed = true
+		if t.job.inherited && p.lostBefore {
+			t.countExcused() // an owner before may not have come to note the first one
+		}
+	}
 	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Life() == tr.Life() })
 	if at < 0 {
 		ts = append(ts, tr)
@@ -98,10 +136,11 @@
 
 // clear drops all trials of a task that has shown that it doesn't end its worker.
 func (p *Pool) clear(t *task) {
-	if len(t.trials()) == 0 {
+	if len(t.trials()) == 0 && t.excused() == 0 {
 		return
 	}
 	t.setTrials(nil, false)
+	delete(t.job.row.Excused, t.trialTask().key())
 	p.suspect(t)
 }
 
@@ -134,6 +173,7 @@
 		if t == nil || t.done {
 			continue
 		}
+		t.noticed = true
 		for _, tr := range ts {
 			t.lastRun = max(t.lastRun, tr.Run)
 			if !tr.Crashed {
@@ -174,7 +214,7 @@
 		// What those were lost for nobody knows. It excuses no task that has lost two workers
 		// already, but proves nothing, either.
 		if !t.strong() {
-			p.acquit(t, tr.Run)
+			p.excuse(t, tr.Run, tr.Lived)
 			return
 		}
 		tr.Alone = false
@@ -189,12 +229,12 @@
 // giveUp ends the job of a task that ends its workers.
 func (p *Pool) giveUp(t *task) {
 	ts := t.trials()
-	if !causes(ts) || !t.job.open() {
+	if !t.causes() || !t.job.open() {
 		return
 	}
 	p.conf.Count(EventGivenUp)
-	p.conf.Logs.Info("job given up", "job", t.job.id, "task", t.id.String(), "crashes", ts.Crashes(), "alone", ts.Alone(), "lived", ts.Longest(),
-		"reason", "its workers crash")
+	p.conf.Logs.Info("job given up", "job", t.job.id, "task", t.id.String(), "crashes", ts.Crashes(), "alone", ts.Alone(), "excused", t.excused(),
+		"lived", ts.Longest(), "reason", "its workers crash")
 	t.job.fail()
 	p.haltJob(t.job)
 }
--- a/jobrow.go
+++ b/jobrow.go
@@ -38,6 +38,9 @@
 	Failures map[string][]int  `msgpack:"f,omitempty"` // task -> runs that ended "failed"; an end told twice counts once
 	Saved    map[string]string `msgpack:"c,omitempty"` // task -> checkpoint
 	Trials   map[string]Trials `msgpack:"t,omitempty"` // task -> runs that may have ended their workers
+	// Excused counts crashes soon after a task's start that are held against nothing: other
+	// workers were lost at the same moment, or no owner may have noted them.
+	Excused map[string]int `msgpack:"x,omitempty"`
 }
 
 // Encode packs the row.
--- a/trial.go
+++ b/trial.go
@@ -36,7 +36,12 @@
 // Likely counts those of them for which nothing on the worker was a likelier cause.
 func (t Trials) Likely() int { return t.runs(func(r Trial) bool { return r.Crashed && !r.Beside }) }
 
-// LikelySoon counts those of these that ended within a span from their start.
+// Beside counts those for which something there was, and that ended within a span from their start.
+func (t Trials) Beside(span time.Duration) int {
+	return t.runs(func(r Trial) bool { return r.Crashed && r.Beside && r.Lived < span })
+}
+
+// LikelySoon counts those for which nothing was, and that ended within a span from their start.
 func (t Trials) LikelySoon(span time.Duration) int {
 	return t.runs(func(r Trial) bool { return r.Crashed && !r.Beside && r.Lived < span })
 }
