Hand over which workers are kept empty

Cause: that a worker gets no starts for some seconds, while its machine may be taken away, was known to the owner alone that had promised it.

Change: it is told with the lease that is given away, as is how long silent workers may go on. An owner that is killed hands over nothing: its successor comes two seconds later at the earliest, of the four for which the promise holds. Open, with the orders that take longer than that.

owner: TestNextOwnerKeepsAWorkerEmpty (one start too early before).

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -155,7 +155,7 @@
 		belief: lag.NewBelief(lag.BeliefConfig{Behind: behindAfter, Again: behindAgain}),
 		core: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, Hold: c.Hold, Start: startSpan, Wait: holdWait, Window: startWindow, Lane: ordersAtOnce,
-			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: parseLives(c.Earlier), Longest: c.Longest, Doubt: now + c.Early + c.Grace + doubtMargin, Over: over(&c.Before, now),
+			Without: c.Without, Logs: c.Logs, Count: c.Event, Earlier: parseLives(c.Earlier), Longest: c.Longest, Doubt: now + c.Early + c.Grace + doubtMargin, Over: over(&c.Before, now), Emptied: emptied(&c.Before, now),
 		}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -176,6 +176,19 @@
 	return until
 }
 
+// emptied is until when workers get no starts that the owner before said to be empty, as it told
+// when it gave the lease away.
+func emptied(before *gauge.LeaseRow, now time.Duration) map[string]time.Duration {
+	if before.Holder != "" {
+		return nil
+	}
+	until := make(map[string]time.Duration, len(before.Emptied))
+	for id, left := range before.Emptied {
+		until[id] = now + time.Duration(left)*time.Millisecond
+	}
+	return until
+}
+
 // Run works until the lease is lost or Close is called.
 func (o *Owner) Run(site *gauge.Site, workers []gauge.Worker) {
 	o.Configure(site)
@@ -213,10 +226,14 @@
 	defer o.mu.Unlock()
 	row := o.leaseRow(o.core.Name())
 	row.Term = o.conf.Term
-	row.Left = make(map[string]int64)
-	for l, left := range o.core.Left(o.conf.Now()) {
+	now := o.conf.Now()
+	row.Left, row.Emptied = make(map[string]int64), make(map[string]int64)
+	for l, left := range o.core.Left(now) {
 		row.Left[l.String()] = left.Milliseconds() + 1
 	}
+	for id, left := range o.core.Emptied(now) {
+		row.Emptied[id] = left.Milliseconds() + 1
+	}
 	return row, o.conf.Lease.Version()
 }
 
--- a/internal/sched/empty.go
+++ b/internal/sched/empty.go
@@ -24,6 +24,18 @@
 	return w.heard && !w.silent && len(w.runs) == 0 && w.odd == 0 && w.settled()
 }
 
+// Emptied tells of the workers that are kept empty for how much longer: who takes the pool over now
+// has to know, as their machines may be taken away meanwhile.
+func (p *Pool) Emptied(now time.Duration) map[string]time.Duration {
+	left := make(map[string]time.Duration)
+	for id, w := range p.workers {
+		if now < w.emptyUntil && !w.gone {
+			left[id] = w.emptyUntil - now
+		}
+	}
+	return left
+}
+
 // soonFor is how long a worker is taken to be emptied soon after it was said to be. It
 // is said several times a second.
 const soonFor = 2 * time.Second
--- a/internal/sched/life.go
+++ b/internal/sched/life.go
@@ -71,7 +71,9 @@
 
 // begin takes in a life of a worker.
 func (p *Pool) begin(info gauge.Worker) *worker {
-	w := &worker{info: info, runs: make(map[*run]bool), expiry: p.inherited(info.Life()), since: p.ticked}
+	w := &worker{
+		info: info, runs: make(map[*run]bool), expiry: p.inherited(info.Life()), since: p.ticked, emptyUntil: p.conf.Emptied[info.ID],
+	}
 	w.info.Draining = false // that is taken in with its row
 	p.raise(w)
 	before, awaited := p.earlier[info.ID]
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,6 +41,8 @@
 	// Over is when that is for workers of which the owner before knew: those that didn't
 	// answer it. Without this each owner would wait anew for the same silent workers.
 	Over map[gauge.Life]time.Duration
+	// Emptied are the workers, by id, that the owner before kept empty, and until when.
+	Emptied map[string]time.Duration
 	// Longest is the longest lease that a worker grants. One that has started again may have one
 	// that was meant for its life before, by another clock.
 	Longest time.Duration
--- a/leaserow.go
+++ b/leaserow.go
@@ -21,7 +21,10 @@
 	// Left is how much longer at the most, in milliseconds, anything may run on workers that
 	// don't answer. It is told with a lease that is given away, of those alone for which it
 	// is known. What comes between the telling and the reading makes the wait longer.
-	Left    map[string]int64 `msgpack:"l,omitempty"`
+	Left map[string]int64 `msgpack:"l,omitempty"`
+	// Emptied is for how much longer, in milliseconds, workers get no starts, as they were said to
+	// be empty: their machines may be taken away meanwhile. It is told with Left.
+	Emptied map[string]int64 `msgpack:"y,omitempty"`
 	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started; a queue that isn't named has none
 	Unread  []string         `msgpack:"u,omitempty"` // queues that the owner has not read yet: nobody knows their depths
 	Counted int64            `msgpack:"k,omitempty"` // when Depths was made, the table's clock in milliseconds; 0: with the renewal
