An order that is answered without a clock is not of the life before

Traced: a worker starts again and carries out a start in its first moment, when its clock shows nothing. The answer was taken for the life before, the run for at work there; a report that this life had made before its end came late, didn't list the run, and the task started a second time.

Cause: an answer that shows less than the clock that is known is of a later life; one that showed nothing was not compared.

Change: an answer that reports success is compared in any case. A refusal without an answer shows no clock and is left as it is.

sched: TestAnswerWithoutAClockIsNotOfTheLifeBefore, failed before.

--- a/internal/sched/answer.go
+++ b/internal/sched/answer.go
@@ -20,7 +20,7 @@
 		p.answeredTooLate(o, err, now)
 		return
 	}
-	if r.worker.cannotShow(clock, r.sent) {
+	if (clock > 0 || err == nil) && r.worker.cannotShow(clock, r.sent) {
 		p.answeredByAnother(o)
 		return
 	}
@@ -77,7 +77,7 @@
 // cannotShow tells whether a clock that an order was answered with can't be this life's: it shows less
 // than when the run was ordered. A later life of the worker has answered.
 func (w *worker) cannotShow(clock, sent time.Duration) bool {
-	return clock > 0 && w.clock > 0 && clock < w.clockAt(sent)-clockSlack
+	return w.clock > 0 && clock < w.clockAt(sent)-clockSlack
 }
 
 // answeredByAnother takes in that a later life than is known has carried out an order. Its next
--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -106,6 +106,19 @@
 	assert.Equal(t, state, gauge.JobCompleted)
 }
 
+// A start that the next life answers in its first moment, and that is taken for at work in the one before.
+func TestAnswerWithoutAClockIsNotOfTheLifeBefore(t *testing.T) {
+	g, _ := born1(t)
+	g.adopt(2, false, step(1))
+	order := g.starts()[0]
+	g.pool.Answered(order, 0, nil, g.now)
+	// Made before the next life began, and late.
+	g.answer(lifeOf("w1", 1), 1, time.Hour+2*time.Second+time.Millisecond, nil)
+	for _, o := range g.restarts() {
+		assert.Assert(t, o.Start.Task != order.Start.Task, "it may run in the next life of its worker")
+	}
+}
+
 // A row or an answer of the life before that comes after the next one's.
 func TestWhatComesLateOfALifeThatIsOverCountsNoMore(t *testing.T) {
 	g, start := born1(t)
