A start that got no answer outlasts the lease of the life it was meant for

Traced: a start goes out and gets no answer; its worker crashes and starts again at once, which nobody has heard yet. A second later the lease of the life before has run out, and the task starts elsewhere. Then the first order arrives: the next life's clock is an hour behind its deadline, its token hasn't risen, as no row was written meanwhile, and it is carried out.

Cause: that the lease has run out says that all is over that the life before had carried out. It says nothing of an order on its way, which the next may have.

Change: a start without an answer that no report has listed stays with its worker for 8 s from its sending, also beyond the lease; users' workers leave orders waiting for up to 5.7 s. It is settled sooner by a life that answers. A worker that is on no list any more is kept till then.

sched: TestStartThatMayStillComeOutlastsTheLease, failed before; those of leases that run out pass as they were.

--- a/internal/sched/answer.go
+++ b/internal/sched/answer.go
@@ -71,6 +71,16 @@
 		"worker", o.Worker.ID, "born", o.Worker.Born, "kind", kind)
 }
 
+// lateSpan is how long after a start that got no answer it may still be carried out, by a next life of
+// its worker: for that one its deadline says nothing. Workers leave orders waiting for some 6 s.
+const lateSpan = 8 * time.Second
+
+// mayStillCome tells whether a start may be carried out yet by a life that nobody has heard of. That
+// the lease of the one before has run out says nothing of it.
+func (r *run) mayStillCome(now time.Duration) bool {
+	return (r.phase == phaseSent || r.unsure) && r.listed == 0 && now < r.sent+lateSpan
+}
+
 // clockSlack covers what a worker's clock may have been read wrong by.
 const clockSlack = time.Second
 
--- a/internal/sched/life_test.go
+++ b/internal/sched/life_test.go
@@ -106,6 +106,37 @@
 	assert.Equal(t, state, gauge.JobCompleted)
 }
 
+// A start that got no answer, and that a life may have that nobody has heard of: its task starts elsewhere
+// as the lease of the life before has run out.
+func TestStartThatMayStillComeOutlastsTheLease(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		next int64 // that answers; 0: none
+		runs bool
+		want int
+	}{{"the next life has it", 2, true, 0}, {"no life answers", 0, false, 1}} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newRig(t, func(c *sched.Config) { c.Longest = longest })
+			g.rows(200, row("w1", 1))
+			g.answer(lifeOf("w1", 1), 1, time.Hour, nil)
+			g.adopt(1, false, step(1))
+			order := g.starts()[0]
+			g.pool.Answered(order, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+			g.noAnswer(lifeOf("w1", 1))
+			g.rows(201, row("w1", 1), row("w2", 1))
+			g.pass(2 * time.Second) // its start's own deadline has passed, on the clock of its life
+			g.answer(lifeOf("w2", 1), 1, time.Hour, nil)
+			assert.Equal(t, len(g.restarts()), 0)
+			if tt.next > 0 {
+				g.answer(lifeOf("w1", 1), tt.next, time.Second, []gauge.RunReport{running(order)})
+			}
+			g.pass(10 * time.Second)
+			g.answer(lifeOf("w2", 1), 1, time.Hour+12*time.Second, nil)
+			assert.Equal(t, len(g.restarts()), tt.want)
+		})
+	}
+}
+
 // A start that the next life answers in its first moment, and that is taken for at work in the one before.
 func TestAnswerWithoutAClockIsNotOfTheLifeBefore(t *testing.T) {
 	g, _ := born1(t)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -330,18 +330,13 @@
 		if w.silent && now > max(w.expiry, p.conf.Doubt) {
 			p.forgetOdds(w) // whoever ordered them, their leases have run out
 		}
-		if now > w.expiry && (w.silent || !w.listed) && len(w.runs) > 0 {
-			p.conf.Count(EventLapsed)
-			lost := len(w.runs)
-			p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", id, "runs", lost, "listed", w.listed)
-			for r := range w.runs {
-				p.lose(r, "its worker's lease has run out", lost-1, now)
-			}
+		if now > w.expiry && (w.silent || !w.listed) {
+			p.lapsed(w, now)
 		}
 		if len(w.lost) > 0 && w.silent && !w.listed {
 			p.fell(w, now) // no row says any more that it lives
 		}
-		if !w.listed && now > w.expiry && (w.gone || w.silent && w.kept == w.ends) {
+		if !w.listed && now > w.expiry && len(w.runs) == 0 && (w.gone || w.silent && w.kept == w.ends) {
 			p.forgetOdds(w)
 			delete(p.workers, id)
 			p.sorted = nil
@@ -353,6 +348,24 @@
 	p.forget(now)
 }
 
+// lapsed takes in that a worker's lease has run out: with it has all that is known to have run there.
+func (p *Pool) lapsed(w *worker, now time.Duration) {
+	var lost []*run
+	for r := range w.runs {
+		if !r.mayStillCome(now) {
+			lost = append(lost, r)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	p.conf.Count(EventLapsed)
+	p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", w.info.ID, "runs", len(lost), "unsure", len(w.runs)-len(lost), "listed", w.listed)
+	for _, r := range lost {
+		p.lose(r, "its worker's lease has run out", len(lost)-1, now)
+	}
+}
+
 // sweepGap is the pause between two looks for ended jobs that may be forgotten: a
 // minute of a large pool's are some ten thousand.
 const sweepGap = time.Second
