After its first crash a task waits for one write only

Cause: they waited for two writes, that of the crash and that of the place, and lost the place to others meanwhile.

Change: the first crash has to be in the table; the run that is tried next goes out while it is written. A successor that finds one crash and lost workers allows for one more, as it does where it finds none. From the second crash on nothing changes.

Package sched passes.

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -97,14 +97,15 @@
 	return true
 }
 
-// noted tells whether the table knows all that has to be known of a suspect before it starts.
+// noted tells whether the table knows all that has to be known of a suspect.
 func (t *task) noted() bool { return t.job.saved >= t.written }
 
 // strong tells whether a suspect has lost so many workers that it starts apart only.
 func (t *task) strong() bool { return t.trials().Crashes() >= suspectCrashes }
 
-// reserve finds a place for a suspect, and has the table told of it first: an owner that took
-// over between the start and the crash would otherwise not know of the run.
+// reserve finds a place for a suspect, and has the table told of it. One that has lost two workers waits
+// till the table knows: an owner that took over between the start and the crash would otherwise not
+// know of the run. After the first crash it suffices that this is known: the next owner allows for one more.
 func (p *Pool) reserve(t *task, now time.Duration) {
 	of := turn{job: t.job, stage: t.stage, advice: p.advice(t.job)}
 	at := &place{number: t.nextRun(), until: now + placeSpan}
@@ -201,7 +202,7 @@
 		p.giveBack(t)
 		return
 	}
-	if !t.noted() {
+	if t.strong() && !t.noted() {
 		return
 	}
 	p.unreserve(t)
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -183,7 +183,7 @@
 		if t == nil || t.done {
 			continue
 		}
-		t.noticed = true
+		t.noticed = len(ts) >= suspectCrashes
 		for _, tr := range ts {
 			t.lastRun = max(t.lastRun, tr.Run)
 			if !tr.Crashed {
