Random test of sched: an end that nobody noted before the lease lapsed isn't one

Traced: a worker goes silent; a run ends there as done, which nobody is told; its lease runs out; the task starts elsewhere. By the users' rules an end is taken note of when lastSeen reaches it, unless the lease lapsed between the two, and that stands for good. The case is allowed; the model held it against the owner.

Change: as at a crash, ends that a worker still lists when its lease lapses count for nothing. All else is checked as before.

--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -196,7 +196,8 @@
 	}
 }
 
-// expire ends what the lease no longer covers, everywhere.
+// expire ends what the lease no longer covers, everywhere. Ends that were not taken note of before never
+// count as such, also if they are told later: by the users' rules their tasks may start again.
 func (w *world) expire() {
 	for i := 1; i <= w.lives; i++ {
 		m := w.models[fmt.Sprintf("w%d", i)]
@@ -206,6 +207,14 @@
 		for task := range m.runs {
 			w.finish(m, task, gauge.EndLapsed)
 		}
+		w.unnoted(m)
+	}
+}
+
+// unnoted has the ends that a worker still lists count for nothing.
+func (w *world) unnoted(m *model) {
+	for _, e := range m.ended {
+		delete(w.done, e.Task)
 	}
 }
 
