Random test of sched: ends are acknowledged on the connection of their life only

Traced: a worker starts again; a hold that acknowledges the first end of its life before reaches the next one, which forgets its own first end. The program sends such a hold only on a connection on which the worker has answered, and that one ends with the life (exch.DoResting, platform: TestEndsAreAcknowledgedOnlyOnAConnectionThatHasAnswered); the model had no connections.

Change: the model knows which life has answered on the connection that rests. What comes on another acknowledges nothing, also late.

--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -64,10 +64,11 @@
 		return
 	}
 	if !w.calming && rapid.IntRange(0, 5).Draw(w.t, "late hold") == 0 {
-		w.lateFor = append(w.lateFor, lateHold{m.id, call})
+		w.lateFor = append(w.lateFor, lateHold{m.id, w.rests[m.id], call})
 		return
 	}
-	w.takeHold(m, call)
+	w.takeHold(m, w.acknowledging(m, w.rests[m.id], call))
+	w.rests[m.id] = m.born
 	r := &gauge.WorkerReport{Born: m.born, Clock: w.clock(m), Ended: append([]gauge.EndReport(nil), m.ended...)}
 	for task, run := range m.runs {
 		r.Running = append(r.Running, gauge.RunReport{Task: task, Run: run})
@@ -75,6 +76,15 @@
 	w.reports[m.id] = told{asked, call, r}
 }
 
+// acknowledging is a hold as a life gets it: ends are acknowledged only on a connection on which
+// the same life has answered.
+func (w *world) acknowledging(m *model, born int64, call gauge.HoldCall) gauge.HoldCall {
+	if born != m.born {
+		call.LastSeen = 0
+	}
+	return call
+}
+
 // takeHold has a worker do what a hold says.
 func (w *world) takeHold(m *model, call gauge.HoldCall) {
 	if call.Fence < m.fence {
@@ -233,7 +243,8 @@
 	w.models[m.id] = next
 	old, pending := w.reports[m.id]
 	if _, call, ok := w.pool.Holding(w.held[m.id], w.now); ok {
-		w.takeHold(next, call)
+		w.takeHold(next, w.acknowledging(next, w.rests[m.id], call))
+		w.rests[m.id] = next.born
 		w.reports[m.id] = told{w.held[m.id], call, &gauge.WorkerReport{Born: next.born, Clock: w.clock(next)}}
 	}
 	if pending && rapid.Bool().Draw(w.t, "answer of the life before") {
@@ -290,7 +301,7 @@
 	w.late = nil
 	for _, h := range w.lateFor {
 		if m := w.models[h.id]; m.up {
-			w.takeHold(m, h.call)
+			w.takeHold(m, w.acknowledging(m, h.born, h.call))
 		}
 	}
 	w.lateFor = nil
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -66,6 +66,7 @@
 	lateFor []lateHold    // the same
 	reports map[string]told
 	held    map[string]gauge.Life // lives that the owner keeps holds at
+	rests   map[string]int64      // by worker: which life has answered on the connection that rests
 	named   []gauge.Life          // workers in the lease row, as the table has it
 	calming bool                  // nothing is stale any more
 	rows    map[string][]byte     // as the table has them
@@ -87,6 +88,7 @@
 // lateHold is a hold that got no answer and is carried out yet.
 type lateHold struct {
 	id   string
+	born int64 // which life the connection goes to
 	call gauge.HoldCall
 }
 
@@ -101,7 +103,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, models: make(map[string]*model), reports: make(map[string]told), held: make(map[string]gauge.Life),
+		t: t, models: make(map[string]*model), reports: make(map[string]told), held: make(map[string]gauge.Life), rests: make(map[string]int64),
 		rows: make(map[string][]byte), version: make(map[string]int64), specs: make(map[string]*gauge.JobSpec),
 		ran: make(map[gauge.TaskID]int), done: make(map[gauge.TaskID]bool), next: 10,
 		cancelled: make(map[string]bool),
@@ -128,6 +130,7 @@
 	w.fence = gauge.Fence(w.next)
 	w.orders, w.reports = nil, make(map[string]told)
 	clear(w.held)
+	clear(w.rests)
 	w.pool = sched.New(sched.Config{
 		Name: poolName, Fence: w.fence, Term: w.term, Hold: 5 * time.Second, Start: time.Second, Wait: time.Second,
 		Logs: logr.Discard(), Earlier: earlier, Doubt: w.now + 6*time.Second,
