--- a/internal/sched/kept_test.go
+++ b/internal/sched/kept_test.go
@@ -24,8 +24,8 @@
 	return starts[0]
 }
 
-// lastSeen is what the next hold of a worker acknowledges.
-func (g *rig) lastSeen(id string) int64 {
+// acknowledged is what the next hold of a worker acknowledges.
+func (g *rig) acknowledged(id string) int64 {
 	_, call, _ := g.pool.Holding(life(id), g.now)
 	return call.LastSeen
 }
@@ -145,7 +145,7 @@
 	assert.Equal(t, len(b.Changes), 1)
 	assert.Equal(t, b.Changes[0].Job, jobID(1), "the urgent one")
 	g.pool.Written(b, 500, g.now)
-	assert.Equal(t, g.lastSeen("w1"), int64(1))
+	assert.Equal(t, g.acknowledged("w1"), int64(1))
 	assert.Assert(t, !g.pool.Urgent(), "only a start waits to be written")
 }
 
@@ -167,11 +167,11 @@
 	b, err := g.pool.Batch(100, 1, func(queue string) bool { return queue == "sheets" })
 	assert.NilError(t, err)
 	g.pool.Written(b, 500, g.now)
-	assert.Equal(t, g.lastSeen("w1"), int64(0), "the first end isn't in the table")
+	assert.Equal(t, g.acknowledged("w1"), int64(0), "the first end isn't in the table")
 	b, err = g.pool.Batch(100, 1, nobody)
 	assert.NilError(t, err)
 	g.pool.Written(b, 501, g.now)
-	assert.Equal(t, g.lastSeen("w1"), int64(2))
+	assert.Equal(t, g.acknowledged("w1"), int64(2))
 }
 
 // An end that comes after its job's row was packed isn't in the table with that row.
@@ -188,10 +188,10 @@
 	assert.NilError(t, err)
 	g.hear("w1", nil, g.end("w1", starts[1].Start.Task, 1, gauge.EndDone))
 	g.pool.Written(b, 500, g.now)
-	assert.Equal(t, g.lastSeen("w1"), int64(1))
+	assert.Equal(t, g.acknowledged("w1"), int64(1))
 	assert.Assert(t, !g.pool.Empty("w1", false, g.now))
 	g.save(501)
-	assert.Equal(t, g.lastSeen("w1"), int64(2))
+	assert.Equal(t, g.acknowledged("w1"), int64(2))
 }
 
 // Symptom: an owner with many changes falls further and further behind.
@@ -290,7 +290,7 @@
 	}
 	g.hear("w1", nil, ends...)
 	assert.Equal(t, len(g.starts()), 0, "its end may be among those that aren't listed yet")
-	assert.Equal(t, g.lastSeen("w1"), int64(500))
+	assert.Equal(t, g.acknowledged("w1"), int64(500))
 	g.pass(time.Second)
 	g.hear("w1", nil, g.end("w1", gauge.TaskID{Job: id}, 1, gauge.EndDone))
 	assert.Equal(t, len(g.starts()), 0)
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -64,6 +64,24 @@
 	w.lost = append(w.lost, l)
 }
 
+// lapsed takes in that a worker's lease has run out: with it has all that is known to have run there.
+func (p *Pool) lapsed(w *worker, now time.Duration) {
+	var lost []*run
+	for r := range w.runs {
+		if !r.mayStillCome(now) {
+			lost = append(lost, r)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	p.conf.Count(EventLapsed)
+	p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", w.info.ID, "runs", len(lost), "unsure", len(w.runs)-len(lost), "listed", w.listed)
+	for _, r := range lost {
+		p.lose(r, "its worker's lease has run out", len(lost)-1, now)
+	}
+}
+
 // lived is how long the run has lived at the least: until its worker last told of it.
 func (r *run) lived() time.Duration { return r.credit + max(0, r.toldAt-r.sent) }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -348,24 +348,6 @@
 	p.forget(now)
 }
 
-// lapsed takes in that a worker's lease has run out: with it has all that is known to have run there.
-func (p *Pool) lapsed(w *worker, now time.Duration) {
-	var lost []*run
-	for r := range w.runs {
-		if !r.mayStillCome(now) {
-			lost = append(lost, r)
-		}
-	}
-	if len(lost) == 0 {
-		return
-	}
-	p.conf.Count(EventLapsed)
-	p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", w.info.ID, "runs", len(lost), "unsure", len(w.runs)-len(lost), "listed", w.listed)
-	for _, r := range lost {
-		p.lose(r, "its worker's lease has run out", len(lost)-1, now)
-	}
-}
-
 // sweepGap is the pause between two looks for ended jobs that may be forgotten: a
 // minute of a large pool's are some ten thousand.
 const sweepGap = time.Second
