A run that an owner finds is not taken for one that has just begun

Traced: one of its tasks had served for 22 s when the pool passed on; its worker crashed 0.9 s later. The new owner knew of it for that long, so the crash counted as one right after the start with nothing else there. The second came 0.5 s after the next start, and two of these give a job up.

Cause: the life of a run began, for a new owner, when it found it.

Change: a run that is found counts as one that has lived for a second, as runs of suspects did already, of which each is noted until then.

sched: TestRunThatWasFoundIsNotTakenForNew, failed before. Package sched passes.

--- a/internal/sched/excuse_test.go
+++ b/internal/sched/excuse_test.go
@@ -148,3 +148,21 @@
 	}
 	assert.Equal(t, g.rowOf(id).Excused[firstTask], 0)
 }
+
+// A lasting task that has served for long, and whose crash right after a takeover counts as one right after
+// its start.
+func TestRunThatWasFoundIsNotTakenForNew(t *testing.T) {
+	g := newRig(t, after("w1"), func(c *sched.Config) { c.Earlier = []gauge.Life{lifeOf("w1", 1)} })
+	g.rows(300, row("w1", 1))
+	id := g.inherit(lasting(1), &gauge.JobRow{})
+	g.answer(lifeOf("w1", 1), 1, time.Hour, []gauge.RunReport{{Task: gauge.TaskID{Job: id}, Run: 1, Progress: 100}})
+	g.pass(50 * time.Millisecond)
+	g.noAnswer(lifeOf("w1", 1))
+	g.answer(lifeOf("w1", 1), 2, time.Second, nil)
+	for range 15 {
+		g.pass(100 * time.Millisecond)
+	}
+	trials := g.rowOf(id).Trials[firstTask]
+	assert.Equal(t, trials.Crashes(), 1)
+	assert.Assert(t, !trials.Soon(time.Second))
+}
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -34,10 +34,9 @@
 
 // inheritTrial goes on with a run that an owner before this one tried.
 func (p *Pool) inheritTrial(r *run) {
-	if r.task.trialTask().suspect {
-		// Each run of a suspect is noted until it has lived for a while.
-		r.credit = soonSpan
-	}
+	// When it began isn't known. Each run of a suspect is noted until it has lived for a while, and
+	// of others most have.
+	r.credit = soonSpan
 	for _, tr := range r.task.trials() {
 		if tr.Run != r.number || tr.Crashed {
 			continue
