A lasting task's job is given up after three crashes alone, not two

By chance two single workers went, each soon after the same lasting task had started there and with nothing else there; its whole job was stopped, with all tasks that served.

Cause: two crashes with nothing else there count as proof. Where crashes come every other second two come by chance, and a lasting job is always there to be hit; giving it up stops what serves, more of a step at once than may be away.

Change: three for lasting tasks; the bounds for all crashes stay (four soon after the start, five), so that no task starts three times more after three crashes.

sched: TestLastingTaskIsGivenUpLater; TestTaskThatEndsItsWorkersIsGivenUp as it was.

--- a/internal/sched/excuse_test.go
+++ b/internal/sched/excuse_test.go
@@ -166,3 +166,29 @@
 	assert.Equal(t, trials.Crashes(), 1)
 	assert.Assert(t, !trials.Soon(time.Second))
 }
+
+// A sound lasting job that is stopped as a whole, as one of its tasks went twice by chance.
+func TestLastingTaskIsGivenUpLater(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		step  gauge.Step
+		alone int
+		want  gauge.JobState
+	}{
+		{"lasting, two crashes alone", lasting(2), 2, gauge.JobRunning},
+		{"lasting, three", lasting(2), 3, gauge.JobFailed},
+		{"not lasting, two", step(2), 2, gauge.JobFailed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var trials gauge.Trials
+			for run := range tt.alone {
+				trials = append(trials, gauge.Trial{Run: run + 1, Worker: "w0", Crashed: true, Alone: true})
+			}
+			g := newRig(t)
+			id := g.inherit(tt.step, &gauge.JobRow{Trials: map[string]gauge.Trials{firstTask: trials}})
+			g.save(300)
+			state, _ := g.pool.State(queueName, id)
+			assert.Equal(t, state, tt.want)
+		})
+	}
+}
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -26,6 +26,8 @@
 	// aloneMost crashes with nothing else on the worker, as soon after the start as those before,
 	// show that the task is the cause: one may come by chance.
 	aloneMost = 2
+	// aloneLasting is the same for a lasting task: with its job goes all of it that serves.
+	aloneLasting = 3
 	// soonMost crashes soon after its start are enough where it could not be told apart, or its
 	// starts got no answer ...
 	soonMost = 4
@@ -74,7 +76,11 @@
 func (t *task) causes() bool {
 	ts := t.trials()
 	soon := min(soonMost, crashesMost-min(t.excused()+ts.Beside(soonSpan), excusedMost))
-	return ts.Alone() >= aloneMost || ts.LikelySoon(soonSpan) >= soon || ts.Likely() >= crashesMost
+	alone := aloneMost
+	if t.stage.spec.Lasts {
+		alone = aloneLasting
+	}
+	return ts.Alone() >= alone || ts.LikelySoon(soonSpan) >= soon || ts.Likely() >= crashesMost
 }
 
 // Unnoted tells whether crashes are known that the table doesn't have: who takes the pool over now has
