Hand on that several owners in a row could not write crashes

Traced: four owners in seven seconds. The first knew of a crash and couldn't write it, the second left within a tenth of a second of the next, before it heard of it. The third allowed for one crash that it didn't know, as the second handed on nothing of the first.

Change: the lease that is given away tells how many owners lately could not write; one that has had the pool for less than half a minute hands on what it was told.

--- a/grantrow.go
+++ b/grantrow.go
@@ -15,7 +15,7 @@
 	Workers   []string         `msgpack:"w,omitempty"`
 	Left      map[string]int64 `msgpack:"l,omitempty"`
 	Emptied   map[string]int64 `msgpack:"y,omitempty"`
-	Unnoted   bool             `msgpack:"z,omitempty"`
+	Unnoted   int              `msgpack:"z,omitempty"`
 	Ordered   map[string]int64 `msgpack:"o,omitempty"`
 	Earlier   map[string]int64 `msgpack:"e,omitempty"`
 	Kept      int64            `msgpack:"p,omitempty"`
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -222,14 +222,23 @@
 	o.blind()
 }
 
+// unnotedFor is how long an owner hands on that those before it could not write all crashes: what was there
+// then has run for long enough since, or has crashed under this one.
+const unnotedFor = 30 * time.Second
+
 // Offer is the lease's row for a successor, and its version as last known.
 func (o *Owner) Offer() (gauge.LeaseRow, int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	row := o.leaseRow(o.core.Name())
 	row.Term = o.conf.Term
-	row.Unnoted = o.core.Unnoted()
 	now := o.conf.Now()
+	if o.core.Unnoted() {
+		row.Unnoted = 1
+	}
+	if now-o.began < unnotedFor {
+		row.Unnoted += o.conf.Before.Unnoted
+	}
 	row.Left, row.Emptied = make(map[string]int64), make(map[string]int64)
 	for l, left := range o.core.Left(now) {
 		row.Left[l.String()] = left.Milliseconds() + 1
--- a/internal/sched/excuse_test.go
+++ b/internal/sched/excuse_test.go
@@ -101,9 +101,14 @@
 	for _, tt := range []struct {
 		name    string
 		born    int64 // the life that this owner hears
-		unnoted bool  // the owner before tells so
+		unnoted int   // by so many owners before
 		want    int
-	}{{"the worker has started again", 2, false, 1}, {"the worker lives", 1, false, 0}, {"crashes are not in the table", 1, true, 1}} {
+	}{
+		{"the worker has started again", 2, 0, 1},
+		{"the worker lives", 1, 0, 0},
+		{"crashes are not in the table", 1, 1, 1},
+		{"two owners in a row could not write", 2, 1, 2},
+	} {
 		t.Run(tt.name, func(t *testing.T) {
 			g := newRig(t, after("w1"), func(c *sched.Config) { c.Earlier, c.Unnoted = []gauge.Life{lifeOf("w1", 1)}, tt.unnoted })
 			g.rows(300, row("w1", tt.born))
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,8 +41,8 @@
 	// Over is when that is for workers of which the owner before knew: those that didn't
 	// answer it. Without this each owner would wait anew for the same silent workers.
 	Over map[gauge.Life]time.Duration
-	// Unnoted: the owner before knew of crashes that the table doesn't have.
-	Unnoted bool
+	// Unnoted is how many owners lately knew of crashes that the table doesn't have.
+	Unnoted int
 	// Emptied are the workers, by id, that the owner before kept empty, and until when.
 	Emptied map[string]time.Duration
 	// Longest is the longest lease that a worker grants. One that has started again may have one
@@ -82,7 +82,7 @@
 	counts   counts
 	swept    time.Duration // when ended jobs were last forgotten
 
-	lostBefore bool // workers were lost before, and the table may not have for what
+	lostBefore bool // workers were lost before this owner heard them
 
 	sorted []*worker // workers by id; nil: to be sorted anew
 	taking []*worker // memory for the next plan's rooms ...
@@ -97,7 +97,7 @@
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), past: make(map[string]past), halts: make(map[*run]bool), workers: make(map[string]*worker),
 		earlier: make(map[string]gauge.Life), site: &gauge.Site{}, counts: newCounts(), odds: make(map[*oddRun]bool), cancels: make(map[string]cancelled),
-		suspects: make(map[*task]bool), tried: make(map[gauge.Life]bool), lostBefore: c.Unnoted,
+		suspects: make(map[*task]bool), tried: make(map[gauge.Life]bool),
 	}
 	for _, l := range c.Earlier {
 		if !l.Before(p.earlier[l.Worker]) {
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -125,8 +125,10 @@
 	ts := slices.Clone(t.trials())
 	if lead := t.trialTask(); !lead.noticed {
 		lead.noticed = true
-		if t.job.inherited && p.lostBefore {
-			t.countExcused() // an owner before may not have come to note the first one
+		if t.job.inherited {
+			for range p.conf.Unnoted + count(p.lostBefore) {
+				t.countExcused() // owners before may not have come to note these
+			}
 		}
 	}
 	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Life() == tr.Life() })
--- a/leaserow_test.go
+++ b/leaserow_test.go
@@ -68,7 +68,7 @@
 // What only the next holder needs, and that is lost on the way to it.
 func TestLeaseRowIsWholeAgainAfterItWasSplit(t *testing.T) {
 	row := gauge.LeaseRow{
-		Holder: "e/1", Addr: "a", Term: 2, Workers: []string{"w@1"}, Left: map[string]int64{"w@1": 1}, Emptied: map[string]int64{"w": 2}, Unnoted: true,
+		Holder: "e/1", Addr: "a", Term: 2, Workers: []string{"w@1"}, Left: map[string]int64{"w@1": 1}, Emptied: map[string]int64{"w": 2}, Unnoted: 2,
 		Depths: map[string]int{"sheets": 1}, Ordered: map[string]int64{"m": 3}, Earlier: map[string]int64{"n": 4}, Kept: 5, Announced: true,
 	}
 	all, grants := row.Split()
