Write with the lease that crashes may have gone unnoted

Traced: two owners in a row came to note nothing. In one play the second was killed, so that what the first had told it with the lease was gone; in the other the second had found a worker in another life, and handed on only crashes that it knew itself.

Change: the count is in the row that each owner writes, from its claim on, and it includes that workers were lost before that owner heard them; for half a minute. As this may now be up to three where nothing was missed, a lasting job, which goes with all that serves, is given up for two of them at most and three others.

Packages owner, sched, tenure and the root pass.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -158,7 +158,7 @@
 	if c.Version > 0 {
 		term++
 	}
-	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Renewed: n.clock()}
+	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, Unnoted: c.Row.Unnoted, Renewed: n.clock()}
 	row.CountsOf(&c.Row) // none was made since
 	if c.Pool == fleetPool {
 		n.handOn(&row, &c.Row)
--- a/internal/owner/emptied_test.go
+++ b/internal/owner/emptied_test.go
@@ -70,3 +70,14 @@
 		assert.Equal(t, row.Unnoted, 0, "what was there then has shown by now")
 	})
 }
+
+// An owner that finds another life of a worker, is killed before anything crashes under it, and hands on nothing.
+func TestOwnerWritesThatItMayNotKnowOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newRows()
+		successor(t, store, newSite(), 1, gauge.LeaseRow{Workers: []string{"w1", "gone@1"}})
+		time.Sleep(8 * time.Second) // till nothing can run there any more
+		synctest.Wait()
+		assert.Equal(t, store.granted().Unnoted, 1)
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -234,10 +234,7 @@
 	row.Term = o.conf.Term
 	now := o.conf.Now()
 	if o.core.Unnoted() {
-		row.Unnoted = 1
-	}
-	if now-o.began < unnotedFor {
-		row.Unnoted += o.conf.Before.Unnoted
+		row.Unnoted++
 	}
 	row.Left, row.Emptied = make(map[string]int64), make(map[string]int64)
 	for l, left := range o.core.Left(now) {
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	kept   map[gauge.RowKey]gauge.PartRow
 	leases []gauge.LeaseRow // written by the owner
+	grants gauge.GrantRow   // as it was written last
 	lists  int              // of the parts of a table
 }
 
@@ -103,6 +104,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range txn.Writes {
+		if w.Table == gauge.TableGrants {
+			grants, err := gauge.DecodeGrantRow(w.Value)
+			if err != nil {
+				return gauge.Stamp{}, nil, err
+			}
+			r.grants = *grants
+		}
 		if w.Table != gauge.TableLeases {
 			continue
 		}
@@ -123,6 +131,12 @@
 	return slices.Clone(r.leases)
 }
 
+func (r *rows) granted() gauge.GrantRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.grants
+}
+
 func away() error { return gauge.Fail(gauge.KindOutage, "no answer to a read") }
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -166,7 +166,7 @@
 // then, or was not for long, is named: to tell it as empty would be wrong by as many jobs
 // as wait there.
 func (o *Owner) leaseRow(names []gauge.Life) gauge.LeaseRow {
-	row := gauge.LeaseRow{Workers: lifeNames(names)}
+	row := gauge.LeaseRow{Workers: lifeNames(names), Unnoted: o.unnotedBefore()}
 	if !o.loaded {
 		row.CountsOf(&o.conf.Before)
 		return row
@@ -175,6 +175,18 @@
 	return row
 }
 
+// unnotedBefore is how many owners before this one may not have written all crashes, to be handed on.
+func (o *Owner) unnotedBefore() int {
+	switch {
+	case o.conf.Now()-o.began >= unnotedFor:
+		return 0
+	case o.core.LostBefore():
+		return o.conf.Before.Unnoted + 1
+	default:
+		return o.conf.Before.Unnoted
+	}
+}
+
 func lifeNames(lives []gauge.Life) []string {
 	names := make([]string, len(lives))
 	for i, l := range lives {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,7 +41,7 @@
 	// Over is when that is for workers of which the owner before knew: those that didn't
 	// answer it. Without this each owner would wait anew for the same silent workers.
 	Over map[gauge.Life]time.Duration
-	// Unnoted is how many owners lately knew of crashes that the table doesn't have.
+	// Unnoted is how many owners lately may have lost workers of which the table has no crash.
 	Unnoted int
 	// Emptied are the workers, by id, that the owner before kept empty, and until when.
 	Emptied map[string]time.Duration
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -37,6 +37,8 @@
 	// excusedMost: crashes that were excused, or were not seen, count towards crashesMost, but no
 	// more than so many, else a sound task would be given up for the loss of racks alone.
 	excusedMost = 3
+	// excusedLasting is the same for a lasting task.
+	excusedLasting = 2
 )
 
 // trialTask is the task that the trials are kept with: members of a gang are one.
@@ -75,11 +77,11 @@
 // causes tells whether a task must be the cause of crashes.
 func (t *task) causes() bool {
 	ts := t.trials()
-	soon := min(soonMost, crashesMost-min(t.excused()+ts.Beside(soonSpan), excusedMost))
-	alone := aloneMost
+	alone, excused := aloneMost, excusedMost
 	if t.stage.spec.Lasts {
-		alone = aloneLasting
+		alone, excused = aloneLasting, excusedLasting
 	}
+	soon := min(soonMost, crashesMost-min(t.excused()+ts.Beside(soonSpan), excused))
 	return ts.Alone() >= alone || ts.LikelySoon(soonSpan) >= soon || ts.Likely() >= crashesMost
 }
 
@@ -94,6 +96,10 @@
 	return false
 }
 
+// LostBefore tells whether workers were lost before this owner heard them: those before it may not have
+// come to note why.
+func (p *Pool) LostBefore() bool { return p.lostBefore }
+
 // excused is how many crashes soon after its starts count for the task only in part.
 func (t *task) excused() int { return t.job.row.Excused[t.trialTask().key()] }
 
--- a/leaserow.go
+++ b/leaserow.go
@@ -25,7 +25,7 @@
 	// Emptied is for how much longer, in milliseconds, workers get no starts, as they were said to
 	// be empty: their machines may be taken away meanwhile. It is told with Left.
 	Emptied map[string]int64 `msgpack:"y,omitempty"`
-	// Unnoted is, told with Left, how many holders lately knew of crashes that they could not write.
+	// Unnoted is how many holders lately may not have written all crashes.
 	Unnoted int              `msgpack:"z,omitempty"`
 	Depths  map[string]int   `msgpack:"d"`           // by queue: jobs without a task started; a queue that isn't named has none
 	Unread  []string         `msgpack:"u,omitempty"` // queues that the owner has not read yet: nobody knows their depths
