An owner that has a job refuses no repeat of its hand-in

Traced: the owner that stored it left; the next one had adopted the job 0.17 s before, while the table was away. The repeat came to it through an entry that hadn't been told of the doubt yet, and it couldn't reach the table either: so it said that the job never runs.

Cause: an outage of the table counts as "surely not stored" unless the entry was told of a doubt; that its own pool has the job wasn't asked.

Change: it is, where the pool's owner is in the same entry; the caller is told to ask again. intake: TestOwnerThatHasAJobRefusesNoRepeat, failed before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,7 +31,9 @@
 	Unsure func(q *gauge.Queue, id string)
 	// Ask asks the owner of the queue's pool how far a job is; false: it doesn't
 	// know, or can't be asked.
-	Ask   func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
+	Ask func(ctx context.Context, q *gauge.Queue, id string) (gauge.JobState, bool)
+	// Known tells whether the pool's owner is here and has the job; nil: it never is.
+	Known func(q *gauge.Queue, id string) bool
 	Relay Relay                                  // nil: there are no other entries
 	After func(d time.Duration) <-chan time.Time // default time.After
 	// Without names what is switched off.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -161,6 +161,7 @@
 	timers  timers
 	mu      sync.Mutex
 	notices []intake.Notice
+	known   map[string]bool // jobs that the owner here has
 }
 
 func newRig(t *table, c *clock) *rig { return newRelayRig(t, c, nil) }
@@ -173,6 +174,7 @@
 		Depth:    func(*gauge.Queue) (int, time.Duration, bool) { return 0, 0, true },
 		AskDepth: func(context.Context, *gauge.Queue) (int, bool) { return 0, false },
 		Ask:      func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
+		Known:    func(_ *gauge.Queue, id string) bool { return g.known[id] },
 		Tell: func(n intake.Notice) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -333,3 +333,14 @@
 	assert.Equal(t, gauge.KindOf(owner.submit(1)), gauge.KindExpired, "it may be stored yet")
 	assert.Equal(t, gauge.KindOf(owner.submit(2)), gauge.KindOutage)
 }
+
+// A repeat of a hand-in that is told that the job never runs, by the owner that has it.
+func TestOwnerThatHasAJobRefusesNoRepeat(t *testing.T) {
+	store := newTable()
+	store.silent = true
+	store.answer = outage
+	g := newRig(store, &clock{step: time.Millisecond})
+	g.known = map[string]bool{id(2): true}
+	assert.Equal(t, gauge.KindOf(g.submit(1)), gauge.KindOutage)
+	assert.Equal(t, gauge.KindOf(g.submit(2)), gauge.KindExpired)
+}
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	o := n.settle(ctx, p, relay)
-	if gauge.Is(o.err, gauge.KindOutage) && n.doubts(id) {
+	if gauge.Is(o.err, gauge.KindOutage) && (n.doubts(id) || n.conf.Known != nil && n.conf.Known(q, id)) {
 		o.err = unsettled(o.err)
 	}
 	n.tell(p, o)
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -156,6 +156,16 @@
 	return a.State, err == nil && a.State != ""
 }
 
+// knownHere tells whether this entry owns a queue's pool and has the job.
+func (n *Node) knownHere(q *gauge.Queue, id string) bool {
+	o, err := n.local(q.Pool)
+	if err != nil {
+		return false
+	}
+	_, known := o.State(q.Name, id)
+	return known
+}
+
 func (n *Node) handleState(_ context.Context, body []byte) (any, error) {
 	var c stateCall
 	if err := frame.Decode(body, &c); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 	n.board = terms.New(terms.Config{Self: n.holder, Addr: c.Addr, Capacity: c.Capacity, Term: leaseTerm, Spread: claimSpread, Held: claimHeld, Suspect: suspectAfter(c.Without), Regain: regainWait})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, Event: c.Event, Now: c.Now, Clock: n.clock, Depth: n.depth, AskDepth: n.askDepth, Tell: n.notify, Ask: n.ask,
-		Relay: relay{n}, Unsure: n.tellDoubt, Without: c.Without,
+		Relay: relay{n}, Unsure: n.tellDoubt, Known: n.knownHere, Without: c.Without,
 	})
 	c.Mesh.Handle(methodNotice, n.handleNotice)
 	c.Mesh.Handle(methodDoubt, n.handleDoubt)
