--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,6 +55,10 @@
 			// A sound lasting job was given up: its workers lost power together while their owner
 			// was paused, and another took the pool.
 			{seed: 501, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
+			// A task went on ending workers: owners in a row couldn't write, or left before they
+			// knew of a crash.
+			{seed: 525, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
+			{seed: 528, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
 		}
 	}
 	var list []plan
