--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -59,6 +59,8 @@
 			// knew of a crash.
 			{seed: 525, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
 			{seed: 528, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
+			// A start that reached a worker's next life, and was stopped there, was not counted.
+			{seed: 531, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
 		}
 	}
 	var list []plan
