--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -222,10 +222,6 @@
 	o.blind()
 }
 
-// unnotedFor is how long an owner hands on that those before it could not write all crashes: what was there
-// then has run for long enough since, or has crashed under this one.
-const unnotedFor = 30 * time.Second
-
 // Offer is the lease's row for a successor, and its version as last known.
 func (o *Owner) Offer() (gauge.LeaseRow, int64) {
 	o.mu.Lock()
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -175,6 +175,10 @@
 	return row
 }
 
+// unnotedFor is how long an owner hands on that those before it could not write all crashes: what was there
+// then has run for long enough since, or has crashed under this one.
+const unnotedFor = 30 * time.Second
+
 // unnotedBefore is how many owners before this one may not have written all crashes, to be handed on.
 func (o *Owner) unnotedBefore() int {
 	switch {
--- a/test/machines/crash_test.go
+++ b/test/machines/crash_test.go
@@ -155,10 +155,7 @@
 	s.clean()
 }
 
-// Symptom: a lasting task is ended and starts elsewhere, though its worker is sound.
-// Sequence: the worker's room shrinks to nothing while the task runs; the pool passes on; the
-// next owner doesn't hold the worker, and the task's lease runs out.
-// Cause: the worker's entry was refused for lack of room, and names no worker then.
+// A lasting task that is ended as the next owner doesn't hold its worker, whose room has shrunk to nothing.
 func TestWorkerWhoseRoomIsGoneKeepsItsTask(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 1, 2)
