A task that ends its workers is started five times, whatever is held against it

Cause: the bound is on starts, and what was counted was a guess at causes.

Change: internal/proof weighs what is held against a task, and counts each start after which nobody knows that the task lives, what was excused included. From the third on a task starts only apart, noted in the table before, on racks where nothing else is tried; after five it is given up if one of these was lost apart from others. Guesses of owners are bounded on their own (two). To have this take no sound job along: a rack of three or nearly a whole pool that is lost at one moment excuses, also with tasks everywhere that had just begun; a run that outlives its probation clears what was excused.

--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -16,6 +16,8 @@
 	// apartWait is how long a task that has crashed two workers waits for one that is free of
 	// other work. Longer it may not stand still, though that worker isn't to be had.
 	apartWait = 2 * time.Second
+	// lastWait is the same once few of its starts are left: beside others each would prove nothing.
+	lastWait = 6 * time.Second
 	// placeSpan is how long a place is kept until the table has that the task is tried there.
 	// A write takes some 10 ms, in a slow spell 60 times as long.
 	placeSpan = 700 * time.Millisecond
@@ -100,19 +102,36 @@
 // noted tells whether the table knows all that has to be known of a suspect.
 func (t *task) noted() bool { return t.job.saved >= t.written }
 
-// strong tells whether a suspect has lost so many workers that it starts apart only.
-func (t *task) strong() bool { return t.trials().Crashes() >= suspectCrashes }
+// apartOnly tells whether a suspect has lost so many workers, or has so few starts left, that it starts
+// apart only, and when the table knows.
+func (t *task) apartOnly() bool { return t.known().Strong() || t.last() }
+
+// last tells whether few starts are left until the task is given up.
+func (t *task) last() bool { return t.known().Last(t.awaits + t.adrift) }
+
+// apartFor is how long a suspect waits for a worker that is free of other work.
+func (t *task) apartFor() time.Duration {
+	switch {
+	case t.last():
+		return lastWait
+	case t.apartOnly():
+		return apartWait
+	default:
+		return 0
+	}
+}
 
 // reserve finds a place for a suspect, and has the table told of it. One that has lost two workers waits
 // till the table knows: an owner that took over between the start and the crash would otherwise not
 // know of the run. After the first crash it suffices that this is known: the next owner allows for one more.
 func (p *Pool) reserve(t *task, now time.Duration) {
+	p.notice(t)
 	of := turn{job: t.job, stage: t.stage, advice: p.advice(t.job)}
 	at := &place{number: t.nextRun(), until: now + placeSpan}
-	if t.strong() || p.fewAside(now) {
+	if t.apartOnly() || p.fewAside(now) {
 		at.workers, at.alone = p.placesApart(t, &of, now), true
 	}
-	if at.workers == nil && t.strong() && now-t.readyAt < apartWait {
+	if at.workers == nil && now-t.readyAt < t.apartFor() {
 		p.setAside(t, now)
 		return
 	}
@@ -124,7 +143,7 @@
 		return
 	}
 	// A worker that others use is closed to them only for a task that is likely the cause.
-	at.closed = at.alone || t.strong()
+	at.closed = at.alone || t.apartOnly()
 	t.place = at
 	told := make(map[*worker]bool)
 	for _, w := range at.workers {
@@ -133,15 +152,16 @@
 		}
 		if !told[w] {
 			told[w] = true
-			p.try(t, gauge.Trial{Run: at.number, Worker: w.info.ID, Born: w.info.Born, Alone: at.alone})
+			p.try(t, gauge.Trial{Run: at.number, Worker: w.info.ID, Born: w.info.Born, Alone: at.alone, Apart: at.alone})
 		}
 	}
 }
 
-// placesApart picks workers without other jobs' tasks, if it can on racks where nothing is tried.
+// placesApart picks workers without other jobs' tasks, if it can on racks where nothing is tried, and
+// nowhere else once few starts are left.
 func (p *Pool) placesApart(t *task, of *turn, now time.Duration) []*worker {
 	workers := p.places(t, of, now, func(w *worker) bool { return w.onlyOf(t.job) && !p.rackTries(w, t.job) })
-	if workers == nil {
+	if workers == nil && !t.last() {
 		workers = p.places(t, of, now, func(w *worker) bool { return w.onlyOf(t.job) })
 	}
 	return workers
@@ -202,7 +222,7 @@
 		p.giveBack(t)
 		return
 	}
-	if t.strong() && !t.noted() {
+	if t.apartOnly() && !t.noted() {
 		return
 	}
 	p.unreserve(t)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -74,6 +74,7 @@
 
 	suspect   bool   // it may end the worker that starts it
 	noticed   bool   // a run of it is known that may have ended its worker
+	counted   int    // run that was counted last, though it is held against nothing
 	unsettled bool   // owners before noted runs of which it isn't known what became
 	adrift    int    // runs that were lost on workers of which it isn't known whether they crashed
 	awaits    int    // lost workers of which it isn't known yet why they were
@@ -235,7 +236,7 @@
 	if len(j.row.Trials) > 0 {
 		delete(j.row.Trials, t.trialTask().key())
 	}
-	delete(j.row.Excused, t.trialTask().key())
+	t.forget()
 	j.touch(true)
 	j.advance()
 }
--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/proof"
 )
 
 const (
@@ -156,12 +157,12 @@
 // innocent tells whether a worker had runs of which none can be why it was lost.
 func (w *worker) innocent() bool {
 	for r := range w.runs {
-		if r.lived() < soonSpan || r.trial != nil || r.task.trialTask().suspect {
+		if r.lived() < proof.Soon || r.trial != nil || r.task.trialTask().suspect {
 			return false
 		}
 	}
 	for _, l := range w.lost {
-		if l.lived < soonSpan || l.task.trialTask().suspect {
+		if l.lived < proof.Soon || l.task.trialTask().suspect {
 			return false
 		}
 	}
@@ -229,7 +230,8 @@
 			continue
 		}
 		p.try(r.task, gauge.Trial{
-			Run: r.number, Worker: l.life.Worker, Born: l.life.Born, Crashed: true, Alone: !toll.unclear() && l.proves(r), Beside: beside[r.task], Lived: r.lived,
+			Run: r.number, Worker: l.life.Worker, Born: l.life.Born, Crashed: true, Alone: !toll.unclear() && l.proves(r),
+			Apart: !toll.unclear() && r.task.trials().Tried(r.number), Beside: beside[r.task], Lived: r.lived,
 		})
 		p.giveUp(r.task)
 	}
@@ -238,7 +240,7 @@
 // proves tells whether nothing but a task can have ended its worker: it ended as soon after
 // its start as those before, and nothing else was there.
 func (l *loss) proves(r lostRun) bool {
-	return l.alone && r.told && r.lived < probation(r.task.trials().Without(r.number))
+	return l.alone && r.told && r.lived < proof.Case{Trials: r.task.trials().Without(r.number)}.Probation()
 }
 
 // lossOf is the loss of a worker that this owner never heard.
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -2,32 +2,29 @@
 
 import (
 	"slices"
-	"time"
 
-	gauge "sapphiregauge"
+	"sapphiregauge/internal/proof"
 )
 
 // A run of a suspect is on probation: its worker is closed to others until it has lived for as
 // long as one that ends its worker would not.
 
-// probation is how long a run has to live until its worker is taken to survive it.
-func probation(ts gauge.Trials) time.Duration { return min(2*ts.Longest()+soonSpan, calmSpan) }
-
 // survived takes in that a worker has told of a suspect's run. Others may start beside it once
 // it has lived long enough.
 func (p *Pool) survived(r *run) {
-	if r.tried && !r.outlived && r.lived() >= soonSpan {
+	if r.tried && !r.outlived && r.lived() >= proof.Soon {
 		// Lost from now on, it wasn't lost by starting, also for the next owner.
 		r.outlived = true
 		p.outlive(r)
 	}
-	if r.tried && r.lived() >= probation(r.task.trials()) {
+	if r.tried && r.lived() >= r.task.known().Probation() {
 		r.tried = false
 		p.conf.Logs.Info("task survived", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID, "lived", r.lived())
 		p.endTrial(r)
+		r.task.forget()
 		p.acquit(r.task, r.number)
 	}
-	if r.lived() >= calmSpan {
+	if r.lived() >= proof.Calm {
 		p.clear(r.task)
 	}
 }
@@ -36,13 +33,13 @@
 func (p *Pool) inheritTrial(r *run) {
 	// When it began isn't known. Each run of a suspect is noted until it has lived for a while, and
 	// of others most have.
-	r.credit = soonSpan
+	r.credit = proof.Soon
 	for _, tr := range r.task.trials() {
 		if tr.Run != r.number || tr.Crashed {
 			continue
 		}
 		r.tried, r.credit = true, tr.Lived
-		if r.task.strong() {
+		if r.task.apartOnly() {
 			r.closeWorker(r.task.trialTask())
 		}
 		return
--- a/internal/sched/toll.go
+++ b/internal/sched/toll.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"sapphiregauge/internal/proof"
 )
 
 // Whether a worker was lost for what ran there or for another reason is told by what else was
@@ -26,7 +28,7 @@
 			if o.task.job == r.task.job {
 				continue
 			}
-			if o.lived < soonSpan && r.lived >= soonSpan || o.task.trials().Crashes() > r.task.trials().Crashes() {
+			if o.lived < proof.Soon && r.lived >= proof.Soon || o.task.trials().Crashes() > r.task.trials().Crashes() {
 				tasks[r.task] = true
 			}
 		}
@@ -82,7 +84,17 @@
 // seconds after. Neither do workers on which a task began lately: tasks that end their workers
 // may come together.
 func (x toll) together() bool {
-	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0
+	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0 || x.most()
+}
+
+// mostLost: so many others lost at once are more than tasks are likely to end at one moment.
+const mostLost = 3
+
+// most tells whether all of a rack were lost at one moment, or nearly all workers: the power, or
+// the rack. Tasks that end their workers may come in numbers, but are then tried one by one.
+func (x toll) most() bool {
+	rack := x.rackIdle + x.rackBusy
+	return rack >= mostLost-1 && x.rackStays == 0 || x.lost >= mostLost && fewOf*x.stays <= x.lost
 }
 
 // unclear tells whether other workers were lost that may have the same cause: those with tasks on
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/proof"
 )
 
 // A task may end each worker that starts it, and all that runs there. Such a crash is no end
@@ -15,31 +16,6 @@
 // cause. Workers that are lost together, or with nothing on them that began lately, were lost
 // for another reason: nothing is held against what ran there.
 
-const (
-	// soonSpan: a run that its worker told of for so long didn't end it by starting.
-	soonSpan = time.Second
-	// calmSpan: a run that has lived so long clears its task. It bounds how long a task is
-	// kept apart, too.
-	calmSpan = 30 * time.Second
-	// suspectCrashes make any task a suspect, however long its runs lived.
-	suspectCrashes = 2
-	// aloneMost crashes with nothing else on the worker, as soon after the start as those before,
-	// show that the task is the cause: one may come by chance.
-	aloneMost = 2
-	// aloneLasting is the same for a lasting task: with its job goes all of it that serves.
-	aloneLasting = 3
-	// soonMost crashes soon after its start are enough where it could not be told apart, or its
-	// starts got no answer ...
-	soonMost = 4
-	// ... and so many crashes at any time. By the users' rules a task may be started twice
-	// more after three crashes.
-	crashesMost = 5
-	// excusedMost: crashes that were excused, or were not seen, count towards crashesMost, but no
-	// more than so many. Else a sound task would be given up for the loss of racks, or with too
-	// few crashes that are known.
-	excusedMost = 2
-)
-
 // trialTask is the task that the trials are kept with: members of a gang are one.
 func (t *task) trialTask() *task {
 	if t.stage.spec.Gang {
@@ -70,18 +46,9 @@
 	t.trialTask().written = j.changes
 }
 
-// suspected tells whether a task may be the cause of a crash.
-func suspected(ts gauge.Trials) bool { return ts.Soon(soonSpan) || ts.Crashes() >= suspectCrashes }
-
-// causes tells whether a task must be the cause of crashes.
-func (t *task) causes() bool {
-	ts := t.trials()
-	soon := min(soonMost, crashesMost-min(t.excused()+ts.Beside(soonSpan), excusedMost))
-	alone := aloneMost
-	if t.stage.spec.Lasts {
-		alone = aloneLasting
-	}
-	return ts.Alone() >= alone || ts.LikelySoon(soonSpan) >= soon || ts.Likely() >= crashesMost
+// known is what is held against the task.
+func (t *task) known() proof.Case {
+	return proof.Case{Trials: t.trials(), Excused: t.excused(), Lasts: t.stage.spec.Lasts}
 }
 
 // Unnoted tells whether crashes are known that the table doesn't have: who takes the pool over now has
@@ -99,47 +66,96 @@
 // come to note why.
 func (p *Pool) LostBefore() bool { return p.lostBefore }
 
-// excused is how many crashes soon after its starts count for the task only in part.
+// excused is how many starts of the task ended before it had shown that it lives, and are held
+// against nothing.
 func (t *task) excused() int { return t.job.row.Excused[t.trialTask().key()] }
 
-// countExcused takes in one more of them.
-func (t *task) countExcused() {
-	j := t.job
-	if t.excused() >= excusedMost {
+// guessMost bounds how many crashes an owner may guess of a task that nobody has seen.
+const guessMost = 2
+
+// guess counts a crash that owners before may not have come to note.
+func (t *task) guess() {
+	key := t.trialTask().key()
+	if t.job.row.Guessed[key] >= guessMost {
 		return
 	}
-	if j.row.Excused == nil {
-		j.row.Excused = make(map[string]int)
+	t.job.row.Guessed = counted(t.job.row.Guessed, key)
+	t.countExcused()
+}
+
+// countExcused takes in one more start that proved nothing.
+func (t *task) countExcused() {
+	t.job.row.Excused = counted(t.job.row.Excused, t.trialTask().key())
+	t.job.touch(true)
+}
+
+func counted(counts map[string]int, key string) map[string]int {
+	if counts == nil {
+		counts = make(map[string]int)
+	}
+	counts[key]++
+	return counts
+}
+
+// forget drops what is held against nothing, as the task has shown that it lives.
+func (t *task) forget() {
+	if t.excused() == 0 {
+		return
 	}
-	j.row.Excused[t.trialTask().key()]++
-	j.touch(true)
+	key := t.trialTask().key()
+	delete(t.job.row.Excused, key)
+	delete(t.job.row.Guessed, key)
+	t.job.touch(false)
 }
 
 // excuse takes in that a run was lost with its worker for another reason, as far as that can
 // be known.
 func (p *Pool) excuse(t *task, run int, lived time.Duration) {
-	if lived < soonSpan && !t.done && t.job.open() {
-		t.countExcused()
+	if lived < proof.Soon || t.trials().Tried(run) {
+		p.countRun(t, run)
 	}
 	p.acquit(t, run)
 	p.giveUp(t)
 }
 
+// countRun takes in that a run ended before its task had shown that it lives. Of a gang's run
+// all members tell.
+func (p *Pool) countRun(t *task, run int) {
+	lead := t.trialTask()
+	if t.done || !t.job.open() || lead.counted == run {
+		return
+	}
+	lead.counted = run
+	t.countExcused()
+	p.suspect(t)
+	p.conf.Logs.Info("start counted", "job", t.job.id, "task", t.id.String(), "run", run, "starts", t.known().Starts(), "excused", t.excused())
+}
+
+// notice allows for crashes that owners before may not have come to note, once one of the task is
+// known.
+func (p *Pool) notice(t *task) {
+	lead := t.trialTask()
+	if lead.noticed {
+		return
+	}
+	lead.noticed = true
+	if !t.job.inherited {
+		return
+	}
+	for range p.conf.Unnoted + count(p.lostBefore) {
+		t.guess()
+	}
+}
+
 // try notes a run whose worker may crash, or has. One that is noted already is kept up.
 func (p *Pool) try(t *task, tr gauge.Trial) {
+	p.notice(t)
 	ts := slices.Clone(t.trials())
-	if lead := t.trialTask(); !lead.noticed {
-		lead.noticed = true
-		if t.job.inherited {
-			for range p.conf.Unnoted + count(p.lostBefore) {
-				t.countExcused() // owners before may not have come to note these
-			}
-		}
-	}
 	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Life() == tr.Life() })
 	if at < 0 {
 		ts = append(ts, tr)
 	} else {
+		tr.Apart = tr.Apart || !tr.Crashed && ts[at].Apart
 		ts[at] = tr
 	}
 	t.setTrials(ts, true)
@@ -163,17 +179,18 @@
 		return
 	}
 	t.setTrials(nil, false)
-	delete(t.job.row.Excused, t.trialTask().key())
+	t.forget()
 	p.suspect(t)
 }
 
 // suspect keeps up whether a task is a suspect.
 func (p *Pool) suspect(t *task) {
 	lead := t.trialTask()
-	is := suspected(lead.trials())
+	is := lead.known().Suspect()
 	if is && !lead.suspect {
 		ts := lead.trials()
-		p.conf.Logs.Info("task suspected", "job", lead.job.id, "task", lead.id.String(), "crashes", ts.Crashes(), "alone", ts.Alone(), "lived", ts.Longest())
+		p.conf.Logs.Info("task suspected", "job", lead.job.id, "task", lead.id.String(), "crashes", ts.Crashes(), "alone", ts.Alone(), "excused", lead.excused(),
+			"lived", ts.Longest())
 	}
 	lead.suspect = is
 	if is {
@@ -186,7 +203,8 @@
 
 // inheritTrials takes in what owners before this one knew of a job's runs.
 func (p *Pool) inheritTrials(j *job, now time.Duration) {
-	for key, ts := range j.row.Trials {
+	for _, key := range j.row.Tried() {
+		ts := j.row.Trials[key]
 		id, err := gauge.ParseTaskID(j.id + "." + key)
 		if err != nil {
 			p.conf.Logs.Error(err, "trial not read", "job", j.id, "task", key)
@@ -196,7 +214,7 @@
 		if t == nil || t.done {
 			continue
 		}
-		t.noticed = len(ts) >= suspectCrashes
+		t.noticed = len(ts) >= guessMost
 		for _, tr := range ts {
 			t.lastRun = max(t.lastRun, tr.Run)
 			if !tr.Crashed {
@@ -236,11 +254,11 @@
 	if others := p.unheardWith(p.lossOf(tr.Life(), now)) > 1; others {
 		// What those were lost for nobody knows. It excuses no task that has lost two workers
 		// already, but proves nothing, either.
-		if !t.strong() {
+		if !t.known().Strong() {
 			p.excuse(t, tr.Run, tr.Lived)
 			return
 		}
-		tr.Alone = false
+		tr.Alone, tr.Apart = false, false
 	}
 	tr.Crashed = true
 	p.conf.Logs.Info("worker crashed", "pool", p.conf.Name, "worker", tr.Worker, "born", tr.Born, "job", t.job.id, "task", t.id.String(), "run", tr.Run,
@@ -252,7 +270,7 @@
 // giveUp ends the job of a task that ends its workers.
 func (p *Pool) giveUp(t *task) {
 	ts := t.trials()
-	if !t.causes() || !t.job.open() {
+	if !t.known().Cause() || !t.job.open() {
 		return
 	}
 	p.conf.Count(EventGivenUp)
@@ -272,10 +290,14 @@
 // may be so for minutes.
 const judgementWait = 3 * time.Second
 
+// judgedFrom: with so many workers lost a task waits until it is known what for.
+const judgedFrom = 2
+
 // waitsForJudgement tells whether a task has lost one worker after the other, and it isn't known
 // yet what the last ones were lost for. After the first it starts again at once.
 func (t *task) waitsForJudgement(now time.Duration) bool {
-	if t.awaits+t.adrift+t.trials().Crashes() < suspectCrashes {
+	lost := t.awaits + t.adrift
+	if known := t.known(); lost+known.Trials.Crashes() < judgedFrom && !known.Last(lost) {
 		return false
 	}
 	return t.awaits > 0 || t.adrift > 0 && now < t.readyAt+judgementWait
--- a/jobrow.go
+++ b/jobrow.go
@@ -1,6 +1,9 @@
 package sapphiregauge
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -41,6 +44,19 @@
 	// Excused counts crashes soon after a task's start that are held against nothing: other
 	// workers were lost at the same moment, or no owner may have noted them.
 	Excused map[string]int `msgpack:"x,omitempty"`
+	// Guessed counts those of them that no owner has seen.
+	Guessed map[string]int `msgpack:"g,omitempty"`
+}
+
+// Tried lists the tasks with runs that may have ended their workers.
+func (r *JobRow) Tried() []string {
+	keys := slices.AppendSeq(make([]string, 0, len(r.Trials)+len(r.Excused)), maps.Keys(r.Trials))
+	for key := range r.Excused {
+		if _, ok := r.Trials[key]; !ok {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
 // Encode packs the row.
--- a/trial.go
+++ b/trial.go
@@ -15,6 +15,8 @@
 	Crashed bool `msgpack:"x,omitempty"`
 	// Alone tells that no other job had a task there, so that none of those is the cause.
 	Alone bool `msgpack:"o,omitempty"`
+	// Apart tells that it was noted before it started, on a worker that was closed to other jobs' tasks.
+	Apart bool `msgpack:"p,omitempty"`
 	// Beside tells that another job's task there is likelier to be the cause.
 	Beside bool          `msgpack:"b,omitempty"`
 	Lived  time.Duration `msgpack:"l,omitempty"` // the run, at the least
@@ -33,6 +35,9 @@
 // Alone counts those of them that nothing else can have caused.
 func (t Trials) Alone() int { return t.runs(func(r Trial) bool { return r.Crashed && r.Alone }) }
 
+// Apart counts those of them that were tried apart from other jobs' tasks.
+func (t Trials) Apart() int { return t.runs(func(r Trial) bool { return r.Crashed && r.Apart }) }
+
 // Likely counts those of them for which nothing on the worker was a likelier cause.
 func (t Trials) Likely() int { return t.runs(func(r Trial) bool { return r.Crashed && !r.Beside }) }
 
@@ -56,6 +61,11 @@
 	return len(numbers)
 }
 
+// Tried tells whether a run was noted as tried apart, and nobody knows what became of it.
+func (t Trials) Tried(run int) bool {
+	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run && r.Apart && !r.Crashed })
+}
+
 // Without leaves out those of one run.
 func (t Trials) Without(run int) Trials {
 	return slices.DeleteFunc(slices.Clone(t), func(r Trial) bool { return r.Run == run })
