Starts that prove nothing are counted too, once few are left

Cause: a run that ends otherwise than with its worker took back what was noted of it, though it had not lived for long enough to prove anything.

Test, red before: TestStartsThatReachTheNextLifeAreCounted (the task went on).

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -176,6 +176,10 @@
 		t.saved = e.Saved
 		j.save(t, e.Saved)
 	}
+	if r != nil && r.tried && t == t.trialTask() && (e.How == gauge.EndStopped || e.How == gauge.EndAlone) && t.last() {
+		p.countRun(t, e.Run)
+		p.giveUp(t)
+	}
 	p.judge(w, j.id, e.How, now)
 	switch {
 	case t.stage.spec.Lasts || t.done:
--- a/internal/sched/starts_test.go
+++ b/internal/sched/starts_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/sched"
 )
 
 // idleToo has two workers without runs crash together with the first few that the bad task ends.
@@ -104,6 +105,37 @@
 	}
 }
 
+// Starts without an answer that reach the next life of their worker, and are stopped there.
+func TestStartsThatReachTheNextLifeAreCounted(t *testing.T) {
+	g := newRig(t, func(c *sched.Config) { c.Longest = longest })
+	g.rows(210, row("w1", 1))
+	g.answer(lifeOf("w1", 1), 1, time.Hour, nil)
+	id := g.inherit(step(1), known(3, 0, 0))
+	starts := 0
+	for born := int64(1); born < 6; born++ {
+		orders := g.restarts()
+		starts += len(orders)
+		for _, o := range orders {
+			g.pool.Answered(o, 0, gauge.Fail(gauge.KindUnknown, "no answer"), g.now)
+			g.noAnswer(lifeOf("w1", born))
+			g.answer(lifeOf("w1", born), born+1, time.Second, []gauge.RunReport{running(o)})
+			g.rows(300+born, row("w1", born+1))
+			g.ok(g.stops())
+			g.pass(50 * time.Millisecond)
+			g.answer(lifeOf("w1", born+1), born+1, 2*time.Second, nil, g.end("w1", o.Start.Task, o.Start.Run, gauge.EndStopped))
+			g.ends = make(map[string]int64) // the next life counts anew
+		}
+		for range 40 {
+			g.pass(100 * time.Millisecond)
+			g.answer(lifeOf("w1", born+1), born+1, 3*time.Second+g.now, nil)
+		}
+	}
+	g.save(900)
+	state, _ := g.pool.State(queueName, id)
+	assert.Equal(t, state, gauge.JobFailed)
+	assert.Equal(t, starts, 2)
+}
+
 // A sound lasting job that is given up, as all workers lost power again and again while there were
 // tasks everywhere that had just begun.
 func TestSoundJobIsNotGivenUpForLossesOfPower(t *testing.T) {
