Owners that follow one another note what they start anew after losses

What callers saw: nobody did yet.

Cause: of a task that nobody suspects its row tells nothing, so that each owner begins with nothing; what owners hand on of crashes that may have gone unnoted counts only once one of them notices a crash.

Change: an owner before which workers were lost notes its starts of inherited tasks, without waiting for the write. The next owner finds them, as it does a suspect's.

Tests: three cases of TestStartsOfATaskThatEndsWorkersAreBounded.

--- a/internal/sched/starts_test.go
+++ b/internal/sched/starts_test.go
@@ -29,6 +29,18 @@
 	}
 }
 
+// takenOver has another owner take the pool whenever the bad task has ended a worker, before
+// this one has noticed.
+func takenOver() func(w *ward) {
+	seen := 0
+	return func(w *ward) {
+		if w.crashes > seen {
+			seen = w.crashes
+			w.takeOver()
+		}
+	}
+}
+
 // A task that goes on ending workers, as what was held against it were guesses at causes and not
 // its starts.
 func TestStartsOfATaskThatEndsWorkersAreBounded(t *testing.T) {
@@ -39,6 +51,9 @@
 	}{
 		{name: "two idle workers go at the same moments, four times", while: idleToo(4)},
 		{name: "two idle workers go at the same moments, three times, and starts get no answer", while: idleToo(3), set: func(w *ward) { w.dumb = true }},
+		{name: "owners are killed right after its starts", while: takenOver()},
+		{name: "owners are killed right after its starts, which get no answer", while: takenOver(), set: func(w *ward) { w.dumb = true }},
+		{name: "owners are killed right after its starts, beside others", while: takenOver(), set: (*ward).company},
 	} {
 		for _, s := range []gauge.Step{step(2), lasting(2)} {
 			t.Run(tt.name, func(t *testing.T) {
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -147,9 +147,28 @@
 	}
 }
 
-// try notes a run whose worker may crash, or has. One that is noted already is kept up.
+// mayHaveCrashed tells whether owners before may have lost a run of a task of which nothing is known.
+// Its starts are noted from now on: owners that are replaced one after the other, each before it
+// notices a crash, would otherwise start it without an end.
+func (p *Pool) mayHaveCrashed(t *task, run int, on *worker) bool {
+	if !t.job.inherited || p.conf.Unnoted+count(p.lostBefore) == 0 {
+		return false
+	}
+	ts := t.trials()
+	if !t.trialTask().suspect {
+		return true
+	}
+	return ts.Has(run) && !ts.HasOn(run, on.info.Life()) // noted by another member of its gang
+}
+
+// try notes a run whose worker may crash, or has.
 func (p *Pool) try(t *task, tr gauge.Trial) {
 	p.notice(t)
+	p.note(t, tr)
+}
+
+// note keeps a run with the trials. One that is noted already is kept up.
+func (p *Pool) note(t *task, tr gauge.Trial) {
 	ts := slices.Clone(t.trials())
 	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Life() == tr.Life() })
 	if at < 0 {
--- a/trial.go
+++ b/trial.go
@@ -61,6 +61,16 @@
 	return len(numbers)
 }
 
+// Has tells whether a run is among them.
+func (t Trials) Has(run int) bool {
+	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run })
+}
+
+// HasOn tells whether a run on a worker's life is among them.
+func (t Trials) HasOn(run int, l Life) bool {
+	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run && r.Life() == l })
+}
+
 // Tried tells whether a run was noted as tried apart, and nobody knows what became of it.
 func (t Trials) Tried(run int) bool {
 	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run && r.Apart && !r.Crashed })
