Workers are lost together when their holds broke at one moment

What callers saw: a task that crashes its workers was tried again, since other workers were lost some tenths of a second before or after it.

Cause: a worker was taken to be lost at any time since its last answer, though its hold broke at once; an idle one's is answered once a second.

Change: a hold that ends sooner than a worker keeps one has broken when the worker was lost.

--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -173,7 +173,7 @@
 // it was lost for is judged a little later.
 func (p *Pool) fell(w *worker, now time.Duration) {
 	l := &loss{
-		life: w.info.Life(), rack: w.info.Rack(), from: w.heardAt, at: w.silentAt, runs: w.lost, innocent: w.innocent(),
+		life: w.info.Life(), rack: w.info.Rack(), from: w.lostFrom(p.conf.Wait), at: w.silentAt, runs: w.lost, innocent: w.innocent(),
 		alone: w.oneJob(),
 	}
 	if !w.silent {
--- a/internal/sched/toll.go
+++ b/internal/sched/toll.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		mate := l.rack != "" && w.info.Rack() == l.rack
-		if w.lostWith(l, now) && !w.sharesTask(l) {
+		if p.lostWith(w, l, now) && !w.sharesTask(l) {
 			x.add(mate, len(w.runs)+len(w.lost) > 0, w.innocent())
 			continue
 		}
@@ -110,8 +110,17 @@
 }
 
 // lostWith tells whether a worker stopped answering at about the time of a loss.
-func (w *worker) lostWith(l *loss, now time.Duration) bool {
-	return w.heard && w.silent && !w.leaving(w.silentAt) && now-w.silentAt >= surelySilent && l.overlaps(w.heardAt, w.silentAt)
+func (p *Pool) lostWith(w *worker, l *loss, now time.Duration) bool {
+	return w.heard && w.silent && !w.leaving(w.silentAt) && now-w.silentAt >= surelySilent && l.overlaps(w.lostFrom(p.conf.Wait), w.silentAt)
+}
+
+// lostFrom is when a worker that doesn't answer was lost at the earliest: shortly before its hold
+// broke, or, if that was kept for longer than a worker keeps one, at any time since it answered.
+func (w *worker) lostFrom(wait time.Duration) time.Duration {
+	if w.silent && w.silentAt-w.heardAt < wait {
+		return max(w.heardAt, w.silentAt-noticeSpan)
+	}
+	return w.heardAt
 }
 
 // with tells whether two workers were lost together.
