Last starts count also when they were lost for another reason; routine notes hold nothing against a task

Cause: starts that were excused proved nothing, even the last; notes of owners before which workers were lost looked like suspects' trials, so that losses of most workers excused nobody.

Change: with two crashes without a likelier cause the last two starts decide, whatever they were lost for. Routine notes are marked, hold nothing against their task, and say nothing of their worker.

--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -47,7 +47,9 @@
 	// Excused counts starts that ended before the task had shown that it lives, and are held
 	// against nothing.
 	Excused int
-	Lasts   bool
+	// Lone counts those of them that were tried apart from other jobs' tasks.
+	Lone  int
+	Lasts bool
 }
 
 // Starts counts those after which nobody knows that the task lives.
@@ -70,7 +72,14 @@
 	}
 	soon := min(soonMost, crashesMost-min(c.Excused+c.Trials.Beside(Soon), excusedMost))
 	return c.Trials.Alone() >= alone || c.Trials.LikelySoon(Soon) >= soon || c.Trials.Likely() >= crashesMost ||
-		c.Trials.Apart() > 0 && c.Starts() >= crashesMost
+		c.Starts() >= crashesMost && c.proved()
+}
+
+// proved tells whether the last starts leave no doubt: one at least was lost with the task apart from others,
+// or all were, and two crashes had no likelier cause.
+func (c Case) proved() bool {
+	apart := c.Trials.Apart()
+	return apart > 0 || c.Lone >= lastStarts && c.Trials.LikelySoon(Soon) >= suspectCrashes
 }
 
 // Probation is how long a run has to live until its worker is taken to survive it.
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -45,6 +45,11 @@
 			name: "four beside a likelier cause, one apart", suspect: true, last: true, cause: true,
 			of: proof.Case{Trials: gauge.Trials{crash(1, beside), crash(2, beside), crash(3, beside), crash(4, beside), crash(5, apart)}},
 		},
+		{
+			name: "three excused, two of them apart, two crashes", suspect: true, last: true, cause: true,
+			of: proof.Case{Excused: 3, Lone: 2, Trials: gauge.Trials{crash(1), crash(2)}},
+		},
+		{name: "four excused, two of them apart, one crash", of: proof.Case{Excused: 4, Lone: 2, Trials: gauge.Trials{crash(1)}}, suspect: true, last: true},
 		{name: "two alone", of: proof.Case{Trials: gauge.Trials{crash(1, alone), crash(2, alone)}}, suspect: true, cause: true},
 		{name: "two alone, lasting", of: proof.Case{Lasts: true, Trials: gauge.Trials{crash(1, alone), crash(2, alone)}}, suspect: true},
 		{name: "one run of a gang on two workers", of: proof.Case{Trials: gauge.Trials{crash(1, late), crash(1, late)}}},
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -73,6 +73,7 @@
 	awaySince time.Duration // lasting tasks: since when it is not at work
 
 	suspect   bool   // it may end the worker that starts it
+	inherited bool   // owners before noted a run of it
 	noticed   bool   // a run of it is known that may have ended its worker
 	counted   int    // run that was counted last, though it is held against nothing
 	unsettled bool   // owners before noted runs of which it isn't known what became
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -300,9 +300,8 @@
 	t.attach(r)
 	w.add(r)
 	p.fly(r)
-	if p.mayHaveCrashed(t, number, w) {
-		r.tried = true
-		p.note(t, gauge.Trial{Run: number, Worker: w.info.ID, Born: w.info.Born})
+	if p.mayHaveCrashed(t) {
+		p.noteRoutine(r)
 	}
 	if !t.job.begun {
 		t.job.begun = true
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -177,7 +177,7 @@
 		j.save(t, e.Saved)
 	}
 	if r != nil && r.tried && t == t.trialTask() && (e.How == gauge.EndStopped || e.How == gauge.EndAlone) && t.last() {
-		p.countRun(t, e.Run)
+		p.countRun(t, e.Run, true)
 		p.giveUp(t)
 	}
 	p.judge(w, j.id, e.How, now)
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -48,7 +48,7 @@
 
 // known is what is held against the task.
 func (t *task) known() proof.Case {
-	return proof.Case{Trials: t.trials(), Excused: t.excused(), Lasts: t.stage.spec.Lasts}
+	return proof.Case{Trials: t.trials(), Excused: t.excused(), Lone: t.job.row.Lone[t.trialTask().key()], Lasts: t.stage.spec.Lasts}
 }
 
 // Unnoted tells whether crashes are known that the table doesn't have: who takes the pool over now has
@@ -87,6 +87,7 @@
 func (t *task) countExcused() {
 	t.job.row.Excused = counted(t.job.row.Excused, t.trialTask().key())
 	t.job.touch(true)
+	t.trialTask().written = t.job.changes
 }
 
 func counted(counts map[string]int, key string) map[string]int {
@@ -105,27 +106,31 @@
 	key := t.trialTask().key()
 	delete(t.job.row.Excused, key)
 	delete(t.job.row.Guessed, key)
+	delete(t.job.row.Lone, key)
 	t.job.touch(false)
 }
 
 // excuse takes in that a run was lost with its worker for another reason, as far as that can
 // be known.
 func (p *Pool) excuse(t *task, run int, lived time.Duration) {
-	if lived < proof.Soon || t.trials().Tried(run) {
-		p.countRun(t, run)
+	if alone := t.trials().Tried(run); alone || lived < proof.Soon {
+		p.countRun(t, run, alone)
 	}
 	p.acquit(t, run)
 	p.giveUp(t)
 }
 
 // countRun takes in that a run ended before its task had shown that it lives. Of a gang's run
-// all members tell.
-func (p *Pool) countRun(t *task, run int) {
+// all members tell. Alone: it was tried apart from others.
+func (p *Pool) countRun(t *task, run int, alone bool) {
 	lead := t.trialTask()
 	if t.done || !t.job.open() || lead.counted == run {
 		return
 	}
 	lead.counted = run
+	if alone {
+		t.job.row.Lone = counted(t.job.row.Lone, lead.key())
+	}
 	t.countExcused()
 	p.suspect(t)
 	p.conf.Logs.Info("start counted", "job", t.job.id, "task", t.id.String(), "run", run, "starts", t.known().Starts(), "excused", t.excused())
@@ -142,7 +147,11 @@
 	if !t.job.inherited {
 		return
 	}
-	for range p.conf.Unnoted + count(p.lostBefore) {
+	unnoted := p.conf.Unnoted
+	if !lead.inherited {
+		unnoted += count(p.lostBefore)
+	}
+	for range unnoted {
 		t.guess()
 	}
 }
@@ -150,25 +159,20 @@
 // mayHaveCrashed tells whether owners before may have lost a run of a task of which nothing is known.
 // Its starts are noted from now on: owners that are replaced one after the other, each before it
 // notices a crash, would otherwise start it without an end.
-func (p *Pool) mayHaveCrashed(t *task, run int, on *worker) bool {
-	if !t.job.inherited || p.conf.Unnoted+count(p.lostBefore) == 0 {
-		return false
-	}
-	ts := t.trials()
-	if !t.trialTask().suspect {
-		return true
-	}
-	return ts.Has(run) && !ts.HasOn(run, on.info.Life()) // noted by another member of its gang
+func (p *Pool) mayHaveCrashed(t *task) bool {
+	return t.job.inherited && !t.trialTask().suspect && p.conf.Unnoted+count(p.lostBefore) > 0
 }
 
-// try notes a run whose worker may crash, or has.
-func (p *Pool) try(t *task, tr gauge.Trial) {
-	p.notice(t)
-	p.note(t, tr)
+// noteRoutine notes a run that is about to start, for the next owner only.
+func (p *Pool) noteRoutine(r *run) {
+	tr := gauge.Trial{Run: r.number, Worker: r.worker.info.ID, Born: r.worker.info.Born, Routine: true}
+	r.task.setTrials(append(slices.Clone(r.task.trials()), tr), true)
+	r.tried = true
 }
 
-// note keeps a run with the trials. One that is noted already is kept up.
-func (p *Pool) note(t *task, tr gauge.Trial) {
+// try notes a run whose worker may crash, or has. One that is noted already is kept up.
+func (p *Pool) try(t *task, tr gauge.Trial) {
+	p.notice(t)
 	ts := slices.Clone(t.trials())
 	at := slices.IndexFunc(ts, func(o gauge.Trial) bool { return o.Run == tr.Run && o.Life() == tr.Life() })
 	if at < 0 {
@@ -189,6 +193,9 @@
 		return
 	}
 	t.setTrials(left, false)
+	if t.trialTask().suspect {
+		p.conf.Logs.Info("trial taken back", "job", t.job.id, "task", t.id.String(), "run", run, "left", len(left), "excused", t.excused())
+	}
 	p.suspect(t)
 }
 
@@ -234,10 +241,14 @@
 			continue
 		}
 		t.noticed = len(ts) >= guessMost
+		t.inherited = len(ts) > 0
 		for _, tr := range ts {
 			t.lastRun = max(t.lastRun, tr.Run)
 			if !tr.Crashed {
-				p.tried[tr.Life()], t.unsettled = true, true
+				t.unsettled = true
+				if !tr.Routine {
+					p.tried[tr.Life()] = true
+				}
 			}
 		}
 		p.suspect(t)
--- a/jobrow.go
+++ b/jobrow.go
@@ -46,6 +46,8 @@
 	Excused map[string]int `msgpack:"x,omitempty"`
 	// Guessed counts those of them that no owner has seen.
 	Guessed map[string]int `msgpack:"g,omitempty"`
+	// Lone counts those of them that were tried apart from other jobs' tasks.
+	Lone map[string]int `msgpack:"l,omitempty"`
 }
 
 // Tried lists the tasks with runs that may have ended their workers.
--- a/trial.go
+++ b/trial.go
@@ -17,6 +17,8 @@
 	Alone bool `msgpack:"o,omitempty"`
 	// Apart tells that it was noted before it started, on a worker that was closed to other jobs' tasks.
 	Apart bool `msgpack:"p,omitempty"`
+	// Routine tells that it was noted like any other's, with nothing held against its task.
+	Routine bool `msgpack:"u,omitempty"`
 	// Beside tells that another job's task there is likelier to be the cause.
 	Beside bool          `msgpack:"b,omitempty"`
 	Lived  time.Duration `msgpack:"l,omitempty"` // the run, at the least
@@ -61,16 +63,6 @@
 	return len(numbers)
 }
 
-// Has tells whether a run is among them.
-func (t Trials) Has(run int) bool {
-	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run })
-}
-
-// HasOn tells whether a run on a worker's life is among them.
-func (t Trials) HasOn(run int, l Life) bool {
-	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run && r.Life() == l })
-}
-
 // Tried tells whether a run was noted as tried apart, and nobody knows what became of it.
 func (t Trials) Tried(run int) bool {
 	return slices.ContainsFunc(t, func(r Trial) bool { return r.Run == run && r.Apart && !r.Crashed })
