Upkeep begins by an answer about the worker that the machine has now

It stayed while the machine moved to another pool or got another worker, and the upkeep began there unasked; so did an answer that was on its way meanwhile.

Change: the answer is dropped when the list shows another worker or pool, and counts only for the worker that was asked of.

--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -70,7 +70,7 @@
 			if err != nil {
 				f.node.conf.Logs.Info("machine not emptied", "machine", a.Machine, "pool", a.Pool, "error", err.Error())
 			}
-			return func() { f.keeper.Emptied(a.Machine, empty && err == nil) }
+			return func() { f.keeper.Answered(a, empty && err == nil) }
 		})
 	}
 }
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -124,6 +124,7 @@
 // Machines takes in the list, as asked for at a time.
 func (k *Keeper) Machines(list []gauge.Machine, asked time.Duration) {
 	k.listed = asked
+	k.forgetEmptied(list)
 	clear(k.machines)
 	for _, m := range list {
 		k.machines[m.ID] = m
@@ -138,6 +139,18 @@
 	}
 }
 
+// forgetEmptied drops the answers about workers that machines don't have any more.
+func (k *Keeper) forgetEmptied(list []gauge.Machine) {
+	for _, m := range list {
+		if before, there := k.machines[m.ID]; there && before.Pool == m.Pool && before.Worker == m.Worker {
+			continue
+		}
+		for _, w := range k.waves {
+			delete(w.empty, m.ID)
+		}
+	}
+}
+
 // Takes tells whether a wave has chosen a machine, or it is down for one.
 func (k *Keeper) Takes(machine string) bool {
 	for _, w := range k.waves {
@@ -158,6 +171,13 @@
 	return false
 }
 
+// Answered takes in an owner's answer to an ask. It tells nothing of a worker that the machine has
+// got since.
+func (k *Keeper) Answered(a Ask, empty bool) {
+	m := k.machines[a.Machine]
+	k.Emptied(a.Machine, empty && m.Pool == a.Pool && m.Worker == a.Worker)
+}
+
 // Emptied takes in an owner's answer about a machine.
 func (k *Keeper) Emptied(machine string, empty bool) {
 	for _, w := range k.waves {
@@ -250,6 +270,7 @@
 	for _, m := range left {
 		if w.asked[m.ID] && m.State != gauge.MachineUp {
 			delete(w.asked, m.ID)
+			delete(w.empty, m.ID)
 		}
 	}
 	k.choose(w, left, force)
