A machine on its way from standby gets no upkeep by an old list

Cause, by reading: no owner is asked of a machine that the list has in a pool on standby, also while an order moves it to a pool that works; the list is up to a second behind.

Test, red before: TestMachineOnItsWayFromStandbyGetsNoUpkeep.

--- a/internal/waves/emptied_test.go
+++ b/internal/waves/emptied_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/waves"
 )
 
 // An upkeep that ends lasting tasks, as the answer that nothing runs was of the worker that the
@@ -56,3 +57,13 @@
 	g.keeper.Answered(g.next().Asks[0], true)
 	assert.Equal(t, len(g.next().Begins), 1)
 }
+
+// An upkeep that ends lasting tasks of a pool which a machine has left its standby for, by a list from before.
+func TestMachineOnItsWayFromStandbyGetsNoUpkeep(t *testing.T) {
+	g := newRig("spare", 1, 1)
+	g.keeper.Standby([]string{"spare"})
+	assert.Equal(t, len(g.next().Begins), 1)
+	always := func(string) bool { return true }
+	s := g.keeper.Next(g.now, waves.Sight{Moving: always, Ordered: never, Pressed: never})
+	assert.Equal(t, len(s.Begins), 0)
+}
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -280,6 +280,9 @@
 			continue
 		}
 		_, tried := w.down[m.ID]
+		if k.sight.Moving(m.ID) {
+			continue // it may be in another pool by now, and at work
+		}
 		if (w.empty[m.ID] || k.standby[m.Pool]) && (room > 0 || tried) {
 			if !tried {
 				room--
