A run's probation is by the lives of other runs

Cause: a run on probation that had lived for a second was noted so, and counted among the runs that it has to outlive: three seconds instead of one and a bit.

Change: its own life doesn't count; a start that outlived its probation proves that the task lives, also if its worker was lost before that was noted.

--- a/internal/sched/lost.go
+++ b/internal/sched/lost.go
@@ -240,7 +240,7 @@
 // proves tells whether nothing but a task can have ended its worker: it ended as soon after
 // its start as those before, and nothing else was there.
 func (l *loss) proves(r lostRun) bool {
-	return l.alone && r.told && r.lived < proof.Case{Trials: r.task.trials().Without(r.number)}.Probation()
+	return l.alone && r.told && r.lived < r.task.probation(r.number)
 }
 
 // lossOf is the loss of a worker that this owner never heard.
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"sapphiregauge/internal/proof"
 )
@@ -9,6 +10,11 @@
 // A run of a suspect is on probation: its worker is closed to others until it has lived for as
 // long as one that ends its worker would not.
 
+// probation is how long a run of the task has to live, by what is known of the others.
+func (t *task) probation(run int) time.Duration {
+	return proof.Case{Trials: t.trials().Without(run)}.Probation()
+}
+
 // survived takes in that a worker has told of a suspect's run. Others may start beside it once
 // it has lived long enough.
 func (p *Pool) survived(r *run) {
@@ -17,7 +23,7 @@
 		r.outlived = true
 		p.outlive(r)
 	}
-	if r.tried && r.lived() >= r.task.known().Probation() {
+	if r.tried && r.lived() >= r.task.probation(r.number) {
 		r.tried = false
 		p.conf.Logs.Info("task survived", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID, "lived", r.lived())
 		p.endTrial(r)
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -113,7 +113,8 @@
 // excuse takes in that a run was lost with its worker for another reason, as far as that can
 // be known.
 func (p *Pool) excuse(t *task, run int, lived time.Duration) {
-	if alone := t.trials().Tried(run); alone || lived < proof.Soon {
+	alone := t.trials().Tried(run)
+	if lived < proof.Soon || alone && lived < t.probation(run) {
 		p.countRun(t, run, alone)
 	}
 	p.acquit(t, run)
