--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// Soon: a run that its worker told of for so long didn't end it by starting.
+	// Soon is how long a worker tells of a run that doesn't end it by starting.
 	Soon = time.Second
-	// Calm: a run that has lived so long clears its task. It bounds how long a task is
+	// Calm is how long a run has to live to clear its task. It bounds how long a task is
 	// kept apart, too.
 	Calm = 30 * time.Second
 
--- a/internal/sched/moment_test.go
+++ b/internal/sched/moment_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	gauge "sapphiregauge"
 )
 
 // A crash that is held against nothing, as idle workers were lost a quarter of a second later.
@@ -35,7 +33,7 @@
 			for range 20 {
 				g.pass(100 * time.Millisecond)
 			}
-			assert.Equal(t, gauge.Trials(g.rowOf(start.Start.Task.Job).Trials[firstTask]).Crashes(), tt.want)
+			assert.Equal(t, g.rowOf(start.Start.Task.Job).Trials[firstTask].Crashes(), tt.want)
 		})
 	}
 }
