Starts of inherited tasks are noted only after owners that may have missed a crash

The notes go along with other writes now.

The rig of sched's tests hands on how many owners may have missed crashes, as the lease's row does.

--- a/internal/sched/starts_test.go
+++ b/internal/sched/starts_test.go
@@ -36,6 +36,9 @@
 	return func(w *ward) {
 		if w.crashes > seen {
 			seen = w.crashes
+			if w.pool.LostBefore() {
+				w.unnoted++
+			}
 			w.takeOver()
 		}
 	}
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -157,17 +157,17 @@
 	}
 }
 
-// mayHaveCrashed tells whether owners before may have lost a run of a task of which nothing is known.
-// Its starts are noted from now on: owners that are replaced one after the other, each before it
-// notices a crash, would otherwise start it without an end.
+// mayHaveCrashed tells whether owners before, several in a row, may have lost runs of a task of which
+// nothing is known. Its starts are noted from now on: owners that are replaced one after the other,
+// each before it notices a crash, would otherwise start it without an end.
 func (p *Pool) mayHaveCrashed(t *task) bool {
-	return t.job.inherited && !t.trialTask().suspect && p.conf.Unnoted+count(p.lostBefore) > 0
+	return t.job.inherited && !t.trialTask().suspect && p.conf.Unnoted > 0
 }
 
 // noteRoutine notes a run that is about to start, for the next owner only.
 func (p *Pool) noteRoutine(r *run) {
 	tr := gauge.Trial{Run: r.number, Worker: r.worker.info.ID, Born: r.worker.info.Born, Routine: true}
-	r.task.setTrials(append(slices.Clone(r.task.trials()), tr), true)
+	r.task.setTrials(append(slices.Clone(r.task.trials()), tr), false)
 	r.tried = true
 }
 
--- a/internal/sched/ward_test.go
+++ b/internal/sched/ward_test.go
@@ -33,6 +33,7 @@
 	rows    map[string]*gauge.JobRow  // as the table has them
 	version int64
 	away    bool // the table
+	unnoted int  // owners in a row that may not have written all crashes, as the lease's row tells
 	dumb    bool // starts get no answer
 	brings  time.Duration
 }
@@ -232,6 +233,7 @@
 	term := int(w.version)
 	g := newRig(w.t, func(c *sched.Config) {
 		c.Term, c.Earlier, c.Doubt, c.Fence = term, named, w.now+6*time.Second, gauge.Fence(w.version)
+		c.Unnoted = w.unnoted
 	})
 	w.pool = g.pool
 	for id, a := range w.row {
