--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -61,8 +61,8 @@
 // Strong tells whether it has lost so many workers that others' losses don't excuse it.
 func (c Case) Strong() bool { return c.Trials.Crashes() >= suspectCrashes }
 
-// Last tells whether few starts are left, with others that were lost lately and aren't judged yet.
-func (c Case) Last(lost int) bool { return c.Starts()+lost >= crashesMost-lastStarts }
+// FewLeft tells whether few starts are left, with others that were lost lately and aren't judged yet.
+func (c Case) FewLeft(lost int) bool { return c.Starts()+lost >= crashesMost-lastStarts }
 
 // Cause tells whether the task must be the cause of crashes.
 func (c Case) Cause() bool {
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -56,7 +56,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			assert.Equal(t, tt.of.Suspect(), tt.suspect)
-			assert.Equal(t, tt.of.Last(0), tt.last)
+			assert.Equal(t, tt.of.FewLeft(0), tt.last)
 			assert.Equal(t, tt.of.Cause(), tt.cause)
 		})
 	}
@@ -65,8 +65,8 @@
 // A start that goes out before it is known what the last ones were lost for.
 func TestLossesThatAreNotJudgedCountAsStarts(t *testing.T) {
 	c := proof.Case{Excused: 1, Trials: gauge.Trials{crash(1, late)}}
-	assert.Assert(t, !c.Last(0))
-	assert.Assert(t, c.Last(1))
+	assert.Assert(t, !c.FewLeft(0))
+	assert.Assert(t, c.FewLeft(1))
 }
 
 // A probation without an end.
--- a/internal/sched/apart.go
+++ b/internal/sched/apart.go
@@ -104,15 +104,15 @@
 
 // apartOnly tells whether a suspect has lost so many workers, or has so few starts left, that it starts
 // apart only, and when the table knows.
-func (t *task) apartOnly() bool { return t.known().Strong() || t.last() }
+func (t *task) apartOnly() bool { return t.known().Strong() || t.fewLeft() }
 
-// last tells whether few starts are left until the task is given up.
-func (t *task) last() bool { return t.known().Last(t.awaits + t.adrift) }
+// fewLeft tells whether few starts are left until the task is given up.
+func (t *task) fewLeft() bool { return t.known().FewLeft(t.awaits + t.adrift) }
 
 // apartFor is how long a suspect waits for a worker that is free of other work.
 func (t *task) apartFor() time.Duration {
 	switch {
-	case t.last():
+	case t.fewLeft():
 		return lastWait
 	case t.apartOnly():
 		return apartWait
@@ -161,7 +161,7 @@
 // nowhere else once few starts are left.
 func (p *Pool) placesApart(t *task, of *turn, now time.Duration) []*worker {
 	workers := p.places(t, of, now, func(w *worker) bool { return w.onlyOf(t.job) && !p.rackTries(w, t.job) })
-	if workers == nil && !t.last() {
+	if workers == nil && !t.fewLeft() {
 		workers = p.places(t, of, now, func(w *worker) bool { return w.onlyOf(t.job) })
 	}
 	return workers
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -72,15 +72,15 @@
 	readyAt   time.Duration // when it last became ready to start
 	awaySince time.Duration // lasting tasks: since when it is not at work
 
-	suspect   bool   // it may end the worker that starts it
-	inherited bool   // owners before noted a run of it
-	noticed   bool   // a run of it is known that may have ended its worker
-	counted   int    // run that was counted last, though it is held against nothing
-	unsettled bool   // owners before noted runs of which it isn't known what became
-	adrift    int    // runs that were lost on workers of which it isn't known whether they crashed
-	awaits    int    // lost workers of which it isn't known yet why they were
-	written   int    // change of the job's row that has to be in the table before a suspect starts
-	place     *place // where it is to start, while it is a suspect
+	suspect     bool   // it may end the worker that starts it
+	notedBefore bool   // owners before noted a run of it
+	noticed     bool   // a run of it is known that may have ended its worker
+	countedRun  int    // run that was counted last, though it is held against nothing
+	unsettled   bool   // owners before noted runs of which it isn't known what became
+	adrift      int    // runs that were lost on workers of which it isn't known whether they crashed
+	awaits      int    // lost workers of which it isn't known yet why they were
+	written     int    // change of the job's row that has to be in the table before a suspect starts
+	place       *place // where it is to start, while it is a suspect
 }
 
 func (t *task) failures() int { return len(t.failed()) }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -79,7 +79,7 @@
 // whose slack is three seconds, two in five were late.
 func (p *Pool) mayLeave(w *worker, r *run, room *rooms, now time.Duration) bool {
 	st := r.task.stage.spec
-	if r.tried && r.task.last() && !w.force {
+	if r.tried && r.task.fewLeft() && !w.force {
 		return false // the start would prove nothing
 	}
 	if !st.Lasts {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -176,7 +176,7 @@
 		t.saved = e.Saved
 		j.save(t, e.Saved)
 	}
-	if r != nil && r.tried && t == t.trialTask() && (e.How == gauge.EndStopped || e.How == gauge.EndAlone) && t.last() {
+	if r != nil && r.tried && t == t.trialTask() && (e.How == gauge.EndStopped || e.How == gauge.EndAlone) && t.fewLeft() {
 		p.countRun(t, e.Run, true)
 		p.giveUp(t)
 	}
