--- a/internal/sched/toll.go
+++ b/internal/sched/toll.go
@@ -87,7 +87,8 @@
 	return x.innocent || x.idle > 1 || x.rackIdle > 0 && x.rackStays == 0 || x.most()
 }
 
-// mostLost: so many others lost at once are more than tasks are likely to end at one moment.
+// mostLost others that were lost at one moment, or one less on its rack, are more than tasks are
+// likely to end then.
 const mostLost = 3
 
 // most tells whether all of a rack were lost at one moment, or nearly all workers: the power, or
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -48,12 +48,21 @@
 
 // known is what is held against the task.
 func (t *task) known() proof.Case {
-	return proof.Case{Trials: t.trials(), Excused: t.excused(), Lone: t.job.row.Lone[t.trialTask().key()], Lasts: t.stage.spec.Lasts}
+	c := proof.Case{Trials: t.trials(), Excused: t.excused(), Lasts: t.stage.spec.Lasts}
+	if c.Excused > 0 {
+		c.Lone = t.job.row.Lone[t.trialTask().key()]
+	}
+	return c
 }
 
 // excused is how many starts of the task ended before it had shown that it lives, and are held
 // against nothing.
-func (t *task) excused() int { return t.job.row.Excused[t.trialTask().key()] }
+func (t *task) excused() int {
+	if len(t.job.row.Excused) == 0 {
+		return 0
+	}
+	return t.job.row.Excused[t.trialTask().key()]
+}
 
 // countExcused takes in one more start that proved nothing.
 func (t *task) countExcused() {
@@ -196,6 +205,9 @@
 // yet what the last ones were lost for. After the first it starts again at once.
 func (t *task) waitsForJudgement(now time.Duration) bool {
 	lost := t.awaits + t.adrift
+	if lost == 0 {
+		return false
+	}
 	if known := t.known(); lost+known.Trials.Crashes() < judgedFrom && !known.FewLeft(lost) {
 		return false
 	}
