A task doesn't run twice when its worker restarts and carries out an old start

Cause: an owner took what one incarnation of a worker had answered (a stop, a report without the run, a clock past the start's deadline) as proof that a start without an answer never comes, and started the task again. The worker crashed; its next incarnation, which knows no stop and no fencing token, carried the start out before the owner's first call.

Change: such a start is repeated with its own run number on the same incarnation, which carries a run out once however often its start arrives. If it can't be, its task waits for 12 s (on the worker's next incarnation it may start anew once that has barred the start). Ends done or failed of such tasks are acknowledged later. Nothing changes for workers that don't tell when they began: they have a new ID after a crash. No end is acknowledged after a silence until a call sent since is answered: the random test found ends acknowledged by the numbers of the incarnation before.

Why it works: whatever arrives late is the same run, or its task has no other that lives or whose end counts.

--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -56,6 +56,7 @@
 		}
 		if len(rep.Ended) > 0 {
 			o.waitForWrittenEnds(incarnation)
+			o.pauseForHeldEnds(incarnation)
 		}
 	}
 }
@@ -108,6 +109,17 @@
 	}
 }
 
+// pauseForHeldEnds pauses if end reports of a worker aren't acknowledged yet although the table has
+// them. Heartbeats without a pause would be answered at once with the same reports.
+func (o *Owner) pauseForHeldEnds(incarnation gauge.Incarnation) {
+	o.mu.Lock()
+	held := o.pool.HoldsEnds(incarnation, o.conf.Now())
+	o.mu.Unlock()
+	if held {
+		o.pause(nil, heldEndsDelay)
+	}
+}
+
 // pause waits for the given time, or until the channel is closed or the owner ends.
 func (o *Owner) pause(until <-chan struct{}, limit time.Duration) {
 	timer := time.NewTimer(limit)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -144,6 +144,9 @@
 	fullScanEvery = 4
 	// clockMargin covers the difference between the monotonic clocks of two entries.
 	clockMargin = 200 * time.Millisecond
+	// heldEndsDelay is the pause between heartbeats to a worker whose end reports aren't
+	// acknowledged yet.
+	heldEndsDelay = 50 * time.Millisecond
 	// heartbeatRetryDelay is the pause after a failed heartbeat.
 	heartbeatRetryDelay = 200 * time.Millisecond
 	// adviseRetryDelay is the pause after a failed call to the advice service.
--- a/internal/sched/answer.go
+++ b/internal/sched/answer.go
@@ -16,11 +16,16 @@
 	if r == nil {
 		return
 	}
-	if r.worker.info.Incarnation() != o.Worker.Incarnation() {
+	isCurrent := r.worker.info.Incarnation() == o.Worker.Incarnation()
+	byLater := isCurrent && (clock > 0 || err == nil) && r.worker.clockRegressed(clock, r.orderedAt)
+	if o.Kind == OrderStart {
+		p.recordStartOutcome(r, err, !isCurrent || byLater, now)
+	}
+	if !isCurrent {
 		p.answeredAfterRestart(o, err, now)
 		return
 	}
-	if (clock > 0 || err == nil) && r.worker.clockRegressed(clock, r.orderedAt) {
+	if byLater {
 		p.answeredByLaterIncarnation(o)
 		return
 	}
@@ -35,6 +40,8 @@
 			r.phase = phaseStopping
 			r.confirmedAt = max(r.confirmedAt, clock)
 			if r.unanswered {
+				p.conf.Logs.Info("stop answered", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
+					"worker", r.worker.info.ID, "born", r.worker.info.StartedAt)
 				p.probe(r.worker)
 			}
 		}
@@ -45,7 +52,7 @@
 		}
 	}
 	if gauge.IsKind(err, gauge.KindReplaced) {
-		p.retireWorker(r.worker, "another incarnation answers at its address", now)
+		p.retireAddress(r.worker, now)
 	}
 	if err != nil {
 		p.conf.Logs.Info("order failed", "order", o.Kind, "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
@@ -64,7 +71,7 @@
 		r.stopInFlight = false
 	case o.Kind == OrderPace:
 		r.paceInFlight = false
-	case err != nil && kind != gauge.KindUnknown && kind != gauge.KindInternal && r.worker.runs[r]:
+	case err != nil && !r.attempts.mayExist(now) && r.worker.runs[r]:
 		p.revokeLoss(r)
 		p.endRun(r, now)
 	}
@@ -72,17 +79,6 @@
 		"worker", o.Worker.ID, "born", o.Worker.StartedAt, "kind", kind)
 }
 
-// lateStartSpan is how long a start without an answer may still be carried out by a later
-// incarnation of its worker, to which its deadline means nothing. Workers leave orders queued for
-// about 6 s.
-const lateStartSpan = 8 * time.Second
-
-// mayStillStart reports whether an incarnation that hasn't reported yet may still carry out the
-// start. The expiry of the previous incarnation's lease doesn't rule that out.
-func (r *run) mayStillStart(now time.Duration) bool {
-	return (r.phase == phaseSent || r.unanswered) && r.lastReport == 0 && now < r.orderedAt+lateStartSpan
-}
-
 // clockSlack covers the error in reading a worker's clock.
 const clockSlack = time.Second
 
@@ -120,11 +116,14 @@
 // confirmListed handles a run that a worker lists. If it was ordered from the previous incarnation,
 // it goes on in this one unless its stop is in flight.
 func (p *Pool) confirmListed(r *run) {
-	if !r.lost {
+	if !r.passedOn {
 		return
 	}
-	p.revokeLoss(r)
-	if !r.stopInFlight && !r.task.done && r.task.job.isOpen() {
+	r.passedOn = false
+	if !r.attempts.repeated {
+		p.revokeLoss(r) // otherwise another of its starts may have crashed the previous incarnation
+	}
+	if !r.stopInFlight && len(r.task.runs) == 1 && !r.task.done && r.task.job.isOpen() {
 		r.toStop = false
 		delete(p.toStop, r)
 	}
@@ -152,32 +151,44 @@
 		p.confirmStarted(r, clock, now)
 		return
 	}
-	switch gauge.KindOf(err) {
-	case gauge.KindUnknown, gauge.KindInternal:
-		r.phase, r.unanswered = phaseUnanswered, true
-		r.worker.startUnanswered = true // otherwise it would be the first choice for the next start
-		p.probe(r.worker)
-	case gauge.KindStale:
+	if gauge.IsKind(err, gauge.KindBadTicket) {
+		delete(r.task.stage.advice.tickets, r.worker.info.Incarnation())
+		delete(r.task.stage.advice.queriedAt, r.worker.info.Incarnation())
+	}
+	kind := gauge.KindOf(err)
+	switch {
+	case kind == gauge.KindUnknown, kind == gauge.KindInternal:
+		p.startUnanswered(r)
+	case r.attempts.listed || r.attempts.confirmed: // another of its starts was carried out
+		r.phase = phaseLive
+		return
+	case r.attempts.sent > 1 && r.mayStartLate(now): // another of its starts may be carried out
+		r.worker.backoffUntil = max(r.worker.backoffUntil, now+refusalBackoff)
+		p.startUnanswered(r)
+	case kind == gauge.KindStale:
 		r.task.lastRun++
 		p.endRun(r, now)
-	case gauge.KindOutage:
+	case kind == gauge.KindOutage:
 		r.worker.startUnanswered = true // nothing listens there, or this host can't connect
 		p.endRun(r, now)
-	case gauge.KindPastDeadline, gauge.KindReplaced, gauge.KindFenced:
-		p.endRun(r, now)
-	case gauge.KindBadTicket:
-		delete(r.task.stage.advice.tickets, r.worker.info.Incarnation())
-		delete(r.task.stage.advice.queriedAt, r.worker.info.Incarnation())
+	case kind == gauge.KindPastDeadline, kind == gauge.KindReplaced, kind == gauge.KindFenced, kind == gauge.KindBadTicket:
 		p.endRun(r, now)
 	default:
 		p.endRun(r, now)
 		r.worker.backoffUntil = now + refusalBackoff
 	}
-	if r.task.stage.spec.Gang {
+	if r.task.stage.spec.Gang && !p.mayRepeat(r, now) {
 		p.stopGang(r.task, gauge.EndReport{Run: r.number})
 	}
 }
 
+// startUnanswered handles a start of which it isn't known whether it was carried out.
+func (p *Pool) startUnanswered(r *run) {
+	r.phase, r.unanswered = phaseUnanswered, true
+	r.worker.startUnanswered = true // otherwise it would be the first choice for the next start
+	p.probe(r.worker)
+}
+
 // probe asks a worker at once for its runs: a run that never began there reports no end, so that an
 // open heartbeat would be answered only after its wait. It acknowledges no end reports, as
 // heartbeats do that.
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"time"
 
 	gauge "sapphiregauge"
@@ -103,14 +102,15 @@
 	}
 	p.conf.Logs.Info("worker started again", "pool", p.conf.Name, "worker", info.ID, "born", info.StartedAt, "before", previous.info.StartedAt,
 		"runs", len(previous.runs), "kept", previous.lastStoredEnd, "ends", previous.lastEnd)
-	p.passOnUnlistedRuns(previous, w)
+	p.passOnUnlistedRuns(previous, w, now)
 	p.markDead(previous, "restarted", now)
+	p.passOnLateStarts(previous, w, now)
 	return w
 }
 
 // passOnUnlistedRuns moves runs that the previous incarnation never listed to the next one, which
 // may receive their orders: their deadlines mean nothing on its clock.
-func (p *Pool) passOnUnlistedRuns(previous, next *worker) {
+func (p *Pool) passOnUnlistedRuns(previous, next *worker, now time.Duration) {
 	if previous.dead {
 		return
 	}
@@ -123,9 +123,7 @@
 		previous.removeRun(r)
 		previous.addLost(lostRun{task: r.task, number: r.number, minRunTime: r.minRunTime(), reported: r.reportedAt > 0, passedOn: r})
 		r.lost = true
-		r.worker, r.phase, r.unanswered, r.startDeadline, r.confirmedAt = next, phaseUnanswered, true, math.MaxInt64, 0
-		next.addRun(r)
-		p.requestStop(r)
+		p.moveToNext(r, next, now)
 	}
 }
 
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -67,6 +67,7 @@
 	stage      *stage
 	done       bool
 	runs       []*run
+	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
 	checkpoint string
 	readyAt    time.Duration // when it last became ready to start
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -72,7 +72,7 @@
 func (p *Pool) expireRuns(w *worker, now time.Duration) {
 	var lost []*run
 	for r := range w.runs {
-		if !r.mayStillStart(now) {
+		if !p.mayRunUnseen(r, now) {
 			lost = append(lost, r)
 		}
 	}
--- a/internal/sched/orphan.go
+++ b/internal/sched/orphan.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if gauge.IsKind(err, gauge.KindReplaced) {
-		p.retireWorker(o.worker, "another incarnation answers at its address", now)
+		p.retireAddress(o.worker, now)
 	}
 	p.conf.Logs.Info("order failed", "order", OrderStop, "job", o.key.task.Job, "task", o.key.task.String(), "run", o.key.run,
 		"worker", o.worker.info.ID, "kind", gauge.KindOf(err), "error", err.Error())
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -8,6 +8,7 @@
 
 // Plan returns the orders that follow from all events so far.
 func (p *Pool) Plan(now time.Duration) []Order {
+	p.repeatStarts(now)
 	p.orderStops(now)
 	p.stopOrphans(now)
 	p.evacuate(now)
@@ -85,6 +86,9 @@
 	if !spec.LongRunning {
 		return w.forceDrain || spec.Checkpoints && (p.conf.Disabled.Has(gauge.MechanismDrainFirst) || w.leavesBefore(r, now))
 	}
+	if !w.info.Draining && (r.mayStartLate(now) || r.task.hasLateStarts(now)) {
+		return false // it couldn't start on another worker yet
+	}
 	target := round.place(r.task.stage, r.task.stage.countByWorker(), round.promised, anyWorker)
 	if target == nil {
 		p.keepRoom(r, round, now)
@@ -237,7 +241,10 @@
 		if p.isWindowFull() {
 			break
 		}
-		w := round.place(c.stage, perWorker, nil, p.withinWorkerWindow(c.allowedWorkers(now)))
+		w := round.place(c.stage, perWorker, nil, t.besideLateStarts(now, p.withinWorkerWindow(c.allowedWorkers(now))))
+		if w == nil && len(t.lateStarts) > 0 {
+			continue
+		}
 		if w == nil {
 			p.askAdvice(&c, round, now)
 			break // none of the others fits either
@@ -263,8 +270,8 @@
 	taken := make(map[*worker]gauge.Resources)
 	perWorker := c.stage.countByWorker()
 	var places []*worker
-	for range c.stage.tasks {
-		w := round.place(c.stage, perWorker, taken, c.allowedWorkers(now))
+	for _, t := range c.stage.tasks {
+		w := round.place(c.stage, perWorker, taken, t.besideLateStarts(now, c.allowedWorkers(now)))
 		if w == nil {
 			p.askAdvice(&c, round, now)
 			return
@@ -313,11 +320,17 @@
 	}
 	p.conf.Logs.Info("run starts", "job", t.job.id, "task", t.id.String(), "run", number, "worker", w.info.ID,
 		"waited", now-t.readyAt, "free", w.free().MilliCPU)
+	p.sendStart(r, ticketText)
+	return r
+}
+
+// sendStart sends the start of a run, with the run's deadline.
+func (p *Pool) sendStart(r *run, ticketText string) {
+	r.attempts.begin()
 	p.orders = append(p.orders, Order{
-		Kind: OrderStart, Worker: w.info, run: r,
+		Kind: OrderStart, Worker: r.worker.info, run: r,
 		Start: gauge.StartCall{
-			Fence: p.fence(w), Task: t.id, Run: number, Payload: t.job.spec.Payload, Until: until, Checkpoint: t.checkpoint, Ticket: ticketText,
+			Fence: p.fence(r.worker), Task: r.task.id, Run: r.number, Payload: r.task.job.spec.Payload, Until: r.startDeadline, Checkpoint: r.task.checkpoint, Ticket: ticketText,
 		},
 	})
-	return r
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -20,6 +20,9 @@
 		w.staleCallsPossible = false
 		w.leaseExpiry = max(w.leaseExpiry, now+p.conf.MaxWorkerLease)
 	}
+	if !w.fencePending && call.Fence >= w.fence {
+		w.backUnproved = false
+	}
 	if w.silent {
 		p.clearAtRisk(w)
 		p.conf.Logs.Info("worker back", "pool", p.conf.Name, "worker", id, "born", rep.StartedAt, "runs", len(w.runs),
@@ -75,7 +78,7 @@
 			p.addOrphan(w, rr)
 			continue
 		}
-		r.lastReport, r.reportedAt = w.reportCount, now
+		r.lastReport, r.reportedAt, r.attempts.listed = w.reportCount, now, true
 		p.confirmListed(r)
 		r.task.job.markStarted()
 		r.load, r.progress = rr.Load, rr.Progress
@@ -92,11 +95,13 @@
 	for r := range w.runs {
 		listed := r.lastReport == w.reportCount
 		if !listed && r.phase == phaseUnanswered {
-			// Once a stop is answered the start can't be carried out any more, which is known
-			// sooner than that its own deadline has passed.
-			p.requestStop(r)
+			p.repeatOrStop(r, now)
 		}
-		if !listed && !endsPending && r.isOverBy(rep.Clock) {
+		if !listed && !endsPending && !r.awaitsOutcome(now) && !p.toRepeat[r] && r.isOverBy(rep.Clock) {
+			if r.phase == phaseLive && !r.attempts.listed {
+				// The next incarnation may have answered the start, by a clock like this one's.
+				r.attempts.fail(now)
+			}
 			if r.phase == phaseLive {
 				p.conf.CountEvent(EventVanished)
 				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID)
@@ -166,9 +171,11 @@
 	var took time.Duration
 	if r != nil {
 		took = now - r.orderedAt
+		r.attempts.listed = true
 		p.revokeLoss(r)
 		p.endRun(r, now)
 	}
+	w.holdEnd(t, r, e, now)
 	p.conf.CountEvent("run " + string(e.Ending))
 	p.conf.Logs.Info("run ended", "job", j.id, "task", e.Task.String(), "run", e.Run, "worker", w.info.ID,
 		"end", e.Ending, "number", e.Number, "known", r != nil, "took", took)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -70,6 +70,7 @@
 	jobsMissing   bool // jobs may be missing: some could not be read yet
 	orders        []Order
 	toStop        map[*run]bool // runs that are to end
+	toRepeat      map[*run]bool // runs whose start is to be sent once more
 	orphans       map[*orphanRun]bool
 	suspects      map[*task]bool // tasks that may crash their workers
 	losses        []*loss        // workers lost recently
@@ -104,7 +105,7 @@
 		c.CountEvent = func(string) {}
 	}
 	p := &Pool{
-		conf: c, jobs: make(map[string]*job), endedJobs: make(map[string]endedJob), toStop: make(map[*run]bool), workers: make(map[string]*worker),
+		conf: c, jobs: make(map[string]*job), endedJobs: make(map[string]endedJob), toStop: make(map[*run]bool), toRepeat: make(map[*run]bool), workers: make(map[string]*worker),
 		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
 		suspects: make(map[*task]bool), suspectWorkers: make(map[gauge.Incarnation]bool),
 	}
@@ -249,7 +250,7 @@
 	if !w.silent && w.reported {
 		// A worker that doesn't answer may have restarted. It would discard its own end reports by
 		// the numbers of its previous incarnation.
-		c.LastSeenEnd = w.lastStoredEnd
+		c.LastSeenEnd = p.lastAcknowledgeable(w, now)
 		// A worker that doesn't answer gets no extension: its runs have to expire some time, so
 		// that their tasks can start elsewhere.
 		c.Until = w.grant(now, min(p.conf.LeaseExtension, p.grantLimit-now))
@@ -265,7 +266,7 @@
 		return
 	}
 	if gauge.IsKind(err, gauge.KindReplaced) {
-		p.retireWorker(w, "another incarnation answers at its address", now)
+		p.retireAddress(w, now)
 		return
 	}
 	if !w.silent {
@@ -275,7 +276,7 @@
 	} else {
 		p.recordAtRisk(w) // from the second failure on: often only the answer was lost
 	}
-	w.silent = true
+	w.silent, w.backUnproved = true, true
 	p.raiseFence(w)
 	for r := range w.runs {
 		p.removeInFlight(r)
@@ -299,6 +300,14 @@
 	p.markReported(w.info.ID)
 }
 
+// retireAddress marks an incarnation dead after one with another ID has answered at its address.
+// That one refuses whatever is still on its way to the worker.
+func (p *Pool) retireAddress(w *worker, now time.Duration) {
+	w.addressReused = true
+	p.expireLateStarts(w, now)
+	p.retireWorker(w, "another incarnation answers at its address", now)
+}
+
 // markDead ends an incarnation of a worker, and its runs with it.
 func (p *Pool) markDead(w *worker, reason string, now time.Duration) {
 	if w.dead {
@@ -323,7 +332,9 @@
 		p.dropUnconfirmed(r.task, r.number) // the run has ended before its worker
 	}
 	delete(p.toStop, r)
+	delete(p.toRepeat, r)
 	r.task.detach(r)
+	p.keepLateStart(r, now)
 	r.task.readyAt = now
 	if len(r.task.runs) == 0 {
 		r.task.noRunSince = now
@@ -344,10 +355,11 @@
 		if now > w.leaseExpiry && (w.silent || !w.listed) {
 			p.expireRuns(w, now)
 		}
+		p.expireLateStarts(w, now)
 		if len(w.lostRuns) > 0 && w.silent && !w.listed {
 			p.recordLoss(w, now) // the platform no longer lists it as alive
 		}
-		if !w.listed && now > w.leaseExpiry && len(w.runs) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
+		if !w.listed && now > w.leaseExpiry && len(w.runs)+len(w.lateStarts) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
 			p.forgetOrphans(w)
 			delete(p.workers, id)
 			p.sortedWorkers = nil
--- a/internal/sched/simulation_events_test.go
+++ b/internal/sched/simulation_events_test.go
@@ -220,21 +220,38 @@
 	if m == nil {
 		return
 	}
+	w.endIncarnation(m)
+	if rapid.Bool().Draw(w.t, "starts again under its id") {
+		w.restartWorker(m)
+		return
+	}
+	w.reportDead(m)
+}
+
+// endIncarnation ends an incarnation of a worker with all its runs.
+func (w *simulation) endIncarnation(m *simWorker) {
 	m.alive = false
 	for task := range m.runs {
 		w.runCount[task]--
 	}
 	m.runs = make(map[gauge.TaskID]int)
 	w.discardEnds(m) // its ends may never have been reported
-	if rapid.Bool().Draw(w.t, "starts again under its id") {
-		w.restartWorker(m)
-		return
+}
+
+// restartQueued has a worker start again for which a start of the present owner is queued.
+func (w *simulation) restartQueued() {
+	for _, o := range w.delayedOrders {
+		if m := w.workers[o.Worker.ID]; m != nil && m.alive && w.mayBeQueued(o) {
+			w.endIncarnation(m)
+			w.restartWorker(m)
+			return
+		}
 	}
-	w.reportDead(m)
 }
 
-// restartWorker has a worker start again under its id. The owner, whose heartbeat has failed, sends
-// another one before anything delayed reaches the worker; its answer may be late or lost.
+// restartWorker has a worker start again under its id. Starts that the present owner sent to the
+// previous incarnation may come first. Then the owner, whose heartbeat has failed, sends another one
+// before anything else that is delayed reaches the worker; its answer may be late or lost.
 func (w *simulation) restartWorker(m *simWorker) {
 	next := &simWorker{
 		id: m.id, startedAt: m.startedAt + 1, previousStartedAt: m.startedAt, alive: true, clockZeroAt: w.now - time.Duration(rapid.IntRange(0, 7200).Draw(w.t, "clock"))*time.Second,
@@ -242,17 +259,46 @@
 	}
 	w.pool.HeartbeatFailed(w.heartbeatsTo[m.id], gauge.Errorf(gauge.KindUnknown, "no answer"), w.now)
 	w.workers[m.id] = next
+	if rapid.Bool().Draw(w.t, "starts come first") {
+		w.carryOutDelayedStarts(m.id)
+	}
 	previous, pending := w.reports[m.id]
 	if _, call, ok := w.pool.NextHeartbeat(w.heartbeatsTo[m.id], w.now); ok {
 		w.applyHeartbeat(next, w.withAck(next, w.connectedTo[m.id], call))
 		w.connectedTo[m.id] = next.startedAt
-		w.reports[m.id] = heartbeatAnswer{w.heartbeatsTo[m.id], call, &gauge.WorkerReport{StartedAt: next.startedAt, Clock: w.workerClock(next)}}
+		r := &gauge.WorkerReport{StartedAt: next.startedAt, Clock: w.workerClock(next)}
+		for task, run := range next.runs {
+			r.Running = append(r.Running, gauge.RunReport{Task: task, Run: run})
+		}
+		w.reports[m.id] = heartbeatAnswer{w.heartbeatsTo[m.id], call, r}
 	}
 	if pending && rapid.Bool().Draw(w.t, "answer of the previous incarnation") {
 		w.reports[m.id] = previous
 	}
 }
 
+// maxStartDelay is how long workers leave a start queued at most.
+const maxStartDelay = 6 * time.Second
+
+// mayBeQueued reports whether a start of the present owner may still be on its way.
+func (w *simulation) mayBeQueued(o sched.Order) bool {
+	return o.Kind == sched.OrderStart && o.Start.Fence >= w.fence && w.now <= w.startSentAt[startKey{o.Start.Task, o.Start.Run}]+maxStartDelay
+}
+
+// carryOutDelayedStarts has a worker carry out the starts of the present owner that are on their way
+// to it.
+func (w *simulation) carryOutDelayedStarts(id string) {
+	var others []sched.Order
+	for _, o := range w.delayedOrders {
+		if o.Worker.ID == id && w.mayBeQueued(o) {
+			_ = w.executeOrder(o)
+		} else {
+			others = append(others, o)
+		}
+	}
+	w.delayedOrders = others
+}
+
 // resizeWorker has a worker's capacity shrink or grow, which its row shows at once.
 func (w *simulation) resizeWorker() {
 	if m := w.pickWorker(); m != nil {
@@ -296,10 +342,15 @@
 func (w *simulation) advance() {
 	w.now += time.Duration(rapid.IntRange(1, 1500).Draw(w.t, "ms")) * time.Millisecond
 	w.expireLeases()
+	var queued []sched.Order
 	for _, o := range w.delayedOrders {
+		if w.mayBeQueued(o) && rapid.Bool().Draw(w.t, "still queued") {
+			queued = append(queued, o)
+			continue
+		}
 		_ = w.executeOrder(o)
 	}
-	w.delayedOrders = nil
+	w.delayedOrders = queued
 	for _, h := range w.delayedHeartbeats {
 		if m := w.workers[h.id]; m.alive {
 			w.applyHeartbeat(m, w.withAck(m, h.startedAt, h.call))
@@ -339,7 +390,7 @@
 			case 13:
 				w.cancelRandom()
 			case 14:
-				switch rapid.IntRange(0, 9).Draw(t, "rare") {
+				switch rapid.IntRange(0, 13).Draw(t, "rare") {
 				case 0:
 					w.crashWorker()
 				case 1:
@@ -352,6 +403,8 @@
 					w.readHiddenJobs()
 				case 8, 9:
 					w.resizeWorker()
+				case 10, 11, 12, 13:
+					w.restartQueued()
 				case 3:
 					w.pool.HeartbeatFailed(w.heartbeatsTo[fmt.Sprintf("w%d", w.joined)], gauge.Errorf(gauge.KindUnknown, "no answer"), w.now)
 				}
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -62,8 +62,9 @@
 	fence             gauge.FencingToken
 	workers           map[string]*simWorker
 	joined            int
-	orders            []sched.Order      // sent and not answered yet
-	delayedOrders     []sched.Order      // reported as lost, but executed later
+	orders            []sched.Order // sent and not answered yet
+	delayedOrders     []sched.Order // reported as lost, but executed later
+	startSentAt       map[startKey]time.Duration
 	delayedHeartbeats []delayedHeartbeat // the same for heartbeats
 	reports           map[string]heartbeatAnswer
 	heartbeatsTo      map[string]gauge.Incarnation // incarnations that the owner sends heartbeats to
@@ -89,6 +90,12 @@
 	runsEndBy map[gauge.Incarnation]time.Duration
 }
 
+// startKey identifies a start.
+type startKey struct {
+	task gauge.TaskID
+	run  int
+}
+
 // delayedHeartbeat is a heartbeat that got no answer and is executed later.
 type delayedHeartbeat struct {
 	id        string
@@ -112,7 +119,7 @@
 		t: t, workers: make(map[string]*simWorker), reports: make(map[string]heartbeatAnswer), heartbeatsTo: make(map[string]gauge.Incarnation), connectedTo: make(map[string]int64),
 		rows: make(map[string][]byte), versions: make(map[string]int64), specs: make(map[string]*gauge.JobSpec),
 		runCount: make(map[gauge.TaskID]int), done: make(map[gauge.TaskID]bool), lastVersion: 10,
-		cancelled: make(map[string]bool),
+		cancelled: make(map[string]bool), startSentAt: make(map[startKey]time.Duration),
 	}
 	w.startOwner(nil)
 	for range 3 {
@@ -311,5 +318,9 @@
 
 func (w *simulation) plan() {
 	w.pool.SetGrantLimit(w.now + 6*time.Second)
-	w.orders = append(w.orders, w.pool.Plan(w.now)...)
+	orders := w.pool.Plan(w.now)
+	for _, o := range ofKind(orders, sched.OrderStart) {
+		w.startSentAt[startKey{o.Start.Task, o.Start.Run}] = w.now
+	}
+	w.orders = append(w.orders, orders...)
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -36,6 +36,7 @@
 	reportedAt   time.Duration // when its worker last reported it
 	toStop       bool          // it is to end
 	unanswered   bool          // its start got no answer
+	attempts     startAttempts // to start it
 	nextStopAt   time.Duration // no stop is sent before
 	stopInFlight bool          // a stop is in flight
 	progress     int           // percent of its work done; 100: a long-running task serves
@@ -50,6 +51,7 @@
 	onProbation      bool
 	survivalRecorded bool  // the row has that it has lasted for proof.StartPhase
 	isolatedFor      *task // the suspect that it is a run of, while its worker is closed to other jobs
+	passedOn         bool  // it was ordered from an earlier incarnation, and this one hasn't listed it
 	lost             bool  // it ended with its worker's incarnation or lease
 	lossRevoked      bool  // it was recorded as lost, but its order reached the next incarnation or none
 }
@@ -70,10 +72,16 @@
 	startUnanswered    bool // a start got no answer, and no report has come since
 	inFlight           int  // starts that have no answer yet
 	silent             bool // its last heartbeat got no answer
-	dead               bool // it is certainly over
-
-	runs map[*run]bool
-	used gauge.Resources
+	// backUnproved says that it hasn't answered a call that was sent since a heartbeat got no
+	// answer: the next call may reach another incarnation, which would discard its own end reports by
+	// the numbers of this one.
+	backUnproved  bool
+	dead          bool // it is certainly over
+	addressReused bool // a worker with another ID has its address
+
+	runs       map[*run]bool
+	lateStarts map[*run]bool // runs that are over here, but whose starts the next incarnation may carry out
+	used       gauge.Resources
 	// of these runs: long-running, best-effort, and both
 	longRunning, bestEffort, longRunningBestEffort int
 
@@ -94,6 +102,7 @@
 
 	lastEnd              int64         // end reports up to this number are received
 	lastStoredEnd        int64         // end reports up to this number are in the table
+	heldEnds             []heldEnd     // received end reports that aren't acknowledged yet, in order
 	unstoredEnds         []unstoredEnd // received end reports that wait for a job's row, in order
 	endsPending          bool          // some end reports aren't received, or there may be more than it listed
 	endAge               ageTracker    // of end reports, for Pool.Backlog
@@ -193,7 +202,7 @@
 // no starts, and the table has all its end reports. A dead incarnation is left out even without
 // them, as it can't be asked any more.
 func (w *worker) mayBeOmitted() bool {
-	if !w.reported || len(w.runs) > 0 || w.orphanCount > 0 {
+	if !w.reported || len(w.runs) > 0 || len(w.lateStarts) > 0 && !w.dead || w.orphanCount > 0 {
 		return false
 	}
 	return w.dead || w.isSettled() && (w.silent || !w.listed || w.info.Draining)
