A new owner no longer refuses a job that its predecessor's entry may have stored

Cause: an owner that knew of no unsettled try said "never". That knowledge is in the memory of the process that owned the pool when the try was made; a successor begins with none, and an owner whose lease has ended doesn't know of its successor's.

Change: an owner refuses only if its lease holds as it answers and it has had the pool for 15 s, the time for which a try may still be stored, or is its first owner; else the caller gets 504 and may ask again.

Why it works: within that span every try of the time before has been stored, and is then found, or never is; later ones are in the owner's own memory.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,12 +35,25 @@
 	// OwnsJob reports whether the pool's owner is at this entry and knows the job; nil: it never
 	// is.
 	OwnsJob func(q *gauge.Queue, id string) bool
-	Relay   Relay                                  // nil: there are no other entries
-	After   func(d time.Duration) <-chan time.Time // default time.After
+	// Ownership tells what this entry knows as the owner of the queue's pool; nil: it owns all pools
+	// and always has.
+	Ownership func(q *gauge.Queue) Ownership
+	Relay     Relay                                  // nil: there are no other entries
+	After     func(d time.Duration) <-chan time.Time // default time.After
 	// Disabled names the mechanisms that are switched off.
 	Disabled gauge.Disabled
 }
 
+// Ownership is what an entry knows of a pool's jobs as its owner.
+type Ownership string
+
+// The kinds of ownership.
+const (
+	OwnedElsewhere Ownership = ""       // another entry owns the pool, or none
+	OwnedRecently  Ownership = "recent" // submissions to previous owners may still be stored, or another owner may have followed
+	OwnedForLong   Ownership = "long"   // this entry knows of all submissions that may still be stored
+)
+
 // Relay forwards submissions and cancellations to the owner of the queue's pool, which writes to
 // that partition of the table all the time, or has another entry take over the pool. Errors:
 // KindOutage: the owner says that it was certainly not done; KindNoWorker: no owner could be asked;
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -163,12 +163,13 @@
 	mu            sync.Mutex
 	notifications []intake.Notification
 	known         map[string]bool // jobs that the owner at this entry knows
+	ownership     intake.Ownership
 }
 
 func newHarness(t *table, c *clock) *harness { return newRelayHarness(t, c, nil) }
 
 func newRelayHarness(t *table, c *clock, r intake.Relay) *harness {
-	h := &harness{timers: timers{channels: make(map[time.Duration]chan time.Time)}}
+	h := &harness{timers: timers{channels: make(map[time.Duration]chan time.Time)}, ownership: intake.OwnedForLong}
 	h.intake = intake.New(intake.Config{
 		Relay: r, After: h.timers.After,
 		Store: t, Logs: logr.Discard(), CountEvent: func(string) {}, Now: c.Now, TableClock: func() int64 { return 1 },
@@ -176,6 +177,7 @@
 		OwnerDepth:  func(context.Context, *gauge.Queue) (int, bool) { return 0, false },
 		JobState:    func(context.Context, *gauge.Queue, string) (gauge.JobState, bool) { return "", false },
 		OwnsJob:     func(_ *gauge.Queue, id string) bool { return h.known[id] },
+		Ownership:   func(*gauge.Queue) intake.Ownership { return h.ownership },
 		NotifyOwner: func(n intake.Notification) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -28,17 +28,38 @@
 	if err != nil {
 		return err
 	}
+	before := n.ownership(q)
 	o := n.storeOrForward(ctx, p, relay)
-	if gauge.IsKind(o.err, gauge.KindOutage) && (n.isUnsettled(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id)) {
+	if gauge.IsKind(o.err, gauge.KindOutage) && (n.isUnsettled(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id) || !n.mayRefuse(q, before, relay)) {
 		o.err = unsettledError(o.err)
 	}
 	n.reportOutcome(p, o)
 	return o.err
 }
 
-// unsettledSpan is how long a submission without an answer may still take effect: some seconds
+// ownership returns what this entry knows as the owner of a queue's pool.
+func (n *Intake) ownership(q *gauge.Queue) Ownership {
+	if n.conf.Ownership == nil {
+		return OwnedForLong
+	}
+	return n.conf.Ownership(q)
+}
+
+// mayRefuse reports whether a caller may be told that its job is not stored. The job may be a
+// repetition of one whose first submission got no answer, and only the pool's owner can know: by
+// its own memory, which begins when it takes the pool over. Before is the ownership before the
+// attempt to store the job; an entry that isn't the owner has asked the one that is.
+func (n *Intake) mayRefuse(q *gauge.Queue, before Ownership, relay Relay) bool {
+	now := n.ownership(q)
+	if before == OwnedElsewhere && now == OwnedElsewhere {
+		return relay != nil
+	}
+	return now == OwnedForLong
+}
+
+// UnsettledSpan is how long a submission without an answer may still take effect: some seconds
 // according to the platform, with a margin of as much again.
-const unsettledSpan = 15 * time.Second
+const UnsettledSpan = 15 * time.Second
 
 // recordUnsettled records the id of an unsettled submission: a caller that repeats it must not be
 // told that the job never runs.
@@ -47,7 +68,7 @@
 	defer n.mu.Unlock()
 	now := n.conf.Now()
 	if gauge.IsKind(err, gauge.KindExpired) {
-		n.unsettledUntil[id] = now + unsettledSpan
+		n.unsettledUntil[id] = now + UnsettledSpan
 	}
 	n.pruneUnsettled(now)
 }
@@ -57,13 +78,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.conf.Now()
-	n.unsettledUntil[id] = now + unsettledSpan
+	n.unsettledUntil[id] = now + UnsettledSpan
 	n.pruneUnsettled(now)
 }
 
 // pruneUnsettled drops the ids of submissions that can't take effect any more. n.mu is held.
 func (n *Intake) pruneUnsettled(now time.Duration) {
-	if now < n.prunedAt+unsettledSpan {
+	if now < n.prunedAt+UnsettledSpan {
 		return
 	}
 	n.prunedAt = now
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -233,7 +233,7 @@
 		n.handOver(ctx, o, "the entry stops")
 		return
 	}
-	n.owners[pool] = o
+	n.owners[pool], n.ownedSince[pool] = o, n.conf.Now()
 	n.markClaimEnded(pool)
 	workers := n.workersLocked()
 	n.mu.Unlock()
@@ -241,6 +241,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		delete(n.owners, pool)
+		delete(n.ownedSince, pool)
 	}()
 	o.Run(n.Site(), workers)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,8 @@
 	leasesReadAt     time.Duration    // when the last successful read of the leases was sent
 	claimPauseUntil  time.Duration    // no pool is claimed before this
 	owners           map[string]*owner.Owner
-	leasesInUse      map[string]bool // leases that are being claimed or held
+	ownedSince       map[string]time.Duration // by pool: when its owner here began
+	leasesInUse      map[string]bool          // leases that are being claimed or held
 	// claiming holds, for each pool that is being claimed and has no owner here yet, a channel that
 	// is closed when the claim has ended.
 	claiming map[string]chan struct{}
@@ -180,13 +181,13 @@
 	fill.Zero(&c.MaxApplyDelay, defaultApplyDelay)
 	n := &Node{
 		conf: c, holder: c.Name + "/" + c.StartID, workerListGate: gate.New(), freshness: newFreshness(),
-		owners: make(map[string]*owner.Owner), leasesInUse: make(map[string]bool), claiming: make(map[string]chan struct{}),
+		owners: make(map[string]*owner.Owner), ownedSince: make(map[string]time.Duration), leasesInUse: make(map[string]bool), claiming: make(map[string]chan struct{}),
 		ownerMoves: make(map[string]ownerMove), lastOffers: make(map[string]time.Duration), unresponsiveUntil: make(map[string]time.Duration), probing: make(map[string]bool), workers: make(map[string]gauge.Worker), broadcasts: make(chan struct{}, maxConcurrentBroadcasts), waves: make(map[int64]gauge.MaintenanceWave),
 	}
 	n.leaseView = terms.New(terms.Config{Holder: n.holder, Addr: c.Addr, Capacity: c.CapacityCores, LeaseDuration: leaseDuration, ClaimSpread: claimSpread, DelayPerLease: claimDelayPerLease, ProbeAfter: suspectAfter(c.Disabled), GracePeriod: renewalGrace})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, CountEvent: c.CountEvent, Now: c.Now, TableClock: n.tableClock, CachedDepth: n.cachedDepth, OwnerDepth: n.ownerDepth, NotifyOwner: n.notify, JobState: n.jobState,
-		Relay: ownerRelay{n}, ReportUnsettled: n.reportUnsettled, OwnsJob: n.ownsJob, Disabled: c.Disabled,
+		Relay: ownerRelay{n}, ReportUnsettled: n.reportUnsettled, OwnsJob: n.ownsJob, Ownership: n.ownership, Disabled: c.Disabled,
 	})
 	c.Mesh.Handle(methodNotification, n.handleNotification)
 	c.Mesh.Handle(methodUnsettled, n.handleUnsettled)
--- a/internal/node/ownercalls.go
+++ b/internal/node/ownercalls.go
@@ -6,6 +6,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/frame"
+	"sapphiregauge/internal/intake"
 	"sapphiregauge/internal/owner"
 )
 
@@ -167,6 +168,26 @@
 	return known
 }
 
+// ownership returns what this entry knows as the owner of a queue's pool. An owner knows nothing of
+// the submissions that previous owners, or entries that notified these, left unsettled. One whose
+// lease is over may have been followed by another.
+func (n *Node) ownership(q *gauge.Queue) intake.Ownership {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o := n.owners[q.Pool]
+	now := n.conf.Now()
+	switch {
+	case o == nil:
+		return intake.OwnedElsewhere
+	case !o.HoldsLease(now):
+		return intake.OwnedRecently
+	case o.IsFirst() || now >= n.ownedSince[q.Pool]+intake.UnsettledSpan:
+		return intake.OwnedForLong
+	default:
+		return intake.OwnedRecently
+	}
+}
+
 func (n *Node) handleState(_ context.Context, body []byte) (any, error) {
 	var c stateCall
 	if err := frame.Decode(body, &c); err != nil {
--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -131,6 +131,7 @@
 type host struct {
 	capacity float64              // cores
 	now      func() time.Duration // nil: the time since boot
+	peers    net.Listener         // for calls of other entries; nil: at a new port
 }
 
 // startOn starts an entry on a host.
@@ -140,7 +141,10 @@
 	}
 	e := &entry{done: make(chan struct{})}
 	e.mesh = mesh.New(mesh.Config{Closed: func(addr string) { e.node.CheckHolder(addr) }})
-	peer, front := s.listen(), s.listen()
+	peer, front := on.peers, s.listen()
+	if peer == nil {
+		peer = s.listen()
+	}
 	e.addr, e.peerAddr = front.Addr().String(), peer.Addr().String()
 	table := platform.NewTable(platform.TableConfig{Addr: tableAddr, ReadTimeout: 900 * time.Millisecond, CommitTimeout: 1500 * time.Millisecond, Clock: time.Now})
 	workers := platform.NewWorkers(platform.WorkersConfig{HeartbeatTimeout: 800 * time.Millisecond, OrderTimeout: 300 * time.Millisecond, Clock: time.Now})
