An entry without a configuration no longer decides for a pool's owner

Callers saw: 503 ("never runs") for a job that may be stored, in a forced order: its owner is killed, an entry starts at the same address and has no configuration yet, and an entry that is cut off from the table asks it.

Cause: "no configuration yet" was answered as KindOutage before the check of ownership, and the asking entry took that for the owner's word that the job isn't stored.

Change: it answers that it can't be asked (KindNoWorker), so that the asking entry goes on without an owner.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -231,12 +231,13 @@
 
 // queueForCall returns the queue that a call from another entry names; version is that of the
 // calling entry's configuration. An older configuration here doesn't show that the queue doesn't
-// exist, and the client of the calling entry would be refused for good; KindNoWorker lets the
-// calling entry continue without the owner.
+// exist, and the client of the calling entry would be refused for good. An entry without a
+// configuration doesn't know either, and owns no pool. KindNoWorker lets the calling entry continue
+// without the owner.
 func (n *Node) queueForCall(name string, version int64) (*gauge.Queue, error) {
 	site := n.Site()
 	if site == nil {
-		return nil, gauge.Errorf(gauge.KindOutage, "no configuration yet")
+		return nil, gauge.Errorf(gauge.KindNoWorker, "no configuration yet")
 	}
 	if q := site.QueueByName(name); q != nil {
 		return q, nil
--- a/test/machines/succession_test.go
+++ b/test/machines/succession_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"sapphiregauge/internal/boot"
+	"sapphiregauge/internal/mesh"
 )
 
 // jobLink is a proxy between an entry and the table that fails the calls for one job, and only
@@ -342,6 +344,35 @@
 	s.checkRetry(s.successor, s.ownerLink)
 }
 
+// Guards against a 503 by an entry that asks a restarted owner, which has no configuration yet and doesn't own the pool any more.
+func TestOwnerRestartedWithoutConfigurationDecidesNothing(t *testing.T) {
+	t.Parallel()
+	s := newSuccession(t)
+	s.leaveUnsettled(s.owner, s.ownerLink)
+	s.thirdLink.cutOff()
+	s.owner.kill()
+	<-s.owner.done
+	s.owner.mesh.Close()
+	s.ownerLink.cutOff()
+	var again net.Listener
+	s.waitFor("the port is free", func() bool {
+		var err error
+		again, err = net.Listen("tcp", s.owner.peerAddr)
+		return err == nil
+	})
+	s.startOn("first", s.ownerLink.addr, host{capacity: largeHostCores, peers: again})
+	s.waitFor("the restarted entry answers", func() bool { return s.answersProbes(s.owner.peerAddr) })
+	s.checkRetry(s.third, s.ownerLink)
+}
+
+// answersProbes reports whether an entry answers calls of other entries.
+func (s *succession) answersProbes(addr string) bool {
+	caller := mesh.New(mesh.Config{})
+	defer caller.Close()
+	answer := make(map[string]any)
+	return caller.Call(s.t.Context(), addr, "lease.probe", map[string]any{"f": 0}, &answer) == nil
+}
+
 // Guards against a 503 by the successor for an unsettled try of a third entry whose notification reached an owner that had just changed.
 func TestNotificationToOwnerThatHasJustChangedReachesSuccessor(t *testing.T) {
 	t.Parallel()
