A retry isn't refused while the first try of its job is under way at the same entry

Cause: a try was recorded as unsettled only after its outcome, and an outcome looked at its own transaction alone.

Change: attempts are counted by job from before they begin until their outcome is recorded; while there is another, no attempt is answered with a refusal.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -85,6 +85,7 @@
 	batchers       map[string]*batcher      // by queue
 	unsettledUntil map[string]time.Duration // by job id: until when an unsettled submission may still be stored
 	prunedAt       time.Duration            // last removal of old ids
+	attempts       map[string]int           // by job id: attempts to store it that are under way
 }
 
 // New returns an Intake.
@@ -92,7 +93,7 @@
 	if c.After == nil {
 		c.After = time.After
 	}
-	return &Intake{conf: c, batchers: make(map[string]*batcher), unsettledUntil: make(map[string]time.Duration)}
+	return &Intake{conf: c, batchers: make(map[string]*batcher), unsettledUntil: make(map[string]time.Duration), attempts: make(map[string]int)}
 }
 
 const (
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -29,14 +29,39 @@
 		return err
 	}
 	before := n.ownership(q)
+	n.beginAttempt(id)
+	defer n.endAttempt(id)
 	o := n.storeOrForward(ctx, p, relay)
-	if gauge.IsKind(o.err, gauge.KindOutage) && (n.isUnsettled(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id) || !n.mayRefuse(q, before, relay)) {
+	if gauge.IsKind(o.err, gauge.KindOutage) && (n.isUnsettled(id) || n.hasOtherAttempts(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id) || !n.mayRefuse(q, before, relay)) {
 		o.err = unsettledError(o.err)
 	}
 	n.reportOutcome(p, o)
 	return o.err
 }
 
+// beginAttempt records an attempt to store a job. While it is under way no other attempt for the
+// same job shows that the job is not stored.
+func (n *Intake) beginAttempt(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.attempts[id]++
+}
+
+func (n *Intake) endAttempt(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.attempts[id]--; n.attempts[id] == 0 {
+		delete(n.attempts, id)
+	}
+}
+
+// hasOtherAttempts reports whether several attempts to store a job are under way.
+func (n *Intake) hasOtherAttempts(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.attempts[id] > 1
+}
+
 // ownership returns what this entry knows as the owner of a queue's pool.
 func (n *Intake) ownership(q *gauge.Queue) Ownership {
 	if n.conf.Ownership == nil {
