--- a/internal/sched/start_limit_storm_test.go
+++ b/internal/sched/start_limit_storm_test.go
@@ -41,3 +41,25 @@
 	}
 	assert.Assert(t, w.starts[w.badTask]-before <= 2, "started %d times after it had crashed three workers, state %s", w.starts[w.badTask]-before, w.jobState(id))
 }
+
+// Guards against a crash that counts nowhere, as the owner that saw it had found the run, and took it for one that had lasted.
+func TestStartsAreLimitedWhenOwnersAreReplacedBeforeCrashes(t *testing.T) {
+	w := newCrashHarness(t, 6)
+	w.restartDelay, w.crashDelay = 300*time.Millisecond, 300*time.Millisecond
+	id := w.submit(1, newStep(1))
+	w.badTask = firstTaskOf(id)
+	seen := 0
+	for w.now < 60*time.Second {
+		w.advance(crashStep)
+		if w.starts[w.badTask] == seen {
+			continue
+		}
+		seen = w.starts[w.badTask]
+		w.advance(crashStep)
+		if w.pool.HasUnreportedLosses() || w.pool.HasUnrecordedCrashes() {
+			w.unrecorded++
+		}
+		w.replaceOwner()
+	}
+	assert.Assert(t, seen <= maxCrashes, "started %d times, state %s", seen, w.jobState(id))
+}
