--- a/internal/sched/inherited_crash_test.go
+++ b/internal/sched/inherited_crash_test.go
@@ -108,3 +108,14 @@
 	s.replaceOwner() // before the table had what the previous owner knew
 	s.assertNotGivenUp()
 }
+
+// Guards against a run whose end an owner heard and didn't get to write, and that the next owner takes for a crash of the task.
+func TestCrashAfterAnUnwrittenEndIsNoProof(t *testing.T) {
+	s := newInheritedCrash(t)
+	start := s.startTask()
+	on := incarnationAt(start.Worker.ID, 1)
+	s.owner.answerHeartbeat(on, 1, time.Hour+s.owner.now, nil, s.owner.endReport(on.Worker, start.Start.Task, start.Start.Run, gauge.EndDone))
+	s.born[on.Worker] = 2
+	s.replaceOwner()
+	s.assertNotGivenUp()
+}
