In an outage that outlasts the lease, jobs are refused at once again

Cause: an owner refused nothing once its lease was over, as another might have followed. In an outage for all nobody can, and no entry that reaches the table was found.

Change: only an owner that stood still until its lease was over (no run of manage for 0.5 s) refuses nothing. And an answer that sent nothing no longer renews the doubt about its job: TestAnswerOfARecentOwnerIsNoUnsettledSubmission and TestRetryThatSendsNothingDoesNotProlongTheDoubt failed before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,7 +51,7 @@
 const (
 	OwnedElsewhere Ownership = ""       // another entry owns the pool, or none
 	OwnedRecently  Ownership = "recent" // submissions to previous owners may still be stored, or another owner may have followed
-	OwnedForLong   Ownership = "long"   // this entry knows of all submissions that may still be stored
+	OwnedForLong   Ownership = "long"   // this entry knows of all submissions to owners that may still be stored
 )
 
 // Relay forwards submissions and cancellations to the owner of the queue's pool, which writes to
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -28,6 +28,7 @@
 	version   int64  // of the row, if this call stored it
 	duplicate bool   // the id exists already
 	row       []byte // as stored, if the id exists already
+	notSent   bool   // this call has sent nothing, but an earlier one may have
 	relayed   bool   // the owner has stored it at another entry and needs no notification
 	err       error
 }
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -33,7 +33,7 @@
 	defer n.endAttempt(id)
 	o := n.storeOrForward(ctx, p, relay)
 	if gauge.IsKind(o.err, gauge.KindOutage) && (n.isUnsettled(id) || n.hasOtherAttempts(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id) || !n.mayRefuse(q, before, relay)) {
-		o.err = unsettledError(o.err)
+		o.err, o.notSent = unsettledError(o.err), true
 	}
 	n.reportOutcome(p, o)
 	return o.err
@@ -183,8 +183,13 @@
 // reportOutcome logs and counts the outcome of a submission, and notifies the pool's owner of a new
 // job.
 func (n *Intake) reportOutcome(p *pendingJob, o outcome) {
-	n.recordUnsettled(p.id, o.err)
+	if !o.notSent {
+		n.recordUnsettled(p.id, o.err)
+	}
 	switch {
+	case o.notSent:
+		n.conf.CountEvent("job unsettled")
+		n.logFailure("job may be stored", p.queue, p.id, o.err)
 	case gauge.IsKind(o.err, gauge.KindExpired):
 		n.conf.CountEvent("job unsettled")
 		n.logFailure("job unsettled", p.queue, p.id, o.err)
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -23,6 +23,7 @@
 			return
 		case <-tick.C:
 		}
+		n.noteStandstill()
 		n.checkHolders()
 		n.probeSuspects()
 		for _, c := range n.dueClaims() {
@@ -31,6 +32,26 @@
 	}
 }
 
+// standstillThreshold is the time between two runs of manage after which this process counts as
+// having stood still. There are twenty runs a second.
+const standstillThreshold = 500 * time.Millisecond
+
+// noteStandstill records that this process has stood still since manage last ran.
+func (n *Node) noteStandstill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	if n.managedAt > 0 && now-n.managedAt > standstillThreshold {
+		n.resumedAt = now
+	}
+	n.managedAt = now
+}
+
+// stoodStillSince reports whether this process has stood still since a time. n.mu is held.
+func (n *Node) stoodStillSince(at, now time.Duration) bool {
+	return n.resumedAt > at || now-n.managedAt > standstillThreshold
+}
+
 // dueClaims returns the claims to make now, and marks their pools as being claimed.
 func (n *Node) dueClaims() []terms.Claim {
 	site := n.Site()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,6 +150,8 @@
 	claimPauseUntil  time.Duration    // no pool is claimed before this
 	owners           map[string]*owner.Owner
 	ownedSince       map[string]time.Duration // by pool: when its owner here began
+	managedAt        time.Duration            // when manage last ran
+	resumedAt        time.Duration            // when this process last went on after standing still
 	leasesInUse      map[string]bool          // leases that are being claimed or held
 	// claiming holds, for each pool that is being claimed and has no owner here yet, a channel that
 	// is closed when the claim has ended.
--- a/internal/node/ownercalls.go
+++ b/internal/node/ownercalls.go
@@ -169,8 +169,10 @@
 }
 
 // ownership returns what this entry knows as the owner of a queue's pool. An owner knows nothing of
-// the submissions that previous owners, or entries that notified these, left unsettled. One whose
-// lease is over may have been followed by another.
+// the submissions that previous owners, or entries that notified these, left unsettled. One that
+// has stood still until its lease was over may have been followed by another. One whose lease is
+// over otherwise has found no entry that reaches the table, which is the outage in which callers are
+// to be refused at once.
 func (n *Node) ownership(q *gauge.Queue) intake.Ownership {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -179,7 +181,7 @@
 	switch {
 	case o == nil:
 		return intake.OwnedElsewhere
-	case !o.HoldsLease(now):
+	case now >= o.LeaseUntil() && n.stoodStillSince(o.LeaseUntil()-leaseDuration, now):
 		return intake.OwnedRecently
 	case o.IsFirst() || now >= n.ownedSince[q.Pool]+intake.UnsettledSpan:
 		return intake.OwnedForLong
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -278,10 +278,8 @@
 	o.handoverAfter, o.onHandoverNeeded = after, do
 }
 
-// HoldsLease reports whether the lease lasts, so that no other entry can have claimed the pool.
-func (o *Owner) HoldsLease(now time.Duration) bool {
-	return now < o.conf.Lease.Until() && !o.conf.Lease.IsLost()
-}
+// LeaseUntil returns when the lease ends unless it is renewed.
+func (o *Owner) LeaseUntil() time.Duration { return o.conf.Lease.Until() }
 
 // IsFirst reports whether the pool had no owner before.
 func (o *Owner) IsFirst() bool { return o.conf.Term == 0 }
