Tests name the workers' calls by the fakes' constants; one test shows that it got to its case

The paths of the platform stood in test/machines; the fakes export them. TestLongRunningTaskIsNotEvacuatedWhileItsLateStartBarsOthers could have passed without a run at work beside a late start: it now fails then.

--- a/internal/sched/late_start_effects_test.go
+++ b/internal/sched/late_start_effects_test.go
@@ -275,6 +275,7 @@
 			g.pool.DrainWorker("w1", false, g.now)
 		}
 	}
+	assert.Assert(t, drained, "no run was at work beside a late start")
 }
 
 // assertStartsWithin asserts that the late start's task starts again on another worker before long.
--- a/test/machines/late_start_test.go
+++ b/test/machines/late_start_test.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	startPath = "/sapphiregauge/run-start"
-	stopPath  = "/sapphiregauge/run-stop"
 	// crashBefore is how long after a delayed start its worker crashes at the latest: the start is to
 	// be carried out by the next incarnation.
 	crashBefore = 250 * time.Millisecond
@@ -35,13 +33,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case path == startPath && l.worker == "":
+	case path == fakes.PathStart && l.worker == "":
 		l.worker, l.sentAt = worker, time.Now()
 		return fakes.FaultRequestDelayed
-	case path == startPath && l.worker == worker:
+	case path == fakes.PathStart && l.worker == worker:
 		l.settled = true
 		return fakes.FaultRefused
-	case path == stopPath && l.worker == worker:
+	case path == fakes.PathStop && l.worker == worker:
 		l.settled = true
 	}
 	return fakes.FaultNone
