What a client account has running stays within its limit, over all pools

Change: each limit is divided between the pools in a row of the table; an owner starts nothing beyond its pool's part, and changes it by a write on the condition that the row is as read. A part grows only into what no other pool has; it counts as smaller from the sending of a write, as larger once the table has it. Half of a limit is divided evenly, the rest goes where it is wanted and comes back after a second. What may run counts: unanswered and late starts, silent workers, stops; what a predecessor may have started counts with all of its part until all workers have reported. A new configuration's version is written before starts by it. A task that is wider than its account's limit gets 422 at once.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,6 +35,9 @@
 	// OwnsJob reports whether the pool's owner is at this entry and knows the job; nil: it never
 	// is.
 	OwnsJob func(q *gauge.Queue, id string) bool
+	// AccountLimit returns the most that a client account may have running; nil, or 0 for a resource:
+	// there is no limit.
+	AccountLimit func(account string) gauge.Resources
 	// Ownership tells what this entry knows as the owner of the queue's pool; nil: it owns all pools
 	// and always has.
 	Ownership func(q *gauge.Queue) Ownership
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -24,6 +24,9 @@
 }
 
 func (n *Intake) submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, relay Relay) error {
+	if err := n.checkLimit(j); err != nil {
+		return err
+	}
 	p, err := n.newPendingJob(q, id, j)
 	if err != nil {
 		return err
@@ -39,6 +42,22 @@
 	return o.err
 }
 
+// checkLimit returns an error of kind KindImpossible for a job with a task, or a gang, that needs
+// more than its account may have running at all.
+func (n *Intake) checkLimit(j *gauge.JobSpec) error {
+	if n.conf.AccountLimit == nil || j.Account == "" {
+		return nil
+	}
+	limit := n.conf.AccountLimit(j.Account)
+	for i := range j.Steps {
+		need := j.Steps[i].Together()
+		if !need.Within(limit) {
+			return gauge.Errorf(gauge.KindImpossible, "steps[%d] needs %d thousandths of a core and %d MB at once, the account may use %d and %d", i, need.MilliCPU, need.MemoryMB, limit.MilliCPU, limit.MemoryMB)
+		}
+	}
+	return nil
+}
+
 // beginAttempt records an attempt to store a job. While it is under way no other attempt for the
 // same job shows that the job is not stored.
 func (n *Intake) beginAttempt(id string) {
--- /dev/null
+++ b/internal/limit/limit.go
@@ -0,0 +1,352 @@
+// Package limit keeps one pool's parts of the client accounts' limits. What an account may have
+// running counts over all pools, and each pool has an owner of its own. So each limit is divided:
+// a row of the table holds the part of each pool, and an owner starts nothing beyond its pool's
+// part. An owner changes its part by a write on the condition that the row is as it read it. A part
+// grows only into what no other pool has, and counts as larger only once the table has it, as
+// smaller from the moment when the write is sent. So the parts, and with them what runs, never add
+// up to more than the limit, whoever is cut off, stands still or is replaced. The version of a new
+// configuration is written into the row before anything starts by it: from then on no pool's part
+// grows by a higher limit of the one before.
+//
+// Parts is a state machine without I/O. It is not safe for concurrent use.
+package limit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	gauge "sapphiregauge"
+)
+
+// Config sets up Parts.
+type Config struct {
+	Pool  string
+	Fence gauge.FencingToken // of the pool's owner
+	// First says that the pool had no owner before, so that nothing of it runs.
+	First bool
+	Logs  logr.Logger
+}
+
+// Use is what an account uses of its part.
+type Use struct {
+	Started   gauge.Resources // what may run that this owner has started
+	Inherited gauge.Resources // what runs that previous owners have started, as far as workers have reported it
+	Waiting   gauge.Resources // what tasks need that could start
+}
+
+// Write is the next row of an account.
+type Write struct {
+	Account string
+	Version int64 // that the row must have; 0: it must not exist
+	Row     gauge.LimitRow
+}
+
+// Parts holds a pool's parts of the limits.
+type Parts struct {
+	conf     Config
+	accounts map[string]*account // those with a limit
+	pools    int                 // number of pools that share the limits
+	read     bool                // the rows have been read, and no write since is without an answer
+	short    bool                // other pools had all of what is wanted here
+	replaced bool                // a newer owner has written a part
+	complete bool                // all runs of previous owners are known
+	wanting  bool                // a start was held back since the last update
+}
+
+// account is the state of one account's limit.
+type account struct {
+	limit         gauge.Resources // by this owner's configuration ...
+	configVersion int64           // ... of this version
+	row           gauge.LimitRow
+	version       int64 // of the row
+	// usable is the least that the table may have as this pool's part.
+	usable gauge.Resources
+	// settled says that this owner has written the part, so that no previous owner can.
+	settled   bool
+	uncertain bool             // a write of this owner without an answer may still take effect
+	inherited gauge.Resources  // part that previous owners had
+	sent      *gauge.Resources // part in the write that is under way ...
+	unsent    gauge.Resources  // ... and what was usable before it
+	lowSince  time.Duration    // since when much less than the part is wanted; 0: it isn't
+	usedAt    time.Duration    // when the account last had anything here
+	heldBack  int              // starts that were held back since the last update
+	held      bool             // some were before
+}
+
+const (
+	// headroomPercent is what a part grows to, in percent of what is wanted, so that it needn't grow
+	// with every start.
+	headroomPercent = 125
+	// lowPercent is the share of a part below which it is given back ...
+	lowPercent = 75
+	// lowSpan ... once that has lasted for this long: another pool may be waiting for it.
+	lowSpan = time.Second
+	// idleSpan is how long a pool keeps its even part of an account that has nothing there.
+	idleSpan = 30 * time.Second
+	// reservedShare is the share of a limit that is divided evenly between the pools whatever they
+	// want, so that a pool can start at once what comes after a pause. The rest goes where it is
+	// wanted.
+	reservedShare = 2
+	percent       = 100
+)
+
+// New returns Parts that allow nothing for an account with a limit before its row is written.
+func New(c Config) *Parts {
+	return &Parts{conf: c, accounts: make(map[string]*account), complete: c.First}
+}
+
+// Configure applies the limits of a configuration.
+func (p *Parts) Configure(s *gauge.Site) {
+	p.pools = max(1, countSharing(s))
+	next := make(map[string]*account, len(s.Accounts))
+	for i := range s.Accounts {
+		a := &s.Accounts[i]
+		if a.Limit == (gauge.Resources{}) {
+			continue
+		}
+		st := p.accounts[a.Name]
+		if st == nil {
+			st = new(account)
+			p.read = false // its row may exist
+		}
+		st.limit, st.configVersion = a.Limit, s.Version
+		next[a.Name] = st
+	}
+	p.accounts = next
+}
+
+// countSharing counts the pools that run jobs of accounts.
+func countSharing(s *gauge.Site) int {
+	pools := make(map[string]bool)
+	for i := range s.Queues {
+		if !s.Queues[i].Public {
+			pools[s.Queues[i].Pool] = true
+		}
+	}
+	return len(pools)
+}
+
+// SetComplete records that all runs of previous owners that may exist are known by now.
+func (p *Parts) SetComplete() { p.complete = true }
+
+// NeedsRead reports whether the rows have to be read: they never were, a write got no answer, or
+// other pools may have given back what is wanted here.
+func (p *Parts) NeedsRead() bool { return !p.replaced && len(p.accounts) > 0 && (!p.read || p.short) }
+
+// Wants reports whether a start was held back since the last update.
+func (p *Parts) Wants() bool { return p.wanting }
+
+// SetRows applies rows as they were read. An account without a row has none.
+func (p *Parts) SetRows(rows map[string]gauge.LimitRow, versions map[string]int64) {
+	p.read, p.short = true, false
+	for name, a := range p.accounts {
+		p.apply(a, rows[name], versions[name])
+	}
+}
+
+// apply applies a row that was read, or returned with a refused write.
+func (p *Parts) apply(a *account, row gauge.LimitRow, version int64) {
+	a.sent = nil
+	part, ok := row.Parts[p.conf.Pool]
+	switch {
+	case ok && part.Fence > p.conf.Fence:
+		p.replaced = true
+	case ok && part.Fence == p.conf.Fence && version > a.version:
+		// The row has changed since any write without an answer was sent on condition of an earlier
+		// version: it can't take effect any more, or just has.
+		a.usable, a.settled, a.uncertain = part.Amount, true, false
+	case ok && part.Fence == p.conf.Fence:
+	default:
+		a.usable, a.settled, a.inherited = gauge.Resources{}, false, part.Amount
+	}
+	a.row, a.version = row, version
+}
+
+// isDivided reports whether no pool's part can grow any more by an older configuration.
+func (a *account) isDivided() bool { return a.row.Version >= a.configVersion }
+
+// effectiveLimit returns the limit of the newest configuration that this owner knows of.
+func (a *account) effectiveLimit() gauge.Resources {
+	if a.row.Version > a.configVersion {
+		return a.row.Limit
+	}
+	return a.limit
+}
+
+// Allows reports whether a task of an account may start in addition to what the account uses.
+func (p *Parts) Allows(name string, need gauge.Resources, use Use) bool {
+	a := p.accounts[name]
+	if a == nil {
+		return true
+	}
+	if !p.replaced && a.settled && a.isDivided() && fits(a.effectiveLimit(), p.used(a, use).Plus(need), a.bound(p.conf.Pool)) {
+		return true
+	}
+	a.heldBack++
+	p.wanting = true
+	return false
+}
+
+// used returns what may run for an account in this pool. As long as runs of previous owners may be
+// unknown, all of their part counts.
+func (p *Parts) used(a *account, use Use) gauge.Resources {
+	inherited := use.Inherited
+	if !p.complete {
+		inherited = larger(inherited, a.inherited)
+	}
+	return use.Started.Plus(inherited)
+}
+
+// others returns what the parts of the other pools add up to.
+func (a *account) others(pool string) gauge.Resources {
+	var sum gauge.Resources
+	for name, part := range a.row.Parts {
+		if name != pool {
+			sum = sum.Plus(part.Amount)
+		}
+	}
+	return sum
+}
+
+// bound returns up to what the account may use this pool. If its limit was lowered below what the
+// parts add up to, that is less than the part.
+func (a *account) bound(pool string) gauge.Resources {
+	return smaller(a.usable, a.effectiveLimit().Minus(a.others(pool)))
+}
+
+// Update returns the rows to write, given what each account uses. It expects Written, Conflicted
+// or Unanswered before the next call.
+func (p *Parts) Update(uses map[string]Use, now time.Duration) []Write {
+	p.wanting = false
+	if p.replaced || !p.read {
+		return nil
+	}
+	var writes []Write
+	for _, name := range slices.Sorted(maps.Keys(p.accounts)) {
+		a := p.accounts[name]
+		p.logHeldBack(name, a, uses[name])
+		next, ok := p.next(a, uses[name], now)
+		if !ok {
+			continue
+		}
+		row := gauge.LimitRow{Parts: maps.Clone(a.row.Parts), Limit: a.effectiveLimit(), Version: max(a.row.Version, a.configVersion)}
+		if row.Parts == nil {
+			row.Parts = make(map[string]gauge.LimitPart)
+		}
+		row.Parts[p.conf.Pool] = gauge.LimitPart{Amount: next, Fence: p.conf.Fence}
+		a.sent, a.unsent = &next, a.usable
+		a.usable = smaller(a.usable, next)
+		p.conf.Logs.Info("limit part", "pool", p.conf.Pool, "account", name, "from", a.part(p.conf.Pool).MilliCPU, "to", next.MilliCPU,
+			"used", p.used(a, uses[name]).MilliCPU, "others", a.others(p.conf.Pool).MilliCPU, "limit", a.limit.MilliCPU)
+		writes = append(writes, Write{Account: name, Version: a.version, Row: row})
+	}
+	return writes
+}
+
+// logHeldBack logs when starts of an account begin to be held back, and when that is over.
+func (p *Parts) logHeldBack(name string, a *account, use Use) {
+	if held := a.heldBack > 0; held != a.held {
+		a.held = held
+		p.conf.Logs.Info("account held back", "pool", p.conf.Pool, "account", name, "held", held, "starts", a.heldBack, "used", p.used(a, use).MilliCPU, "waiting", use.Waiting.MilliCPU,
+			"part", a.usable.MilliCPU, "others", a.others(p.conf.Pool).MilliCPU, "limit", a.limit.MilliCPU, "settled", a.settled)
+	}
+	a.heldBack = 0
+}
+
+func (a *account) part(pool string) gauge.Resources { return a.row.Parts[pool].Amount }
+
+// next returns the part that the pool should have, false if that is the one it has.
+func (p *Parts) next(a *account, use Use, now time.Duration) (gauge.Resources, bool) {
+	part, used, bound := a.part(p.conf.Pool), p.used(a, use), a.effectiveLimit()
+	want := used.Plus(use.Waiting)
+	if want != (gauge.Resources{}) || a.usedAt == 0 {
+		a.usedAt = now
+	}
+	target := scaled(want, headroomPercent, percent)
+	if now-a.usedAt < idleSpan {
+		target = larger(target, scaled(bound, 1, reservedShare*p.pools))
+	}
+	available := larger(bound.Minus(a.others(p.conf.Pool)), gauge.Resources{})
+	keep := larger(smaller(target, available), used)
+	switch {
+	case !a.settled:
+		// Nobody has a part here yet, or a previous owner has written it and may still be writing.
+		return smaller(keep, larger(part, available)), true
+	case !fits(bound, part, available):
+		keep = smaller(keep, part) // the limit was lowered
+		return keep, keep != part || !a.isDivided()
+	case !fits(bound, want, part):
+		grown := larger(part, smaller(target, available))
+		p.short = p.short || !fits(bound, want, grown)
+		return grown, grown != part || a.uncertain || !a.isDivided()
+	case a.uncertain, !a.isDivided():
+		return part, true
+	case fits(bound, scaled(part, lowPercent, percent), target):
+		a.lowSince = 0
+		return part, false
+	case a.lowSince == 0:
+		a.lowSince = now
+	}
+	keep = smaller(keep, part)
+	return keep, now-a.lowSince >= lowSpan && keep != part
+}
+
+// Written records that writes are in the table, as of a version.
+func (p *Parts) Written(writes []Write, version int64) {
+	for _, w := range writes {
+		a := p.accounts[w.Account]
+		if a == nil || a.sent == nil {
+			continue
+		}
+		a.usable, a.settled, a.uncertain, a.sent, a.lowSince = *a.sent, true, false, nil, 0
+		a.row, a.version = w.Row, version
+	}
+}
+
+// Conflicted takes back writes that were refused, and applies the present rows, of which some had
+// changed.
+func (p *Parts) Conflicted(writes []Write, rows map[string]gauge.LimitRow, versions map[string]int64) {
+	for _, w := range writes {
+		if a := p.accounts[w.Account]; a != nil && a.sent != nil {
+			a.usable, a.sent = a.unsent, nil
+		}
+	}
+	for name, row := range rows {
+		if a := p.accounts[name]; a != nil {
+			p.apply(a, row, versions[name])
+		}
+	}
+}
+
+// Unanswered records that it isn't known whether writes took effect, or will.
+func (p *Parts) Unanswered(writes []Write) {
+	p.read = false
+	for _, w := range writes {
+		if a := p.accounts[w.Account]; a != nil {
+			a.uncertain, a.sent = true, nil
+		}
+	}
+}
+
+// fits reports whether an amount is within a bound, as to the resources that the limit bounds.
+func fits(limit, amount, bound gauge.Resources) bool {
+	return (limit.MilliCPU == 0 || amount.MilliCPU <= bound.MilliCPU) &&
+		(limit.MemoryMB == 0 || amount.MemoryMB <= bound.MemoryMB) &&
+		(limit.Accels == 0 || amount.Accels <= bound.Accels)
+}
+
+// larger and smaller choose for each resource by itself.
+func larger(a, b gauge.Resources) gauge.Resources {
+	return gauge.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accels: max(a.Accels, b.Accels)}
+}
+
+func smaller(a, b gauge.Resources) gauge.Resources {
+	return gauge.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), Accels: min(a.Accels, b.Accels)}
+}
+
+func scaled(a gauge.Resources, times, by int) gauge.Resources {
+	return gauge.Resources{MilliCPU: a.MilliCPU * times / by, MemoryMB: a.MemoryMB * times / by, Accels: a.Accels * times / by}
+}
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -101,6 +101,17 @@
 		"version", version, "age", v.Age, "known", v.Known, "current", n.guard.IsCurrent(v), "reason", err.Error())
 }
 
+// accountLimit returns the most that a client account may have running, by the configuration in
+// force here.
+func (n *Node) accountLimit(account string) gauge.Resources {
+	if site := n.Site(); site != nil {
+		if a := site.AccountByName(account); a != nil {
+			return a.Limit
+		}
+	}
+	return gauge.Resources{}
+}
+
 // maxLoggedBytes bounds the texts of a caller that are logged.
 const maxLoggedBytes = 200
 
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -71,6 +71,9 @@
 	if o.loaded && !o.ended && !o.stopping {
 		o.pool.SetGrantLimit(o.conf.Lease.Until() + o.conf.OrderGrace)
 		orders = o.pool.Plan(now)
+		if o.limits.Wants() {
+			o.wakeLimits()
+		}
 	}
 	return orders, o.pool.HasUrgent()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/lag"
+	"sapphiregauge/internal/limit"
 	"sapphiregauge/internal/sched"
 	"sapphiregauge/internal/tenure"
 )
@@ -66,6 +67,7 @@
 	cancel            context.CancelFunc
 	ctx               context.Context
 	wake              chan struct{}               // signals writeLoop that a change is due to be written
+	limitWake         chan struct{}               // signals limitLoop that a start is held back
 	onHandoverNeeded  func(failing time.Duration) // see OnHandoverNeeded
 	handoverAfter     time.Duration               // how long writes may fail before onHandoverNeeded is called
 	claimedAt         time.Duration               // when this owner was made, right after the claim
@@ -75,6 +77,7 @@
 
 	mu               sync.Mutex
 	pool             *sched.Pool
+	limits           *limit.Parts
 	writeDone        chan struct{}                       // closed after each write and replaced by a new channel
 	tableUnreachable bool                                // the last write got no complete answer
 	writeSentAt      time.Duration                       // when the write in progress was sent; 0: there is none
@@ -164,9 +167,10 @@
 // and the lease is left to expire.
 func New(ctx context.Context, c Config) *Owner {
 	now := c.Now()
+	limits := limit.New(limit.Config{Pool: c.Pool, Fence: c.Fence, First: c.Term == 0, Logs: c.Logs})
 	o := &Owner{
-		conf: c, claimedAt: now,
-		wake: make(chan struct{}, 1), orderSlots: make(map[gauge.Incarnation]chan struct{}), stopSlots: make(map[gauge.Incarnation]chan struct{}),
+		conf: c, claimedAt: now, limits: limits,
+		wake: make(chan struct{}, 1), limitWake: make(chan struct{}, 1), orderSlots: make(map[gauge.Incarnation]chan struct{}), stopSlots: make(map[gauge.Incarnation]chan struct{}),
 		orderLag: lag.New(lag.Config{Window: lagWindow, SlowCall: lagThreshold, MinCalls: lagMinOrders, MinPeers: lagMinWorkers}), heldBackUntil: make(map[string]time.Duration), writeDone: make(chan struct{}),
 		behindDetector: lag.NewBehindDetector(lag.BehindConfig{Threshold: behindAfter, ReportInterval: behindLogInterval}),
 		pool: sched.New(sched.Config{
@@ -174,6 +178,7 @@
 			Disabled: c.Disabled, Logs: c.Logs, CountEvent: c.CountEvent, MaxWorkerLease: c.MaxWorkerLease,
 			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + c.PreviousLeaseLeft + c.OrderGrace + clockMargin, WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
 			DrainedUntil: drainedUntil(&c.PreviousRow, now), UnrecordedOwners: c.PreviousRow.UnrecordedOwners,
+			Limits: limits,
 		}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -224,6 +229,7 @@
 	// The lease is renewed from here on, because reading the jobs may take longer than the lease
 	// duration.
 	o.spawn(o.writeLoop)
+	o.spawn(o.limitLoop)
 	if !o.readJobs() {
 		o.end()
 		o.group.Wait()
@@ -326,6 +332,8 @@
 	}
 	o.site = s
 	o.pool.Configure(s)
+	o.limits.Configure(s)
+	o.wakeLimits()
 }
 
 // SetWorkers applies the platform's list of workers.
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -55,7 +55,7 @@
 	}
 	p.inheritSuspectRuns(j, now)
 	p.conf.Logs.Info("job adopted", "job", a.ID, "queue", a.Queue, "pool", p.conf.Name, "version", a.Version,
-		"state", a.Row.State, "inherited", a.Inherited, "age", now-a.Arrived)
+		"state", a.Row.State, "inherited", a.Inherited, "account", a.Spec.Account, "age", now-a.Arrived)
 }
 
 // runNumbersPerTerm is how many run numbers each owner has to itself for the jobs that it inherits,
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/limit"
 )
 
 // Recounted holds what the pool tracks incrementally, computed by a walk over all jobs instead.
@@ -17,11 +18,12 @@
 	Waiting            []string // steps with tasks that may start
 	WrongCriticalPaths []string // occurrences whose cached critical path is wrong
 	Load               gauge.PoolLoad
+	Uses               map[string]limit.Use // by client account
 }
 
 // Recount goes over all jobs and workers.
 func (p *Pool) Recount(now time.Duration) Recounted {
-	w := Recounted{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, ArrivedCoreSeconds: p.adoptedWork, ArrivedJobs: p.adoptedJobs}}
+	w := Recounted{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, ArrivedCoreSeconds: p.adoptedWork, ArrivedJobs: p.adoptedJobs}, Uses: make(map[string]limit.Use)}
 	for _, j := range p.jobs {
 		if !j.started && j.isOpen() {
 			w.Depths[j.queue]++
@@ -35,6 +37,7 @@
 		}
 	}
 	for id, worker := range p.workers {
+		w.addUses(worker)
 		w.Urgent = w.Urgent || worker.lastEnd > worker.lastStoredEnd && !worker.dead || worker.waitsForLeaseRow()
 		if worker.listed && !worker.dead {
 			longRunning := 0
@@ -51,6 +54,25 @@
 	return w
 }
 
+// addUses adds what may run on a worker to what its accounts use.
+func (w *Recounted) addUses(worker *worker) {
+	for _, runs := range []map[*run]bool{worker.runs, worker.lateStarts} {
+		for r := range runs {
+			account := r.task.job.spec.Account
+			if account == "" {
+				continue
+			}
+			use := w.Uses[account]
+			if r.inherited {
+				use.Inherited = use.Inherited.Plus(r.task.stage.spec.Needs)
+			} else {
+				use.Started = use.Started.Plus(r.task.stage.spec.Needs)
+			}
+			w.Uses[account] = use
+		}
+	}
+}
+
 func (w *Recounted) addJob(p *Pool, j *job, now time.Duration) {
 	for _, o := range j.occurrences {
 		if known := o.remainingCriticalPath(); known != o.uncachedCriticalPath() {
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -5,6 +5,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/limit"
 )
 
 // poolIndex is updated with each event, because it is read at each write or plan: a walk over all
@@ -14,12 +15,34 @@
 	changed   map[*job]bool  // superset of the jobs with something to write; pruned by unwrittenJobs
 	scheduled map[*job]bool  // superset of the open jobs with occurrences to come; pruned by createDue
 
+	uses map[string]*limit.Use // by client account: what may run; Waiting isn't kept
+
 	waiting []*stage        // superset of the stages with tasks that may start; pruned by pruneWaiting
 	minNeed gauge.Resources // none of their tasks needs less of any resource
 }
 
 func newPoolIndex() poolIndex {
-	return poolIndex{depths: make(map[string]int), changed: make(map[*job]bool), scheduled: make(map[*job]bool)}
+	return poolIndex{depths: make(map[string]int), changed: make(map[*job]bool), scheduled: make(map[*job]bool), uses: make(map[string]*limit.Use)}
+}
+
+// countUse adds n times what a run needs to what its account may have running: it counts from its
+// order until it is certainly over and can't begin any more.
+func (x *poolIndex) countUse(r *run, n int) {
+	account := r.task.job.spec.Account
+	if account == "" {
+		return
+	}
+	use := x.uses[account]
+	if use == nil {
+		use = new(limit.Use)
+		x.uses[account] = use
+	}
+	change := r.task.stage.spec.Needs.Times(n)
+	if r.inherited {
+		use.Inherited = use.Inherited.Plus(change)
+	} else {
+		use.Started = use.Started.Plus(change)
+	}
 }
 
 // add adds an adopted job.
--- a/internal/sched/index_test.go
+++ b/internal/sched/index_test.go
@@ -43,6 +43,12 @@
 	assert.Assert(w.t, slices.Equal(waiting, walk.Waiting), "waiting steps %v, want %v", waiting, walk.Waiting)
 	changed := w.pool.Changed()
 	assert.Assert(w.t, slices.Equal(changed, walk.Changed), "changed %v, want %v", changed, walk.Changed)
+	for account, use := range w.pool.AccountUses() {
+		use.Waiting = gauge.Resources{}
+		assert.Equal(w.t, use, walk.Uses[account], "account %s", account)
+		delete(walk.Uses, account)
+	}
+	assert.Equal(w.t, len(walk.Uses), 0, "uses that aren't counted: %v", walk.Uses)
 	load := w.pool.Load(w.now)
 	for _, l := range []*gauge.PoolLoad{&load, &walk.Load} {
 		slices.SortFunc(l.Workers, func(a, b gauge.WorkerLoad) int { return cmp.Compare(a.ID, b.ID) })
@@ -50,7 +56,7 @@
 	assert.Assert(w.t, reflect.DeepEqual(load, walk.Load), "load %v, want %v", load, walk.Load)
 }
 
-// After any sequence of events, the queue depths, the demand, the waiting steps and the jobs that
+// After any sequence of events, the queue depths, the demand, what client accounts use, the waiting steps and the jobs that
 // the next write includes are those that a walk over all jobs finds.
 func TestCountsMatchAWalkOverAllJobs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -226,7 +226,7 @@
 		p.cancelReservation(t)
 		return
 	}
-	if t.prefersIsolation() && !t.isRecorded() {
+	if t.prefersIsolation() && !t.isRecorded() || !p.mayUse(t.job, t.stage.spec.Together()) {
 		return
 	}
 	p.releaseReservation(t)
--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -80,12 +80,17 @@
 		r.worker.lateStarts = make(map[*run]bool)
 	}
 	r.worker.lateStarts[r] = true
+	p.index.countUse(r, 1)
 	p.conf.Logs.Info("late start kept", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID,
 		"born", r.worker.info.StartedAt, "age", now-r.orderedAt)
 }
 
 func (p *Pool) dropLateStart(r *run) {
+	if !r.worker.lateStarts[r] {
+		return
+	}
 	delete(r.worker.lateStarts, r)
+	p.index.countUse(r, -1)
 	r.task.lateStarts = slices.DeleteFunc(r.task.lateStarts, func(o *run) bool { return o == r })
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -238,7 +238,7 @@
 		if t.done || len(t.runs) > 0 || t.needsIsolation(now) || p.mayHaveUnreportedRun(t) {
 			continue
 		}
-		if p.isWindowFull() {
+		if p.isWindowFull() || !p.mayUse(c.job, c.stage.spec.Needs) {
 			break
 		}
 		w := round.place(c.stage, perWorker, nil, t.besideLateStarts(now, p.withinWorkerWindow(c.allowedWorkers(now))))
@@ -267,6 +267,9 @@
 		}
 		number = max(number, t.lastRun)
 	}
+	if !p.mayUse(c.job, c.stage.spec.Together()) {
+		return
+	}
 	taken := make(map[*worker]gauge.Resources)
 	perWorker := c.stage.countByWorker()
 	var places []*worker
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/limit"
 )
 
 // Config sets up a Pool.
@@ -49,6 +50,8 @@
 	// MaxWorkerLease is the longest lease that a worker grants. A worker that has restarted may
 	// hold a lease that was meant for its previous incarnation, measured by another clock.
 	MaxWorkerLease time.Duration
+	// Limits are this pool's parts of the client accounts' limits; nil: there are no limits.
+	Limits *limit.Parts
 }
 
 // Pool is the owner's state of one pool. It is not safe for concurrent use.
--- a/internal/sched/simulation_events_test.go
+++ b/internal/sched/simulation_events_test.go
@@ -167,7 +167,7 @@
 		steps = append(steps, second)
 	}
 	id := jobID(len(w.specs))
-	w.specs[id] = &gauge.JobSpec{Steps: steps}
+	w.specs[id] = &gauge.JobSpec{Steps: steps, Account: []string{"", "garages", "schools"}[len(w.specs)%3]}
 	row := &gauge.JobRow{State: gauge.JobPending, Pool: poolName}
 	value, err := row.Encode()
 	assert.NilError(w.t, err)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -149,6 +149,7 @@
 
 func (w *worker) addRun(r *run) {
 	w.runs[r] = true
+	r.task.job.index.countUse(r, 1)
 	w.used = w.used.Plus(r.resources)
 	w.countRun(r, 1)
 }
@@ -156,6 +157,7 @@
 func (w *worker) removeRun(r *run) {
 	if w.runs[r] {
 		delete(w.runs, r)
+		r.task.job.index.countUse(r, -1)
 		w.used = w.used.Minus(r.resources)
 		w.countRun(r, -1)
 	}
--- a/jobspec.go
+++ b/jobspec.go
@@ -28,6 +28,17 @@
 	return o.MilliCPU <= r.MilliCPU && o.MemoryMB <= r.MemoryMB && o.Accels <= r.Accels
 }
 
+// Within reports whether r is within a limit, of which an amount of 0 is none.
+func (r Resources) Within(limit Resources) bool {
+	return (limit.MilliCPU == 0 || r.MilliCPU <= limit.MilliCPU) && (limit.MemoryMB == 0 || r.MemoryMB <= limit.MemoryMB) &&
+		(limit.Accels == 0 || r.Accels <= limit.Accels)
+}
+
+// Times returns n times an amount.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accels * n}
+}
+
 // Step is one stage of a job: tasks of the same kind.
 type Step struct {
 	Count       int           `msgpack:"n"`
@@ -60,6 +71,14 @@
 	return s.Needs
 }
 
+// Together returns what the step needs at once: one task, or all tasks of a gang.
+func (s *Step) Together() Resources {
+	if s.Gang {
+		return s.Needs.Times(s.Count)
+	}
+	return s.Needs
+}
+
 // JobSpec is a job as the caller submitted it.
 type JobSpec struct {
 	Payload  string        `msgpack:"p"` // for the workers; not interpreted here
