A successor counts only what silent workers can hold against an account's limit

Cause: until all workers had reported, a new owner counted all of its predecessor's part as used. Change: what isn't known is bounded by the room of workers that haven't reported or that list runs of unknown jobs; parts grow by half of what is used at a time, not by all that waits, or to what a single large start needs. The soak withdraws and adds keys and lowers and raises a limit while entries are cut off, paused and restarted.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -37,6 +37,12 @@
 	Waiting   gauge.Resources // what tasks need that could start
 }
 
+// Unseen bounds what may run that previous owners have started and no worker has reported yet.
+type Unseen struct {
+	Capacity gauge.Resources // of the workers where it may run
+	Known    bool            // false: the capacity of some isn't known
+}
+
 // Write is the next row of an account.
 type Write struct {
 	Account string
@@ -52,7 +58,8 @@
 	read     bool                // the rows have been read, and no write since is without an answer
 	short    bool                // other pools had all of what is wanted here
 	replaced bool                // a newer owner has written a part
-	complete bool                // all runs of previous owners are known
+	unseen   Unseen              // what previous owners may have running beyond what is reported
+	complete bool                // nothing: all of it is known
 	wanting  bool                // a start was held back since the last update
 }
 
@@ -72,7 +79,8 @@
 	unsent    gauge.Resources  // ... and what was usable before it
 	lowSince  time.Duration    // since when much less than the part is wanted; 0: it isn't
 	usedAt    time.Duration    // when the account last had anything here
-	heldBack  int              // starts that were held back since the last update
+	heldBack  int              // starts that were held back since the last update ...
+	needed    gauge.Resources  // ... and the part that the largest of them needed
 	held      bool             // some were before
 }
 
@@ -80,6 +88,9 @@
 	// headroomPercent is what a part grows to, in percent of what is wanted, so that it needn't grow
 	// with every start.
 	headroomPercent = 125
+	// stepPercent is by how much of what an account uses its part grows at a time for what waits: a
+	// pool that is full can't use more, and a successor has to count all of the part at first.
+	stepPercent = 50
 	// lowPercent is the share of a part below which it is given back ...
 	lowPercent = 75
 	// lowSpan ... once that has lasted for this long: another pool may be waiting for it.
@@ -129,8 +140,12 @@
 	return len(pools)
 }
 
-// SetComplete records that all runs of previous owners that may exist are known by now.
-func (p *Parts) SetComplete() { p.complete = true }
+// SetUnseen records what previous owners may have running that isn't known. Once that is nothing,
+// all later runs are this owner's.
+func (p *Parts) SetUnseen(u Unseen) {
+	p.unseen = u
+	p.complete = p.complete || u == Unseen{Known: true}
+}
 
 // NeedsRead reports whether the rows have to be read: they never were, a write got no answer, or
 // other pools may have given back what is wanted here.
@@ -186,16 +201,20 @@
 		return true
 	}
 	a.heldBack++
+	a.needed = larger(a.needed, p.used(a, use).Plus(need))
 	p.wanting = true
 	return false
 }
 
 // used returns what may run for an account in this pool. As long as runs of previous owners may be
-// unknown, all of their part counts.
+// unknown, as much counts as could run where they are, up to the part that those owners had.
 func (p *Parts) used(a *account, use Use) gauge.Resources {
 	inherited := use.Inherited
 	if !p.complete {
 		inherited = larger(inherited, a.inherited)
+		if p.unseen.Known {
+			inherited = smaller(inherited, use.Inherited.Plus(p.unseen.Capacity))
+		}
 	}
 	return use.Started.Plus(inherited)
 }
@@ -229,6 +248,7 @@
 		a := p.accounts[name]
 		p.logHeldBack(name, a, uses[name])
 		next, ok := p.next(a, uses[name], now)
+		a.needed = gauge.Resources{}
 		if !ok {
 			continue
 		}
@@ -261,7 +281,8 @@
 // next returns the part that the pool should have, false if that is the one it has.
 func (p *Parts) next(a *account, use Use, now time.Duration) (gauge.Resources, bool) {
 	part, used, bound := a.part(p.conf.Pool), p.used(a, use), a.effectiveLimit()
-	want := used.Plus(use.Waiting)
+	step := larger(scaled(used, stepPercent, percent), scaled(bound, 1, reservedShare*p.pools))
+	want := larger(used.Plus(smaller(use.Waiting, step)), a.needed)
 	if want != (gauge.Resources{}) || a.usedAt == 0 {
 		a.usedAt = now
 	}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -180,14 +180,17 @@
 
 // report has workers tell the owner of runs of previous owners.
 func (w *world) report(p *pool) {
-	complete := true
+	unseen := 0
 	for i := range p.runs {
 		p.runs[i].reported = p.runs[i].reported || w.random.IntN(2) == 0
-		complete = complete && (p.runs[i].reported || p.runs[i].fence == p.fence)
+		if !p.runs[i].reported && p.runs[i].fence != p.fence {
+			unseen += p.runs[i].cores
+		}
 	}
-	if complete {
-		p.parts.SetComplete()
+	if unseen > 0 {
+		unseen += w.random.IntN(10) // the workers have room for more
 	}
+	p.parts.SetUnseen(limit.Unseen{Capacity: cores(unseen), Known: w.random.IntN(4) > 0})
 }
 
 // step does one thing that may happen.
@@ -318,6 +321,16 @@
 	assert.Assert(t, w.start(p, 30))
 }
 
+// Guards against a gang that waits for ever since a part grows by less than it needs.
+func TestPartGrowsToWhatALargeStartNeeds(t *testing.T) {
+	w := newWorld(1, 1, 40)
+	w.settle([]int{0})
+	p := w.pools[0]
+	assert.Assert(t, !w.start(p, 38))
+	w.update(p, 38, true)
+	assert.Assert(t, w.start(p, 38))
+}
+
 // Guards against an account that can never use all of its limit because pools without any of its work keep a part.
 func TestIdlePoolsGiveBackAllOfTheirParts(t *testing.T) {
 	const bound = 80
@@ -350,11 +363,24 @@
 	assert.Assert(t, p.total() <= 40)
 	assert.Assert(t, !w.start(p, 10))
 	p.runs = nil
-	p.parts.SetComplete()
+	p.parts.SetUnseen(limit.Unseen{Known: true})
 	w.settle([]int{10})
 	assert.Equal(t, p.total(), 10)
 }
 
+// Guards against a successor that starts nothing of an account while a few workers are silent: no more than they hold can run there.
+func TestSuccessorCountsNoMoreThanSilentWorkersHold(t *testing.T) {
+	w := newWorld(1, 1, 40)
+	p := w.pools[0]
+	w.settle([]int{30})
+	w.takeOver(0, 40)
+	p.runs = p.runs[:4]
+	p.parts.SetUnseen(limit.Unseen{Capacity: cores(4), Known: true})
+	w.settle([]int{36})
+	assert.Equal(t, p.total(), 36)
+	assert.Assert(t, !w.start(p, 5))
+}
+
 // Guards against an owner that goes on starting after a newer one has written its pool's part.
 func TestReplacedOwnerStartsNothing(t *testing.T) {
 	w := newWorld(1, 1, 40)
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -27,12 +27,7 @@
 	var readAt time.Duration
 	for o.ctx.Err() == nil {
 		needsRead := false
-		o.withLock(func() {
-			if o.pool.KnowsInheritedRuns(o.conf.Now()) {
-				o.limits.SetComplete()
-			}
-			needsRead = o.limits.NeedsRead()
-		})
+		o.withLock(func() { needsRead = o.limits.NeedsRead() })
 		if needsRead && (readAt == 0 || o.conf.Now()-readAt >= limitReadInterval) {
 			readAt = o.conf.Now()
 			if err := o.readLimits(); err != nil {
--- a/internal/sched/account.go
+++ b/internal/sched/account.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"time"
-
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/limit"
 )
@@ -38,8 +36,21 @@
 	return uses
 }
 
-// KnowsInheritedRuns reports whether all runs of previous owners that may exist are known: all jobs
-// have been read, all workers have reported, and no run is left that belongs to no open job.
-func (p *Pool) KnowsInheritedRuns(now time.Duration) bool {
-	return !p.jobsMissing && !p.awaitsReports(now) && len(p.orphans) == 0
+// unseenRuns returns what may run that previous owners have started and that isn't known here: on
+// workers that haven't reported, or that list runs of jobs that aren't known.
+func (p *Pool) unseenRuns() limit.Unseen {
+	u := limit.Unseen{Known: true}
+	for id := range p.unreported {
+		w := p.workers[id]
+		if w == nil {
+			return limit.Unseen{}
+		}
+		u.Capacity = u.Capacity.Plus(w.info.Capacity)
+	}
+	for id, w := range p.workers {
+		if _, counted := p.unreported[id]; !counted && w.orphanCount > 0 && !w.dead {
+			u.Capacity = u.Capacity.Plus(w.info.Capacity)
+		}
+	}
+	return u
 }
--- a/internal/sched/account_test.go
+++ b/internal/sched/account_test.go
@@ -32,7 +32,8 @@
 	parts := limit.New(limit.Config{Pool: poolName, Fence: fence, First: true, Logs: logr.Discard()})
 	parts.Configure(site)
 	parts.SetRows(nil, nil)
-	writes := parts.Update(map[string]limit.Use{account: {Waiting: gauge.Resources{MilliCPU: milliCPU}}}, time.Second)
+	parts.Allows(account, gauge.Resources{MilliCPU: milliCPU}, limit.Use{}) // so that it grows at once
+	writes := parts.Update(nil, time.Second)
 	parts.Written(writes, 1)
 	g := newHarness(t, append(options, func(c *sched.Config) { c.Limits = parts })...)
 	g.pool.Configure(site)
@@ -95,4 +96,3 @@
 	g.adoptFor(2, account, gang)
 	assert.Equal(t, len(g.planStarts()), 2)
 }
-
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -209,6 +209,9 @@
 		return
 	}
 	p.inheritedTasksWait = p.awaitsReports(now)
+	if p.conf.Limits != nil {
+		p.conf.Limits.SetUnseen(p.unseenRuns())
+	}
 	p.startSuspects(now)
 	round := p.newRound(now)
 	if len(round.workers) == 0 {
--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -30,6 +30,7 @@
 type callers struct {
 	entries []*entry
 	client  http.Client
+	keyFor  func(path string) string // nil: calls carry no key
 
 	mu       sync.Mutex
 	outcomes map[string]outcome
@@ -51,6 +52,14 @@
 }
 
 func (c *callers) call(e *entry, method, path string, body any) (int, map[string]any) {
+	if c.keyFor == nil {
+		return c.callWithKey(e, method, path, body, "")
+	}
+	return c.callWithKey(e, method, path, body, c.keyFor(path))
+}
+
+// callWithKey is call with a key of a client account; empty: none is sent.
+func (c *callers) callWithKey(e *entry, method, path string, body any, key string) (int, map[string]any) {
 	var b bytes.Buffer
 	if body != nil {
 		_ = json.NewEncoder(&b).Encode(body)
@@ -60,6 +69,9 @@
 		return 0, nil
 	}
 	req.Host = hostName
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, nil
--- a/test/soak/config_test.go
+++ b/test/soak/config_test.go
@@ -38,7 +38,11 @@
 	s.stored.mu.Lock()
 	defer s.stored.mu.Unlock()
 	s.stored.version++
-	s.platform.request(fmt.Sprintf("/configure?version=%d", s.stored.version))
+	query := fmt.Sprintf("/configure?version=%d", s.stored.version)
+	if s.accounts != nil {
+		query += s.accounts.query()
+	}
+	s.platform.request(query)
 	s.stored.storedAt[s.stored.version] = time.Now()
 }
 
--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -35,12 +36,12 @@
 	graceS    = 6
 )
 
-func newEntry(t *testing.T, program, dir string, number int, p *platform) *entry {
+func newEntry(t *testing.T, program, dir string, number int, p *platform, keyDelay time.Duration) *entry {
 	e := &entry{t: t, program: program, name: fmt.Sprintf("e-%d", number), dir: dir, link: newLink(t, p.addrs.Table)}
 	e.ip = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250, 10+number)
 	settings := fakes.Host{
 		Name: e.name, Zone: fmt.Sprintf("z%d", number%2), IP: e.ip, FrontendPort: frontPort, ReadyPort: readyPort, FirstPeerPort: peerPort,
-		TableAddr: e.link.addr(), MachinesAddr: p.addrs.Machines, GraceSeconds: graceS,
+		TableAddr: e.link.addr(), MachinesAddr: p.addrs.Machines, GraceSeconds: graceS, MaxKeyDelay: keyDelay,
 	}.Settings()
 	assert.NilError(t, os.WriteFile(e.settingsFile(), []byte(settings), 0o600))
 	t.Cleanup(e.kill)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,7 +4,7 @@
 // guarantees are checked from what callers and workers see; no check depends on how long anything
 // takes, except that a stop has to end within its grace period.
 //
-//	SOAK_SEEDS=1,2,3 SOAK_ENTRIES=8 SOAK_SECONDS=60 SOAK_CHANGES=1 SOAK_CRASHES=1 go test -run Soak -timeout 2h ./test/soak
+//	SOAK_SEEDS=1,2,3 SOAK_ENTRIES=8 SOAK_SECONDS=60 SOAK_CHANGES=1 SOAK_CRASHES=1 SOAK_ACCOUNTS=1 go test -run Soak -timeout 2h ./test/soak
 package soak_test
 
 import (
@@ -33,6 +33,8 @@
 	seconds int
 	changes bool // entries are also cut off from the table for seconds while the configuration changes
 	crashes bool // some jobs crash their workers, and the capacity of workers changes
+	// accounts: calls need keys, which are replaced, and the limit of an account rises and falls.
+	accounts bool
 }
 
 // runConfigs returns the runs that SOAK_SEEDS names, or the default ones. A seed that ever failed
@@ -63,6 +65,7 @@
 			// A start that reached the next incarnation of a worker, and was stopped there, was
 			// not counted.
 			{seed: 531, entries: defaultEntries, seconds: defaultSeconds, crashes: true},
+			{seed: 701, entries: defaultEntries, seconds: defaultSeconds, changes: true, accounts: true},
 		}
 	}
 	var list []runConfig
@@ -72,6 +75,7 @@
 		list = append(list, runConfig{
 			seed: seed, entries: envInt("SOAK_ENTRIES", defaultEntries), seconds: envInt("SOAK_SECONDS", defaultSeconds),
 			changes: envInt("SOAK_CHANGES", 0) > 0, crashes: envInt("SOAK_CRASHES", 0) > 0,
+			accounts: envInt("SOAK_ACCOUNTS", 0) > 0,
 		})
 	}
 	return list
@@ -121,7 +125,9 @@
 	changes       bool
 	crashes       bool
 	crashJobs     crashJobs
+	accounts      *accounts      // nil: calls carry no keys
 	queueRequests int            // requests for a queue that had to be in force
+	keyRequests   int            // calls with a key that may not be accepted any more
 	disturbances  sync.WaitGroup // disturbances in progress
 }
 
@@ -136,12 +142,21 @@
 		dir = filepath.Join(keep, fmt.Sprintf("seed-%d", p.seed))
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
+	keyDelay := time.Duration(0)
+	if p.accounts {
+		s.accounts, keyDelay = newAccounts(), maxKeyDelay
+		s.platform.request(boundQuery(manyTasks))
+		s.storeNextVersion()
+	}
 	for i := range p.entries {
-		e := newEntry(t, program, dir, i, s.platform)
+		e := newEntry(t, program, dir, i, s.platform, keyDelay)
 		s.entries = append(s.entries, e)
 		e.start()
 	}
 	s.callers = newCallers(s.entries)
+	if s.accounts != nil {
+		s.callers.keyFor = s.accounts.keyFor
+	}
 	return s
 }
 
@@ -161,6 +176,11 @@
 	if s.changes {
 		working.Go(func() { s.changeWhileCutOff(ctx) })
 	}
+	if s.accounts != nil {
+		working.Go(func() { s.replaceKeys(ctx) })
+		working.Go(func() { s.tryKeys(ctx) })
+		working.Go(func() { s.changeLimit(ctx) })
+	}
 	if s.crashes {
 		working.Go(func() { s.submitCrashJobs(ctx) })
 		working.Go(func() { s.changeCapacity(ctx) })
@@ -264,7 +284,7 @@
 		s.waitFor("job "+id+" failed, as it crashes its workers", func() bool { return s.jobState(id) == "failed" })
 	}
 	s.t.Logf("seed %d: jobs that crashed their workers: %d", s.seed, len(s.crashJobs.list()))
-	s.t.Logf("seed %d: %v, configurations: %d, requests for their queues: %d", s.seed, counts, s.stored.version, s.queueRequests)
+	s.t.Logf("seed %d: %v, configurations: %d, requests for their queues: %d, with withdrawn keys: %d", s.seed, counts, s.stored.version, s.queueRequests, s.keyRequests)
 	s.waitFor("both long-running tasks run, and nothing else", func() bool {
 		running := s.platform.verdict().Running
 		for id, o := range s.callers.outcomes {
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -79,7 +79,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/configure", func(_ http.ResponseWriter, r *http.Request) {
 		version, _ := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
-		table.PutConfig(version, queues(version), spareName)
+		table.PutAccountConfig(version, queues(version), fakeAccounts(r.URL.Query()), spareName)
+	})
+	mux.HandleFunc("/bound", func(_ http.ResponseWriter, r *http.Request) {
+		tasks, _ := strconv.Atoi(r.URL.Query().Get("tasks"))
+		journal.LimitRunning(r.URL.Query().Get("prefix"), tasks)
 	})
 	mux.HandleFunc("/wave", func(http.ResponseWriter, *http.Request) { table.PutWave(1, ids, 60, 2) })
 	mux.HandleFunc("/faults", func(_ http.ResponseWriter, r *http.Request) {
