What an account submits beyond its weight starts after all that others submit within theirs

Cause: one account's burst filled a pool and delayed all others; machines were moved for work that its account has no share in. Change: jobs are counted by account and second; those beyond the account's weight start after the others of their priority, and count as late demand.

--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -62,7 +62,8 @@
   calm: an entry that stops keeps its pools while the table is slow
   lag: an owner whose orders take long hands its pool over
   relay: jobs are stored by the owner of their pool
-  backoff: callers come back the later the longer the table is away`
+  backoff: callers come back the later the longer the table is away
+  shares: what client accounts submit beyond their weight starts after all else`
 
 type hostSettings struct {
 	metrics  int
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -302,6 +302,28 @@
 	}
 }
 
+// Guards against starts within a part that a write of less, without an answer, has made another pool's.
+func TestPartCountsAsSmallerOnceItsWriteIsSent(t *testing.T) {
+	w := newWorld(1, 1, 40)
+	p := w.pools[0]
+	w.settle([]int{30})
+	p.runs = nil
+	var writes []limit.Write
+	for range 5 {
+		w.now += time.Second
+		writes = append(writes, p.parts.Update(map[string]limit.Use{account: {}}, w.now)...)
+		if len(writes) > 0 {
+			break
+		}
+	}
+	assert.Equal(t, len(writes), 1, "less is wanted")
+	assert.Assert(t, !w.start(p, 30), "while the write is under way")
+	p.parts.Unanswered(writes)
+	assert.Assert(t, !w.start(p, 30), "while it may still take effect")
+	w.read(p)
+	assert.Assert(t, !w.start(p, 30), "it hasn't yet")
+}
+
 // Guards against a part that stays unusable after a write of less was refused for the row of another account.
 func TestRefusedWriteLeavesThePartUsable(t *testing.T) {
 	w := newWorld(1, 1, 40)
--- a/internal/sched/account.go
+++ b/internal/sched/account.go
@@ -18,6 +18,16 @@
 	return p.conf.Limits.Allows(account, need, use)
 }
 
+// isBeyondShare counts an adopted job and reports whether its account has submitted it beyond its
+// weight.
+func (p *Pool) isBeyondShare(j *job) bool {
+	account := p.site.AccountByName(j.spec.Account)
+	if account == nil || p.conf.Disabled.Has(gauge.MechanismShares) {
+		return false
+	}
+	return p.rates.CountJob(account.Name, account.Weight, j.arrived)
+}
+
 // AccountUses returns what each client account uses of this pool, and what it waits for.
 func (p *Pool) AccountUses() map[string]limit.Use {
 	uses := make(map[string]limit.Use, len(p.index.uses))
--- a/internal/sched/account_test.go
+++ b/internal/sched/account_test.go
@@ -25,22 +25,56 @@
 	return s
 }
 
-// newLimitHarness returns a pool whose part of an account's limit is all of it.
-func newLimitHarness(t *testing.T, milliCPU int, options ...option) (*harness, *limit.Parts) {
-	t.Helper()
-	site := newAccountSite(gauge.ClientAccount{Limit: gauge.Resources{MilliCPU: milliCPU}})
-	parts := limit.New(limit.Config{Pool: poolName, Fence: fence, First: true, Logs: logr.Discard()})
+// newParts returns a pool's parts of an account's limit, of which this pool has all.
+func newParts(site *gauge.Site, milliCPU int, previous gauge.LimitRow) *limit.Parts {
+	parts := limit.New(limit.Config{Pool: poolName, Fence: fence, First: len(previous.Parts) == 0, Logs: logr.Discard()})
 	parts.Configure(site)
-	parts.SetRows(nil, nil)
+	parts.SetRows(map[string]gauge.LimitRow{account: previous}, nil)
 	parts.Allows(account, gauge.Resources{MilliCPU: milliCPU}, limit.Use{}) // so that it grows at once
 	writes := parts.Update(nil, time.Second)
 	parts.Written(writes, 1)
-	g := newHarness(t, append(options, func(c *sched.Config) { c.Limits = parts })...)
+	return parts
+}
+
+// newLimitHarness returns a pool with two workers whose part of an account's limit is all of it.
+func newLimitHarness(t *testing.T, milliCPU int) *harness {
+	t.Helper()
+	site := newAccountSite(gauge.ClientAccount{Limit: gauge.Resources{MilliCPU: milliCPU}})
+	g := newHarness(t, func(c *sched.Config) { c.Limits = newParts(site, milliCPU, gauge.LimitRow{}) })
 	g.pool.Configure(site)
 	g.listWorkers("w1", "w2")
 	g.report("w1", nil)
 	g.report("w2", nil)
-	return g, parts
+	return g
+}
+
+// Guards against a successor that starts beyond an account's limit what its predecessor may have running on workers that
+// haven't reported: as much as they hold, or all of the predecessor's part if that isn't known.
+func TestSuccessorCountsWhatUnreportedWorkersMayRun(t *testing.T) {
+	const bound = 8000
+	site := newAccountSite(gauge.ClientAccount{Limit: gauge.Resources{MilliCPU: bound}})
+	previous := gauge.LimitRow{Parts: map[string]gauge.LimitPart{poolName: {Amount: gauge.Resources{MilliCPU: 7000}, Fence: fence - 1}}}
+	for _, tt := range []struct {
+		name   string
+		listed []string
+		report []string
+		want   int // starts of 1000 each
+	}{
+		{"all have reported", []string{"w1", "w2", "w3"}, []string{"w1", "w2", "w3"}, 8},
+		{"one that holds 4000 hasn't", []string{"w1", "w2", "w3"}, []string{"w1", "w2"}, 4},
+		{"nobody knows what one holds", []string{"w1", "w2"}, []string{"w1", "w2"}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newHarness(t, withPredecessor("w1", "w2", "w3"), func(c *sched.Config) { c.Limits = newParts(site, bound, previous) })
+			g.pool.Configure(site)
+			g.listWorkers(tt.listed...)
+			for _, id := range tt.report {
+				g.report(id, nil)
+			}
+			g.adoptFor(1, account, newStep(12))
+			assert.Equal(t, len(g.planStarts()), tt.want)
+		})
+	}
 }
 
 // adoptFor adopts a job of an account.
@@ -56,7 +90,7 @@
 // Guards against more running for an account than its limit: what is unanswered or is being stopped counts until it is
 // certainly over.
 func TestLimitOfAnAccountCountsAllThatMayRun(t *testing.T) {
-	g, _ := newLimitHarness(t, 3000)
+	g := newLimitHarness(t, 3000)
 	g.adoptFor(1, account, newStep(5))
 	starts := g.planStarts()
 	assert.Equal(t, len(starts), 3)
@@ -74,7 +108,7 @@
 
 // Guards against an account at its limit that holds up other accounts and public queues.
 func TestLimitOfAnAccountHoldsUpNoOthers(t *testing.T) {
-	g, _ := newLimitHarness(t, 1000)
+	g := newLimitHarness(t, 1000)
 	g.adoptFor(1, account, newStep(4))
 	g.adoptFor(2, "schools", newStep(1))
 	g.adoptFor(3, "", newStep(1))
@@ -87,7 +121,7 @@
 
 // Guards against a gang of which some tasks start and the others exceed their account's limit.
 func TestGangBeyondTheLimitOfItsAccountDoesNotStart(t *testing.T) {
-	g, _ := newLimitHarness(t, 2000)
+	g := newLimitHarness(t, 2000)
 	gang := newStep(3)
 	gang.Gang = true
 	g.adoptFor(1, account, gang)
@@ -96,3 +130,44 @@
 	g.adoptFor(2, account, gang)
 	assert.Equal(t, len(g.planStarts()), 2)
 }
+
+// Guards against a burst of one account that delays what others submit within their shares. The pattern: a full pool, one
+// account at many times its rate, another at its usual.
+func TestJobsWithinTheShareOfTheirAccountStartFirst(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		disabled gauge.Disabled
+		want     []string // jobs in the order of their starts
+	}{
+		{"within their shares first", nil, []string{jobID(1), jobID(9), jobID(2), jobID(3)}},
+		{"switched off", gauge.Disabled{gauge.MechanismShares}, []string{jobID(1), jobID(2), jobID(3), jobID(9)}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newHarness(t, func(c *sched.Config) { c.Disabled = tt.disabled })
+			g.pool.Configure(newAccountSite(gauge.ClientAccount{Weight: 1}))
+			for n := 1; n <= 3; n++ {
+				g.adoptFor(n, account, newStep(1))
+			}
+			g.adoptFor(9, "schools", newStep(1))
+			g.listWorkers("w1")
+			g.report("w1", nil)
+			var order []string
+			for _, o := range g.planStarts() {
+				order = append(order, o.Start.Task.Job)
+			}
+			assert.DeepEqual(t, order, tt.want)
+		})
+	}
+}
+
+// Guards against machines that are taken from other pools for what an account submits beyond its share.
+func TestDemandBeyondAShareCountsAsLate(t *testing.T) {
+	g := newHarness(t)
+	g.pool.Configure(newAccountSite(gauge.ClientAccount{Weight: 1}))
+	for n := 1; n <= 3; n++ {
+		g.adoptFor(n, account, newStep(1))
+	}
+	load := g.pool.Load(g.now)
+	assert.Equal(t, load.Timely.WaitingCores, 1.0)
+	assert.Equal(t, load.Late.WaitingCores, 2.0)
+}
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -30,6 +30,7 @@
 		id: a.ID, queue: a.Queue, spec: a.Spec, row: *a.Row, version: a.Version, arrived: a.Arrived, inherited: a.Inherited,
 		occurrences: make(map[int]*occurrence), nextOccurrence: a.Row.CompletedOccurrences, criticalPath: criticalPath(a.Spec), index: &p.index,
 	}
+	j.beyondShare = p.isBeyondShare(j)
 	p.jobs[a.ID] = j
 	p.adoptedWork += estimatedWork(a.Spec)
 	p.adoptedJobs++
@@ -55,7 +56,7 @@
 	}
 	p.inheritSuspectRuns(j, now)
 	p.conf.Logs.Info("job adopted", "job", a.ID, "queue", a.Queue, "pool", p.conf.Name, "version", a.Version,
-		"state", a.Row.State, "inherited", a.Inherited, "account", a.Spec.Account, "age", now-a.Arrived)
+		"state", a.Row.State, "inherited", a.Inherited, "account", a.Spec.Account, "beyond", j.beyondShare, "age", now-a.Arrived)
 }
 
 // runNumbersPerTerm is how many run numbers each owner has to itself for the jobs that it inherits,
--- a/internal/sched/candidate.go
+++ b/internal/sched/candidate.go
@@ -20,7 +20,8 @@
 type rank struct {
 	class    int // 0: long-running tasks, which are few and whose value accrues all the time
 	priority int
-	lateness int // 0: it can meet its objective; 1: it can't; 2: long past it
+	beyond   bool // its account has submitted it beyond its share
+	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it
 	due      time.Duration
 }
 
@@ -33,6 +34,8 @@
 		return a.class < b.class
 	case a.priority != b.priority:
 		return a.priority < b.priority
+	case a.beyond != b.beyond:
+		return b.beyond
 	case a.lateness != b.lateness:
 		return a.lateness < b.lateness
 	case a.due != b.due:
@@ -123,6 +126,7 @@
 	if q := p.policy(j); q != nil {
 		r.priority = q.Priority
 	}
+	r.beyond = j.beyondShare && !st.spec.LongRunning
 	r.due = j.arrived + j.objective
 	left := r.due - now
 	if p.conf.Disabled.Has(gauge.MechanismDeadline) {
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -93,7 +93,7 @@
 			}
 			if remaining > 0 {
 				demand := &w.Load.Timely
-				if p.rank(j, o, st, now).lateness > 0 {
+				if p.rank(j, o, st, now).lateness > 0 || j.beyondShare {
 					demand = &w.Load.Late
 				}
 				w.addStage(demand, st, o.isReady(st), idle, now)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -23,6 +23,7 @@
 	started        bool           // a worker has reported a run of it
 	inherited      bool           // it was there before this owner took over
 	barrier        *reportBarrier // reports that its tasks wait for, if it was read late
+	beyondShare    bool           // its account has submitted it beyond its weight
 
 	revision      int  // of row; grows with each change
 	savedRevision int  // revision of row that the table has
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -20,7 +20,7 @@
 				continue
 			}
 			demand := &l.Timely
-			if p.rank(j, o, o.steps[0], now).lateness > 0 { // the same for all steps
+			if p.rank(j, o, o.steps[0], now).lateness > 0 || j.beyondShare { // the same for all steps
 				demand = &l.Late
 			}
 			for _, st := range o.steps {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -17,6 +17,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/limit"
+	"sapphiregauge/internal/share"
 )
 
 // Config sets up a Pool.
@@ -58,6 +59,7 @@
 type Pool struct {
 	conf            Config
 	site            *gauge.Site
+	rates           *share.Rates
 	grantLimit      time.Duration // no grant reaches beyond this
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
@@ -109,7 +111,7 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), endedJobs: make(map[string]endedJob), toStop: make(map[*run]bool), toRepeat: make(map[*run]bool), workers: make(map[string]*worker),
-		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
+		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, rates: share.New(), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
 		suspects: make(map[*task]bool), suspectWorkers: make(map[gauge.Incarnation]bool),
 	}
 	for _, incarnation := range c.PreviousWorkers {
--- a/mechanism.go
+++ b/mechanism.go
@@ -45,6 +45,8 @@
 	MechanismLag           Mechanism = "lag"     // an owner whose orders take long hands its pool over
 	MechanismRelay         Mechanism = "relay"   // jobs are stored by the owner of their pool
 	MechanismBackoff       Mechanism = "backoff" // callers retry later the longer a table outage lasts
+	// MechanismShares starts what client accounts submit beyond their weight after all else.
+	MechanismShares Mechanism = "shares"
 )
 
 // Mechanisms lists all mechanisms.
@@ -53,7 +55,7 @@
 		MechanismPack, MechanismGather, MechanismScatter, MechanismDeadline, MechanismTimely, MechanismWorkerBackoff, MechanismDrainFirst,
 		MechanismRate, MechanismStandby, MechanismRedirect, MechanismOverdue, MechanismDrainAhead, MechanismSpareShortPools,
 		MechanismLongDrainsFirst, MechanismAvoidDraining, MechanismRise, MechanismForecast,
-		MechanismBalance, MechanismSuspect, MechanismKeepWhileSlow, MechanismLag, MechanismRelay, MechanismBackoff,
+		MechanismBalance, MechanismSuspect, MechanismKeepWhileSlow, MechanismLag, MechanismRelay, MechanismBackoff, MechanismShares,
 	}
 }
 
