A removed pool's part of a limit comes back; deployments without limits pay nothing for them

Cause: the part of a pool that the configuration no longer has stayed reserved for ever; owners woke up four times a second for limits that nobody has. Change: such a part counts for five minutes more; without limits the loop waits for a configuration.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -53,14 +53,17 @@
 // Parts holds a pool's parts of the limits.
 type Parts struct {
 	conf     Config
-	accounts map[string]*account // those with a limit
-	pools    int                 // number of pools that share the limits
-	read     bool                // the rows have been read, and no write since is without an answer
-	short    bool                // other pools had all of what is wanted here
-	replaced bool                // a newer owner has written a part
-	unseen   Unseen              // what previous owners may have running beyond what is reported
-	complete bool                // nothing: all of it is known
-	wanting  bool                // a start was held back since the last update
+	accounts map[string]*account      // those with a limit
+	pools    int                      // number of pools that share the limits
+	existing map[string]bool          // pools of the configuration
+	goneAt   map[string]time.Duration // by pool that isn't there any more: when that was first seen
+	read     bool                     // the rows have been read, and no write since is without an answer
+	short    bool                     // other pools had all of what is wanted here
+	replaced bool                     // a newer owner has written a part
+	unseen   Unseen                   // what previous owners may have running beyond what is reported
+	complete bool                     // nothing: all of it is known
+	wanting  bool                     // a start was held back since the last update
+	now      time.Duration            // of the last update
 }
 
 // account is the state of one account's limit.
@@ -101,17 +104,24 @@
 	// want, so that a pool can start at once what comes after a pause. The rest goes where it is
 	// wanted.
 	reservedShare = 2
-	percent       = 100
+	// goneSpan is how long the part of a pool that the configuration lacks still counts, for what runs
+	// there to end.
+	goneSpan = 5 * time.Minute
+	percent  = 100
 )
 
 // New returns Parts that allow nothing for an account with a limit before its row is written.
 func New(c Config) *Parts {
-	return &Parts{conf: c, accounts: make(map[string]*account), complete: c.First}
+	return &Parts{conf: c, accounts: make(map[string]*account), goneAt: make(map[string]time.Duration), complete: c.First}
 }
 
 // Configure applies the limits of a configuration.
 func (p *Parts) Configure(s *gauge.Site) {
 	p.pools = max(1, countSharing(s))
+	p.existing = make(map[string]bool, len(s.Pools))
+	for i := range s.Pools {
+		p.existing[s.Pools[i].Name] = true
+	}
 	next := make(map[string]*account, len(s.Accounts))
 	for i := range s.Accounts {
 		a := &s.Accounts[i]
@@ -140,6 +150,9 @@
 	return len(pools)
 }
 
+// HasLimits reports whether any account has a limit.
+func (p *Parts) HasLimits() bool { return len(p.accounts) > 0 }
+
 // SetUnseen records what previous owners may have running that isn't known. Once that is nothing,
 // all later runs are this owner's.
 func (p *Parts) SetUnseen(u Unseen) {
@@ -197,7 +210,7 @@
 	if a == nil {
 		return true
 	}
-	if !p.replaced && a.settled && a.isDivided() && fits(a.effectiveLimit(), p.used(a, use).Plus(need), a.bound(p.conf.Pool)) {
+	if !p.replaced && a.settled && a.isDivided() && fits(a.effectiveLimit(), p.used(a, use).Plus(need), p.bound(a)) {
 		return true
 	}
 	a.heldBack++
@@ -220,20 +233,39 @@
 }
 
 // others returns what the parts of the other pools add up to.
-func (a *account) others(pool string) gauge.Resources {
+func (p *Parts) others(a *account) gauge.Resources {
 	var sum gauge.Resources
 	for name, part := range a.row.Parts {
-		if name != pool {
+		if name != p.conf.Pool && !p.isGone(name) {
 			sum = sum.Plus(part.Amount)
 		}
 	}
 	return sum
 }
 
+// isGone reports whether a pool isn't there any more, and hasn't been for goneSpan.
+func (p *Parts) isGone(pool string) bool {
+	at, gone := p.goneAt[pool]
+	return gone && p.now >= at+goneSpan
+}
+
+// noteGone records which pools with parts the configuration lacks.
+func (p *Parts) noteGone(now time.Duration) {
+	p.now = now
+	for _, a := range p.accounts {
+		for name := range a.row.Parts {
+			if _, noted := p.goneAt[name]; !p.existing[name] && !noted {
+				p.goneAt[name] = now
+			}
+		}
+	}
+	maps.DeleteFunc(p.goneAt, func(name string, _ time.Duration) bool { return p.existing[name] })
+}
+
 // bound returns up to what the account may use this pool. If its limit was lowered below what the
 // parts add up to, that is less than the part.
-func (a *account) bound(pool string) gauge.Resources {
-	return smaller(a.usable, a.effectiveLimit().Minus(a.others(pool)))
+func (p *Parts) bound(a *account) gauge.Resources {
+	return smaller(a.usable, a.effectiveLimit().Minus(p.others(a)))
 }
 
 // Update returns the rows to write, given what each account uses. It expects Written, Conflicted
@@ -243,6 +275,7 @@
 	if p.replaced || !p.read {
 		return nil
 	}
+	p.noteGone(now)
 	var writes []Write
 	for _, name := range slices.Sorted(maps.Keys(p.accounts)) {
 		a := p.accounts[name]
@@ -256,11 +289,12 @@
 		if row.Parts == nil {
 			row.Parts = make(map[string]gauge.LimitPart)
 		}
+		maps.DeleteFunc(row.Parts, func(pool string, _ gauge.LimitPart) bool { return p.isGone(pool) })
 		row.Parts[p.conf.Pool] = gauge.LimitPart{Amount: next, Fence: p.conf.Fence}
 		a.sent, a.unsent = &next, a.usable
 		a.usable = smaller(a.usable, next)
 		p.conf.Logs.Info("limit part", "pool", p.conf.Pool, "account", name, "from", a.part(p.conf.Pool).MilliCPU, "to", next.MilliCPU,
-			"used", p.used(a, uses[name]).MilliCPU, "others", a.others(p.conf.Pool).MilliCPU, "limit", a.limit.MilliCPU)
+			"used", p.used(a, uses[name]).MilliCPU, "others", p.others(a).MilliCPU, "limit", a.limit.MilliCPU)
 		writes = append(writes, Write{Account: name, Version: a.version, Row: row})
 	}
 	return writes
@@ -271,7 +305,7 @@
 	if held := a.heldBack > 0; held != a.held {
 		a.held = held
 		p.conf.Logs.Info("account held back", "pool", p.conf.Pool, "account", name, "held", held, "starts", a.heldBack, "used", p.used(a, use).MilliCPU, "waiting", use.Waiting.MilliCPU,
-			"part", a.usable.MilliCPU, "others", a.others(p.conf.Pool).MilliCPU, "limit", a.limit.MilliCPU, "settled", a.settled)
+			"part", a.usable.MilliCPU, "others", p.others(a).MilliCPU, "limit", a.limit.MilliCPU, "settled", a.settled)
 	}
 	a.heldBack = 0
 }
@@ -290,7 +324,7 @@
 	if now-a.usedAt < idleSpan {
 		target = larger(target, scaled(bound, 1, reservedShare*p.pools))
 	}
-	available := larger(bound.Minus(a.others(p.conf.Pool)), gauge.Resources{})
+	available := larger(bound.Minus(p.others(a)), gauge.Resources{})
 	keep := larger(smaller(target, available), used)
 	switch {
 	case !a.settled:
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -23,6 +23,7 @@
 func newSite(bound, pools int, version int64) *gauge.Site {
 	s := &gauge.Site{Version: version, Accounts: []gauge.ClientAccount{{Name: account, Limit: cores(bound)}}}
 	for i := range pools {
+		s.Pools = append(s.Pools, gauge.PoolConfig{Name: poolName(i)})
 		s.Queues = append(s.Queues, gauge.Queue{Name: fmt.Sprint("q", i), Pool: poolName(i)})
 	}
 	s.Queues = append(s.Queues, gauge.Queue{Name: "public", Pool: "other", Public: true})
@@ -364,6 +365,21 @@
 	assert.Equal(t, w.pools[0].total(), bound)
 }
 
+// Guards against a limit that shrinks for good with each pool that is removed.
+func TestPartOfARemovedPoolComesBack(t *testing.T) {
+	const bound = 80
+	w := newWorld(1, 2, bound)
+	w.settle([]int{20, 40})
+	p := w.pools[0]
+	w.pools = w.pools[:1]
+	p.parts.Configure(newSite(bound, 1, w.version))
+	w.settle([]int{bound})
+	assert.Assert(t, p.total() < bound, "what ran there may still run")
+	w.now += 5 * time.Minute
+	w.settle([]int{bound})
+	assert.Equal(t, p.total(), bound)
+}
+
 // Guards against an outage of the table that holds up starts within a part, since a write of the part got no answer.
 func TestStartsGoOnWithinThePartDuringAnOutage(t *testing.T) {
 	w := newWorld(1, 1, 40)
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -26,8 +26,12 @@
 func (o *Owner) limitLoop() {
 	var readAt time.Duration
 	for o.ctx.Err() == nil {
-		needsRead := false
-		o.withLock(func() { needsRead = o.limits.NeedsRead() })
+		needsRead, hasLimits := false, false
+		o.withLock(func() { needsRead, hasLimits = o.limits.NeedsRead(), o.limits.HasLimits() })
+		if !hasLimits {
+			o.awaitLimits()
+			continue
+		}
 		if needsRead && (readAt == 0 || o.conf.Now()-readAt >= limitReadInterval) {
 			readAt = o.conf.Now()
 			if err := o.readLimits(); err != nil {
@@ -44,6 +48,14 @@
 	}
 }
 
+// awaitLimits waits for a configuration, which may have limits.
+func (o *Owner) awaitLimits() {
+	select {
+	case <-o.ctx.Done():
+	case <-o.limitWake:
+	}
+}
+
 // awaitLimitWork waits until a start is held back, or for limitInterval.
 func (o *Owner) awaitLimitWork() {
 	o.pause(nil, limitRetryDelay)
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -137,12 +137,6 @@
 	return gauge.JobStatus{State: j.shownState(), Account: j.row.Account}, true
 }
 
-// JobState returns the state of a job in a queue, false if the job isn't known here.
-func (p *Pool) JobState(queue, id string) (gauge.JobState, bool) {
-	status, ok := p.JobStatus(queue, id)
-	return status.State, ok
-}
-
 // shownState returns the state that callers are told.
 func (j *job) shownState() gauge.JobState {
 	if j.row.State.IsFinal() && j.row.State != gauge.JobCancelled && j.isDirty() {
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -149,3 +149,9 @@
 func (o *occurrence) uncachedCriticalPath() time.Duration {
 	return (&occurrence{number: o.number, steps: o.steps, remaining: o.remaining, criticalPathStale: true}).remainingCriticalPath()
 }
+
+// JobState returns the state of a job in a queue, false if the job isn't known here.
+func (p *Pool) JobState(queue, id string) (gauge.JobState, bool) {
+	status, ok := p.JobStatus(queue, id)
+	return status.State, ok
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -209,7 +209,7 @@
 		return
 	}
 	p.inheritedTasksWait = p.awaitsReports(now)
-	if p.conf.Limits != nil {
+	if p.conf.Limits != nil && p.conf.Limits.HasLimits() {
 		p.conf.Limits.SetUnseen(p.unseenRuns())
 	}
 	p.startSuspects(now)
