A task waits until what a silent worker may have started late has run out

Cause: a start without an answer was held to be over 12 s after its failure, the last moment at which it may be carried out. What is carried out then by an incarnation that this owner never hears has only begun: it runs under a lease of its own, up to 10.2 s more (10 s on a clock that is 2 % slow). The lease was reckoned with only for a run on a next incarnation that is listed here.

Change: mayRunUnseen decides for runs and for late starts alike: until the start can't be carried out any more, and then until the worker has answered a call made after that, or until the longest lease is over. The worker is asked at once. A heartbeat carries the time when it was made, as answers may be old. The time for which a task is held up so counts neither towards the isolation that it waits for nor towards the pool's size.

Why it works: what began before 12 s on an incarnation that answers a call made later is in its report; else its lease has ended by the time that the task starts.

Who waits: tasks with a start that got no answer, on workers that tell when they began and then aren't heard any more, up to 22.2 s instead of 12 s; if the worker answers, one call longer than before. Not workers with a new ID after each start, nor those at whose address another one answers.

TestUnansweredStartMayReachAnUnknownIncarnation demanded a start at 12.0 s where nobody had answered, which is this fault. It demands now none at 12.0 s nor at 22.1 s, and one at 22.3 s.

--- a/internal/sched/answer.go
+++ b/internal/sched/answer.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if byLater {
-		p.answeredByLaterIncarnation(o)
+		p.answeredByLaterIncarnation(o, now)
 		return
 	}
 	r.worker.readClock(clock, now)
@@ -42,7 +42,7 @@
 			if r.unanswered {
 				p.conf.Logs.Info("stop answered", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
 					"worker", r.worker.info.ID, "born", r.worker.info.StartedAt)
-				p.probe(r.worker)
+				p.probe(r.worker, now)
 			}
 		}
 	case OrderPace:
@@ -90,7 +90,7 @@
 
 // answeredByLaterIncarnation handles an order that a later incarnation than the known one has
 // carried out. Nothing is known of the run until its next report.
-func (p *Pool) answeredByLaterIncarnation(o Order) {
+func (p *Pool) answeredByLaterIncarnation(o Order, now time.Duration) {
 	r := o.run
 	r.stopInFlight, r.paceInFlight = false, false
 	if o.Kind == OrderStart {
@@ -98,7 +98,7 @@
 		r.phase, r.unanswered, r.startDeadline = phaseUnanswered, true, math.MaxInt64
 		r.worker.startUnanswered = true
 	}
-	p.probe(r.worker)
+	p.probe(r.worker, now)
 	p.conf.Logs.Info("order answered by a later incarnation", "order", o.Kind, "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number,
 		"worker", o.Worker.ID, "born", o.Worker.StartedAt)
 }
@@ -158,13 +158,13 @@
 	kind := gauge.KindOf(err)
 	switch {
 	case kind == gauge.KindUnknown, kind == gauge.KindInternal:
-		p.startUnanswered(r)
+		p.startUnanswered(r, now)
 	case r.attempts.listed || r.attempts.confirmed: // another of its starts was carried out
 		r.phase = phaseLive
 		return
 	case r.attempts.sent > 1 && r.mayStartLate(now): // another of its starts may be carried out
 		r.worker.backoffUntil = max(r.worker.backoffUntil, now+refusalBackoff)
-		p.startUnanswered(r)
+		p.startUnanswered(r, now)
 	case kind == gauge.KindStale:
 		r.task.lastRun++
 		p.endRun(r, now)
@@ -183,18 +183,18 @@
 }
 
 // startUnanswered handles a start of which it isn't known whether it was carried out.
-func (p *Pool) startUnanswered(r *run) {
+func (p *Pool) startUnanswered(r *run, now time.Duration) {
 	r.phase, r.unanswered = phaseUnanswered, true
 	r.worker.startUnanswered = true // otherwise it would be the first choice for the next start
-	p.probe(r.worker)
+	p.probe(r.worker, now)
 }
 
 // probe asks a worker at once for its runs: a run that never began there reports no end, so that an
 // open heartbeat would be answered only after its wait. It acknowledges no end reports, as
 // heartbeats do that.
-func (p *Pool) probe(w *worker) {
+func (p *Pool) probe(w *worker, now time.Duration) {
 	p.orders = append(p.orders, Order{
-		Kind: OrderProbe, Worker: w.info, Probe: gauge.Heartbeat{Fence: p.fence(w)},
+		Kind: OrderProbe, Worker: w.info, Probe: gauge.Heartbeat{Fence: p.fence(w), SentAt: now},
 	})
 }
 
--- a/internal/sched/attempts.go
+++ b/internal/sched/attempts.go
@@ -37,9 +37,12 @@
 	return n
 }
 
+// lateUntil is the time from which none of the starts that failed can be carried out any more.
+func (a *startAttempts) lateUntil() time.Duration { return a.failedAt + lateStartSpan }
+
 // mayArrive reports whether one of the starts may still be carried out.
 func (a *startAttempts) mayArrive(now time.Duration) bool {
-	return a.outstanding() > 0 && (a.pending > 0 || now < a.failedAt+lateStartSpan)
+	return a.outstanding() > 0 && (a.pending > 0 || now < a.lateUntil())
 }
 
 // mayExist reports whether the worker may have carried out one of the starts, or may yet.
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -135,7 +135,7 @@
 	if t.prefersIsolation() || p.maySetAside(now) {
 		res.workers, res.soleJob = p.pickIsolated(t, &c, now), true
 	}
-	if res.workers == nil && now-t.readyAt < t.maxIsolationWait() {
+	if res.workers == nil && now-t.waitingSince() < t.maxIsolationWait() {
 		p.setAside(t, now)
 		return
 	}
@@ -200,7 +200,7 @@
 	}
 	var picked []*worker
 	for _, m := range t.members() {
-		w := round.place(t.stage, perWorker, taken, m.besideLateStarts(now, func(w *worker) bool { return suitable(w) && allowed(w) }))
+		w := round.place(t.stage, perWorker, taken, p.besideLateStarts(m, now, func(w *worker) bool { return suitable(w) && allowed(w) }))
 		if w == nil {
 			return nil
 		}
@@ -217,7 +217,7 @@
 	c := candidate{job: t.job, stage: t.stage, advice: p.advice(t.job)}
 	allowed := p.withinWorkerWindow(c.allowedWorkers(now))
 	for i, w := range res.workers {
-		if !t.members()[i].mayStartOn(w, now) || !w.takesStarts(now) || !allowed(w) || res.soleJob && !w.hasOnlyJob(t.job) {
+		if !p.mayStartOn(t.members()[i], w, now) || !w.takesStarts(now) || !allowed(w) || res.soleJob && !w.hasOnlyJob(t.job) {
 			p.cancelReservation(t)
 			return
 		}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -71,7 +71,8 @@
 	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
 	checkpoint string
-	readyAt    time.Duration // when it last became ready to start
+	readyAt    time.Duration // when it last became ready to start, but for late starts
+	aloneAt    time.Duration // when a late start was last over
 	noRunSince time.Duration // long-running tasks: since when it has no run
 
 	isSuspect          bool         // it may crash the worker that starts it
@@ -85,6 +86,9 @@
 	reservation        *reservation // where it is to start, while it is a suspect
 }
 
+// waitingSince is since when the task waits for room, if nothing else holds it up.
+func (t *task) waitingSince() time.Duration { return max(t.readyAt, t.aloneAt) }
+
 func (t *task) failureCount() int { return len(t.failedRuns()) }
 
 // failedRuns returns the numbers of the task's runs that failed.
--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -33,7 +33,7 @@
 	r.attempts.pending--
 	mayBeLater = mayBeLater || r.worker.lateStarts[r]
 	if err == nil && mayBeLater {
-		r.worker.leaseExpiry = max(r.worker.leaseExpiry, now+p.conf.MaxWorkerLease)
+		r.worker.leaseExpiry = max(r.worker.leaseExpiry, now+p.longestLease())
 	}
 	switch kind := gauge.KindOf(err); {
 	case err == nil && !mayBeLater:
@@ -53,14 +53,20 @@
 	return r.worker.info.StartedAt > 0 && !r.worker.addressReused && r.attempts.mayArrive(now)
 }
 
-// mayRunUnseen reports whether a silent worker may have the run although the lease of its newest
-// known incarnation has expired: a later one may have carried out the start, under a lease of its
-// own if the platform lists it.
+// longestLease is how long, on the local clock, the longest lease may last that a worker grants.
+func (p *Pool) longestLease() time.Duration {
+	return time.Duration(float64(p.conf.MaxWorkerLease) / minClockRate)
+}
+
+// mayRunUnseen reports whether an incarnation of its worker that this owner hasn't heard may have
+// the run, or may have it yet, because it carried out the start late. The last moment at which it
+// may do that isn't the end of it: what it starts then runs under a lease of its own. Only an answer
+// to a call that was made after that moment tells sooner what runs there.
 func (p *Pool) mayRunUnseen(r *run, now time.Duration) bool {
 	if r.mayStartLate(now) {
 		return true
 	}
-	return r.passedOn && r.worker.listed && r.mayStartLate(now-p.conf.MaxWorkerLease)
+	return r.mayStartLate(now-p.longestLease()) && r.worker.seenAt < r.attempts.lateUntil()
 }
 
 // awaitsOutcome reports whether the outcome of a start that may be carried out by the next
@@ -69,10 +75,10 @@
 	return r.phase == phaseSent && r.mayStartLate(now)
 }
 
-// keepLateStart keeps the start of a run that is over on its worker if the next incarnation may
-// still carry it out.
+// keepLateStart keeps the start of a run that is over on its worker if another incarnation may still
+// carry it out, or may have done so.
 func (p *Pool) keepLateStart(r *run, now time.Duration) {
-	if !r.mayStartLate(now) || r.task.done || !r.task.job.isOpen() {
+	if !p.mayRunUnseen(r, now) || r.task.done || !r.task.job.isOpen() {
 		return
 	}
 	r.task.lateStarts = append(r.task.lateStarts, r)
@@ -94,31 +100,40 @@
 	r.task.lateStarts = slices.DeleteFunc(r.task.lateStarts, func(o *run) bool { return o == r })
 }
 
-// dropIfOver drops a late start that can't be carried out any more.
+// dropIfOver drops a late start of which nothing can run any more.
 func (p *Pool) dropIfOver(r *run, now time.Duration) {
-	if r.worker.lateStarts[r] && !r.mayStartLate(now) {
+	if r.worker.lateStarts[r] && !p.mayRunUnseen(r, now) {
 		p.dropLateStart(r)
+		p.conf.Logs.Info("late start over", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID,
+			"born", r.worker.info.StartedAt, "age", now-r.attempts.failedAt, "waited", now-r.task.waitingSince(), "unseen", now-r.worker.seenAt)
+		r.task.aloneAt = now
 	}
 }
 
-// expireLateStarts drops the late starts to a worker that can't be carried out any more.
+// expireLateStarts drops the late starts to a worker of which nothing can run any more. If only an
+// answer of the worker is missing for that, it is asked.
 func (p *Pool) expireLateStarts(w *worker, now time.Duration) {
 	for r := range w.lateStarts {
 		p.dropIfOver(r, now)
+		if w.lateStarts[r] && !r.mayStartLate(now) && !w.silent && !w.dead && now-w.probedAt >= minProbeInterval {
+			w.probedAt = now
+			p.probe(w, now)
+		}
 	}
 }
 
-// hasLateStarts reports whether a start of a run that is over may still be carried out.
-func (t *task) hasLateStarts(now time.Duration) bool {
-	return slices.ContainsFunc(t.lateStarts, func(r *run) bool { return r.mayStartLate(now) })
+// hasLateStarts reports whether a run that is over here may exist, or may begin, on another
+// incarnation of its worker.
+func (p *Pool) hasLateStarts(t *task, now time.Duration) bool {
+	return slices.ContainsFunc(t.lateStarts, func(r *run) bool { return p.mayRunUnseen(r, now) })
 }
 
 // mayStartOn reports whether a run of the task on a worker would be alone whatever becomes of the
 // task's late starts: there are none, or they come from an earlier incarnation of this worker, and
 // the next one ends whatever runs here.
-func (t *task) mayStartOn(w *worker, now time.Duration) bool {
+func (p *Pool) mayStartOn(t *task, w *worker, now time.Duration) bool {
 	for _, r := range t.lateStarts {
-		if r.mayStartLate(now) && (r.worker != w || w.dead || r.attempts.sent > 0) {
+		if p.mayRunUnseen(r, now) && (r.worker != w || w.dead || r.attempts.sent > 0) {
 			return false
 		}
 	}
@@ -126,18 +141,18 @@
 }
 
 // besideLateStarts restricts a filter of workers to those on which a run of the task would be alone.
-func (t *task) besideLateStarts(now time.Duration, allowed func(*worker) bool) func(*worker) bool {
+func (p *Pool) besideLateStarts(t *task, now time.Duration, allowed func(*worker) bool) func(*worker) bool {
 	if len(t.lateStarts) == 0 {
 		return allowed
 	}
-	return func(w *worker) bool { return t.mayStartOn(w, now) && allowed(w) }
+	return func(w *worker) bool { return p.mayStartOn(t, w, now) && allowed(w) }
 }
 
 // passOnLateStarts makes the late starts to a worker runs that may exist on its next incarnation.
 func (p *Pool) passOnLateStarts(previous, next *worker, now time.Duration) {
 	for r := range previous.lateStarts {
 		p.dropLateStart(r)
-		if r.mayStartLate(now) && !r.task.done && r.task.job.isOpen() {
+		if p.mayRunUnseen(r, now) && !r.task.done && r.task.job.isOpen() {
 			r.task.attach(r)
 			p.moveToNext(r, next, now)
 		}
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -60,8 +60,8 @@
 		return // none of its tasks has waited longer
 	}
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 {
-			l.LongestWait = max(l.LongestWait, now-t.readyAt)
+		if !t.done && len(t.runs) == 0 && len(t.lateStarts) == 0 { // more workers don't shorten the wait for late starts
+			l.LongestWait = max(l.LongestWait, now-t.waitingSince())
 		}
 	}
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -86,7 +86,7 @@
 	if !spec.LongRunning {
 		return w.forceDrain || spec.Checkpoints && (p.conf.Disabled.Has(gauge.MechanismDrainFirst) || w.leavesBefore(r, now))
 	}
-	if !w.info.Draining && (r.mayStartLate(now) || r.task.hasLateStarts(now)) {
+	if !w.info.Draining && (r.mayStartLate(now) || p.hasLateStarts(r.task, now)) {
 		return false // it couldn't start on another worker yet
 	}
 	target := round.place(r.task.stage, r.task.stage.countByWorker(), round.promised, anyWorker)
@@ -174,7 +174,7 @@
 			w := r.worker
 			if r.phase == phaseLive && !r.toStop && r.progress < fullProgress && !w.silent && now-w.probedAt >= minProbeInterval {
 				w.probedAt = now
-				p.probe(w)
+				p.probe(w, now)
 			}
 		}
 	}
@@ -244,7 +244,7 @@
 		if p.isWindowFull() || !p.mayUse(c.job, c.stage.spec.Needs) {
 			break
 		}
-		w := round.place(c.stage, perWorker, nil, t.besideLateStarts(now, p.withinWorkerWindow(c.allowedWorkers(now))))
+		w := round.place(c.stage, perWorker, nil, p.besideLateStarts(t, now, p.withinWorkerWindow(c.allowedWorkers(now))))
 		if w == nil && len(t.lateStarts) > 0 {
 			continue
 		}
@@ -277,7 +277,7 @@
 	perWorker := c.stage.countByWorker()
 	var places []*worker
 	for _, t := range c.stage.tasks {
-		w := round.place(c.stage, perWorker, taken, t.besideLateStarts(now, c.allowedWorkers(now)))
+		w := round.place(c.stage, perWorker, taken, p.besideLateStarts(t, now, c.allowedWorkers(now)))
 		if w == nil {
 			p.askAdvice(&c, round, now)
 			return
@@ -325,7 +325,7 @@
 		}
 	}
 	p.conf.Logs.Info("run starts", "job", t.job.id, "task", t.id.String(), "run", number, "worker", w.info.ID,
-		"waited", now-t.readyAt, "free", w.free().MilliCPU)
+		"waited", now-t.waitingSince(), "free", w.free().MilliCPU)
 	p.sendStart(r, ticketText)
 	return r
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -32,6 +32,7 @@
 		p.conf.Logs.Info("first report of worker", "pool", p.conf.Name, "worker", id, "born", rep.StartedAt, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.silent, w.startUnanswered, w.reported, w.answeredAt = false, false, true, now
+	w.seenAt = max(w.seenAt, call.SentAt)
 	// The report's clock is compared only with those of earlier reports: answers to orders overtake
 	// reports all the time at a busy worker, and what they say is recorded with each run.
 	newest := rep.Clock >= w.reportClock
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -251,7 +251,7 @@
 	if w == nil || w.dead {
 		return gauge.Worker{}, gauge.Heartbeat{}, false
 	}
-	c := gauge.Heartbeat{Fence: p.fence(w)}
+	c := gauge.Heartbeat{Fence: p.fence(w), SentAt: now}
 	if !w.silent && w.reported {
 		// A worker that doesn't answer may have restarted. It would discard its own end reports by
 		// the numbers of its previous incarnation.
--- a/internal/sched/unanswered_test.go
+++ b/internal/sched/unanswered_test.go
@@ -57,9 +57,8 @@
 	for _, tt := range []struct {
 		name string
 		next int64 // incarnation that answers; 0: none
-		runs bool
-		want int
-	}{{"the next incarnation runs it", 2, true, 0}, {"no incarnation answers", 0, false, 1}} {
+		want int   // starts once nothing that was carried out late can run any more
+	}{{"the next incarnation runs it", 2, 0}, {"no incarnation answers", 0, 1}} {
 		t.Run(tt.name, func(t *testing.T) {
 			g := newHarness(t, func(c *sched.Config) { c.MaxWorkerLease = maxLease })
 			g.listRows(200, workerRow("w1", 1))
@@ -77,6 +76,18 @@
 			}
 			g.advance(10 * time.Second)
 			g.answerHeartbeat(incarnationAt("w2", 1), 1, time.Hour+12*time.Second, nil)
+			assert.Equal(t, len(g.startsAfterWrites()), 0, "it may have been carried out just now, under a lease of its own")
+			if tt.next > 0 {
+				g.answerHeartbeat(incarnationAt("w1", 2), 2, 11*time.Second, []gauge.RunReport{runReport(order)})
+			}
+			g.advance(slowClockLease - 100*time.Millisecond)
+			g.answerHeartbeat(incarnationAt("w2", 1), 1, time.Hour+22*time.Second, nil)
+			assert.Equal(t, len(g.startsAfterWrites()), 0)
+			if tt.next > 0 {
+				g.answerHeartbeat(incarnationAt("w1", 2), 2, 21*time.Second, []gauge.RunReport{runReport(order)})
+			}
+			g.advance(200 * time.Millisecond)
+			g.answerHeartbeat(incarnationAt("w2", 1), 1, time.Hour+22500*time.Millisecond, nil)
 			assert.Equal(t, len(g.startsAfterWrites()), tt.want)
 		})
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -96,6 +96,7 @@
 	leavesAt       time.Duration // it stays at least until then while it is draining
 	leaseExpiry    time.Duration // local time until which this owner's grants reach
 	answeredAt     time.Duration
+	seenAt         time.Duration // when the newest call was made that it has answered with a report
 	probedAt       time.Duration // when it was last probed, beside the heartbeats
 	drainSoonUntil time.Duration // until then it is expected to be drained soon
 	drainSoon      bool          // the same for the current round of starts
--- a/worker.go
+++ b/worker.go
@@ -95,6 +95,9 @@
 	// end reports.
 	LastSeenEnd int64
 	Wait        time.Duration // answer as soon as a run ends, at the latest after this time
+	// SentAt is when the call was made, at the latest when it was sent, on the caller's clock; 0:
+	// not known. It isn't sent.
+	SentAt time.Duration
 }
 
 // StartCall starts one run.
