A start with a ticket isn't waited for, as no other incarnation accepts it

Where the queue has an advice service the start has a ticket, which is valid for one incarnation of the worker, as the users specify: the wait protects nothing there.

Change: such a start isn't one that may come late. It is settled as on workers that never start again under their ID.

Test: TestStartWithATicketIsNotWaitedFor, which fails without the condition (no start 3 s after).

--- a/internal/sched/late_start_lease_test.go
+++ b/internal/sched/late_start_lease_test.go
@@ -159,3 +159,38 @@
 	g.pool.HandleReport(incarnationAt("w1", 1), probes[0].Probe, &gauge.WorkerReport{StartedAt: 1, Clock: g.clock}, g.now)
 	assert.Assert(t, len(g.startAgain()) > 0)
 }
+
+// Guards against a task that waits although no other incarnation can carry out its start: the ticket
+// that the start has is valid for one incarnation only.
+func TestStartWithATicketIsNotWaitedFor(t *testing.T) {
+	g := &lateHarness{harness: newHarness(t, func(c *sched.Config) { c.MaxWorkerLease = maxLease }), clock: time.Hour}
+	g.pool.Configure(&gauge.Site{Version: 2, Queues: []gauge.Queue{{
+		Name: queueName, Pool: poolName, MaxAttempts: 2, Stretch: 2, Advice: &gauge.Advice{TicketValidity: time.Minute},
+	}}})
+	g.listRows(200, workerRow("w1", 1))
+	g.reportFrom("w1", nil)
+	g.adopt(1, false, newStep(1))
+	g.late = g.startWithTicket("w1")
+	g.breakStart()
+	g.failHeartbeatOf(incarnationAt("w1", 1))
+	g.listRows(300, workerRow("w2", 1))
+	g.reportFrom("w2", nil)
+	for range 30 { // its lease, granted for a second, and the time in which the cause of its loss is found
+		g.advance(100 * time.Millisecond)
+	}
+	g.reportFrom("w2", nil)
+	again := g.startWithTicket("w2")
+	assert.Equal(t, again.Start.Task, g.late.Start.Task)
+}
+
+// startWithTicket has the advice service give a ticket for a worker, and returns the start there.
+func (g *lateHarness) startWithTicket(id string) sched.Order {
+	g.t.Helper()
+	g.writeAll(int64(500) + g.now.Milliseconds())
+	for _, o := range ofKind(g.plan(), sched.OrderAdvise) {
+		g.pool.AdviceAnswered(o, []gauge.Ticket{{Worker: id, Text: "t"}}, 0, nil, g.now)
+	}
+	starts := g.startsAfterWrites()
+	assert.Equal(g.t, len(starts), 1)
+	return starts[0]
+}
--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -48,9 +48,10 @@
 }
 
 // mayStartLate reports whether a later incarnation of its worker than the present one may still
-// carry out a start of the run. Only a worker that tells when it began starts again under its ID.
+// carry out a start of the run. Only a worker that tells when it began starts again under its ID, and
+// a ticket is valid for one incarnation only.
 func (r *run) mayStartLate(now time.Duration) bool {
-	return r.worker.info.StartedAt > 0 && !r.worker.addressReused && r.attempts.mayArrive(now)
+	return r.worker.info.StartedAt > 0 && !r.worker.addressReused && !r.hasTicket && r.attempts.mayArrive(now)
 }
 
 // longestLease is how long, on the local clock, the longest lease may last that a worker grants.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -52,6 +52,7 @@
 	survivalRecorded bool  // the row has that it has lasted for proof.StartPhase
 	isolatedFor      *task // the suspect that it is a run of, while its worker is closed to other jobs
 	passedOn         bool  // it was ordered from an earlier incarnation, and this one hasn't listed it
+	hasTicket        bool  // its start has a ticket, by which no other incarnation carries it out
 	lost             bool  // it ended with its worker's incarnation or lease
 	lossRevoked      bool  // it was recorded as lost, but its order reached the next incarnation or none
 }
