A worker that answers isn't told to the next owner as one whose lease ends soon

Cause: an owner that hands its pool over tells for silent workers how much longer anything may run there. It told that of workers, too, that answer but haven't reported all that previous owners ordered, as they list ends of jobs that this owner couldn't read: for these the end of the previous owners' grants, without its own. The next owner then started tasks that ran there.

TestRemainingLeasesLeaveOutWorkersThatAnswer failed before (500 ms).

Change: such workers are left out, so that the next owner waits for their report, as for all that answer. They answer at once.

--- a/internal/sched/handover_test.go
+++ b/internal/sched/handover_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	gauge "sapphiregauge"
+
 	"sapphiregauge/internal/sched"
 )
 
@@ -35,3 +37,21 @@
 	second.report("w2", nil)
 	assert.Equal(t, len(second.planStarts()), 1)
 }
+
+// Guards against two runs: a successor doesn't wait for a worker that runs tasks and answers, as the
+// worker has listed ends of jobs that the owner couldn't read, and so not all that previous owners
+// ordered there.
+func TestRemainingLeasesLeaveOutWorkersThatAnswer(t *testing.T) {
+	g := newHarness(t, withPredecessor("w1"))
+	g.pool.SetJobsMissing(true)
+	g.listWorkers("w1")
+	unread := gauge.EndReport{Number: 1, Task: gauge.TaskID{Job: jobID(9)}, Run: 1, Ending: gauge.EndDone}
+	for range 55 {
+		g.advance(100 * time.Millisecond)
+		g.plan() // sets how far grants may reach
+		g.report("w1", nil, unread)
+		g.pool.NextHeartbeat(incarnation("w1"), g.now)
+	}
+	left, limited := g.pool.RemainingLeases(g.now)[incarnation("w1")]
+	assert.Assert(t, !limited || left >= 5*time.Second, "a successor would wait for %v, and what runs there has a lease of 5 s more", left)
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -182,6 +182,9 @@
 func (p *Pool) RemainingLeases(now time.Duration) map[gauge.Incarnation]time.Duration {
 	left := make(map[gauge.Incarnation]time.Duration)
 	for _, incarnation := range p.unreported {
+		if w := p.current(incarnation); w != nil && w.reported && !w.silent {
+			continue // it answers, but not with all that previous owners ordered: its lease goes on
+		}
 		left[incarnation] = max(0, p.previousRunsEnd(incarnation)-now)
 	}
 	for _, w := range p.workers {
