Tests: the label's test can fail again; what stood twice in those of late starts; delayed orders in a file

TestStartIsNotRepeatedOnANextIncarnationWithoutTheLabel: since a task with a late start starts nowhere for 12 s, nothing could start in the test's time. It goes on until it may, with room on w1 without the label only, and then with room elsewhere. Without the check of the label it fails (run 2 on w1).

--- a/internal/sched/late_start_effects_test.go
+++ b/internal/sched/late_start_effects_test.go
@@ -228,14 +228,9 @@
 // anywhere else yet, as a copy of its start may still be carried out.
 func TestLongRunningTaskIsNotEvacuatedWhileItsLateStartBarsOthers(t *testing.T) {
 	g := newLateHarness(t, longRunningStep(1))
-	g.listRows(210, workerRow("w1", 1), fullRow("w2", 1), fullRow("w3", 1))
-	g.breakStart()
-	g.reportFrom("w1", nil)
-	again := g.startAgain()
-	assert.Equal(t, len(again), 1, "the start is to be repeated")
-	g.pool.OrderAnswered(again[0], g.clock, nil, g.now)
+	again := g.repeatStart()
 	g.listRows(300, workerRow("w1", 1), workerRow("w2", 1), workerRow("w3", 1))
-	running := []gauge.RunReport{runReport(again[0])}
+	running := []gauge.RunReport{runReport(again)}
 	running[0].Progress = 100
 	for range 150 {
 		g.advance(100 * time.Millisecond)
@@ -285,10 +280,21 @@
 	next.Labels = []string{"b", "r-w1"}
 	g.listRows(300, next, fullRow("w2", 1), fullRow("w3", 1))
 	g.answerHeartbeat(incarnationAt("w1", 2), 2, time.Second, nil)
+	for _, o := range ofKind(g.plan(), sched.OrderStop) {
+		g.pool.OrderAnswered(o, time.Second, nil, g.now)
+	}
 	g.answerHeartbeat(incarnationAt("w1", 2), 2, 2*time.Second, nil)
 	for _, o := range g.startAgain() {
 		assert.Assert(t, o.Worker.ID != "w1", "run %d is started on w1, which doesn't have the label any more", o.Start.Run)
 	}
+	for g.now < queueSpan {
+		g.waitHearing(2)
+	}
+	for _, o := range g.startAgain() {
+		t.Errorf("run %d is started on %s, and only w1, without the label, has room", o.Start.Run, o.Worker.ID)
+	}
+	g.listRows(310, next, workerRow("w2", 1), fullRow("w3", 1))
+	g.assertStartsWithin(200 * time.Millisecond)
 }
 
 // Guards against a cancelled task that runs on: a copy of its start was carried out, and another one
--- a/internal/sched/late_start_wait_test.go
+++ b/internal/sched/late_start_wait_test.go
@@ -31,6 +31,31 @@
 	g.answerHeartbeat(incarnationAt("w1", startedAt), startedAt, g.now+2*time.Second, nil)
 }
 
+// waitHearing lets a tenth of a second pass, in which all workers answer and the late start's task isn't
+// started.
+func (g *lateHarness) waitHearing(startedAt int64) {
+	g.t.Helper()
+	g.assertOneRun(g.startAgain())
+	g.advance(100 * time.Millisecond)
+	g.clock += 100 * time.Millisecond
+	g.hear(startedAt)
+	g.reportFrom("w2", nil)
+	g.reportFrom("w3", nil)
+}
+
+// repeatStart has the late start's connection break, and returns the same start as it is sent and
+// answered once more.
+func (g *lateHarness) repeatStart() sched.Order {
+	g.t.Helper()
+	g.listRows(210, workerRow("w1", 1), fullRow("w2", 1), fullRow("w3", 1))
+	g.breakStart()
+	g.reportFrom("w1", nil)
+	again := g.startAgain()
+	assert.Equal(g.t, len(again), 1, "the start is to be repeated")
+	g.pool.OrderAnswered(again[0], g.clock, nil, g.now)
+	return again[0]
+}
+
 // Guards against two runs: a start is barred in one incarnation of its worker after the other, and a
 // second one is ordered there, which a later incarnation could carry out beside it; and against a
 // task that waits for longer as its worker starts again and again.
@@ -55,12 +80,7 @@
 							incarnation++
 							g.restart(incarnation, rows...)
 						}
-						g.assertOneRun(g.startAgain())
-						g.advance(100 * time.Millisecond)
-						g.clock += 100 * time.Millisecond
-						g.hear(incarnation)
-						g.reportFrom("w2", nil)
-						g.reportFrom("w3", nil)
+						g.waitHearing(incarnation)
 					}
 					g.assertStartsWithin(200 * time.Millisecond)
 				})
@@ -74,25 +94,15 @@
 func TestTaskThatWasLostWaitsForACopyOfItsStart(t *testing.T) {
 	for _, step := range []gauge.Step{newStep(1), longRunningStep(1)} {
 		g := newLateHarness(t, step)
-		g.listRows(210, workerRow("w1", 1), fullRow("w2", 1), fullRow("w3", 1))
-		g.breakStart()
-		g.reportFrom("w1", nil)
-		again := g.startAgain()
-		assert.Equal(t, len(again), 1, "the start is to be repeated")
-		g.pool.OrderAnswered(again[0], g.clock, nil, g.now)
+		again := g.repeatStart()
 		for range 30 {
 			g.advance(100 * time.Millisecond)
 			g.clock += 100 * time.Millisecond
-			g.reportFrom("w1", []gauge.RunReport{runReport(again[0])})
+			g.reportFrom("w1", []gauge.RunReport{runReport(again)})
 		}
 		g.restart(2, workerRow("w2", 1), workerRow("w3", 1))
 		for g.now < queueSpan {
-			g.assertOneRun(g.startAgain())
-			g.advance(100 * time.Millisecond)
-			g.clock += 100 * time.Millisecond
-			g.hear(2)
-			g.reportFrom("w2", nil)
-			g.reportFrom("w3", nil)
+			g.waitHearing(2)
 		}
 		g.assertStartsWithin(200 * time.Millisecond)
 	}
