Soak: a job that ends otherwise is told with its state; an unanswered cancel may have taken effect

Now the line has the state, and what the callers were answered, the crashes under the job's tasks and the entries' newest lines of the job are printed with it.

One way to that line is a fault of the test itself, found by reading: a job counted as accepted, which has to complete, if its DELETE got no 200 in five tries, though one of them may have taken effect (502, 504 or no answer; docs/API.md). Such a job may now end as cancelled or completed; one whose tries were all answered as without effect (503, 410) must complete as before.

--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -23,6 +23,9 @@
 	cancelled outcome = "cancelled" // accepted, and its cancel was acknowledged
 	refused   outcome = "refused"   // the caller was told that it never runs
 	unknown   outcome = "unknown"   // no clear answer before the caller stopped retrying
+	// uncertain: accepted, and its cancel, which may have taken effect, got no clear answer before
+	// the caller stopped retrying.
+	uncertain outcome = "uncertain"
 )
 
 // callers are the API clients that submit jobs. Their connections are kept open for as long as
@@ -34,7 +37,7 @@
 
 	mu       sync.Mutex
 	outcomes map[string]outcome
-	answers  map[string][]string // by job: which entry answered what to each attempt to submit it
+	answers  map[string][]string // by job: which entry answered what to each attempt to submit or cancel it
 }
 
 const (
@@ -92,8 +95,8 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%04x%012x", number, n)
 		o := c.submit(ctx, id, random)
-		if o == accepted && random.IntN(8) == 0 && c.cancel(ctx, id, random) {
-			o = cancelled
+		if o == accepted && random.IntN(8) == 0 {
+			o = c.cancel(ctx, id, random)
 		}
 		c.mu.Lock()
 		c.outcomes[id] = o
@@ -124,23 +127,36 @@
 
 // submitOnce submits a job once and returns the status and the kind of a refusal.
 func (c *callers) submitOnce(e *entry, id string, job any) (int, gauge.Kind) {
+	status, out := c.callAndRecord(e, http.MethodPost, id, job)
+	kind, _ := out["error"].(string)
+	return status, gauge.Kind(kind)
+}
+
+// callAndRecord makes a call about a job, and records its answer.
+func (c *callers) callAndRecord(e *entry, method, id string, body any) (int, map[string]any) {
 	began := time.Now()
-	status, out := c.call(e, http.MethodPost, prefix+id, job)
+	status, out := c.call(e, method, prefix+id, body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answers[id] = append(c.answers[id], fmt.Sprintf("%s %s after %s: %d %v", began.Format(time.StampMilli), e.name, time.Since(began), status, out["reason"]))
-	kind, _ := out["error"].(string)
-	return status, gauge.Kind(kind)
+	c.answers[id] = append(c.answers[id], fmt.Sprintf("%s %s %s after %s: %d %v", began.Format(time.StampMilli), method, e.name, time.Since(began), status, out["reason"]))
+	return status, out
 }
 
-func (c *callers) cancel(ctx context.Context, id string, random *rand.Rand) bool {
+// cancel cancels an accepted job, and retries as clients do.
+func (c *callers) cancel(ctx context.Context, id string, random *rand.Rand) outcome {
+	o := accepted
 	for range maxTries {
-		if status, _ := c.call(c.anyEntry(random), http.MethodDelete, prefix+id, nil); status == http.StatusOK {
-			return true
+		switch status, _ := c.callAndRecord(c.anyEntry(random), http.MethodDelete, id, nil); status {
+		case http.StatusOK:
+			return cancelled
+		case http.StatusServiceUnavailable, http.StatusGone:
+			// It hasn't taken effect.
+		default:
+			o = uncertain
 		}
 		sleep(ctx, retryDelay)
 	}
-	return false
+	return o
 }
 
 func (c *callers) anyEntry(random *rand.Rand) *entry { return c.entries[random.IntN(len(c.entries))] }
--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +35,8 @@
 	readyPort = 18622
 	peerPort  = 17060
 	graceS    = 6
+	// maxLogLines bounds what is printed of an entry's log.
+	maxLogLines = 100
 )
 
 func newEntry(t *testing.T, program, dir string, number int, p *platform, keyDelay time.Duration) *entry {
@@ -50,6 +53,23 @@
 
 func (e *entry) settingsFile() string { return filepath.Join(e.dir, e.name+".conf") }
 
+func (e *entry) logFile() string { return filepath.Join(e.dir, e.name+".log") }
+
+// logLines returns the newest lines of the process's log that contain text, at most maxLogLines.
+func (e *entry) logLines(text string) []string {
+	raw, err := os.ReadFile(e.logFile())
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var lines []string
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, text) {
+			lines = append(lines, strings.TrimSuffix(line, "\n"))
+		}
+	}
+	return lines[max(0, len(lines)-maxLogLines):]
+}
+
 func (e *entry) frontAddr() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
 
 // start starts the process unless it runs.
@@ -59,7 +79,7 @@
 	if e.process != nil {
 		return
 	}
-	log, err := os.OpenFile(filepath.Join(e.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(e.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.Check(e.t, err)
 	p := exec.Command(e.program, "host")
 	p.Env = append(os.Environ(), fakes.SettingsVariable+"="+e.settingsFile())
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -274,14 +274,17 @@
 		counts[o]++
 		switch o {
 		case accepted:
-			s.waitFor("job "+id+" completed", func() bool { return s.jobState(id) == "completed" || s.failedByCrashes(id) })
+			s.waitForJob(id, func(state string) bool { return state == "completed" || s.failedByCrashes(id) })
 		case cancelled:
-			s.waitFor("job "+id+" cancelled or completed", func() bool { return s.jobState(id) == "cancelled" || s.jobState(id) == "completed" })
+			s.waitForJob(id, func(state string) bool { return state == "cancelled" || state == "completed" })
+		case uncertain:
+			s.waitForJob(id, func(state string) bool { return state == "cancelled" || state == "completed" || s.failedByCrashes(id) })
+			s.t.Logf("seed %d: job %s ended as %q, its cancel without a clear answer: %q", s.seed, id, s.jobState(id), s.callers.answers[id])
 		case refused, unknown:
 		}
 	}
 	for _, id := range s.crashJobs.list() {
-		s.waitFor("job "+id+" failed, as it crashes its workers", func() bool { return s.jobState(id) == "failed" })
+		s.waitForJob(id, func(state string) bool { return state == "failed" })
 	}
 	s.t.Logf("seed %d: jobs that crashed their workers: %d", s.seed, len(s.crashJobs.list()))
 	s.t.Logf("seed %d: %v, configurations: %d, requests for their queues: %d, with withdrawn keys: %d", s.seed, counts, s.stored.version, s.queueRequests, s.keyRequests)
@@ -343,6 +346,39 @@
 	return text
 }
 
+// waitForJob waits until a job's state is one that it may end in, and otherwise fails with the
+// state, the crashes under its tasks and what the entries logged of it.
+func (s *soak) waitForJob(id string, isFinal func(state string) bool) {
+	s.t.Helper()
+	var state string
+	defer func() {
+		if s.t.Failed() {
+			s.logJob(id)
+		}
+	}()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if state = s.jobState(id); isFinal(state) {
+			return poll.Success()
+		}
+		return poll.Continue("seed %d: job %s of outcome %q ends as %q", s.seed, id, s.callers.outcomes[id], state)
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(20*time.Millisecond))
+}
+
+// logJob prints what the caller, the fakes and the logs of the entries tell of a job.
+func (s *soak) logJob(id string) {
+	s.t.Logf("seed %d: answers: %q", s.seed, s.callers.answers[id])
+	for task, workers := range s.platform.verdict().CrashedWorkers {
+		if strings.HasPrefix(task, id+".") {
+			s.t.Logf("seed %d: %d workers crashed under %s", s.seed, workers, task)
+		}
+	}
+	for _, e := range s.entries {
+		for _, line := range e.logLines(id) {
+			s.t.Logf("%s: %s", e.name, line)
+		}
+	}
+}
+
 func (s *soak) waitFor(what string, condition func() bool) {
 	s.t.Helper()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
