Soak: a job's lines are printed only where the wait for that job failed

Not also for each later job of a run in which another check has failed. Seen by a trial with an end that no job has: the state, the answers and the entries' lines are printed for the one job.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -350,14 +351,16 @@
 // state, the crashes under its tasks and what the entries logged of it.
 func (s *soak) waitForJob(id string, isFinal func(state string) bool) {
 	s.t.Helper()
-	var state string
+	var isOver atomic.Bool // a poll may still be under way after the timeout
 	defer func() {
-		if s.t.Failed() {
+		if !isOver.Load() {
 			s.logJob(id)
 		}
 	}()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
-		if state = s.jobState(id); isFinal(state) {
+		state := s.jobState(id)
+		if isFinal(state) {
+			isOver.Store(true)
 			return poll.Success()
 		}
 		return poll.Continue("seed %d: job %s of outcome %q ends as %q", s.seed, id, s.callers.outcomes[id], state)
