--- a/internal/sched/handover_test.go
+++ b/internal/sched/handover_test.go
@@ -7,7 +7,6 @@
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
-
 	"sapphiregauge/internal/sched"
 )
 
