--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -63,7 +63,12 @@
   lag: an owner whose orders take long hands its pool over
   relay: jobs are stored by the owner of their pool
   backoff: callers come back the later the longer the table is away
-  shares: what client accounts submit beyond their weight starts after all else`
+  shares: what client accounts submit beyond their weight starts after all else
+  fair: in a full pool accounts that use less than their share of it go first
+  triage: whether a job can still meet its objective is told by learnt run times
+  admit: jobs that can't be served in time are refused
+  copies: runs that lag behind their step get a speculative copy
+  slow: workers that are slow or stand still get fewer starts`
 
 type hostSettings struct {
 	metrics  int
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,8 +41,12 @@
 	// Ownership tells what this entry knows as the owner of the queue's pool; nil: it owns all pools
 	// and always has.
 	Ownership func(q *gauge.Queue) Ownership
-	Relay     Relay                                  // nil: there are no other entries
-	After     func(d time.Duration) <-chan time.Time // default time.After
+	// Admit returns an error of kind KindNoSlot or KindQuota, with RetryAfter, for a job that the
+	// owner of the queue's pool can't serve in time; nil: all jobs are admitted. It is called only
+	// where this entry owns the pool, and must not block.
+	Admit func(q *gauge.Queue, id string, j *gauge.JobSpec) error
+	Relay Relay                                  // nil: there are no other entries
+	After func(d time.Duration) <-chan time.Time // default time.After
 	// Disabled names the mechanisms that are switched off.
 	Disabled gauge.Disabled
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -57,6 +57,7 @@
 	remaining     int           // tasks that aren't done
 	idle          int           // of these, tasks without a run
 	waiting       bool          // it is on the list of waiting stages
+	runTimes      []runTime     // of a speculative step: of its runs that ended as done
 
 	advice stageAdvice
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -82,6 +82,9 @@
 		r.lastReport, r.reportedAt, r.attempts.listed = w.reportCount, now, true
 		p.confirmListed(r)
 		r.task.job.markStarted()
+		if rr.Progress != r.progress {
+			r.progressedAt = now
+		}
 		r.load, r.progress = rr.Load, rr.Progress
 		if r.phase != phaseStopping {
 			r.phase = phaseLive
@@ -172,6 +175,9 @@
 	var took time.Duration
 	if r != nil {
 		took = now - r.orderedAt
+		if e.Ending == gauge.EndDone {
+			t.stage.recordRunTime(r, took)
+		}
 		r.attempts.listed = true
 		p.revokeLoss(r)
 		p.endRun(r, now)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -40,6 +40,7 @@
 	nextStopAt   time.Duration // no stop is sent before
 	stopInFlight bool          // a stop is in flight
 	progress     int           // percent of its work done; 100: a long-running task serves
+	progressedAt time.Duration // when its progress was last reported to have changed
 	pace         int           // percent of full speed that it was last told to work at
 	// load is as reported: the tail latency in ms of a task that serves users, else the processor
 	// use in thousandths.
--- a/mechanism.go
+++ b/mechanism.go
@@ -47,6 +47,13 @@
 	MechanismBackoff       Mechanism = "backoff" // callers retry later the longer a table outage lasts
 	// MechanismShares starts what client accounts submit beyond their weight after all else.
 	MechanismShares Mechanism = "shares"
+	// MechanismFair orders client accounts in a full pool by what they use of it, by weight.
+	MechanismFair Mechanism = "fair"
+	// MechanismTriage decides by learnt run times which jobs can still meet their objective.
+	MechanismTriage Mechanism = "triage"
+	MechanismAdmit  Mechanism = "admit"  // jobs that can't be served in time are refused
+	MechanismCopies Mechanism = "copies" // runs that lag behind their step get a speculative copy
+	MechanismSlow   Mechanism = "slow"   // workers that are slow or stalled get fewer starts
 )
 
 // Mechanisms lists all mechanisms.
@@ -56,6 +63,7 @@
 		MechanismRate, MechanismStandby, MechanismRedirect, MechanismOverdue, MechanismDrainAhead, MechanismSpareShortPools,
 		MechanismLongDrainsFirst, MechanismAvoidDraining, MechanismRise, MechanismForecast,
 		MechanismBalance, MechanismSuspect, MechanismKeepWhileSlow, MechanismLag, MechanismRelay, MechanismBackoff, MechanismShares,
+		MechanismFair, MechanismTriage, MechanismAdmit, MechanismCopies, MechanismSlow,
 	}
 }
 
--- a/site.go
+++ b/site.go
@@ -1,6 +1,7 @@
 package sapphiregauge
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -91,6 +92,12 @@
 	return nil
 }
 
+// SharesCapacity reports whether client accounts have shares of the pools' capacity: calls carry
+// their keys, and at least one account has a weight.
+func (s *Site) SharesCapacity() bool {
+	return s.KeysRequired && slices.ContainsFunc(s.Accounts, func(a ClientAccount) bool { return a.Weight > 0 })
+}
+
 // Match returns the queue of a call and the path after the queue's prefix. The longest matching
 // prefix wins.
 func (s *Site) Match(host, path string) (*Queue, string, bool) {
--- a/site_test.go
+++ b/site_test.go
@@ -62,3 +62,20 @@
 		s.Match("host160.example", "/q0/5c0e7a21d94b36f8")
 	}
 }
+
+// Guards against decisions by accounts' shares on sites that have none.
+func TestCapacityIsSharedOnlyByAccountsWithWeights(t *testing.T) {
+	weighted, unweighted := gauge.ClientAccount{Name: "garages", Weight: 2}, gauge.ClientAccount{Name: "schools"}
+	for _, tt := range []struct {
+		name string
+		site gauge.Site
+		want bool
+	}{
+		{"no accounts", gauge.Site{KeysRequired: true}, false},
+		{"no weights", gauge.Site{KeysRequired: true, Accounts: []gauge.ClientAccount{unweighted}}, false},
+		{"one weight", gauge.Site{KeysRequired: true, Accounts: []gauge.ClientAccount{unweighted, weighted}}, true},
+		{"no keys", gauge.Site{Accounts: []gauge.ClientAccount{weighted}}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, tt.site.SharesCapacity(), tt.want) })
+	}
+}
