A full pool's owner tries only tasks that fit on a worker

With 2,400 jobs waiting each plan tried nearly every waiting task on all workers, as the maximum of each resource over all workers admits tasks that fit on none. Change: sched keeps the Pareto frontier of what is free (frontier.go) and ranks only what fits on one worker.

--- a/internal/sched/candidate.go
+++ b/internal/sched/candidate.go
@@ -40,14 +40,14 @@
 	return first
 }
 
-// candidates ranks the waiting stages that the worker with the most room could take.
-func (p *Pool) candidates(maxFree gauge.Resources, now time.Duration) candidateHeap {
-	if len(p.index.waiting) == 0 || !maxFree.Contains(p.index.minNeed) {
+// candidates ranks the waiting stages for which a worker has room.
+func (p *Pool) candidates(round *placementRound, now time.Duration) candidateHeap {
+	if len(p.index.waiting) == 0 || !round.longRunningRoom.contains(p.index.minNeed) {
 		return nil
 	}
 	list := p.candidateBuf[:0]
 	p.index.pruneWaiting(func(st *stage, need gauge.Resources) {
-		if maxFree.Contains(need) {
+		if round.hasRoom(st, need) {
 			list = append(list, candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)})
 		}
 	})
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -129,14 +129,27 @@
 // Waiting returns the steps with tasks that may start, as a plan finds them when any task fits.
 func (p *Pool) Waiting(now time.Duration) []string {
 	var names []string
-	large := gauge.Resources{MilliCPU: math.MaxInt, MemoryMB: math.MaxInt, Accels: math.MaxInt}
-	for _, c := range p.candidates(large, now) {
+	large := frontier{{MilliCPU: math.MaxInt, MemoryMB: math.MaxInt, Accels: math.MaxInt}}
+	for _, c := range p.candidates(&placementRound{room: large, longRunningRoom: large}, now) {
 		names = append(names, fmt.Sprintf("%s.%d.%d", c.job.id, c.stage.occ.number, c.stage.tasks[0].id.Step))
 	}
 	slices.Sort(names)
 	return names
 }
 
+// CountCandidates returns how many waiting steps a plan ranks.
+func (p *Pool) CountCandidates(now time.Duration) int { return len(p.candidates(p.newRound(now), now)) }
+
+// FrontierContains reports whether the frontier of the amounts that are free on some workers contains
+// an amount.
+func FrontierContains(free []gauge.Resources, need gauge.Resources) bool {
+	var f frontier
+	for _, amount := range free {
+		f = f.add(amount)
+	}
+	return f.contains(need)
+}
+
 // Changed returns the jobs that are to be written.
 func (p *Pool) Changed() []string {
 	var names []string
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -10,13 +10,14 @@
 type placementRound struct {
 	workers         []*worker
 	disabled        gauge.Disabled
-	maxFree         gauge.Resources             // no worker has more of any resource free
+	room            frontier                    // of the workers that take all kinds of tasks
+	longRunningRoom frontier                    // of all workers
 	promised        map[*worker]gauge.Resources // for tasks that are to move here from other workers
 	longRunningOnly map[*worker]bool            // only for long-running tasks
 }
 
 func (p *Pool) newRound(now time.Duration) *placementRound {
-	r := &placementRound{workers: p.roundBuf[:0], disabled: p.conf.Disabled}
+	r := &placementRound{workers: p.roundBuf[:0], disabled: p.conf.Disabled, room: p.roomBuf[0][:0], longRunningRoom: p.roomBuf[1][:0]}
 	for _, w := range p.workersByID() {
 		if !w.takesStarts(now) || w.isSetAside(now) {
 			continue
@@ -28,7 +29,8 @@
 		}
 	}
 	p.roundBuf = r.workers
-	r.updateMaxFree()
+	r.updateRoom()
+	p.roomBuf = [2]frontier{r.room, r.longRunningRoom}
 	return r
 }
 
@@ -39,16 +41,25 @@
 	r.longRunningOnly[w] = true
 }
 
-// updateMaxFree computes what is free at most: what doesn't fit into that needn't be tried on each
-// worker.
-func (r *placementRound) updateMaxFree() {
-	r.maxFree = gauge.Resources{}
+// updateRoom computes what is free on the workers: tasks that fit nowhere needn't be tried on each.
+func (r *placementRound) updateRoom() {
+	r.room, r.longRunningRoom = r.room[:0], r.longRunningRoom[:0]
 	for _, w := range r.workers {
-		f := w.free()
-		r.maxFree.MilliCPU = max(r.maxFree.MilliCPU, f.MilliCPU)
-		r.maxFree.MemoryMB = max(r.maxFree.MemoryMB, f.MemoryMB)
-		r.maxFree.Accels = max(r.maxFree.Accels, f.Accels)
+		free := w.free()
+		r.longRunningRoom = r.longRunningRoom.add(free)
+		if !r.longRunningOnly[w] {
+			r.room = r.room.add(free)
+		}
+	}
+}
+
+// hasRoom reports whether a worker has room for one task of a stage. Labels, the bound on tasks per
+// worker and advice may still exclude that worker.
+func (r *placementRound) hasRoom(st *stage, need gauge.Resources) bool {
+	if st.spec.LongRunning {
+		return r.longRunningRoom.contains(need)
 	}
+	return r.room.contains(need)
 }
 
 // place picks the worker for one task of a stage; nil if none has room. PerWorker counts the
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -217,11 +217,11 @@
 	if len(round.workers) == 0 {
 		return
 	}
-	candidates := p.candidates(round.maxFree, now)
+	candidates := p.candidates(round, now)
 	// Free room only shrinks within a plan: once the smallest task doesn't fit, none does.
-	for len(candidates) > 0 && round.maxFree.Contains(p.index.minNeed) && !p.isWindowFull() {
+	for len(candidates) > 0 && round.longRunningRoom.contains(p.index.minNeed) && !p.isWindowFull() {
 		c := candidates.next()
-		if !round.maxFree.Contains(c.stage.spec.Reservation()) {
+		if !round.hasRoom(c.stage, c.stage.spec.Reservation()) {
 			continue
 		}
 		if c.stage.spec.Gang {
@@ -260,7 +260,7 @@
 		started = true
 	}
 	if started {
-		round.updateMaxFree()
+		round.updateRoom()
 	}
 }
 
@@ -292,7 +292,7 @@
 	for i, t := range c.stage.tasks {
 		p.orderStart(&c, t, places[i], number+1, now)
 	}
-	round.updateMaxFree()
+	round.updateRoom()
 }
 
 // fullProgress is the progress of a long-running task that serves its users, and of any run whose
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -101,6 +101,7 @@
 
 	sortedWorkers []*worker     // workers by id; nil: to be sorted again
 	roundBuf      []*worker     // reused by the next plan for its workers ...
+	roomBuf       [2]frontier   // ... for what is free on them ...
 	candidateBuf  candidateHeap // ... and for its candidates
 }
 
