Admission control: decision by accepted work, reachable cores and a job's own figures

Owners that share their capacity between client accounts refuse jobs that can't be served in time, with the time to come back. The fleet lease holder tells owners what cores their pools can have. Not tested yet.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 	n.leaseView = terms.New(terms.Config{Holder: n.holder, Addr: c.Addr, Capacity: c.CapacityCores, LeaseDuration: leaseDuration, ClaimSpread: claimSpread, DelayPerLease: claimDelayPerLease, ProbeAfter: suspectAfter(c.Disabled), GracePeriod: renewalGrace})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, CountEvent: c.CountEvent, Now: c.Now, TableClock: n.tableClock, CachedDepth: n.cachedDepth, OwnerDepth: n.ownerDepth, NotifyOwner: n.notify, JobStatus: n.jobStatus,
-		Relay: ownerRelay{n}, ReportUnsettled: n.reportUnsettled, OwnsJob: n.ownsJob, AccountLimit: n.accountLimit, Ownership: n.ownership, Disabled: c.Disabled,
+		Relay: ownerRelay{n}, ReportUnsettled: n.reportUnsettled, OwnsJob: n.ownsJob, AccountLimit: n.accountLimit, Ownership: n.ownership, Admit: n.admit, Disabled: c.Disabled,
 	})
 	c.Mesh.Handle(methodNotification, n.handleNotification)
 	c.Mesh.Handle(methodUnsettled, n.handleUnsettled)
--- a/internal/node/ownercalls.go
+++ b/internal/node/ownercalls.go
@@ -34,6 +34,8 @@
 type loadCall struct {
 	Pool           string   `msgpack:"p"`
 	UpcomingDrains []string `msgpack:"s,omitempty"` // workers that a maintenance wave is about to drain
+	// ReachableMilliCPU is how many thousandths of a core the pool has or could get; 0: not known.
+	ReachableMilliCPU int `msgpack:"c,omitempty"`
 }
 
 // ownerOf returns a pool's owner if it runs here, otherwise its address.
@@ -71,6 +73,7 @@
 		return l, err
 	}
 	if o != nil {
+		o.SetReachable(c.ReachableMilliCPU)
 		return o.Load(c.UpcomingDrains), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -88,6 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
+	o.SetReachable(c.ReachableMilliCPU)
 	l := o.Load(c.UpcomingDrains)
 	return &l, nil
 }
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -15,11 +15,12 @@
 	if site == nil {
 		return
 	}
+	reachable := f.reachable()
 	for _, p := range site.Pools {
 		if p.Standby {
 			continue
 		}
-		call := loadCall{Pool: p.Name, UpcomingDrains: f.scheduler.PendingWorkers(p.Name)}
+		call := loadCall{Pool: p.Name, UpcomingDrains: f.scheduler.PendingWorkers(p.Name), ReachableMilliCPU: reachable[p.Name]}
 		f.calls.start("load "+p.Name, func() func() {
 			l, err := f.node.poolLoad(ctx, call)
 			if err != nil {
@@ -31,6 +32,19 @@
 	}
 }
 
+// maxListAge is the age of the list of machines from which owners aren't told what their pools
+// could get: a list is requested every machineListInterval.
+const maxListAge = 2 * time.Second
+
+// reachable returns, by pool, the thousandths of a core that it has or could get; nil: not known.
+func (f *fleet) reachable() map[string]int {
+	now := f.node.conf.Now()
+	if f.listedAt == 0 || now-f.listedAt > maxListAge {
+		return nil
+	}
+	return f.sizer.Reachable(now)
+}
+
 // nextMoves returns the machines to drain or to order now.
 func (f *fleet) nextMoves() []sizing.Move {
 	now := f.node.conf.Now()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/admit"
 	"sapphiregauge/internal/lag"
 	"sapphiregauge/internal/limit"
 	"sapphiregauge/internal/sched"
@@ -100,6 +101,8 @@
 	heldBackUntil map[string]time.Duration
 	unread        map[string]bool // queues of which not all open jobs have been read
 	readTimes     readTimes       // when each queue's open jobs were last read
+	admission     *admit.Controller
+	reachable     reachableCores
 }
 
 const (
@@ -169,7 +172,7 @@
 	now := c.Now()
 	limits := limit.New(limit.Config{Pool: c.Pool, Fence: c.Fence, First: c.Term == 0, Logs: c.Logs})
 	o := &Owner{
-		conf: c, claimedAt: now, limits: limits,
+		conf: c, claimedAt: now, limits: limits, admission: admit.New(),
 		wake: make(chan struct{}, 1), limitWake: make(chan struct{}, 1), orderSlots: make(map[gauge.Incarnation]chan struct{}), stopSlots: make(map[gauge.Incarnation]chan struct{}),
 		orderLag: lag.New(lag.Config{Window: lagWindow, SlowCall: lagThreshold, MinCalls: lagMinOrders, MinPeers: lagMinWorkers}), heldBackUntil: make(map[string]time.Duration), writeDone: make(chan struct{}),
 		behindDetector: lag.NewBehindDetector(lag.BehindConfig{Threshold: behindAfter, ReportInterval: behindLogInterval}),
@@ -362,6 +365,7 @@
 			o.pool.Adopt(sched.AcceptedJob{
 				ID: id, Queue: queue, Spec: spec, Row: row, Version: version, Arrived: o.arrivalTime(row, now),
 			}, now)
+			o.admission.MarkAdopted(id)
 		}
 	})
 	if ok {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -45,3 +45,12 @@
 	}
 	return float64(r.counts[key]) > max(1, weight)
 }
+
+// WouldExceed reports whether a further job of an account would be beyond its weight if others, as
+// many as given, were counted before it. It counts nothing.
+func (r *Rates) WouldExceed(account string, weight float64, arrived time.Duration, others int) bool {
+	if account == "" || weight <= 0 {
+		return false
+	}
+	return float64(r.counts[second{account, arrived.Truncate(window)}]+others+1) > max(1, weight)
+}
