--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -125,15 +125,15 @@
 // exactly. Package sizing asks for machines by the same ratio.
 const headroom = 1.25
 
-// Decide decides on a job that is submitted now, with the given cores that the pool can use.
+// Decide decides on a job that is submitted now, with the given cores that the pool can use. Room
+// that was promised to clients who are about to come back isn't given to others, as they would be
+// refused again and again otherwise.
 func (c *Controller) Decide(j Job, cores float64, now time.Duration) Decision {
-	returned := c.returns.remove(j.ID)
+	backAt, returned := c.returns.remove(j.ID)
 	tests := testsFor(&j)
-	for _, t := range tests {
-		if c.work.ahead(&j, t).within(cores) {
-			c.accept(j, now)
-			return Decision{Accepted: true, Returned: returned}
-		}
+	if c.fits(&j, tests, cores, returned && now >= backAt, now) {
+		c.accept(j, now)
+		return Decision{Accepted: true, Returned: returned}
 	}
 	back, ahead := time.Duration(0), 0.0
 	for i, t := range tests {
@@ -147,6 +147,24 @@
 	return Decision{Ahead: ahead, RetryAfter: c.returns.promise(&j, back, now)}
 }
 
+// fits reports whether the pool can serve a job. A job that is back as promised has a little more
+// time to start, and the promises to others don't count.
+func (c *Controller) fits(j *Job, tests []test, cores float64, promised bool, now time.Duration) bool {
+	due := 0.0
+	if !promised {
+		due = c.returns.due(j, now)
+	}
+	for _, t := range tests {
+		if promised {
+			t.wait += slotMargin
+		}
+		if c.work.ahead(j, t).with(due).within(cores) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) accept(j Job, now time.Duration) {
 	if c.accepted[j.ID] != nil {
 		return
--- a/internal/admit/returns.go
+++ b/internal/admit/returns.go
@@ -16,6 +16,9 @@
 	returnGrace = 500 * time.Millisecond
 	// slotWidth is the resolution of the promised times.
 	slotWidth = 100 * time.Millisecond
+	// slotMargin is by how much a slot may be too early or late: by its width, and by what the pool
+	// has done since the summary, once at the promise and once when the client comes back.
+	slotMargin = slotWidth + 2*maxWorkAge
 	// maxPromises bounds the promises: jobs without expected work take up no time, so that any
 	// number of them would fit.
 	maxPromises = 20_000
@@ -52,16 +55,36 @@
 	}
 	others := 0.0
 	for i := r.earliest; wait <= maxRetryAfter && i <= int64((now+wait)/slotWidth); i++ {
-		for g, slots := range r.slots {
-			if g.isBefore(j, false) {
-				others += slots[i]
-			}
-		}
+		others += r.before(j, i)
 		wait = max(wait, d.after(others))
 	}
 	return wait
 }
 
+// before returns the core-seconds that are promised in a slot before a job.
+func (r *returns) before(j *Job, slot int64) float64 {
+	sum := 0.0
+	for g, slots := range r.slots {
+		if g.isBefore(j, false) {
+			sum += slots[slot]
+		}
+	}
+	return sum
+}
+
+// due returns the core-seconds before a job for which there is room by now, and whose clients
+// haven't come back yet, as they were told whole seconds.
+func (r *returns) due(j *Job, now time.Duration) float64 {
+	if len(r.promises) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for i := r.earliest; i <= int64((now+slotMargin)/slotWidth); i++ {
+		sum += r.before(j, i)
+	}
+	return sum
+}
+
 // promise enters a job's return into the ledger and returns what its client is told, in whole
 // seconds. A job that can't be accepted within maxRetryAfter is promised nothing.
 func (r *returns) promise(j *Job, wait, now time.Duration) time.Duration {
@@ -82,15 +105,16 @@
 	return (d + time.Second - 1).Truncate(time.Second)
 }
 
-// remove drops the promise for a job that is submitted again, and reports whether there was one.
-func (r *returns) remove(id string) bool {
+// remove drops the promise for a job that is submitted again. It returns when its client was told to
+// come back; false: there was no promise.
+func (r *returns) remove(id string) (time.Duration, bool) {
 	p, ok := r.promises[id]
 	if !ok {
-		return false
+		return 0, false
 	}
 	delete(r.promises, id)
 	r.slots[p.group][p.slot] -= p.work
-	return true
+	return p.backAt, true
 }
 
 // prune drops the promises whose clients haven't come back.
--- a/internal/admit/work.go
+++ b/internal/admit/work.go
@@ -130,6 +130,13 @@
 	}
 }
 
+// with adds short work.
+func (a ahead) with(coreSeconds float64) ahead {
+	a.total += coreSeconds
+	a.short += coreSeconds
+	return a
+}
+
 // within reports whether the cores can do, in the time that the job may wait, all that could be done
 // of the work before it in that time. While the work before it occupies fewer cores than there
 // are, the job doesn't wait.
