--- /dev/null
+++ b/internal/node/export_test.go
@@ -0,0 +1,4 @@
+package node
+
+// LoadCall is what the fleet lease holder sends to owners.
+type LoadCall = loadCall
