Client accounts in a full pool start in the order of what they use of it

An account with many waiting jobs, or with large ones, took a full pool for as long as its jobs had the earliest objectives. Candidates are now ordered by their account's weighted dominant share: an account above its fair share comes after those within theirs, and among those above the lower level comes first. Only in force while the site shares capacity between accounts and mechanism fair isn't disabled.

--- a/internal/sched/candidate.go
+++ b/internal/sched/candidate.go
@@ -24,7 +24,7 @@
 func (h candidateHeap) Less(i, k int) bool { return h[i].isBefore(&h[k]) }
 func (h candidateHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
 
-// Push implements heap.Interface; nothing is added later.
+// Push implements heap.Interface; nothing is added by it.
 func (h *candidateHeap) Push(any) {}
 
 // Pop implements heap.Interface. It returns nil: next reads the first element before it calls Pop.
@@ -41,17 +41,21 @@
 }
 
 // candidates ranks the waiting stages that the worker with the most room could take.
-func (p *Pool) candidates(maxFree gauge.Resources, now time.Duration) candidateHeap {
+func (p *Pool) candidates(maxFree gauge.Resources, now time.Duration) *candidateQueue {
+	q, f := &p.queue, &p.index.fair
 	if len(p.index.waiting) == 0 || !maxFree.Contains(p.index.minNeed) {
-		return nil
+		return q
 	}
-	list := p.candidateBuf[:0]
+	f.reset()
 	p.index.pruneWaiting(func(st *stage, need gauge.Resources) {
+		s := f.addWaiting(st)
 		if maxFree.Contains(need) {
-			list = append(list, candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)})
+			c := candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)}
+			c.rank.account = s
+			q.add(c)
 		}
 	})
-	p.candidateBuf = list
-	heap.Init(&list)
-	return list
+	p.rankAccounts(now)
+	q.init()
+	return q
 }
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -18,12 +18,13 @@
 	Waiting            []string // steps with tasks that may start
 	WrongCriticalPaths []string // occurrences whose cached critical path is wrong
 	Load               gauge.PoolLoad
-	Uses               map[string]limit.Use // by client account
+	Uses               map[string]limit.Use       // by client account
+	Running            map[string]gauge.Resources // the same: what its runs take of the workers
 }
 
 // Recount goes over all jobs and workers.
 func (p *Pool) Recount(now time.Duration) Recounted {
-	w := Recounted{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, ArrivedCoreSeconds: p.adoptedWork, ArrivedJobs: p.adoptedJobs}, Uses: make(map[string]limit.Use)}
+	w := Recounted{Depths: make(map[string]int), Load: gauge.PoolLoad{Pool: p.conf.Name, ArrivedCoreSeconds: p.adoptedWork, ArrivedJobs: p.adoptedJobs}, Uses: make(map[string]limit.Use), Running: make(map[string]gauge.Resources)}
 	for _, j := range p.jobs {
 		if !j.started && j.isOpen() {
 			w.Depths[j.queue]++
@@ -38,6 +39,10 @@
 	}
 	for id, worker := range p.workers {
 		w.addUses(worker)
+		for r := range worker.runs {
+			account := r.task.job.spec.Account
+			w.Running[account] = w.Running[account].Plus(r.resources)
+		}
 		w.Urgent = w.Urgent || worker.lastEnd > worker.lastStoredEnd && !worker.dead || worker.waitsForLeaseRow()
 		if worker.listed && !worker.dead {
 			longRunning := 0
@@ -130,7 +135,10 @@
 func (p *Pool) Waiting(now time.Duration) []string {
 	var names []string
 	large := gauge.Resources{MilliCPU: math.MaxInt, MemoryMB: math.MaxInt, Accels: math.MaxInt}
-	for _, c := range p.candidates(large, now) {
+	q := p.candidates(large, now)
+	defer q.clear()
+	for q.hasNext() {
+		c := q.next()
 		names = append(names, fmt.Sprintf("%s.%d.%d", c.job.id, c.stage.occ.number, c.stage.tasks[0].id.Step))
 	}
 	slices.Sort(names)
@@ -157,3 +165,6 @@
 	status, ok := p.JobStatus(queue, id)
 	return status.State, ok
 }
+
+// Running returns what the runs of a client account take of the workers.
+func (p *Pool) Running(account string) gauge.Resources { return p.index.fair.shares.Running(account) }
--- /dev/null
+++ b/internal/sched/fairness.go
@@ -0,0 +1,149 @@
+package sched
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/fair"
+)
+
+// fairness orders the client accounts of a full pool by what they use of it. Runs are counted also
+// while the order isn't in force, so that a new configuration finds them.
+type fairness struct {
+	inForce   bool
+	shares    *fair.Shares
+	standings map[string]*standing // by account
+	waiting   []*standing          // accounts with waiting tasks, as of the last ranking
+	names     []string             // of these accounts
+}
+
+// standing is the position of a client account in the order of starts.
+type standing struct {
+	account string
+	level   fair.Level
+	overuse float64 // the level while the account is above its fair share; otherwise 0
+	waiting int     // number of waiting tasks
+	beyond  bool    // it was above its fair share at the last ranking
+	// loggedBeyond is what was logged last; nextLogAt is when the next change may be logged.
+	loggedBeyond bool
+	nextLogAt    time.Duration
+	candidates   candidateGroup
+}
+
+const (
+	// useHalfLife is the half-life of past use: most tasks take a few seconds, and a longer one
+	// would hold a burst against an account long after it has ended.
+	useHalfLife = 5 * time.Second
+	// minShareLogInterval is the least time between two log lines about one account's share.
+	minShareLogInterval = time.Second
+)
+
+func newFairness() fairness {
+	return fairness{shares: fair.New(fair.Config{HalfLife: useHalfLife}), standings: make(map[string]*standing)}
+}
+
+// countRun counts n runs like r, 1 or -1, as work of its account.
+func (f *fairness) countRun(r *run, n int, now time.Duration) {
+	account := r.task.job.spec.Account
+	if n > 0 {
+		f.shares.Add(account, r.resources, now)
+		return
+	}
+	f.shares.Remove(account, r.resources, now)
+}
+
+// configureFairness applies the weights of a configuration.
+func (p *Pool) configureFairness(s *gauge.Site) {
+	f := &p.index.fair
+	f.inForce = s.SharesCapacity() && !p.conf.Disabled.Has(gauge.MechanismFair)
+	weights := make(map[string]float64, len(s.Accounts))
+	for i := range s.Accounts {
+		weights[s.Accounts[i].Name] = s.Accounts[i].Weight
+	}
+	f.shares.SetWeights(weights)
+}
+
+// reset forgets which accounts have waiting tasks.
+func (f *fairness) reset() {
+	for _, s := range f.waiting {
+		s.waiting = 0
+	}
+	f.waiting, f.names = f.waiting[:0], f.names[:0]
+}
+
+// addWaiting counts the waiting tasks of a stage and returns the standing of its account; nil if
+// accounts aren't ordered.
+func (f *fairness) addWaiting(st *stage) *standing {
+	if !f.inForce {
+		return nil
+	}
+	s := st.job.standing
+	if s == nil {
+		s = f.standing(st.job.spec.Account)
+		st.job.standing = s
+	}
+	if s.waiting == 0 {
+		f.waiting, f.names = append(f.waiting, s), append(f.names, s.account)
+	}
+	s.waiting += st.idle
+	return s
+}
+
+func (f *fairness) standing(account string) *standing {
+	s := f.standings[account]
+	if s == nil {
+		s = &standing{account: account}
+		f.standings[account] = s
+	}
+	return s
+}
+
+// update computes the level of an account after a start; s may be nil.
+func (f *fairness) update(s *standing, now time.Duration) {
+	if s == nil {
+		return
+	}
+	s.level, s.overuse = f.shares.Level(s.account, now), 0
+	if s.level.Beyond {
+		s.overuse = s.level.Value
+	}
+}
+
+// rankAccounts computes the levels of the accounts with waiting tasks.
+func (p *Pool) rankAccounts(now time.Duration) {
+	f := &p.index.fair
+	if !f.inForce {
+		return
+	}
+	f.shares.SetCapacity(p.capacity())
+	f.shares.SetWaiting(f.names)
+	for _, s := range f.waiting {
+		f.update(s, now)
+		if s.level.Beyond && !s.beyond {
+			p.conf.CountEvent(EventBeyondPart)
+		}
+		s.beyond = s.level.Beyond
+		p.logShare(s, now)
+	}
+}
+
+// logShare logs that an account has crossed its fair share since the last line about it.
+func (p *Pool) logShare(s *standing, now time.Duration) {
+	if s.level.Beyond == s.loggedBeyond || now < s.nextLogAt {
+		return
+	}
+	s.loggedBeyond, s.nextLogAt = s.level.Beyond, now+minShareLogInterval
+	p.conf.Logs.Info("account share", "pool", p.conf.Name, "account", s.account, "share", s.level.Share, "part", s.level.Part,
+		"level", s.level.Value, "waiting", s.waiting)
+}
+
+// capacity returns the capacity of the pool's workers.
+func (p *Pool) capacity() gauge.Resources {
+	var sum gauge.Resources
+	for _, w := range p.workers {
+		if w.listed && !w.dead {
+			sum = sum.Plus(w.info.Capacity)
+		}
+	}
+	return sum
+}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -120,7 +120,7 @@
 		}
 		p.removeInFlight(r)
 		p.endIsolation(r)
-		previous.removeRun(r)
+		previous.removeRun(r, now)
 		previous.addLost(lostRun{task: r.task, number: r.number, minRunTime: r.minRunTime(), reported: r.reportedAt > 0, passedOn: r})
 		r.lost = true
 		p.moveToNext(r, next, now)
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -16,13 +16,14 @@
 	scheduled map[*job]bool  // superset of the open jobs with occurrences to come; pruned by createDue
 
 	uses map[string]*limit.Use // by client account: what may run; Waiting isn't kept
+	fair fairness
 
 	waiting []*stage        // superset of the stages with tasks that may start; pruned by pruneWaiting
 	minNeed gauge.Resources // none of their tasks needs less of any resource
 }
 
 func newPoolIndex() poolIndex {
-	return poolIndex{depths: make(map[string]int), changed: make(map[*job]bool), scheduled: make(map[*job]bool), uses: make(map[string]*limit.Use)}
+	return poolIndex{depths: make(map[string]int), changed: make(map[*job]bool), scheduled: make(map[*job]bool), uses: make(map[string]*limit.Use), fair: newFairness()}
 }
 
 // countUse adds n times what a run needs to what its account may have running: it counts from its
--- a/internal/sched/index_test.go
+++ b/internal/sched/index_test.go
@@ -49,6 +49,9 @@
 		delete(walk.Uses, account)
 	}
 	assert.Equal(w.t, len(walk.Uses), 0, "uses that aren't counted: %v", walk.Uses)
+	for _, account := range []string{"", account, "schools"} {
+		assert.Equal(w.t, w.pool.Running(account), walk.Running[account], "runs of account %q", account)
+	}
 	load := w.pool.Load(w.now)
 	for _, l := range []*gauge.PoolLoad{&load, &walk.Load} {
 		slices.SortFunc(l.Workers, func(a, b gauge.WorkerLoad) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -24,6 +24,7 @@
 	inherited      bool           // it was there before this owner took over
 	barrier        *reportBarrier // reports that its tasks wait for, if it was read late
 	beyondShare    bool           // its account has submitted it beyond its weight
+	standing       *standing      // of its account; nil: not looked up yet
 
 	revision      int  // of row; grows with each change
 	savedRevision int  // revision of row that the table has
--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -149,6 +149,6 @@
 	r.attempts.passOn()
 	r.worker, r.phase, r.unanswered, r.startDeadline, r.confirmedAt, r.lastReport = next, phaseUnanswered, true, math.MaxInt64, 0, 0
 	r.orderedAt, r.passedOn = now, true // it hasn't begun there yet, or just so
-	next.addRun(r)
+	next.addRun(r, now)
 	p.requestStop(r)
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -62,4 +62,5 @@
 	EventGivenUp      = "job given up"     // one of its tasks crashes its workers
 	EventFailed       = "job failed"
 	EventCompleted    = "job completed"
+	EventBeyondPart   = "account beyond its part" // of a full pool: it comes after the others
 )
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -219,7 +219,7 @@
 	}
 	candidates := p.candidates(round.maxFree, now)
 	// Free room only shrinks within a plan: once the smallest task doesn't fit, none does.
-	for len(candidates) > 0 && round.maxFree.Contains(p.index.minNeed) && !p.isWindowFull() {
+	for candidates.hasNext() && round.maxFree.Contains(p.index.minNeed) && !p.isWindowFull() {
 		c := candidates.next()
 		if !round.maxFree.Contains(c.stage.spec.Reservation()) {
 			continue
@@ -228,9 +228,9 @@
 			p.startGang(c, round, now)
 			continue
 		}
-		p.startEach(c, round, now)
+		p.startEach(c, candidates, round, now)
 	}
-	clear(p.candidateBuf) // otherwise it would keep ended jobs in memory
+	candidates.clear() // otherwise it would keep ended jobs in memory
 }
 
 // mayHaveRun reports whether a run of the task may exist, or may yet begin, so that another one might
@@ -239,8 +239,9 @@
 	return len(t.runs) > 0 || p.mayHaveUnreportedRun(t) || p.hasLateStarts(t, now)
 }
 
-// startEach starts as many tasks of a stage as there is room for.
-func (p *Pool) startEach(c candidate, round *placementRound, now time.Duration) {
+// startEach starts as many tasks of a stage as there is room for, until another account's candidate
+// comes first.
+func (p *Pool) startEach(c candidate, others *candidateQueue, round *placementRound, now time.Duration) {
 	perWorker := c.stage.countByWorker()
 	started := false
 	for _, t := range c.stage.tasks {
@@ -258,6 +259,11 @@
 		p.orderStart(&c, t, w, t.lastRun+1, now)
 		perWorker.add(w)
 		started = true
+		p.index.fair.update(c.rank.account, now)
+		if others.precede(&c) {
+			others.putBack(c)
+			break
+		}
 	}
 	if started {
 		round.updateMaxFree()
@@ -292,6 +298,7 @@
 	for i, t := range c.stage.tasks {
 		p.orderStart(&c, t, places[i], number+1, now)
 	}
+	p.index.fair.update(c.rank.account, now)
 	round.updateMaxFree()
 }
 
@@ -315,7 +322,7 @@
 		orderedAt: now, startDeadline: until, pace: fullSpeed, hasTicket: ticketText != "",
 	}
 	t.attach(r)
-	w.addRun(r)
+	w.addRun(r, now)
 	p.addInFlight(r)
 	if p.mayHaveUnrecordedCrashes(t) {
 		p.recordRoutineRun(r)
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -10,8 +10,9 @@
 type rank struct {
 	class    int // 0: long-running tasks, which are few and whose value accrues all the time
 	priority int
-	beyond   bool // its account has submitted it beyond its share
-	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it
+	beyond   bool      // its account has submitted it beyond its share
+	account  *standing // of its account; nil: accounts aren't ordered
+	lateness int       // 0: it can meet its objective; 1: it can't; 2: long past it
 	due      time.Duration
 }
 
@@ -26,6 +27,8 @@
 		return a.priority < b.priority
 	case a.beyond != b.beyond:
 		return b.beyond
+	case a.account != b.account && a.account.overuse != b.account.overuse:
+		return a.account.overuse < b.account.overuse
 	case a.lateness != b.lateness:
 		return a.lateness < b.lateness
 	case a.due != b.due:
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -149,7 +149,7 @@
 	p.conf.Logs.Info("run found", "job", j.id, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID, "others", len(t.runs))
 	surplus := t.done || len(t.runs) > 0 || !j.isOpen()
 	t.attach(r)
-	w.addRun(r)
+	w.addRun(r, now)
 	p.inheritProbation(r)
 	if surplus {
 		p.conf.CountEvent(EventSurplus)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -99,9 +99,9 @@
 
 	lostUnreported bool // workers were lost before they reported to this owner
 
-	sortedWorkers []*worker     // workers by id; nil: to be sorted again
-	roundBuf      []*worker     // reused by the next plan for its workers ...
-	candidateBuf  candidateHeap // ... and for its candidates
+	sortedWorkers []*worker      // workers by id; nil: to be sorted again
+	roundBuf      []*worker      // reused by the next plan for its workers ...
+	queue         candidateQueue // ... and for its candidates
 }
 
 // New returns a Pool without jobs and workers.
@@ -123,7 +123,10 @@
 }
 
 // Configure sets the site configuration.
-func (p *Pool) Configure(s *gauge.Site) { p.site = s }
+func (p *Pool) Configure(s *gauge.Site) {
+	p.site = s
+	p.configureFairness(s)
+}
 
 // SetGrantLimit sets the time beyond which no grant may reach. No other owner can have taken over
 // before it.
@@ -333,7 +336,7 @@
 
 // endRun removes a run that is over and can't begin any more.
 func (p *Pool) endRun(r *run, now time.Duration) {
-	r.worker.removeRun(r)
+	r.worker.removeRun(r, now)
 	p.removeInFlight(r)
 	p.endIsolation(r)
 	if !r.lost {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -150,17 +150,19 @@
 	}
 }
 
-func (w *worker) addRun(r *run) {
+func (w *worker) addRun(r *run, now time.Duration) {
 	w.runs[r] = true
 	r.task.job.index.countUse(r, 1)
+	r.task.job.index.fair.countRun(r, 1, now)
 	w.used = w.used.Plus(r.resources)
 	w.countRun(r, 1)
 }
 
-func (w *worker) removeRun(r *run) {
+func (w *worker) removeRun(r *run, now time.Duration) {
 	if w.runs[r] {
 		delete(w.runs, r)
 		r.task.job.index.countUse(r, -1)
+		r.task.job.index.fair.countRun(r, -1, now)
 		w.used = w.used.Minus(r.resources)
 		w.countRun(r, -1)
 	}
