Order between accounts: candidates in a heap of groups by account

A start raises the level of one account, and ranking each of its waiting candidates again costs more than the rest of a plan. Candidates are kept in a heap for each account, and the accounts in a heap by their first ones; without an order between accounts there is one group.

--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -44,6 +44,7 @@
 // account is what is known of one account.
 type account struct {
 	name         string
+	weight       float64
 	running      gauge.Resources
 	runs         int
 	waitingRound int           // last round in which it had waiting work
@@ -70,7 +71,12 @@
 func (s *Shares) SetCapacity(capacity gauge.Resources) { s.capacity = capacity }
 
 // SetWeights sets the weights of the accounts that have one.
-func (s *Shares) SetWeights(weights map[string]float64) { s.weights, s.stale = weights, true }
+func (s *Shares) SetWeights(weights map[string]float64) {
+	s.weights, s.stale = weights, true
+	for _, a := range s.sorted {
+		a.weight = s.weight(a.name)
+	}
+}
 
 // SetWaiting sets the accounts that have work that waits. It forgets accounts that have had no work
 // for long.
@@ -93,9 +99,9 @@
 func (s *Shares) Add(name string, need gauge.Resources, now time.Duration) {
 	a := s.account(name)
 	s.settle(a, now)
+	s.stale = s.stale || !a.hasWork(s.round)
 	a.running = a.running.Plus(need)
 	a.runs++
-	s.stale = s.stale || a.runs == 1
 }
 
 // Remove removes a run that Add has added.
@@ -104,7 +110,7 @@
 	s.settle(a, now)
 	a.running = a.running.Minus(need)
 	a.runs--
-	s.stale = s.stale || a.runs == 0
+	s.stale = s.stale || !a.hasWork(s.round)
 }
 
 // Running returns what the runs of an account take of the pool.
@@ -117,21 +123,22 @@
 
 // Level returns the level of an account. It rises with each run that is added.
 func (s *Shares) Level(name string, now time.Duration) Level {
-	weight, total := s.weight(name), s.totalWeight()
+	total := s.totalWeight()
 	a := s.accounts[name]
 	if a == nil {
+		weight := s.weight(name)
 		return Level{Part: weight / (total + weight)}
 	}
 	if !a.hasWork(s.round) {
-		total += weight
+		total += a.weight
 	}
 	s.settle(a, now)
 	share := s.dominantShare(a)
 	return Level{
-		Beyond: share*total > weight*(1+tolerance),
-		Value:  (a.past + share) * total / weight,
+		Beyond: share*total > a.weight*(1+tolerance),
+		Value:  (a.past + share) * total / a.weight,
 		Share:  share,
-		Part:   weight / total,
+		Part:   a.weight / total,
 	}
 }
 
@@ -140,7 +147,7 @@
 	if a := s.accounts[name]; a != nil {
 		return a
 	}
-	a := &account{name: name, settledAt: s.newest}
+	a := &account{name: name, weight: s.weight(name), settledAt: s.newest}
 	s.accounts[name] = a
 	i, _ := slices.BinarySearchFunc(s.sorted, name, func(a *account, name string) int { return strings.Compare(a.name, name) })
 	s.sorted = slices.Insert(s.sorted, i, a)
@@ -183,12 +190,13 @@
 	s.total, s.stale = 0, false
 	for _, a := range s.sorted {
 		if a.hasWork(s.round) {
-			s.total += s.weight(a.name)
+			s.total += a.weight
 		}
 	}
 	return s.total
 }
 
+// weight returns the weight of an account, of which SetWeights needn't know.
 func (s *Shares) weight(name string) float64 {
 	if weight := s.weights[name]; weight > 0 {
 		return weight
--- a/internal/sched/candidate.go
+++ b/internal/sched/candidate.go
@@ -48,11 +48,9 @@
 	}
 	f.reset()
 	p.index.pruneWaiting(func(st *stage, need gauge.Resources) {
-		s := f.addWaiting(st)
+		g := f.addWaiting(st)
 		if maxFree.Contains(need) {
-			c := candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)}
-			c.rank.account = s
-			q.add(c)
+			q.add(g, candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)})
 		}
 	})
 	p.rankAccounts(now)
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -21,9 +21,8 @@
 type standing struct {
 	account string
 	level   fair.Level
-	overuse float64 // the level while the account is above its fair share; otherwise 0
-	waiting int     // number of waiting tasks
-	beyond  bool    // it was above its fair share at the last ranking
+	waiting int  // number of waiting tasks
+	beyond  bool // it was above its fair share at the last ranking
 	// loggedBeyond is what was logged last; nextLogAt is when the next change may be logged.
 	loggedBeyond bool
 	nextLogAt    time.Duration
@@ -71,9 +70,9 @@
 	f.waiting, f.names = f.waiting[:0], f.names[:0]
 }
 
-// addWaiting counts the waiting tasks of a stage and returns the standing of its account; nil if
+// addWaiting counts the waiting tasks of a stage and returns the group of its account; nil if
 // accounts aren't ordered.
-func (f *fairness) addWaiting(st *stage) *standing {
+func (f *fairness) addWaiting(st *stage) *candidateGroup {
 	if !f.inForce {
 		return nil
 	}
@@ -86,7 +85,7 @@
 		f.waiting, f.names = append(f.waiting, s), append(f.names, s.account)
 	}
 	s.waiting += st.idle
-	return s
+	return &s.candidates
 }
 
 func (f *fairness) standing(account string) *standing {
@@ -98,14 +97,14 @@
 	return s
 }
 
-// update computes the level of an account after a start; s may be nil.
+// update computes the level of an account; s may be nil while accounts aren't ordered.
 func (f *fairness) update(s *standing, now time.Duration) {
-	if s == nil {
+	if !f.inForce || s == nil {
 		return
 	}
-	s.level, s.overuse = f.shares.Level(s.account, now), 0
+	s.level, s.candidates.overuse = f.shares.Level(s.account, now), 0
 	if s.level.Beyond {
-		s.overuse = s.level.Value
+		s.candidates.overuse = s.level.Value
 	}
 }
 
@@ -140,7 +139,7 @@
 // capacity returns the capacity of the pool's workers.
 func (p *Pool) capacity() gauge.Resources {
 	var sum gauge.Resources
-	for _, w := range p.workers {
+	for _, w := range p.workersByID() {
 		if w.listed && !w.dead {
 			sum = sum.Plus(w.info.Capacity)
 		}
--- a/internal/sched/fairness_bench_test.go
+++ b/internal/sched/fairness_bench_test.go
@@ -17,25 +17,41 @@
 func BenchmarkPlanLargePoolOfAccounts(b *testing.B) {
 	for _, accounts := range []int{1, 24, 200} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			p := newLargePoolOfAccounts(b, accounts)
-			started := p.Plan(0)[:10]
-			late := newLateStartError()
-			b.ReportAllocs()
-			for b.Loop() {
-				b.StopTimer()
-				for _, o := range started {
-					p.OrderAnswered(o, time.Hour, late, time.Millisecond)
-				}
-				b.StartTimer()
-				started = p.Plan(time.Millisecond)
-			}
-			assert.Equal(b, len(started), 10)
+			benchmarkPlanOfTen(b, newLargePoolOfAccounts(b, accounts, accounts))
 		})
 	}
 }
 
-// newLargePoolOfAccounts returns a pool like newLargePool whose jobs belong to accounts.
-func newLargePoolOfAccounts(tb testing.TB, accounts int) *sched.Pool {
+func benchmarkPlanOfTen(b *testing.B, p *sched.Pool) {
+	b.Helper()
+	started := p.Plan(0)[:10]
+	late := newLateStartError()
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		for _, o := range started {
+			p.OrderAnswered(o, time.Hour, late, time.Millisecond)
+		}
+		b.StartTimer()
+		started = p.Plan(time.Millisecond)
+	}
+	assert.Equal(b, len(started), 10)
+}
+
+// BenchmarkPlanOfAccountsAboveTheirShares measures such a plan in which each start is followed by one
+// of another account: both are above their shares, as a third one has work that fits nowhere.
+func BenchmarkPlanOfAccountsAboveTheirShares(b *testing.B) {
+	p := newLargePoolOfAccounts(b, 3, 2)
+	nowhere := newStep(1)
+	nowhere.Label = "nowhere"
+	spec := &gauge.JobSpec{Steps: []gauge.Step{nowhere}, Account: "account-2"}
+	p.Adopt(sched.AcceptedJob{ID: jobID(1), Queue: queueName, Spec: spec, Row: &gauge.JobRow{State: gauge.JobPending}, Version: fence + 1}, 0)
+	benchmarkPlanOfTen(b, p)
+}
+
+// newLargePoolOfAccounts returns a pool like newLargePool that some accounts share, and whose jobs
+// belong to the first of them.
+func newLargePoolOfAccounts(tb testing.TB, accounts, first int) *sched.Pool {
 	tb.Helper()
 	p := newLargePool(tb, largeWorkers, 0, logr.Discard())
 	site := &gauge.Site{KeysRequired: true, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, Stretch: 2}}}
@@ -47,7 +63,7 @@
 	for i := range largeJobs {
 		second := newStep(5)
 		second.After = []int{0}
-		spec := &gauge.JobSpec{Steps: []gauge.Step{newStep(8), second}, Account: site.Accounts[i%accounts].Name}
+		spec := &gauge.JobSpec{Steps: []gauge.Step{newStep(8), second}, Account: site.Accounts[i%first].Name}
 		id := jobID(1<<20 + i)
 		p.Adopt(sched.AcceptedJob{ID: id, Queue: queueName, Spec: spec, Row: &gauge.JobRow{State: gauge.JobPending}, Version: fence + 1}, 0)
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -259,7 +259,7 @@
 		p.orderStart(&c, t, w, t.lastRun+1, now)
 		perWorker.add(w)
 		started = true
-		p.index.fair.update(c.rank.account, now)
+		p.index.fair.update(c.job.standing, now)
 		if others.precede(&c) {
 			others.putBack(c)
 			break
@@ -298,7 +298,7 @@
 	for i, t := range c.stage.tasks {
 		p.orderStart(&c, t, places[i], number+1, now)
 	}
-	p.index.fair.update(c.rank.account, now)
+	p.index.fair.update(c.job.standing, now)
 	round.updateMaxFree()
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -5,13 +5,18 @@
 // candidateGroup holds the candidates whose order a start doesn't change: those of one client
 // account, or all while accounts aren't ordered.
 type candidateGroup struct {
-	first candidateHeap // those that are left
-	all   candidateHeap // those of this plan, to be cleared after it
+	overuse float64       // level of the account while it is above its fair share; otherwise 0
+	first   candidateHeap // those that are left
+	all     candidateHeap // those of this plan, to be cleared after it
 }
 
-// candidateQueue orders the candidates of a plan. It is a heap of groups by their first candidates,
-// as a start raises the level of one account and moves all of its candidates at once: ranking a
-// thousand candidates of an account again at each start would cost more than the rest of the plan.
+// candidateQueue orders the candidates of a plan: by class, priority and beyondShare, then those of
+// accounts within their fair share before the others, and of these the account with the lower level
+// first, then by the rest of their ranks.
+//
+// It is a heap of groups by their first candidates, as a start raises the level of one account and
+// moves all of its candidates at once: ranking a thousand candidates of an account again at each
+// start would cost more than the rest of the plan.
 type candidateQueue struct {
 	groups []*candidateGroup
 	used   []*candidateGroup // the groups of this plan, to be cleared after it
@@ -20,10 +25,20 @@
 
 func (q *candidateQueue) Len() int { return len(q.groups) }
 func (q *candidateQueue) Less(i, k int) bool {
-	return q.groups[i].first[0].isBefore(&q.groups[k].first[0])
+	return q.groups[i].isBefore(q.groups[k], &q.groups[k].first[0])
 }
 func (q *candidateQueue) Swap(i, k int) { q.groups[i], q.groups[k] = q.groups[k], q.groups[i] }
 
+// isBefore reports whether the first candidate of the group comes before one of another group.
+func (g *candidateGroup) isBefore(o *candidateGroup, other *candidate) bool {
+	first := &g.first[0]
+	a, b := &first.rank, &other.rank
+	if g.overuse != o.overuse && a.class == b.class && a.priority == b.priority && a.beyond == b.beyond {
+		return g.overuse < o.overuse
+	}
+	return first.isBefore(other)
+}
+
 // Push implements heap.Interface; nothing is added by it.
 func (q *candidateQueue) Push(any) {}
 
@@ -33,11 +48,11 @@
 	return nil
 }
 
-// add adds a candidate. It is not in order before init.
-func (q *candidateQueue) add(c candidate) {
-	g := &q.common
-	if c.rank.account != nil {
-		g = &c.rank.account.candidates
+// add adds a candidate to a group; nil: there is no order between accounts. It is not in order
+// before init.
+func (q *candidateQueue) add(g *candidateGroup, c candidate) {
+	if g == nil {
+		g = &q.common
 	}
 	if len(g.all) == 0 {
 		q.groups, q.used = append(q.groups, g), append(q.used, g)
@@ -76,7 +91,7 @@
 func (q *candidateQueue) precede(c *candidate) bool {
 	const children = 2 // of the first group in the heap: one of them holds the first of the others
 	for _, g := range q.groups[1:min(1+children, len(q.groups))] {
-		if g.first[0].isBefore(c) {
+		if g.isBefore(q.groups[0], c) {
 			return true
 		}
 	}
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -10,13 +10,13 @@
 type rank struct {
 	class    int // 0: long-running tasks, which are few and whose value accrues all the time
 	priority int
-	beyond   bool      // its account has submitted it beyond its share
-	account  *standing // of its account; nil: accounts aren't ordered
-	lateness int       // 0: it can meet its objective; 1: it can't; 2: long past it
+	beyond   bool // its account has submitted it beyond its share
+	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it
 	due      time.Duration
 }
 
-// isBefore reports whether the candidate comes before another. It is called some thousand times a
+// isBefore reports whether the candidate comes before another of the same client account; see
+// candidateQueue for those of different accounts. It is called some thousand times a
 // plan, so it compares the deciding fields first and stops at the first difference.
 func (c *candidate) isBefore(o *candidate) bool {
 	a, b := &c.rank, &o.rank
@@ -27,8 +27,6 @@
 		return a.priority < b.priority
 	case a.beyond != b.beyond:
 		return b.beyond
-	case a.account != b.account && a.account.overuse != b.account.overuse:
-		return a.account.overuse < b.account.overuse
 	case a.lateness != b.lateness:
 		return a.lateness < b.lateness
 	case a.due != b.due:
