--- a/internal/sched/candidate.go
+++ b/internal/sched/candidate.go
@@ -24,7 +24,7 @@
 func (h candidateHeap) Less(i, k int) bool { return h[i].isBefore(&h[k]) }
 func (h candidateHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
 
-// Push implements heap.Interface; nothing is added later.
+// Push implements heap.Interface; nothing is added by it.
 func (h *candidateHeap) Push(any) {}
 
 // Pop implements heap.Interface. It returns nil: next reads the first element before it calls Pop.
@@ -41,17 +41,19 @@
 }
 
 // candidates ranks the waiting stages for which a worker has room.
-func (p *Pool) candidates(round *placementRound, now time.Duration) candidateHeap {
+func (p *Pool) candidates(round *placementRound, now time.Duration) *candidateQueue {
+	q, f := &p.queue, &p.index.fair
 	if len(p.index.waiting) == 0 || !round.longRunningRoom.contains(p.index.minNeed) {
-		return nil
+		return q
 	}
-	list := p.candidateBuf[:0]
+	f.reset()
 	p.index.pruneWaiting(func(st *stage, need gauge.Resources) {
+		g := f.addWaiting(st)
 		if round.hasRoom(st, need) {
-			list = append(list, candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)})
+			q.add(g, candidate{job: st.job, stage: st, rank: p.rank(st.job, st.occ, st, now), advice: p.advice(st.job)})
 		}
 	})
-	p.candidateBuf = list
-	heap.Init(&list)
-	return list
+	p.rankAccounts(now)
+	q.init()
+	return q
 }
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -15,7 +15,8 @@
 	due      time.Duration
 }
 
-// isBefore reports whether the candidate comes before another. It is called some thousand times a
+// isBefore reports whether the candidate comes before another of the same client account; see
+// candidateQueue for those of different accounts. It is called some thousand times a
 // plan, so it compares the deciding fields first and stops at the first difference.
 func (c *candidate) isBefore(o *candidate) bool {
 	a, b := &c.rank, &o.rank
