Refusals for lack of capacity are stored before they are sent

Config.Admit of intake is asked by an owner that has had the pool for long. A refused job gets a row in state refused, inserted on the condition that there is none, so that transactions of earlier attempts fail. Retry-After and the time at which an attempt began are passed between entries.

--- a/internal/intake/batcher.go
+++ b/internal/intake/batcher.go
@@ -138,16 +138,28 @@
 func (b *batcher) nextBatch() []*pendingJob {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := min(maxBatch, len(b.queued))
-	batch := slices.Clone(b.queued[:n])
-	b.queued = slices.Delete(b.queued, 0, n)
-	b.running = n > 0
-	if n == 0 {
-		return nil
+	var batch, later []*pendingJob
+	n := 0
+	for ; n < len(b.queued) && len(batch) < maxBatch; n++ {
+		if contradicts(b.queued[n], batch) {
+			later = append(later, b.queued[n])
+			continue
+		}
+		batch = append(batch, b.queued[n])
 	}
+	b.queued = slices.Concat(later, b.queued[n:])
+	b.running = len(batch) > 0
 	return batch
 }
 
+// contradicts reports whether a batch has the same id, where one attempt is to be accepted and
+// another refused: a transaction with both would be answered to both as executed.
+func contradicts(p *pendingJob, batch []*pendingJob) bool {
+	return slices.ContainsFunc(batch, func(o *pendingJob) bool {
+		return o.id == p.id && (o.refusal != nil || p.refusal != nil)
+	})
+}
+
 // requeue puts jobs back in front of those that were queued meanwhile.
 func (b *batcher) requeue(jobs []*pendingJob) {
 	b.mu.Lock()
@@ -186,7 +198,7 @@
 	switch {
 	case err == nil:
 		for _, p := range batch {
-			b.settle(p, outcome{version: position.Version})
+			b.settle(p, p.storedOutcome(position.Version))
 		}
 		return nil, false
 	case gauge.IsKind(err, gauge.KindConflict):
@@ -219,38 +231,6 @@
 	return retry, failed
 }
 
-// settleExisting settles the jobs whose ids exist already: they were submitted before, or a
-// transaction that got no answer took effect. It returns the other jobs.
-func (b *batcher) settleExisting(batch []*pendingJob, rows []gauge.PartitionRow) []*pendingJob {
-	existing := make(map[string]gauge.PartitionRow, len(rows))
-	for _, r := range rows {
-		if r.Version > 0 {
-			existing[r.Key] = r
-		}
-	}
-	var retry []*pendingJob
-	for _, p := range batch {
-		if r, ok := existing[p.id]; ok {
-			b.settle(p, b.existingOutcome(p, r))
-			continue
-		}
-		retry = append(retry, p)
-	}
-	return retry
-}
-
-// existingOutcome returns the outcome for a job whose id exists already: to its account the same
-// job, to any other account one that it must not learn of.
-func (b *batcher) existingOutcome(p *pendingJob, r gauge.PartitionRow) outcome {
-	row, err := gauge.DecodeJobRow(r.Value)
-	if err == nil {
-		if err := b.intake.checkAccess(p.queue, p.id, p.spec.Account, row.Account); err != nil {
-			return outcome{err: err}
-		}
-	}
-	return outcome{version: r.Version, duplicate: true, row: r.Value}
-}
-
 // QueuedJobs returns how many jobs of a queue are queued for a transaction.
 func (n *Intake) QueuedJobs(queue string) int {
 	b := n.batcher(queue)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -64,13 +64,14 @@
 // Relay forwards submissions and cancellations to the owner of the queue's pool, which writes to
 // that partition of the table all the time, or has another entry take over the pool. Errors:
 // KindOutage: the owner says that it was certainly not done; KindNoWorker: no owner could be asked;
-// KindUnknown: it may have been done.
+// KindUnknown: it may have been done; KindNoSlot and KindQuota: the owner has stored a refusal.
 type Relay interface {
 	// PreferOwner reports whether to ask the owner before the table is tried. A partition of the
 	// table executes transactions one after the other: in a slow period the submissions of all
 	// entries have to share transactions, and such a period begins without warning.
 	PreferOwner(q *gauge.Queue) bool
-	Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error
+	// Submit passes on when the submission began, by the table's clock in milliseconds.
+	Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, began int64) error
 	Cancel(ctx context.Context, q *gauge.Queue, id, account string) error
 }
 
@@ -140,6 +141,9 @@
 		return nil, 0, gauge.Errorf(gauge.KindGone, "there is no job %s in this queue", id)
 	}
 	row, err := gauge.DecodeJobRow(rows[0].Value)
+	if err == nil && row.State == gauge.JobRefused {
+		return nil, 0, gauge.Errorf(gauge.KindGone, "there is no job %s in this queue", id)
+	}
 	return row, rows[0].Version, err
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -168,9 +168,9 @@
 
 func newHarness(t *table, c *clock) *harness { return newRelayHarness(t, c, nil) }
 
-func newRelayHarness(t *table, c *clock, r intake.Relay) *harness {
+func newRelayHarness(t *table, c *clock, r intake.Relay, changes ...func(*intake.Config)) *harness {
 	h := &harness{timers: timers{channels: make(map[time.Duration]chan time.Time)}, ownership: intake.OwnedForLong}
-	h.intake = intake.New(intake.Config{
+	conf := intake.Config{
 		Relay: r, After: h.timers.After,
 		Store: t, Logs: logr.Discard(), CountEvent: func(string) {}, Now: c.Now, TableClock: func() int64 { return 1 },
 		CachedDepth: func(*gauge.Queue) (int, time.Duration, bool) { return 0, 0, true },
@@ -183,7 +183,11 @@
 			defer h.mu.Unlock()
 			h.notifications = append(h.notifications, n)
 		},
-	})
+	}
+	for _, change := range changes {
+		change(&conf)
+	}
+	h.intake = intake.New(conf)
 	return h
 }
 
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -92,7 +92,7 @@
 
 func (p *peer) PreferOwner(*gauge.Queue) bool { return p.preferred }
 
-func (p *peer) Submit(context.Context, *gauge.Queue, string, *gauge.JobSpec) error {
+func (p *peer) Submit(context.Context, *gauge.Queue, string, *gauge.JobSpec, int64) error {
 	p.submits++
 	if p.onSubmit != nil {
 		p.onSubmit()
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
-	err := h.intake.SubmitLocally(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+	err := h.intake.SubmitLocally(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}}, 1)
 	assert.Equal(t, gauge.KindOf(err), gauge.KindOutage)
 	assert.Equal(t, p.submits, 0)
 }
@@ -227,7 +227,7 @@
 	result := make(chan error, 1)
 	go func() {
 		q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
-		result <- h.intake.SubmitLocally(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+		result <- h.intake.SubmitLocally(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}}, 1)
 	}()
 	<-received
 	stop()
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -14,6 +14,10 @@
 	row       *gauge.JobRow
 	txn       gauge.PartitionTxn
 	startedAt time.Duration
+	began     int64 // when the caller's attempt began, by the table's clock in milliseconds; 0: not known
+
+	refusal  error // the job is stored as refused, and its caller gets this error; nil: it is accepted
+	replaces bool  // it replaces a row in state JobRefused
 
 	// Guarded by the batcher's mutex.
 	inFlight  bool         // it is in the current transaction
@@ -30,22 +34,26 @@
 	row       []byte // as stored, if the id exists already
 	notSent   bool   // this call has sent nothing, but an earlier one may have
 	relayed   bool   // the owner has stored it at another entry and needs no notification
+	replaced  bool   // the job was refused before
+	refused   bool   // err is a refusal that is stored
 	err       error
 }
 
-// newPendingJob returns a pending job for a submission.
-func (n *Intake) newPendingJob(q *gauge.Queue, id string, j *gauge.JobSpec) (*pendingJob, error) {
-	p := &pendingJob{id: id, queue: q, spec: j, result: make(chan outcome, 1)}
+// newPendingJob returns a pending job for a submission that began at the given time of the table's
+// clock.
+func (n *Intake) newPendingJob(q *gauge.Queue, id string, j *gauge.JobSpec, began int64) (*pendingJob, error) {
+	p := &pendingJob{id: id, queue: q, spec: j, began: began, result: make(chan outcome, 1)}
 	p.row = &gauge.JobRow{State: gauge.JobPending, Pool: q.Pool, Account: j.Account, Accepted: n.conf.TableClock()}
-	txn, err := insertTxn(q, id, j, p.row)
-	if err != nil {
+	if err := n.prepare(p, 0); err != nil {
 		return nil, err
 	}
-	p.txn, p.startedAt = txn, n.conf.Now()
+	p.startedAt = n.conf.Now()
 	return p, nil
 }
 
-func insertTxn(q *gauge.Queue, id string, j *gauge.JobSpec, row *gauge.JobRow) (gauge.PartitionTxn, error) {
+// insertTxn returns the transaction that stores a job in place of a row of the given version, 0 for
+// none.
+func insertTxn(q *gauge.Queue, id string, j *gauge.JobSpec, row *gauge.JobRow, version int64) (gauge.PartitionTxn, error) {
 	spec, err := gauge.EncodeJobSpec(j)
 	if err != nil {
 		return gauge.PartitionTxn{}, err
@@ -56,7 +64,7 @@
 	}
 	key := jobKey(q.Name, id)
 	return gauge.PartitionTxn{
-		Checks: []gauge.RowCheck{{RowKey: key}},
+		Checks: []gauge.RowCheck{{RowKey: key, Version: version}},
 		Writes: []gauge.RowWrite{
 			{RowKey: key, Value: value},
 			{RowKey: gauge.RowKey{Table: gauge.TableSpecs, Partition: q.Name, Key: id}, Value: spec},
@@ -65,6 +73,14 @@
 	}, nil
 }
 
+// storedOutcome returns the outcome of a job whose transaction was executed.
+func (p *pendingJob) storedOutcome(version int64) outcome {
+	if p.refusal != nil {
+		return outcome{version: version, err: p.refusal, refused: true}
+	}
+	return outcome{version: version, replaced: p.replaces}
+}
+
 // givenUpOutcome returns the outcome of a job that isn't tried any more.
 func (p *pendingJob) givenUpOutcome() outcome {
 	if p.unsettled {
--- /dev/null
+++ b/internal/intake/refusal.go
@@ -0,0 +1,104 @@
+package intake
+
+import (
+	"time"
+
+	gauge "sapphiregauge"
+)
+
+// A refusal for lack of capacity is stored before it is sent, as a row in state JobRefused that is
+// inserted on the condition that the job has no row. Transactions of earlier attempts to store the
+// job, at any entry, have the same condition and fail from then on, however late they arrive. Only
+// an attempt that certainly began after the refusal replaces the row, on the condition of its
+// version.
+
+const (
+	// minRefusalAge is how long after a refusal an attempt must have begun to replace it.
+	minRefusalAge = time.Second
+	// maxClockDifference bounds the difference between the table's clock as two entries read it.
+	maxClockDifference = 100 * time.Millisecond
+	// repeatedRetryAfter is sent with a refusal that repeats a stored one.
+	repeatedRetryAfter = minRefusalAge
+)
+
+// admit asks whether the job can be served, if this entry owns the queue's pool and knows of no
+// other attempt that may be stored. A job that isn't admitted is stored as refused.
+func (n *Intake) admit(p *pendingJob) error {
+	if n.conf.Admit == nil || n.ownership(p.queue) != OwnedForLong {
+		return nil
+	}
+	if n.isUnsettled(p.id) || n.hasOtherAttempts(p.id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(p.queue, p.id) {
+		return nil
+	}
+	refusal := n.conf.Admit(p.queue, p.id, p.spec)
+	if refusal == nil {
+		return nil
+	}
+	p.refusal = refusal
+	return n.prepare(p, 0)
+}
+
+// prepare builds the transaction of a job for a row of the given version, 0 for none.
+func (n *Intake) prepare(p *pendingJob, version int64) error {
+	var err error
+	if p.refusal != nil {
+		p.txn, err = n.refusalTxn(p, version)
+	} else {
+		p.txn, err = insertTxn(p.queue, p.id, p.spec, p.row, version)
+	}
+	return err
+}
+
+// refusalTxn returns the transaction that stores a refusal. It neither precedes the attempt that it
+// refuses nor has the account: a refused id is no job of anyone.
+func (n *Intake) refusalTxn(p *pendingJob, version int64) (gauge.PartitionTxn, error) {
+	row := gauge.JobRow{State: gauge.JobRefused, Pool: p.queue.Pool, Ended: max(n.conf.TableClock(), p.began)}
+	value, err := row.Encode()
+	if err != nil {
+		return gauge.PartitionTxn{}, err
+	}
+	key := jobKey(p.queue.Name, p.id)
+	return gauge.PartitionTxn{
+		Checks: []gauge.RowCheck{{RowKey: key, Version: version}},
+		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
+	}, nil
+}
+
+// resolveRefused handles a job whose id was refused before. It reports false if the job has to be
+// sent again, to replace the row.
+//
+// An attempt that began before the refusal, or too soon after it, is refused again. The stored row
+// is enough for that unless another attempt may be replacing it, because its entry's clock is ahead:
+// then the row is stored anew, so that the other attempt's condition fails.
+func (n *Intake) resolveRefused(p *pendingJob, row *gauge.JobRow, version int64) (outcome, bool) {
+	age := time.Duration(p.began-row.Ended) * time.Millisecond
+	if age <= minRefusalAge && p.refusal == nil {
+		p.refusal = gauge.Errorf(gauge.KindNoSlot, "the job was refused a moment ago").WithRetryAfter(repeatedRetryAfter)
+	}
+	if age <= minRefusalAge-maxClockDifference {
+		return p.storedOutcome(version), true
+	}
+	if err := n.prepare(p, version); err != nil {
+		return outcome{err: err}, true
+	}
+	p.replaces = p.refusal == nil
+	return outcome{}, false
+}
+
+// isRefusal reports whether an error is a refusal for lack of capacity. Between entries it is always
+// a stored one, which holds for all earlier attempts too.
+func isRefusal(err error) bool {
+	return gauge.IsKind(err, gauge.KindNoSlot) || gauge.IsKind(err, gauge.KindQuota)
+}
+
+// reportRefused logs and counts a refusal that is stored.
+func (n *Intake) reportRefused(p *pendingJob, err error) {
+	event := "job refused for room"
+	if gauge.IsKind(err, gauge.KindQuota) {
+		event = "job refused for share"
+	}
+	n.conf.CountEvent("job refused")
+	n.conf.CountEvent(event)
+	n.conf.Logs.Info(event, "job", p.id, "queue", p.queue.Name, "pool", p.queue.Pool, "account", p.spec.Account,
+		"kind", gauge.KindOf(err), "retry", gauge.AsError(err).RetryAfter, "took", n.conf.Now()-p.startedAt)
+}
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -15,19 +15,21 @@
 // one of the attempts take effect. If the table doesn't answer here, the owner of the queue's pool
 // is asked to store the job.
 func (n *Intake) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
-	return n.submit(ctx, q, id, j, n.conf.Relay)
+	return n.submit(ctx, q, id, j, n.conf.TableClock(), n.conf.Relay)
 }
 
-// SubmitLocally is Submit for a job that another entry has forwarded: it isn't forwarded again.
-func (n *Intake) SubmitLocally(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
-	return n.submit(ctx, q, id, j, nil)
+// SubmitLocally is Submit for a job that another entry has forwarded: it isn't forwarded again. Began
+// is when the submission reached that entry, by the table's clock in milliseconds; 0: that isn't
+// known, and the submission never replaces a refusal.
+func (n *Intake) SubmitLocally(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, began int64) error {
+	return n.submit(ctx, q, id, j, began, nil)
 }
 
-func (n *Intake) submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, relay Relay) error {
+func (n *Intake) submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, began int64, relay Relay) error {
 	if err := n.checkLimit(j); err != nil {
 		return err
 	}
-	p, err := n.newPendingJob(q, id, j)
+	p, err := n.newPendingJob(q, id, j, began)
 	if err != nil {
 		return err
 	}
@@ -151,63 +153,6 @@
 	return n.conf.Now() < n.unsettledUntil[id]
 }
 
-// storeOrForward stores a job by way of the owner of its pool or at this entry.
-func (n *Intake) storeOrForward(ctx context.Context, p *pendingJob, relay Relay) outcome {
-	b := n.batcher(p.queue.Name)
-	if relay == nil {
-		return b.store(ctx, p)
-	}
-	if !relay.PreferOwner(p.queue) || n.conf.Disabled.Has(gauge.MechanismRelay) {
-		local := b.store(ctx, p)
-		if !isUndecided(local.err) {
-			return local
-		}
-		return mergeOutcomes(local, relay.Submit(ctx, p.queue, p.id, p.spec))
-	}
-	ownerErr := relay.Submit(ctx, p.queue, p.id, p.spec)
-	tooLate := n.conf.Now()-p.startedAt > submitTimeout/2
-	if !isUndecided(ownerErr) || tooLate && !gauge.IsKind(ownerErr, gauge.KindOutage) {
-		return mergeOutcomes(outcome{err: gauge.Errorf(gauge.KindOutage, "not tried at this entry")}, ownerErr)
-	}
-	if gauge.IsKind(ownerErr, gauge.KindOutage) && !b.canSend(p.id) {
-		return mergeOutcomes(outcome{err: b.refusalError()}, ownerErr)
-	}
-	return mergeOutcomes(b.store(ctx, p), ownerErr)
-}
-
-// isUndecided reports whether an error leaves open whether the job can be stored by a further
-// attempt: it was not stored so far, or that isn't known.
-func isUndecided(err error) bool {
-	switch gauge.KindOf(err) {
-	case gauge.KindOutage, gauge.KindExpired, gauge.KindUnknown, gauge.KindNoWorker:
-		return true
-	default:
-		return false
-	}
-}
-
-// mergeOutcomes combines an attempt here with one by the owner of the job's pool. Only the owner
-// can say that a job is not stored: a submission may repeat one that another entry has sent without
-// getting an answer, and all of them go through the owner.
-func mergeOutcomes(local outcome, ownerErr error) outcome {
-	switch {
-	case !isUndecided(local.err):
-		return local
-	case ownerErr == nil:
-		return outcome{relayed: true}
-	case gauge.IsKind(local.err, gauge.KindExpired), gauge.IsKind(ownerErr, gauge.KindOutage):
-		return local
-	case isUndecided(ownerErr):
-		return outcome{err: unsettledError(ownerErr)}
-	default:
-		return outcome{err: ownerErr}
-	}
-}
-
-func unsettledError(cause error) error {
-	return gauge.Errorf(gauge.KindExpired, "it is not known whether the job was stored; ask again with the same id").WithCause(cause)
-}
-
 // reportOutcome logs and counts the outcome of a submission, and notifies the pool's owner of a new
 // job.
 func (n *Intake) reportOutcome(p *pendingJob, o outcome) {
@@ -225,6 +170,8 @@
 			// Another entry asks the owner about a retry, and refuses it unless the owner knows.
 			n.conf.ReportUnsettled(p.queue, p.id)
 		}
+	case o.refused:
+		n.reportRefused(p, o.err)
 	case o.err != nil:
 		n.conf.CountEvent("job refused")
 		n.logFailure("job refused", p.queue, p.id, o.err)
@@ -245,6 +192,10 @@
 		n.notifyOfStoredUnsettled(q, p, p.spec, o)
 		return
 	}
+	if o.replaced {
+		n.conf.CountEvent("job accepted after refusal")
+		n.conf.Logs.Info("job accepted after refusal", "job", p.id, "queue", q.Name, "pool", q.Pool)
+	}
 	n.conf.CountEvent("job accepted")
 	n.conf.Logs.Info("job accepted", "job", p.id, "queue", q.Name, "pool", q.Pool, "version", o.version, "took", took, "left", p.abandoned)
 	n.conf.NotifyOwner(Notification{Pool: q.Pool, Queue: q.Name, ID: p.id, Spec: p.spec, Row: p.row, Version: o.version})
--- a/internal/intake/succession_test.go
+++ b/internal/intake/succession_test.go
@@ -22,7 +22,7 @@
 	retry := make(chan error, 1)
 	go func() {
 		q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
-		retry <- h.intake.SubmitLocally(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}})
+		retry <- h.intake.SubmitLocally(ctx, q, id(1), &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}}, 1)
 	}()
 	waitFor(t, "the retry is queued", func() bool { return h.intake.QueuedJobs("sheets") == 1 })
 	stop()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -39,7 +39,8 @@
 	Queue   string         `msgpack:"q"`
 	ID      string         `msgpack:"i"`
 	Spec    *gauge.JobSpec `msgpack:"s"`
-	Version int64          `msgpack:"v"` // of the configuration that defines the queue
+	Version int64          `msgpack:"v"`           // of the configuration that defines the queue
+	Began   int64          `msgpack:"b,omitempty"` // by the table's clock in milliseconds; older entries don't send it
 }
 
 type cancelCall struct {
@@ -55,20 +56,25 @@
 	Kind    gauge.Kind `msgpack:"k"` // empty: done
 	Reason  string     `msgpack:"r"`
 	MovedTo string     `msgpack:"m"` // address of the owner if this entry isn't the owner
+	// RetryMS is after how many milliseconds the caller may try again; 0: the default of the kind.
+	// Older entries neither send nor read it.
+	RetryMS int64 `msgpack:"t,omitempty"`
 }
 
 func (a relayAnswer) err(addr string) error {
 	if a.Kind == "" {
 		return nil
 	}
-	return gauge.Errorf(a.Kind, "owner at %s: %s", addr, a.Reason)
+	retryAfter := time.Duration(a.RetryMS) * time.Millisecond
+	return gauge.Errorf(a.Kind, "owner at %s: %s", addr, a.Reason).WithRetryAfter(retryAfter)
 }
 
 func answerOf(err error) relayAnswer {
 	if err == nil {
 		return relayAnswer{}
 	}
-	return relayAnswer{Kind: gauge.KindOf(err), Reason: err.Error()}
+	e := gauge.AsError(err)
+	return relayAnswer{Kind: e.Kind, Reason: err.Error(), RetryMS: e.RetryAfter.Milliseconds()}
 }
 
 // PreferOwner reports whether another entry owns the pool and hasn't been unresponsive lately.
@@ -83,8 +89,8 @@
 }
 
 // Submit asks the owner of a queue's pool to store a job.
-func (r ownerRelay) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec) error {
-	return r.node.askOwner(ctx, q.Pool, methodSubmit, &submitCall{Queue: q.Name, ID: id, Spec: j, Version: r.node.Site().Version})
+func (r ownerRelay) Submit(ctx context.Context, q *gauge.Queue, id string, j *gauge.JobSpec, began int64) error {
+	return r.node.askOwner(ctx, q.Pool, methodSubmit, &submitCall{Queue: q.Name, ID: id, Spec: j, Version: r.node.Site().Version, Began: began})
 }
 
 // Cancel asks the owner of a queue's pool to cancel a job.
@@ -175,7 +181,7 @@
 	if a, elsewhere := n.redirect(q.Pool); elsewhere {
 		return a, nil // as it isn't the owner, this entry could do no more than the calling entry
 	}
-	return answerOf(n.intake.SubmitLocally(ctx, q, c.ID, c.Spec)), nil
+	return answerOf(n.intake.SubmitLocally(ctx, q, c.ID, c.Spec, c.Began)), nil
 }
 
 func (n *Node) handleCancel(ctx context.Context, body []byte) (any, error) {
--- a/jobrow.go
+++ b/jobrow.go
@@ -10,13 +10,17 @@
 // JobState is the progress of a job as its caller sees it.
 type JobState string
 
-// The job states. The last three are final.
+// The job states. Completed, failed and cancelled are final.
 const (
 	JobPending   JobState = "pending"
 	JobRunning   JobState = "running"
 	JobCompleted JobState = "completed"
 	JobFailed    JobState = "failed"
 	JobCancelled JobState = "cancelled"
+	// JobRefused is the state of a row that records a refusal for lack of capacity. Such a row isn't
+	// a job: callers are told that there is none, owners don't adopt it, and a later submission of
+	// the id may replace it. It has no spec and no open mark; Ended is the time of the refusal.
+	JobRefused JobState = "refused"
 )
 
 // IsFinal reports whether the state never changes again.
