--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -71,11 +71,11 @@
 // is enough for that unless another attempt may be replacing it, because its entry's clock is ahead:
 // then the row is stored anew, so that the other attempt's condition fails.
 func (n *Intake) resolveRefused(p *pendingJob, row *gauge.JobRow, version int64) (outcome, bool) {
-	age := time.Duration(p.began-row.Ended) * time.Millisecond
-	if age <= minRefusalAge && p.refusal == nil {
+	age := p.began - row.Ended
+	if age <= minRefusalAge.Milliseconds() && p.refusal == nil {
 		p.refusal = gauge.Errorf(gauge.KindNoSlot, "the job was refused a moment ago").WithRetryAfter(repeatedRetryAfter)
 	}
-	if age <= minRefusalAge-maxClockDifference {
+	if age <= (minRefusalAge - maxClockDifference).Milliseconds() {
 		return p.storedOutcome(version), true
 	}
 	if err := n.prepare(p, version); err != nil {
