--- a/cmd/rounds/reasons.go
+++ b/cmd/rounds/reasons.go
@@ -129,7 +129,7 @@
 	case "job accepted", "job relayed", "job known", "job adopted":
 		h.stored = true
 		h.storedLate = h.storedLate || l.Message != "job adopted" && l.Took > slowSubmission
-	case "job refused":
+	case "job refused", "job refused for room", "job refused for share":
 		h.refused = true
 	case "job unsettled":
 		h.unsettled = true
--- a/cmd/rounds/reasons_test.go
+++ b/cmd/rounds/reasons_test.go
@@ -13,6 +13,7 @@
 		`1.1 e1 {"msg":"run starts","job":"a","waited":900000000}`,
 		`4.0 e1 {"msg":"job completed","job":"a","pool":"p","late":true}`,
 		`1.0 e1 {"msg":"job refused","job":"b","pool":"p"}`,
+		`1.0 e1 {"msg":"job refused for room","job":"e","pool":"q"}`,
 		`2.0 e1 {"msg":"pool left","pool":"q"}`,
 		`2.5 e2 {"msg":"job adopted","job":"c","pool":"q"}`,
 		`4.0 e2 {"msg":"pool loaded","pool":"q"}`,
@@ -26,7 +27,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, counts, map[string]map[Reason]int{
 		"p": {ReasonRoom: 1, ReasonRefused: 1},
-		"q": {ReasonNoOwner: 1},
+		"q": {ReasonNoOwner: 1, ReasonRefused: 1},
 	})
 	assert.Assert(t, strings.Contains(ReasonTable(counts), "all"))
 }
--- a/internal/intake/refusal_paths_test.go
+++ b/internal/intake/refusal_paths_test.go
@@ -184,3 +184,28 @@
 	s.checkState(gauge.JobPending)
 	assert.Equal(t, s.events["job accepted after refusal"], 0)
 }
+
+// Guards against a client that is refused for ever, as the owner isn't told when the attempt began.
+func TestLaterAttemptIsAcceptedThroughAnotherEntry(t *testing.T) {
+	for _, preferred := range []bool{true, false} {
+		s := newRefusalSite(t)
+		s.setFull(false)
+		s.putRefused(refusalTime)
+		s.pass(2000)
+		unreachable := newTable()
+		unreachable.silent, unreachable.answer = true, outage
+		peer := ownerPeer{&peer{preferred: preferred}, s.entry(intake.OwnedForLong, nil)}
+		entry := newRelayHarness(unreachable, s.clock, peer, func(c *intake.Config) { c.TableClock = s.tableClock })
+		entry.ownership = intake.OwnedElsewhere
+		assert.NilError(t, entry.submit(1))
+		s.checkState(gauge.JobPending)
+	}
+}
+
+// Guards against a refusal that a clock behind that of another entry dates before the attempt.
+func TestRefusalIsNotOlderThanItsAttempt(t *testing.T) {
+	s := newRefusalSite(t)
+	assert.Equal(t, gauge.KindOf(submitBegun(s.entry(intake.OwnedForLong, nil), refusalTime+80)), gauge.KindNoSlot)
+	row, _ := s.row()
+	assert.Equal(t, row.Ended, int64(refusalTime+80))
+}
--- a/internal/intake/refusal_test.go
+++ b/internal/intake/refusal_test.go
@@ -96,6 +96,9 @@
 			assert.Assert(t, gauge.AsError(err).RetryAfter >= time.Second)
 			s.checkRefused()
 			assert.Equal(t, len(h.notifications), 0)
+			if row, _ := s.row(); tt.rewritten {
+				assert.Equal(t, row.Ended, s.tableClock(), "the time of the refusal, not that of the attempt")
+			}
 		})
 	}
 }
--- a/test/machines/stored_refusal_test.go
+++ b/test/machines/stored_refusal_test.go
@@ -12,17 +12,19 @@
 	"sapphiregauge/platform"
 )
 
-// putRefused stores a refusal of the job, at a time of the table's clock in milliseconds.
-func (s *succession) putRefused(ended int64) {
+// putRefused stores a refusal of the job, at a time of the table's clock in milliseconds, and returns
+// that clock's time.
+func (s *succession) putRefused(ended int64) int64 {
 	s.t.Helper()
 	value, err := (&gauge.JobRow{State: gauge.JobRefused, Pool: poolName, Ended: ended}).Encode()
 	assert.NilError(s.t, err)
 	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), ReadTimeout: waitTimeout, CommitTimeout: waitTimeout, Clock: time.Now})
 	defer table.Close()
-	_, _, err = table.Commit(s.t.Context(), gauge.PartitionTxn{Writes: []gauge.RowWrite{{
+	position, _, err := table.Commit(s.t.Context(), gauge.PartitionTxn{Writes: []gauge.RowWrite{{
 		RowKey: gauge.RowKey{Table: gauge.TableJobs, Partition: queueName, Key: jobPath(1)[len(queuePath):]}, Value: value,
 	}}})
 	assert.NilError(s.t, err)
+	return position.Now.Milliseconds()
 }
 
 // Guards against a refused id that counts as a job at an entry, at the owner, or on the way between
@@ -53,7 +55,7 @@
 		status, out, _ := s.call(s.owner, method, jobPath(1), nil)
 		assert.Equal(t, status, http.StatusGone, "%s: %v", method, out)
 	}
-	s.putRefused(-hour)
+	s.waitFor("the refusal has aged", func() bool { return s.putRefused(1) > 3000 })
 	status, out, _ := s.call(s.third, http.MethodPost, jobPath(1), twoSteps(20))
 	assert.Equal(t, status, http.StatusOK, "the attempt began long after the refusal: %v", out)
 	s.waitCompleted([]int{1})
