--- a/internal/owner/admission.go
+++ b/internal/owner/admission.go
@@ -14,10 +14,6 @@
 	maxReachableAge = 2 * time.Second
 
 	milliPerCore = 1000
-
-	eventRefusedForRoom  = "job refused for room"
-	eventRefusedForShare = "job refused for share"
-	eventAdmittedAgain   = "job accepted after refusal"
 )
 
 // reachableCores is what the fleet lease holder has told of the cores that the pool can have.
@@ -54,9 +50,6 @@
 	j := o.pool.SubmittedJob(q, id, spec, o.admission.Unadopted(spec.Account, now), now)
 	d := o.admission.Decide(j, cores, now)
 	if d.Accepted {
-		if d.Returned {
-			o.conf.CountEvent(eventAdmittedAgain)
-		}
 		return nil
 	}
 	return o.refuse(q, &j, d, cores)
@@ -74,16 +67,16 @@
 	return o.reachable.milliCPU > 0 && now-o.reachable.receivedAt <= maxReachableAge
 }
 
-// refuse counts and logs a refusal and returns the error for it.
+// refuse logs the figures behind a refusal and returns the error for it. Package intake counts the
+// refusal once it is stored.
 func (o *Owner) refuse(q *gauge.Queue, j *admit.Job, d admit.Decision, cores float64) error {
-	event, reason := eventRefusedForRoom, "room"
+	reason := "room"
 	err := gauge.Errorf(gauge.KindNoSlot, "pool %s can't serve the job in time", q.Pool)
 	if j.Beyond {
-		event, reason = eventRefusedForShare, "share"
+		reason = "share"
 		err = gauge.Errorf(gauge.KindQuota, "account %s requests more than its share of pool %s, which is full", j.Account, q.Pool)
 	}
-	o.conf.CountEvent(event)
-	o.conf.Logs.Info("job refused", "job", j.ID, "queue", q.Name, "pool", q.Pool, "reason", reason, "ahead", d.Ahead, "cores", cores,
+	o.conf.Logs.Info("job not admitted", "job", j.ID, "queue", q.Name, "pool", q.Pool, "reason", reason, "ahead", d.Ahead, "cores", cores,
 		"chain", j.Chain, "objective", j.Objective, "account", j.Account, "beyond", j.Beyond, "retry", d.RetryAfter)
 	return err.WithRetryAfter(d.RetryAfter)
 }
