Refused clients that return don't hold up the others' submissions

Change: an entry remembers the refused rows that it has written and sends their versions; what shared a transaction in conflict is sent again without new jobs.

--- a/internal/intake/batcher.go
+++ b/internal/intake/batcher.go
@@ -45,6 +45,7 @@
 
 	mu            sync.Mutex
 	queued        []*pendingJob // queued for a transaction
+	retries       int           // the first of them that share the next transaction with no others
 	running       bool
 	breakerOpen   bool
 	openSince     time.Duration // since when the circuit breaker is open
@@ -121,7 +122,7 @@
 		retry, failed := b.commit(batch)
 		if !failed {
 			delay = minRetryDelay
-			b.requeue(retry)
+			b.requeueAfterConflict(retry)
 			continue
 		}
 		if !b.isTableAnswering(retry[0].id) {
@@ -139,8 +140,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var batch, later []*pendingJob
+	limit := len(b.queued)
+	if b.retries > 0 {
+		limit = min(limit, b.retries)
+	}
+	b.retries = 0
 	n := 0
-	for ; n < len(b.queued) && len(batch) < maxBatch; n++ {
+	for ; n < limit && len(batch) < maxBatch; n++ {
 		if contradicts(b.queued[n], batch) {
 			later = append(later, b.queued[n])
 			continue
@@ -167,6 +173,16 @@
 	b.queued = append(jobs, b.queued...)
 }
 
+// requeueAfterConflict puts jobs back that shared a transaction with one whose row exists. They are
+// sent without others: if each transaction took in new jobs, and clients come back all the time
+// whose jobs were refused, none might ever be without a conflict.
+func (b *batcher) requeueAfterConflict(jobs []*pendingJob) {
+	b.requeue(jobs)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries = len(jobs)
+}
+
 // markInFlight marks the jobs of the transaction that is sent now. Jobs whose callers no longer
 // wait are left out: some callers were told that their jobs are not stored.
 func (b *batcher) markInFlight(batch []*pendingJob) []*pendingJob {
@@ -198,6 +214,7 @@
 	switch {
 	case err == nil:
 		for _, p := range batch {
+			b.intake.rememberRefusal(p, position.Version)
 			b.settle(p, p.storedOutcome(position.Version))
 		}
 		return nil, false
--- a/internal/intake/forward.go
+++ b/internal/intake/forward.go
@@ -35,6 +35,9 @@
 	if err := n.admit(p); err != nil {
 		return outcome{err: err}
 	}
+	if err := n.expectRefusedRow(p); err != nil {
+		return outcome{err: err}
+	}
 	return n.batcher(p.queue.Name).store(ctx, p)
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -94,6 +94,9 @@
 	unsettledUntil map[string]time.Duration // by job id: until when an unsettled submission may still be stored
 	prunedAt       time.Duration            // last removal of old ids
 	attempts       map[string]int           // by job id: attempts to store it that are under way
+	refusals       map[string]storedRefusal // by job id: refused rows that this entry has written
+	// refusalsPrunedAt is when old ones were last removed from refusals.
+	refusalsPrunedAt time.Duration
 }
 
 // New returns an Intake.
@@ -101,7 +104,7 @@
 	if c.After == nil {
 		c.After = time.After
 	}
-	return &Intake{conf: c, batchers: make(map[string]*batcher), unsettledUntil: make(map[string]time.Duration), attempts: make(map[string]int)}
+	return &Intake{conf: c, batchers: make(map[string]*batcher), unsettledUntil: make(map[string]time.Duration), attempts: make(map[string]int), refusals: make(map[string]storedRefusal)}
 }
 
 const (
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -26,6 +26,8 @@
 	silent  bool                              // reads fail
 	reads   int
 	onRead  func(n int)
+	// onCommit is called before a transaction is executed, or is found to be in conflict.
+	onCommit func(n int)
 }
 
 // newHangingTable returns a table whose first transaction hangs until release is closed; received
@@ -54,6 +56,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.txns = append(t.txns, txn)
+	if t.onCommit != nil {
+		t.onCommit(len(t.txns))
+	}
 	var current []gauge.PartitionRow
 	conflict := false
 	for _, c := range txn.Checks {
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -18,6 +18,9 @@
 
 	refusal  error // the job is stored as refused, and its caller gets this error; nil: it is accepted
 	replaces bool  // it replaces a row in state JobRefused
+	// refusedAt is the time of the refusal that its transaction stores, by the table's clock in
+	// milliseconds.
+	refusedAt int64
 
 	// Guarded by the batcher's mutex.
 	inFlight  bool         // it is in the current transaction
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"maps"
 	"time"
 
 	gauge "sapphiregauge"
@@ -52,7 +53,8 @@
 // refusalTxn returns the transaction that stores a refusal. It neither precedes the attempt that it
 // refuses nor has the account: a refused id is no job of anyone.
 func (n *Intake) refusalTxn(p *pendingJob, version int64) (gauge.PartitionTxn, error) {
-	row := gauge.JobRow{State: gauge.JobRefused, Pool: p.queue.Pool, Ended: max(n.conf.TableClock(), p.began)}
+	p.refusedAt = max(n.conf.TableClock(), p.began)
+	row := gauge.JobRow{State: gauge.JobRefused, Pool: p.queue.Pool, Ended: p.refusedAt}
 	value, err := row.Encode()
 	if err != nil {
 		return gauge.PartitionTxn{}, err
@@ -71,20 +73,71 @@
 // is enough for that unless another attempt may be replacing it, because its entry's clock is ahead:
 // then the row is stored anew, so that the other attempt's condition fails.
 func (n *Intake) resolveRefused(p *pendingJob, row *gauge.JobRow, version int64) (outcome, bool) {
-	age := p.began - row.Ended
-	if age <= minRefusalAge.Milliseconds() && p.refusal == nil {
-		p.refusal = gauge.Errorf(gauge.KindNoSlot, "the job was refused a moment ago").WithRetryAfter(repeatedRetryAfter)
-	}
-	if age <= (minRefusalAge - maxClockDifference).Milliseconds() {
+	if p.began-row.Ended <= (minRefusalAge - maxClockDifference).Milliseconds() {
+		p.refuseIfTooSoon(row.Ended)
 		return p.storedOutcome(version), true
 	}
-	if err := n.prepare(p, version); err != nil {
+	if err := n.prepareForRefused(p, row.Ended, version); err != nil {
 		return outcome{err: err}, true
 	}
-	p.replaces = p.refusal == nil
 	return outcome{}, false
 }
 
+// refuseIfTooSoon has the job refused again if its attempt didn't certainly begin after the refusal.
+func (p *pendingJob) refuseIfTooSoon(refusedAt int64) {
+	if p.refusal == nil && p.began-refusedAt <= minRefusalAge.Milliseconds() {
+		p.refusal = gauge.Errorf(gauge.KindNoSlot, "the job was refused a moment ago").WithRetryAfter(repeatedRetryAfter)
+	}
+}
+
+// prepareForRefused builds the transaction that replaces a refused row, by the job or by a refusal.
+func (n *Intake) prepareForRefused(p *pendingJob, refusedAt, version int64) error {
+	p.refuseIfTooSoon(refusedAt)
+	p.replaces = p.refusal == nil
+	return n.prepare(p, version)
+}
+
+// storedRefusal is a refused row that this entry has written.
+type storedRefusal struct {
+	version int64
+	ended   int64 // by the table's clock in milliseconds
+	at      time.Duration
+}
+
+// refusalMemory is how long this entry remembers the refused rows that it has written: the longest
+// Retry-After, and as much again.
+const refusalMemory = time.Minute
+
+// expectRefusedRow builds the transaction of a job for the refused row that this entry has written.
+// Otherwise the transaction would be in conflict, with all others that share it, whenever a refused
+// client comes back.
+func (n *Intake) expectRefusedRow(p *pendingJob) error {
+	n.mu.Lock()
+	known, ok := n.refusals[p.id]
+	n.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return n.prepareForRefused(p, known.ended, known.version)
+}
+
+// rememberRefusal records a refused row that was written, or that it was replaced.
+func (n *Intake) rememberRefusal(p *pendingJob, version int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.conf.Now()
+	if p.refusal == nil {
+		delete(n.refusals, p.id)
+		return
+	}
+	n.refusals[p.id] = storedRefusal{version: version, ended: p.refusedAt, at: now}
+	if now < n.refusalsPrunedAt+refusalMemory {
+		return
+	}
+	n.refusalsPrunedAt = now
+	maps.DeleteFunc(n.refusals, func(_ string, r storedRefusal) bool { return now > r.at+refusalMemory })
+}
+
 // isRefusal reports whether an error is a refusal for lack of capacity. Between entries it is always
 // a stored one, which holds for all earlier attempts too.
 func isRefusal(err error) bool {
--- a/internal/intake/refusal_site_test.go
+++ b/internal/intake/refusal_site_test.go
@@ -118,11 +118,13 @@
 }
 
 // putRefused stores a refusal of job 1 at a time of the table's clock.
-func (s *refusalSite) putRefused(ended int64) {
+func (s *refusalSite) putRefused(ended int64) { s.putRefusedID(id(1), ended) }
+
+func (s *refusalSite) putRefusedID(job string, ended int64) {
 	value, err := (&gauge.JobRow{State: gauge.JobRefused, Pool: "brakes", Ended: ended}).Encode()
 	assert.NilError(s.t, err)
 	s.store.version++
-	key := gauge.RowKey{Table: gauge.TableJobs, Partition: "sheets", Key: id(1)}
+	key := gauge.RowKey{Table: gauge.TableJobs, Partition: "sheets", Key: job}
 	s.store.rows[key] = gauge.PartitionRow{RowKey: key, Value: value, Version: s.store.version}
 }
 
