--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -58,6 +58,7 @@
 	idle          int           // of these, tasks without a run
 	waiting       bool          // it is on the list of waiting stages
 	runTimes      []runTime     // of a speculative step: of its runs that ended as done
+	lastDoneAt    time.Duration // when the last of its runs ended as done
 
 	advice stageAdvice
 }
@@ -71,6 +72,7 @@
 	runs       []*run
 	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
+	copied     bool // it has had a copy, or may have
 	checkpoint string
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
@@ -170,9 +172,10 @@
 	return o
 }
 
-// task returns a task by its id, nil if the job has no such task.
+// task returns a task by its id, nil if the job has no such task, or if its occurrence is completed and
+// no run of it may exist.
 func (j *job) task(id gauge.TaskID, now time.Duration) *task {
-	if id.Occurrence < j.row.CompletedOccurrences || id.Occurrence >= j.spec.Occurrences() || id.Step >= len(j.spec.Steps) {
+	if id.Occurrence < j.row.CompletedOccurrences && !j.keepsCompleted(id.Occurrence) || id.Occurrence >= j.spec.Occurrences() || id.Step >= len(j.spec.Steps) {
 		return nil
 	}
 	if id.Index >= j.spec.Steps[id.Step].Count {
@@ -257,7 +260,9 @@
 		if o == nil || o.remaining > 0 {
 			break
 		}
-		delete(j.occurrences, j.row.CompletedOccurrences)
+		if o.isOver() {
+			delete(j.occurrences, j.row.CompletedOccurrences)
+		}
 		delete(j.row.Done, j.row.CompletedOccurrences)
 		j.row.CompletedOccurrences++
 	}
@@ -285,10 +290,17 @@
 func (j *job) liveRuns() []*run {
 	var rs []*run
 	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				rs = append(rs, t.runs...)
-			}
+		rs = append(rs, o.liveRuns()...)
+	}
+	return rs
+}
+
+// liveRuns returns the runs of the occurrence that may exist.
+func (o *occurrence) liveRuns() []*run {
+	var rs []*run
+	for _, st := range o.steps {
+		for _, t := range st.tasks {
+			rs = append(rs, t.runs...)
 		}
 	}
 	return rs
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -13,6 +13,7 @@
 	p.stopOrphans(now)
 	p.evacuate(now)
 	p.orderStarts(now)
+	p.startCopies(now)
 	p.adjustPaces(now)
 	out := p.orders
 	p.orders = nil
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -90,7 +90,7 @@
 			r.phase = phaseLive
 		}
 		r.confirmedAt = max(r.confirmedAt, rep.Clock)
-		if rr.Checkpoint != "" {
+		if rr.Checkpoint != "" && r.task.hasProgressedFurthest(r) {
 			r.task.checkpoint = rr.Checkpoint
 		}
 		p.checkProbation(r)
@@ -147,7 +147,7 @@
 		orderedAt: now, inherited: true, confirmedAt: clock, progress: rr.Progress, pace: fullSpeed,
 	}
 	p.conf.Logs.Info("run found", "job", j.id, "task", rr.Task.String(), "run", rr.Run, "worker", w.info.ID, "others", len(t.runs))
-	surplus := t.done || len(t.runs) > 0 || !j.isOpen()
+	surplus := t.done || len(t.runs) >= t.maxRuns() || !j.isOpen()
 	t.attach(r)
 	w.addRun(r)
 	p.inheritProbation(r)
@@ -173,6 +173,9 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	r := w.findRun(t, e.Run)
 	var took time.Duration
+	if e.Ending == gauge.EndDone {
+		p.settleCopies(t, r, now)
+	}
 	if r != nil {
 		took = now - r.orderedAt
 		if e.Ending == gauge.EndDone {
@@ -186,7 +189,7 @@
 	p.conf.CountEvent("run " + string(e.Ending))
 	p.conf.Logs.Info("run ended", "job", j.id, "task", e.Task.String(), "run", e.Run, "worker", w.info.ID,
 		"end", e.Ending, "number", e.Number, "known", r != nil, "took", took)
-	if e.Checkpoint != "" && t.stage.spec.Checkpoints && !t.done {
+	if e.Checkpoint != "" && t.stage.spec.Checkpoints && !t.done && t.hasProgressedFurthest(r) {
 		t.checkpoint = e.Checkpoint
 		j.saveCheckpoint(t, e.Checkpoint)
 	}
--- a/internal/sched/runtime.go
+++ b/internal/sched/runtime.go
@@ -15,6 +15,7 @@
 // only, in which runs of other tasks show how long a run should take. A run that a previous owner
 // started, or that resumed from a checkpoint, shows nothing.
 func (st *stage) recordRunTime(r *run, took time.Duration) {
+	st.lastDoneAt = r.orderedAt + took
 	if st.spec.Speculative && !r.inherited && r.task.checkpoint == "" {
 		st.runTimes = append(st.runTimes, runTime{worker: r.worker, took: took})
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -96,6 +96,7 @@
 	inFlight           int // starts that have no answer yet
 	index              poolIndex
 	lastSweep          time.Duration // when ended jobs were last forgotten
+	copiesCheckedAt    time.Duration // when stragglers were last searched for
 
 	lostUnreported bool // workers were lost before they reported to this owner
 
@@ -343,6 +344,8 @@
 	delete(p.toRepeat, r)
 	r.task.detach(r)
 	p.keepLateStart(r, now)
+	p.copyOver(r)
+	r.task.job.forgetOccurrence(r.task.stage.occ)
 	r.task.readyAt = now
 	if len(r.task.runs) == 0 {
 		r.task.noRunSince = now
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -52,6 +52,7 @@
 	onProbation      bool
 	survivalRecorded bool  // the row has that it has lasted for proof.StartPhase
 	isolatedFor      *task // the suspect that it is a run of, while its worker is closed to other jobs
+	isCopy           bool  // it was started beside another run, and neither has ended as done yet
 	passedOn         bool  // it was ordered from an earlier incarnation, and this one hasn't listed it
 	hasTicket        bool  // its start has a ticket, by which no other incarnation carries it out
 	lost             bool  // it ended with its worker's incarnation or lease
