--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -74,6 +74,8 @@
 	lastRun    int
 	copied     bool // it has had a copy, or may have
 	checkpoint string
+	// checkpointProgress is the progress, in percent, of the run that reported the checkpoint.
+	checkpointProgress int
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
 	noRunSince time.Duration // long-running tasks: since when it has no run
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -313,7 +313,7 @@
 	t.lastRun = number
 	r := &run{
 		task: t, worker: w, number: number, phase: phaseSent, resources: t.stage.spec.Reservation(),
-		orderedAt: now, startDeadline: until, pace: fullSpeed, hasTicket: ticketText != "",
+		orderedAt: now, startDeadline: until, pace: fullSpeed, hasTicket: ticketText != "", resumed: t.checkpoint != "",
 	}
 	t.attach(r)
 	w.addRun(r)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -90,7 +90,7 @@
 			r.phase = phaseLive
 		}
 		r.confirmedAt = max(r.confirmedAt, rep.Clock)
-		if rr.Checkpoint != "" && r.task.hasProgressedFurthest(r) {
+		if rr.Checkpoint != "" && r.task.acceptsCheckpoint(r) {
 			r.task.checkpoint = rr.Checkpoint
 		}
 		p.checkProbation(r)
@@ -189,7 +189,7 @@
 	p.conf.CountEvent("run " + string(e.Ending))
 	p.conf.Logs.Info("run ended", "job", j.id, "task", e.Task.String(), "run", e.Run, "worker", w.info.ID,
 		"end", e.Ending, "number", e.Number, "known", r != nil, "took", took)
-	if e.Checkpoint != "" && t.stage.spec.Checkpoints && !t.done && t.hasProgressedFurthest(r) {
+	if e.Checkpoint != "" && t.stage.spec.Checkpoints && !t.done && t.acceptsCheckpoint(r) {
 		t.checkpoint = e.Checkpoint
 		j.saveCheckpoint(t, e.Checkpoint)
 	}
--- a/internal/sched/runtime.go
+++ b/internal/sched/runtime.go
@@ -16,7 +16,7 @@
 // started, or that resumed from a checkpoint, shows nothing.
 func (st *stage) recordRunTime(r *run, took time.Duration) {
 	st.lastDoneAt = r.orderedAt + took
-	if st.spec.Speculative && !r.inherited && r.task.checkpoint == "" {
+	if st.spec.Speculative && !r.inherited && !r.resumed {
 		st.runTimes = append(st.runTimes, runTime{worker: r.worker, took: took})
 	}
 }
--- a/internal/sched/simulation_copies_test.go
+++ b/internal/sched/simulation_copies_test.go
@@ -53,12 +53,16 @@
 }
 
 // checkOrder fails the test if the owner orders a start of a task that is done by the table, and counts
-// the starts beside another run.
+// the starts beside another run. Obsolete orders aren't sent: a repeated start that was ordered before an
+// end of its gang was reported may be one.
 func (w *simulation) checkOrder(o sched.Order) {
 	task := o.Start.Task
 	if w.isSpeculative(task) && w.runCount[task] > 0 {
 		w.copies++
 	}
+	if w.pool.IsObsolete(o, w.now) {
+		return
+	}
 	assert.Assert(w.t, w.rows[task.Job] != nil, "a start of %s is ordered, whose job is over by the table", task)
 	row, err := gauge.DecodeJobRow(w.rows[task.Job])
 	assert.NilError(w.t, err)
--- a/internal/sched/speculate.go
+++ b/internal/sched/speculate.go
@@ -181,11 +181,8 @@
 func (p *Pool) startCopy(s *straggler, round *placementRound, now time.Duration) bool {
 	t := s.run.task
 	c := candidate{job: t.job, stage: t.stage, advice: p.advice(t.job)}
-	if !p.mayUse(t.job, t.stage.spec.Needs) {
-		return false
-	}
 	w := p.placeCopy(&c, s.run, round, now)
-	if w == nil {
+	if w == nil || !p.mayUse(t.job, t.stage.spec.Needs) {
 		return false
 	}
 	r := p.orderStart(&c, t, w, t.lastRun+1, now)
@@ -232,21 +229,29 @@
 	}
 }
 
-// copyOver records that a copy is over without a result. A copy that certainly never began leaves
-// its task another one.
+// copyOver records that a copy is over without a result. One that its worker refused leaves its task
+// another.
 func (p *Pool) copyOver(r *run) {
 	if !r.isCopy {
 		return
 	}
 	r.isCopy = false
-	r.task.copied = r.attempts.listed || r.attempts.confirmed || len(r.task.lateStarts) > 0
+	r.task.copied = r.attempts.listed || r.attempts.confirmed || r.unanswered || r.lost
 	p.conf.CountEvent(EventCopyLost)
 }
 
-// hasProgressedFurthest reports whether no other run of the task has done more of its work, so that
-// its checkpoint is the task's.
-func (t *task) hasProgressedFurthest(r *run) bool {
-	return r == nil || !slices.ContainsFunc(t.runs, func(o *run) bool { return o.progress > r.progress })
+// acceptsCheckpoint reports whether a run's checkpoint becomes the task's. Of two runs, the one that
+// lags behind must not replace the checkpoint of the other.
+func (t *task) acceptsCheckpoint(r *run) bool {
+	progress := 0
+	if r != nil {
+		progress = r.progress
+	}
+	if (t.copied || len(t.runs) > 1) && progress < t.checkpointProgress {
+		return false
+	}
+	t.checkpointProgress = progress
+	return true
 }
 
 // isOver reports whether all tasks of the occurrence are done and none of their runs may exist.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -27,6 +27,7 @@
 	resources     gauge.Resources
 	orderedAt     time.Duration // when it was ordered, or found
 	inherited     bool          // a previous owner started it
+	resumed       bool          // it was started from a checkpoint
 	inFlight      bool          // its start has no answer yet, and counts for the start window
 	startDeadline time.Duration // on the worker's clock: the start is refused if it arrives later
 	// confirmedAt is the last time, on the worker's clock, that the worker is known to have had the
