--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -72,10 +72,8 @@
 	runs       []*run
 	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
-	copied     bool // it has had a copy, or may have
+	copied     bool // it has had two runs
 	checkpoint string
-	// checkpointProgress is the progress, in percent, of the run that reported the checkpoint.
-	checkpointProgress int
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
 	noRunSince time.Duration // long-running tasks: since when it has no run
@@ -89,6 +87,9 @@
 	pendingLosses      int          // lost workers whose loss isn't attributed yet
 	requiredRevision   int          // of the job's row, which has to be in the table before a suspect starts
 	reservation        *reservation // where it is to start, while it is a suspect
+
+	// checkpointProgress is the progress, in percent, of the run that reported the checkpoint.
+	checkpointProgress int
 }
 
 // waitingSince is since when the task has waited for room only, and no longer for late starts.
@@ -115,6 +116,7 @@
 		t.stage.idle--
 	}
 	t.runs = append(t.runs, r)
+	t.copied = t.copied || len(t.runs) > 1
 }
 
 // detach removes a run that is over.
@@ -292,17 +294,10 @@
 func (j *job) liveRuns() []*run {
 	var rs []*run
 	for _, o := range j.occurrences {
-		rs = append(rs, o.liveRuns()...)
-	}
-	return rs
-}
-
-// liveRuns returns the runs of the occurrence that may exist.
-func (o *occurrence) liveRuns() []*run {
-	var rs []*run
-	for _, st := range o.steps {
-		for _, t := range st.tasks {
-			rs = append(rs, t.runs...)
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				rs = append(rs, t.runs...)
+			}
 		}
 	}
 	return rs
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -90,8 +90,8 @@
 			r.phase = phaseLive
 		}
 		r.confirmedAt = max(r.confirmedAt, rep.Clock)
-		if rr.Checkpoint != "" && r.task.acceptsCheckpoint(r) {
-			r.task.checkpoint = rr.Checkpoint
+		if rr.Checkpoint != "" {
+			r.task.takeCheckpoint(r, rr.Checkpoint)
 		}
 		p.checkProbation(r)
 	}
@@ -189,8 +189,7 @@
 	p.conf.CountEvent("run " + string(e.Ending))
 	p.conf.Logs.Info("run ended", "job", j.id, "task", e.Task.String(), "run", e.Run, "worker", w.info.ID,
 		"end", e.Ending, "number", e.Number, "known", r != nil, "took", took)
-	if e.Checkpoint != "" && t.stage.spec.Checkpoints && !t.done && t.acceptsCheckpoint(r) {
-		t.checkpoint = e.Checkpoint
+	if e.Checkpoint != "" && t.stage.spec.Checkpoints && !t.done && t.takeCheckpoint(r, e.Checkpoint) {
 		j.saveCheckpoint(t, e.Checkpoint)
 	}
 	if r != nil && r.onProbation && t == t.leadTask() && (e.Ending == gauge.EndStopped || e.Ending == gauge.EndGangIncomplete) && t.fewLeft() {
--- a/internal/sched/speculate.go
+++ b/internal/sched/speculate.go
@@ -189,7 +189,7 @@
 	if r == nil {
 		return false
 	}
-	r.isCopy, t.copied = true, true
+	r.isCopy = true
 	p.conf.CountEvent(EventCopyStarted)
 	p.conf.Logs.Info("copy starts", "job", t.id.Job, "task", t.id.String(), "run", r.number, "worker", w.info.ID,
 		"beside", s.run.worker.info.ID, "reason", s.reason, "elapsed", now-s.run.orderedAt, "expected", s.step.Expected())
@@ -209,65 +209,3 @@
 	}
 	return round.place(c.stage, perWorker, nil, elsewhere)
 }
-
-// settleCopies records which of a task's runs ended as done first. The others may be copies.
-func (p *Pool) settleCopies(t *task, first *run, now time.Duration) {
-	if t.done {
-		return
-	}
-	for _, r := range t.runs {
-		if !r.isCopy {
-			continue
-		}
-		r.isCopy = false
-		event, line := EventCopyLost, "copy not needed"
-		if r == first {
-			event, line = EventCopyWon, "copy ended first"
-		}
-		p.conf.CountEvent(event)
-		p.conf.Logs.Info(line, "job", t.id.Job, "task", t.id.String(), "run", r.number, "worker", r.worker.info.ID, "took", now-r.orderedAt)
-	}
-}
-
-// copyOver records that a copy is over without a result. One that its worker refused leaves its task
-// another.
-func (p *Pool) copyOver(r *run) {
-	if !r.isCopy {
-		return
-	}
-	r.isCopy = false
-	r.task.copied = r.attempts.listed || r.attempts.confirmed || r.unanswered || r.lost
-	p.conf.CountEvent(EventCopyLost)
-}
-
-// acceptsCheckpoint reports whether a run's checkpoint becomes the task's. Of two runs, the one that
-// lags behind must not replace the checkpoint of the other.
-func (t *task) acceptsCheckpoint(r *run) bool {
-	progress := 0
-	if r != nil {
-		progress = r.progress
-	}
-	if (t.copied || len(t.runs) > 1) && progress < t.checkpointProgress {
-		return false
-	}
-	t.checkpointProgress = progress
-	return true
-}
-
-// isOver reports whether all tasks of the occurrence are done and none of their runs may exist.
-func (o *occurrence) isOver() bool { return o.remaining == 0 && len(o.liveRuns()) == 0 }
-
-// forgetOccurrence drops an occurrence that was kept for the runs that were stopped when it was
-// completed.
-func (j *job) forgetOccurrence(o *occurrence) {
-	if o.number < j.row.CompletedOccurrences && j.occurrences[o.number] == o && o.isOver() {
-		delete(j.occurrences, o.number)
-	}
-}
-
-// keepsCompleted reports whether a completed occurrence is kept as runs of it may exist. A successor
-// creates an occurrence anew, without what is done of it.
-func (j *job) keepsCompleted(number int) bool {
-	o := j.occurrences[number]
-	return o != nil && o.remaining == 0
-}
--- a/internal/sched/speculate_test.go
+++ b/internal/sched/speculate_test.go
@@ -146,10 +146,19 @@
 			g.stallFirst(speculativeStep(3))
 			g.passUntil("copy", func() bool { return len(g.starts[taskOf(1, 0)]) == 2 })
 			assert.Equal(t, tt.racks[g.worker(taskOf(1, 0), 1)], tt.want)
+			assert.Assert(t, g.worker(taskOf(1, 0), 1) != g.worker(taskOf(1, 0), 0), "both runs are on one worker")
 		})
 	}
 }
 
+// Guards against both runs on one worker, which is all that there is.
+func TestCopyNeedsAnotherWorker(t *testing.T) {
+	g := newCopyHarness(t, "w1")
+	g.stallFirst(speculativeStep(3))
+	g.pass(10 * time.Second)
+	assert.Equal(t, g.events[sched.EventCopyStarted], 0)
+}
+
 // Guards against more running for an account than its limit, of which a copy takes part.
 func TestCopyCountsTowardsTheLimitOfItsAccount(t *testing.T) {
 	for _, tt := range []struct{ limit, copies int }{{3000, 0}, {4000, 1}} {
