--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -53,7 +53,7 @@
 // Events that are counted, besides the ends of runs by kind. The first three show that a guarantee
 // is in danger.
 const (
-	EventSurplus      = "surplus run"      // a task had two runs; the surplus one is stopped
+	EventSurplus      = "surplus run"      // a task had more runs than it may; the surplus one is stopped
 	EventVanished     = "run vanished"     // a worker lost a run without an end report
 	EventOrphan       = "run of ended job" // a run that belongs to no open job; stopped
 	EventLost         = "run lost"         // a run ended with its worker's incarnation or lease
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -1,6 +1,6 @@
 // Package sched decides for one pool which task starts on which worker, and which runs are stopped.
 // It is a state machine without I/O: events go in with their times, and orders come out. It
-// guarantees that a task never has two runs at once, that a worker's capacity is never exceeded,
+// guarantees that a task never has two runs at once (of a speculative step: three), that a worker's capacity is never exceeded,
 // that no task starts before the steps it depends on are done, and that no worker is made to
 // forget an end report before the table has it.
 //
