--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -59,6 +59,7 @@
 	idle          int           // of these, tasks without a run
 	waiting       bool          // it is on the list of waiting stages
 	runTimes      []runTime     // of a speculative step: of its runs that ended as done
+	lastDoneAt    time.Duration // when the last of its runs ended as done
 
 	advice stageAdvice
 }
@@ -72,6 +73,7 @@
 	runs       []*run
 	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
+	copied     bool // it has had two runs
 	checkpoint string
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
@@ -86,6 +88,9 @@
 	pendingLosses      int          // lost workers whose loss isn't attributed yet
 	requiredRevision   int          // of the job's row, which has to be in the table before a suspect starts
 	reservation        *reservation // where it is to start, while it is a suspect
+
+	// checkpointProgress is the progress, in percent, of the run that reported the checkpoint.
+	checkpointProgress int
 }
 
 // waitingSince is since when the task has waited for room only, and no longer for late starts.
@@ -112,6 +117,7 @@
 		t.stage.idle--
 	}
 	t.runs = append(t.runs, r)
+	t.copied = t.copied || len(t.runs) > 1
 }
 
 // detach removes a run that is over.
@@ -171,9 +177,10 @@
 	return o
 }
 
-// task returns a task by its id, nil if the job has no such task.
+// task returns a task by its id, nil if the job has no such task, or if its occurrence is completed and
+// no run of it may exist.
 func (j *job) task(id gauge.TaskID, now time.Duration) *task {
-	if id.Occurrence < j.row.CompletedOccurrences || id.Occurrence >= j.spec.Occurrences() || id.Step >= len(j.spec.Steps) {
+	if id.Occurrence < j.row.CompletedOccurrences && !j.keepsCompleted(id.Occurrence) || id.Occurrence >= j.spec.Occurrences() || id.Step >= len(j.spec.Steps) {
 		return nil
 	}
 	if id.Index >= j.spec.Steps[id.Step].Count {
@@ -258,7 +265,9 @@
 		if o == nil || o.remaining > 0 {
 			break
 		}
-		delete(j.occurrences, j.row.CompletedOccurrences)
+		if o.isOver() {
+			delete(j.occurrences, j.row.CompletedOccurrences)
+		}
 		delete(j.row.Done, j.row.CompletedOccurrences)
 		j.row.CompletedOccurrences++
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -13,6 +13,7 @@
 	p.stopOrphans(now)
 	p.evacuate(now)
 	p.orderStarts(now)
+	p.startCopies(now)
 	p.adjustPaces(now)
 	out := p.orders
 	p.orders = nil
@@ -319,7 +320,7 @@
 	t.lastRun = number
 	r := &run{
 		task: t, worker: w, number: number, phase: phaseSent, resources: t.stage.spec.Reservation(),
-		orderedAt: now, startDeadline: until, pace: fullSpeed, hasTicket: ticketText != "",
+		orderedAt: now, startDeadline: until, pace: fullSpeed, hasTicket: ticketText != "", resumed: t.checkpoint != "",
 	}
 	t.attach(r)
 	w.addRun(r, now)
--- a/internal/sched/runtime.go
+++ b/internal/sched/runtime.go
@@ -15,7 +15,8 @@
 // only, in which runs of other tasks show how long a run should take. A run that a previous owner
 // started, or that resumed from a checkpoint, shows nothing.
 func (st *stage) recordRunTime(r *run, took time.Duration) {
-	if st.spec.Speculative && !r.inherited && r.task.checkpoint == "" {
+	st.lastDoneAt = r.orderedAt + took
+	if st.spec.Speculative && !r.inherited && !r.resumed {
 		st.runTimes = append(st.runTimes, runTime{worker: r.worker, took: took})
 	}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -1,6 +1,6 @@
 // Package sched decides for one pool which task starts on which worker, and which runs are stopped.
 // It is a state machine without I/O: events go in with their times, and orders come out. It
-// guarantees that a task never has two runs at once, that a worker's capacity is never exceeded,
+// guarantees that a task never has two runs at once (of a speculative step: three), that a worker's capacity is never exceeded,
 // that no task starts before the steps it depends on are done, and that no worker is made to
 // forget an end report before the table has it.
 //
@@ -96,6 +96,7 @@
 	inFlight           int // starts that have no answer yet
 	index              poolIndex
 	lastSweep          time.Duration // when ended jobs were last forgotten
+	copiesCheckedAt    time.Duration // when stragglers were last searched for
 
 	lostUnreported bool // workers were lost before they reported to this owner
 
@@ -347,6 +348,8 @@
 	delete(p.toRepeat, r)
 	r.task.detach(r)
 	p.keepLateStart(r, now)
+	p.copyOver(r)
+	r.task.job.forgetOccurrence(r.task.stage.occ)
 	r.task.readyAt = now
 	if len(r.task.runs) == 0 {
 		r.task.noRunSince = now
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -27,6 +27,7 @@
 	resources     gauge.Resources
 	orderedAt     time.Duration // when it was ordered, or found
 	inherited     bool          // a previous owner started it
+	resumed       bool          // it was started from a checkpoint
 	inFlight      bool          // its start has no answer yet, and counts for the start window
 	startDeadline time.Duration // on the worker's clock: the start is refused if it arrives later
 	// confirmedAt is the last time, on the worker's clock, that the worker is known to have had the
@@ -52,6 +53,7 @@
 	onProbation      bool
 	survivalRecorded bool  // the row has that it has lasted for proof.StartPhase
 	isolatedFor      *task // the suspect that it is a run of, while its worker is closed to other jobs
+	isCopy           bool  // it was started beside another run, and neither has ended as done yet
 	passedOn         bool  // it was ordered from an earlier incarnation, and this one hasn't listed it
 	hasTicket        bool  // its start has a ticket, by which no other incarnation carries it out
 	lost             bool  // it ended with its worker's incarnation or lease
