Accounts are ordered by their shares only in an overloaded pool

A small account is above its share as soon as it runs one job, and waited behind others' later objectives although all could be in time. Change: the order is in force once jobs within their weights have been late for 2 s, which is longer than hosts take to come. Tests: those of the order assume an overloaded pool, with the same expectations; the burst's counts what arrives once the pool is overloaded; two new ones, of the order before that and of when a pool is overloaded.

--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -156,6 +156,12 @@
 	return n
 }
 
+// AssumeOverload has accounts ordered, where that is in force, until the next tick.
+func (p *Pool) AssumeOverload() { p.index.fair.overloaded = p.index.fair.inForce }
+
+// IsOverloaded reports whether accounts are ordered.
+func (p *Pool) IsOverloaded() bool { return p.index.fair.overloaded }
+
 // FrontierContains reports whether the frontier of the amounts that are free on some workers contains
 // an amount.
 func FrontierContains(free []gauge.Resources, need gauge.Resources) bool {
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -7,10 +7,15 @@
 	"sapphiregauge/internal/fair"
 )
 
-// fairness orders the client accounts of a full pool by what they use of it. Runs are counted also
-// while the order isn't in force, so that a new configuration finds them.
+// fairness orders the client accounts of an overloaded pool by what they use of it. Runs are counted
+// also while the order isn't in force, so that a new configuration finds them.
 type fairness struct {
-	inForce   bool
+	inForce bool // by the configuration
+	// overloadedSince is since when jobs within their accounts' weights have waited that can't meet
+	// their objectives any more; 0: none does.
+	overloadedSince time.Duration
+	overloaded      bool // accounts are ordered
+
 	shares    *fair.Shares
 	standings map[string]*standing // by account
 	waiting   []*standing          // accounts with waiting tasks, as of the last ranking
@@ -33,6 +38,11 @@
 	// useHalfLife is the half-life of past use: most tasks take a few seconds, and a longer one
 	// would hold a burst against an account long after it has ended.
 	useHalfLife = 5 * time.Second
+	// overloadDelay is how long jobs must have been late until accounts are ordered. Hosts that are
+	// requested at the start of a peak have come by then; until then each job may still be in time
+	// if those with the earliest objectives start first, and an account of a small weight would be
+	// above its share with its first job.
+	overloadDelay = 2 * time.Second
 	// minShareLogInterval is the least time between two log lines about one account's share.
 	minShareLogInterval = time.Second
 )
@@ -62,6 +72,30 @@
 	f.shares.SetWeights(weights)
 }
 
+// updateOverload notes whether the pool is overloaded.
+func (p *Pool) updateOverload(now time.Duration) {
+	f := &p.index.fair
+	switch {
+	case !f.inForce || !p.hasLateJobsWaiting(now):
+		f.overloadedSince = 0
+	case f.overloadedSince == 0:
+		f.overloadedSince = now
+	}
+	f.overloaded = f.overloadedSince > 0 && now-f.overloadedSince >= overloadDelay
+}
+
+// hasLateJobsWaiting reports whether jobs within their accounts' weights wait that can't meet their
+// objectives but are still worth something. Others may wait for what never comes.
+func (p *Pool) hasLateJobsWaiting(now time.Duration) bool {
+	for _, st := range p.index.waiting {
+		j := st.job
+		if st.idle > 0 && j.isOpen() && !j.beyondShare && !st.spec.LongRunning && p.rank(j, st.occ, st, now).lateness == 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // reset forgets which accounts have waiting tasks.
 func (f *fairness) reset() {
 	for _, s := range f.waiting {
@@ -73,7 +107,7 @@
 // addWaiting counts the waiting tasks of a stage and returns the group of its account; nil if
 // accounts aren't ordered.
 func (f *fairness) addWaiting(st *stage) *candidateGroup {
-	if !f.inForce {
+	if !f.overloaded {
 		return nil
 	}
 	s := st.job.standing
@@ -111,7 +145,7 @@
 // rankAccounts computes the levels of the accounts with waiting tasks.
 func (p *Pool) rankAccounts(now time.Duration) {
 	f := &p.index.fair
-	if !f.inForce {
+	if !f.overloaded {
 		return
 	}
 	f.shares.SetCapacity(p.capacity())
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -384,6 +384,7 @@
 	p.expireAwaited(now)
 	p.attributeLosses(now)
 	p.forgetEndedJobs(now)
+	p.updateOverload(now)
 }
 
 // minSweepInterval is the pause between two searches for ended jobs to forget: a large pool ends
