--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -30,6 +30,7 @@
 		id: a.ID, queue: a.Queue, spec: a.Spec, row: *a.Row, version: a.Version, arrived: a.Arrived, inherited: a.Inherited,
 		occurrences: make(map[int]*occurrence), nextOccurrence: a.Row.CompletedOccurrences, criticalPath: criticalPath(a.Spec), index: &p.index,
 	}
+	j.hasObjective = hasObjective(a.Spec)
 	j.beyondShare = p.isBeyondShare(j)
 	p.jobs[a.ID] = j
 	p.adoptedWork += estimatedWork(a.Spec)
--- /dev/null
+++ b/internal/sched/chain.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/spans"
+	"sapphiregauge/internal/triage"
+)
+
+// expectedChain is the longest chain of an occurrence's steps that are left, by learned run times.
+// It is cached until a run starts or ends or the run times have changed, because a plan may look at
+// a thousand of them.
+type expectedChain struct {
+	known    bool
+	revision int           // of the run times
+	waiting  time.Duration // from now on: the longest chain that begins with tasks that wait
+	running  time.Duration // at this time the longest chain ends that begins with running tasks
+	spread   float64       // of the queue's run times
+}
+
+// left returns the time until the last step is done.
+func (c *expectedChain) left(now time.Duration) time.Duration { return max(c.waiting, c.running-now) }
+
+// expectedChain returns the chain of the steps that are left. A step whose tasks all run counts
+// from its last start, so that a job doesn't become late while its runs go on.
+func (p *Pool) expectedChain(o *occurrence) *expectedChain {
+	c := &o.chain
+	if c.known && c.revision == p.spans.Revision() {
+		return c
+	}
+	*c = expectedChain{known: true, revision: p.spans.Revision()}
+	waiting, running := make([]time.Duration, len(o.steps)), make([]time.Duration, len(o.steps))
+	for i, st := range o.steps {
+		for _, a := range st.spec.After {
+			waiting[i], running[i] = max(waiting[i], waiting[a]), max(running[i], running[a])
+		}
+		if st.remaining > 0 {
+			p.addStep(st, &waiting[i], &running[i])
+		}
+		c.waiting, c.running = max(c.waiting, waiting[i]), max(c.running, running[i])
+	}
+	if len(o.steps) > 0 {
+		c.spread = p.spans.Spread(o.steps[0].job.queue)
+	}
+	return c
+}
+
+// addStep adds a step that isn't done to the chains that lead to it.
+func (p *Pool) addStep(st *stage, waiting, running *time.Duration) {
+	expected := p.spans.Expect(st.job.queue, st.spec.Estimate) + triage.StepOverhead
+	if st.idle == 0 {
+		*running = max(*running, st.lastStart+expected)
+		return
+	}
+	*waiting += expected
+	if *running > 0 {
+		*running += expected
+	}
+}
+
+// judge sets the lateness and the order of a job's tasks by the deadlines that it can still meet.
+func (p *Pool) judge(j *job, o *occurrence, r *rank, now time.Duration) {
+	useful := j.arrived + j.objective*lateFactor
+	c := p.expectedChain(o)
+	class := triage.Judge(triage.Job{
+		Left: j.arrived + j.objective - now, LeftLate: useful - now, Chain: c.left(now), Objective: j.objective, Begun: j.startOrdered,
+	}, triage.Load{Spread: c.spread})
+	r.lateness = class.Rank()
+	if class == triage.Late && !p.conf.Disabled.Has(gauge.MechanismDeadline) {
+		r.due = useful
+	}
+	p.recordClass(j, o, class, c.left(now), now)
+}
+
+// isHopeless reports whether no more hosts are requested for a job of this rank.
+func (p *Pool) isHopeless(j *job, r rank) bool {
+	return p.triages && j.hasObjective && r.lateness == triage.Hopeless.Rank()
+}
+
+// hasObjective reports whether a job has a time by which it should be done. Later occurrences of a
+// scheduled job and long-running tasks are past any that counts from the job's arrival.
+func hasObjective(spec *gauge.JobSpec) bool {
+	return !spec.IsScheduled() && !slices.ContainsFunc(spec.Steps, func(st gauge.Step) bool { return st.LongRunning })
+}
+
+// recordClass records the class of a job and logs a change. Jobs are timely at first.
+func (p *Pool) recordClass(j *job, o *occurrence, class triage.Class, chain, now time.Duration) {
+	before := o.class
+	o.class = class
+	if class == before || before == "" && class == triage.Timely {
+		return
+	}
+	p.conf.CountEvent("job " + string(class))
+	p.conf.Logs.Info("job class", "job", j.id, "queue", j.queue, "occurrence", o.number, "class", class, "before", before,
+		"left", j.arrived+j.objective-now, "chain", chain, "objective", j.objective, "begun", j.startOrdered)
+}
+
+// observeRunTime learns from a run that ended as done. A run that a previous owner started, that
+// resumed from a checkpoint or that runs for long shows nothing.
+func (p *Pool) observeRunTime(r *run, took time.Duration) {
+	st := r.task.stage
+	if r.inherited || r.task.checkpoint != "" || st.spec.LongRunning {
+		return
+	}
+	p.spans.Observe(st.job.queue, spans.Run{Estimate: st.spec.Estimate, Took: took, Siblings: st.spec.Count})
+}
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -78,6 +78,9 @@
 		if known := o.remainingCriticalPath(); known != o.uncachedCriticalPath() {
 			w.WrongCriticalPaths = append(w.WrongCriticalPaths, fmt.Sprintf("%s.%d", j.id, o.number))
 		}
+		if known := *p.expectedChain(o); known != p.uncachedChain(o) {
+			w.WrongCriticalPaths = append(w.WrongCriticalPaths, fmt.Sprintf("%s.%d, expected", j.id, o.number))
+		}
 		for i, st := range o.steps {
 			idle, remaining := 0, 0
 			for _, t := range st.tasks {
@@ -93,10 +96,11 @@
 			}
 			if remaining > 0 {
 				demand := &w.Load.Timely
-				if p.rank(j, o, st, now).lateness > 0 || j.beyondShare {
+				rank := p.rank(j, o, st, now)
+				if rank.lateness > 0 || j.beyondShare {
 					demand = &w.Load.Late
 				}
-				w.addStage(demand, st, o.isReady(st), idle, now)
+				w.addStage(demand, st, o.isReady(st) && !p.isHopeless(j, rank), idle, now)
 			}
 		}
 	}
@@ -152,6 +156,11 @@
 	return (&occurrence{number: o.number, steps: o.steps, remaining: o.remaining, criticalPathStale: true}).remainingCriticalPath()
 }
 
+// uncachedChain computes the expected chain without its cached value.
+func (p *Pool) uncachedChain(o *occurrence) expectedChain {
+	return *p.expectedChain(&occurrence{number: o.number, steps: o.steps, remaining: o.remaining})
+}
+
 // JobState returns the state of a job in a queue, false if the job isn't known here.
 func (p *Pool) JobState(queue, id string) (gauge.JobState, bool) {
 	status, ok := p.JobStatus(queue, id)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/triage"
 )
 
 // job is one accepted job and what is known of its tasks.
@@ -23,6 +24,7 @@
 	started        bool           // a worker has reported a run of it
 	inherited      bool           // it was there before this owner took over
 	barrier        *reportBarrier // reports that its tasks wait for, if it was read late
+	hasObjective   bool           // it is to end by some time, see hasObjective
 	beyondShare    bool           // its account has submitted it beyond its weight
 
 	revision      int  // of row; grows with each change
@@ -45,6 +47,9 @@
 
 	criticalPath      time.Duration // result of the last call of remainingCriticalPath
 	criticalPathStale bool          // the result has to be computed again
+
+	chain expectedChain // of the steps that are left
+	class triage.Class  // as of the last time that it was judged; empty: never
 }
 
 // stage is one step of one occurrence.
@@ -58,6 +63,7 @@
 	idle          int           // of these, tasks without a run
 	waiting       bool          // it is on the list of waiting stages
 	runTimes      []runTime     // of a speculative step: of its runs that ended as done
+	lastStart     time.Duration // when a run of it was last ordered, or found
 
 	advice stageAdvice
 }
@@ -110,6 +116,8 @@
 	if len(t.runs) == 0 && !t.done {
 		t.stage.idle--
 	}
+	t.stage.lastStart = max(t.stage.lastStart, r.orderedAt)
+	t.stage.occ.chain.known = false
 	t.runs = append(t.runs, r)
 }
 
@@ -119,6 +127,7 @@
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if before > 0 && len(t.runs) == 0 && !t.done {
 		t.stage.idle++
+		t.stage.occ.chain.known = false
 		t.job.index.enqueue(t.stage)
 	}
 }
@@ -222,6 +231,7 @@
 	t.done = true
 	t.stage.remaining--
 	o.remaining--
+	o.chain.known = false
 	if t.stage.remaining == 0 {
 		o.criticalPathStale = true
 		o.markReady(t.stage, now)
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -20,11 +20,13 @@
 				continue
 			}
 			demand := &l.Timely
-			if p.rank(j, o, o.steps[0], now).lateness > 0 || j.beyondShare { // the same for all steps
+			rank := p.rank(j, o, o.steps[0], now) // lateness is the same for all steps
+			if rank.lateness > 0 || j.beyondShare {
 				demand = &l.Late
 			}
+			hopeless := p.isHopeless(j, rank)
 			for _, st := range o.steps {
-				st.addLoad(&l, demand, o.isReady(st), now)
+				st.addLoad(&l, demand, o.isReady(st), hopeless, now)
 			}
 		}
 	}
@@ -37,8 +39,9 @@
 	return l
 }
 
-// addLoad adds the demand of a stage.
-func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, ready bool, now time.Duration) {
+// addLoad adds the demand of a stage. Of a hopeless job only what runs counts: it occupies hosts
+// until it ends, but no further ones are requested for it.
+func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, ready, hopeless bool, now time.Duration) {
 	if st.remaining == 0 {
 		return
 	}
@@ -52,7 +55,7 @@
 		return
 	}
 	demand.RunningCores += cores * float64(st.remaining-st.idle)
-	if !ready {
+	if !ready || hopeless {
 		return
 	}
 	demand.WaitingCores += cores * float64(st.idle)
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -11,7 +11,7 @@
 	class    int // 0: long-running tasks, which are few and whose value accrues all the time
 	priority int
 	beyond   bool // its account has submitted it beyond its share
-	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it
+	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it, or triage.Hopeless
 	due      time.Duration
 }
 
@@ -84,6 +84,8 @@
 	}
 	switch {
 	case p.conf.Disabled.Has(gauge.MechanismTimely):
+	case p.triages && j.hasObjective:
+		p.judge(j, o, &r, now)
 	case left < -j.objective*(lateFactor-1):
 		r.lateness = 2
 	case left < o.remainingCriticalPath()/2:
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -177,6 +177,7 @@
 		took = now - r.orderedAt
 		if e.Ending == gauge.EndDone {
 			t.stage.recordRunTime(r, took)
+			p.observeRunTime(r, took)
 		}
 		r.attempts.listed = true
 		p.revokeLoss(r)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -18,6 +18,7 @@
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/limit"
 	"sapphiregauge/internal/share"
+	"sapphiregauge/internal/spans"
 )
 
 // Config sets up a Pool.
@@ -60,6 +61,8 @@
 	conf            Config
 	site            *gauge.Site
 	rates           *share.Rates
+	spans           *spans.Times // learned run times, by queue
+	triages         bool         // jobs are classified by learned run times
 	grantLimit      time.Duration // no grant reaches beyond this
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
@@ -111,7 +114,7 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), endedJobs: make(map[string]endedJob), toStop: make(map[*run]bool), toRepeat: make(map[*run]bool), workers: make(map[string]*worker),
-		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, rates: share.New(), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
+		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, rates: share.New(), spans: spans.New(spans.Config{}), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
 		suspects: make(map[*task]bool), suspectWorkers: make(map[gauge.Incarnation]bool),
 	}
 	for _, incarnation := range c.PreviousWorkers {
@@ -123,7 +126,10 @@
 }
 
 // Configure sets the site configuration.
-func (p *Pool) Configure(s *gauge.Site) { p.site = s }
+func (p *Pool) Configure(s *gauge.Site) {
+	p.site = s
+	p.triages = s.SharesCapacity() && !p.conf.Disabled.Has(gauge.MechanismTriage)
+}
 
 // SetGrantLimit sets the time beyond which no grant may reach. No other owner can have taken over
 // before it.
