--- a/internal/sched/chain.go
+++ b/internal/sched/chain.go
@@ -62,18 +62,31 @@
 
 // judge sets the lateness and the order of a job's tasks by the deadlines that it can still meet.
 func (p *Pool) judge(j *job, o *occurrence, r *rank, now time.Duration) {
-	useful := j.arrived + j.objective*lateFactor
 	c := p.expectedChain(o)
 	class := triage.Judge(triage.Job{
-		Left: j.arrived + j.objective - now, LeftLate: useful - now, Chain: c.left(now), Objective: j.objective, Begun: j.startOrdered,
+		Left: j.arrived + j.objective - now, LeftLate: j.arrived + j.objective*lateFactor - now, Chain: c.left(now), Objective: j.objective, Begun: j.startOrdered,
 	}, triage.Load{Spread: c.spread})
 	r.lateness = class.Rank()
-	if class == triage.Late && !p.conf.Disabled.Has(gauge.MechanismDeadline) {
-		r.due = useful
+	if !p.conf.Disabled.Has(gauge.MechanismDeadline) {
+		r.due = dueOf(j, class, c.left(now))
 	}
 	p.recordClass(j, o, class, c.left(now), now)
 }
 
+// dueOf returns by what time a job is ordered within its class. One that has begun and can meet its
+// objective is ordered by its latest start, as its later steps would otherwise wait behind all
+// smaller jobs until it is late, and the work done on it would be wasted.
+func dueOf(j *job, class triage.Class, chain time.Duration) time.Duration {
+	switch {
+	case class == triage.Late:
+		return j.arrived + j.objective*lateFactor
+	case class == triage.Timely && j.startOrdered:
+		return j.arrived + j.objective - chain
+	default:
+		return j.arrived + j.objective
+	}
+}
+
 // isHopeless reports whether no more hosts are requested for a job of this rank.
 func (p *Pool) isHopeless(j *job, r rank) bool {
 	return p.triages && j.hasObjective && r.lateness == triage.Hopeless.Rank()
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -70,14 +70,19 @@
 	}
 }
 
-// slackShare bounds the margin to a share of the slack that the objective leaves: otherwise the
-// jobs of a queue with a tight objective and a wide spread would be late when they arrive.
-const slackShare = 0.5
+const (
+	// maxMargin bounds the margin to a share of the expected duration: where estimates say little, a
+	// job that seems late may well be in time.
+	maxMargin = 0.5
+	// slackShare bounds the margin to a share of the slack that the objective leaves: otherwise the
+	// jobs of a queue with a tight objective would be late when they arrive.
+	slackShare = 0.5
+)
 
 // margin is the time that a job that hasn't begun needs beyond its expected duration: one standard
 // deviation, which five in six jobs don't exceed.
 func margin(j Job, l Load) time.Duration {
-	spread := time.Duration(float64(j.Chain) * math.Expm1(l.Spread))
+	spread := time.Duration(float64(j.Chain) * min(maxMargin, math.Expm1(l.Spread)))
 	slack := time.Duration(float64(j.Objective-j.Chain) * slackShare)
 	return max(0, min(spread, slack))
 }
