--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -61,8 +61,8 @@
 	conf            Config
 	site            *gauge.Site
 	rates           *share.Rates
-	spans           *spans.Times // learned run times, by queue
-	triages         bool         // jobs are classified by learned run times
+	spans           *spans.Times  // learned run times, by queue
+	triages         bool          // jobs are classified by learned run times
 	grantLimit      time.Duration // no grant reaches beyond this
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
