--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -24,7 +24,7 @@
 			left, cores := p.remainingWork(o, &w)
 			// The order is the same for all steps that end.
 			late := p.rank(j, o, o.steps[0], now).lateness > 0
-			w.Add(admit.Group{Priority: p.priority(j), Beyond: p.isBeyond(j.spec.Account, j.beyondShare), Late: late}, left-elapsed[o], cores)
+			w.Add(admit.Group{Priority: p.priority(j), Beyond: j.beyondShare, Late: late}, left-elapsed[o], cores)
 		}
 	}
 	return w
@@ -74,11 +74,9 @@
 }
 
 // expectedTime is the expected run time of a task of a step.
-func (p *Pool) expectedTime(_ string, st *gauge.Step) time.Duration { return st.Estimate }
-
-// isBeyond reports whether an account's job counts as beyond its share, as far as it is known by the
-// account's weight.
-func (p *Pool) isBeyond(_ string, beyondWeight bool) bool { return beyondWeight }
+func (p *Pool) expectedTime(queue string, st *gauge.Step) time.Duration {
+	return p.spans.Expect(queue, st.Estimate)
+}
 
 func (p *Pool) priority(j *job) int {
 	if q := p.policy(j); q != nil {
@@ -107,7 +105,7 @@
 		j.Work += width * expected.Seconds()
 		j.Cores = max(j.Cores, width)
 	}
-	j.Beyond = p.isBeyond(spec.Account, p.wouldExceedWeight(spec.Account, unadopted, now))
+	j.Beyond = p.wouldExceedWeight(spec.Account, unadopted, now)
 	return j
 }
 
--- a/internal/sched/fairness_burst_test.go
+++ b/internal/sched/fairness_burst_test.go
@@ -101,7 +101,7 @@
 	const (
 		step  = 50 * time.Millisecond
 		steps = 400
-		// Jobs are late 1.5 s after they came, and the pool is overloaded 2 s after that.
+		// Jobs are late 0.9 s after they came, and the pool is overloaded 2 s after that.
 		overloadedAt = 4 * time.Second
 	)
 	g := newSharedPool(t, func(c *sched.Config) { c.Disabled = disabled })
