Slow and stalled workers get fewer starts

Owners of pools with speculative steps now choose a slow worker last and give a stalled one no starts for a while, then one run on trial. So far only failures had this effect, and a worker that stood still was filled with runs. Package speed decides from ratios to the median of the step and from runs without progress; back-offs for this and for failures together stay within one worker in four.

--- a/internal/sched/backoff.go
+++ b/internal/sched/backoff.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		all++
-		if now < w.backoffUntil {
+		if now < max(w.backoffUntil, w.speed.stalledUntil) {
 			backingOff++
 		}
 	}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -83,6 +83,7 @@
 		p.lostUnreported = true
 	}
 	p.workers[info.ID] = w
+	p.speeds.Forget(info.ID)
 	p.sortedWorkers = nil
 	p.newIncarnations = append(p.newIncarnations, info)
 	return w
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -62,4 +62,8 @@
 	EventGivenUp      = "job given up"     // one of its tasks crashes its workers
 	EventFailed       = "job failed"
 	EventCompleted    = "job completed"
+
+	EventWorkerSlow      = "worker slow"      // it is chosen after all others
+	EventWorkerStalled   = "worker stalled"   // it gets no starts for a while
+	EventWorkerRecovered = "worker recovered" // it is treated like the others again
 )
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/speed"
 )
 
 // placementRound holds the workers that take starts, for one round of starts.
@@ -19,7 +20,7 @@
 func (p *Pool) newRound(now time.Duration) *placementRound {
 	r := &placementRound{workers: p.roundBuf[:0], disabled: p.conf.Disabled, room: p.roomBuf[0][:0], longRunningRoom: p.roomBuf[1][:0]}
 	for _, w := range p.workersByID() {
-		if !w.takesStarts(now) || w.isSetAside(now) {
+		if !w.takesStarts(now) || w.isSetAside(now) || w.speed.hasTrialRun() {
 			continue
 		}
 		r.workers = append(r.workers, w)
@@ -45,6 +46,9 @@
 func (r *placementRound) updateRoom() {
 	r.room, r.longRunningRoom = r.room[:0], r.longRunningRoom[:0]
 	for _, w := range r.workers {
+		if w.speed.hasTrialRun() {
+			continue // as of this plan
+		}
 		free := w.free()
 		r.longRunningRoom = r.longRunningRoom.add(free)
 		if !r.longRunningOnly[w] {
@@ -70,7 +74,7 @@
 	var bestScore float64
 	need := st.spec.Reservation()
 	for _, w := range r.workers {
-		if !st.fits(w, need, taken[w], perWorker[w]) || !allowed(w) || r.longRunningOnly[w] && !st.spec.LongRunning {
+		if !st.fits(w, need, taken[w], perWorker[w]) || !w.speed.admits(st, taken[w]) || !allowed(w) || r.longRunningOnly[w] && !st.spec.LongRunning {
 			continue
 		}
 		if s := w.score(st, perWorker[w], r.disabled); best == nil || s > bestScore {
@@ -155,6 +159,9 @@
 	if st.spec.DataRack != "" && w.info.HasLabel(st.spec.DataRack) {
 		score += scoreRack
 	}
+	if w.speed.kind == speed.Slow {
+		score -= scoreSlow
+	}
 	if st.spec.LongRunning {
 		if !disabled.Has(gauge.MechanismScatter) {
 			score -= scoreSpread * float64(onWorker)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -316,6 +316,7 @@
 	}
 	t.attach(r)
 	w.addRun(r)
+	w.speed.addStart(r)
 	p.addInFlight(r)
 	if p.mayHaveUnrecordedCrashes(t) {
 		p.recordRoutineRun(r)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -56,6 +56,7 @@
 		// An older report may list runs that have ended since.
 		w.reportClock, w.endsPending = rep.Clock, endsPending
 		p.compareRuns(w, rep, endsPending, now)
+		p.checkSpeed(w, now)
 	}
 	if newest && !endsPending {
 		p.markReported(id) // it has reported everything about previous owners' runs
@@ -82,6 +83,7 @@
 		r.lastReport, r.reportedAt, r.attempts.listed = w.reportCount, now, true
 		p.confirmListed(r)
 		r.task.job.markStarted()
+		p.countProgress(r, rr.Progress, now)
 		if rr.Progress != r.progress {
 			r.progressedAt = now
 		}
@@ -178,6 +180,7 @@
 		if e.Ending == gauge.EndDone {
 			t.stage.recordRunTime(r, took)
 		}
+		p.observeEnd(r, e.Ending, took, now)
 		r.attempts.listed = true
 		p.revokeLoss(r)
 		p.endRun(r, now)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -18,6 +18,7 @@
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/limit"
 	"sapphiregauge/internal/share"
+	"sapphiregauge/internal/speed"
 )
 
 // Config sets up a Pool.
@@ -95,7 +96,9 @@
 	inheritedTasksWait bool
 	inFlight           int // starts that have no answer yet
 	index              poolIndex
-	lastSweep          time.Duration // when ended jobs were last forgotten
+	speeds             *speed.Tracker
+	queueProgress      map[string]*queueProgress // of speculative runs, by queue
+	lastSweep          time.Duration             // when ended jobs were last forgotten
 
 	lostUnreported bool // workers were lost before they reported to this owner
 
@@ -115,6 +118,8 @@
 		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, rates: share.New(), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
 		suspects: make(map[*task]bool), suspectWorkers: make(map[gauge.Incarnation]bool),
 	}
+	p.queueProgress = make(map[string]*queueProgress)
+	p.speeds = speed.New(speed.Config{MayBackOff: p.mayBackOff})
 	for _, incarnation := range c.PreviousWorkers {
 		if !incarnation.IsBefore(p.unreported[incarnation.Worker]) {
 			p.unreported[incarnation.Worker] = incarnation
@@ -371,6 +376,7 @@
 		if !w.listed && now > w.leaseExpiry && len(w.runs)+len(w.lateStarts) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
 			p.forgetOrphans(w)
 			delete(p.workers, id)
+			p.speeds.Forget(id)
 			p.sortedWorkers = nil
 		}
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -41,6 +41,7 @@
 	stopInFlight bool          // a stop is in flight
 	progress     int           // percent of its work done; 100: a long-running task serves
 	progressedAt time.Duration // when its progress was last reported to have changed
+	listedAt     time.Duration // when its worker first listed it
 	pace         int           // percent of full speed that it was last told to work at
 	// load is as reported: the tail latency in ms of a task that serves users, else the processor
 	// use in thousandths.
@@ -121,6 +122,7 @@
 	asideUntil           time.Duration // until then it is set aside for a suspect
 	failures             int           // consecutive failures, of different jobs
 	lastFailedJob        string        // job of the last failure
+	speed                workerSpeed   // how starts treat it because of its speed
 }
 
 // minClockRate is the slowest that a worker's clock may run compared with the local one: it shows
@@ -163,6 +165,7 @@
 		r.task.job.index.countUse(r, -1)
 		w.used = w.used.Minus(r.resources)
 		w.countRun(r, -1)
+		w.speed.removeRun(r)
 	}
 }
 
@@ -221,5 +224,5 @@
 // takesStarts reports whether new runs may start here.
 func (w *worker) takesStarts(now time.Duration) bool {
 	return w.listed && w.inLeaseRow && w.reported && !w.startUnanswered && !w.silent && !w.dead && !w.info.Draining &&
-		now >= w.drainUntil && w.orphanCount == 0 && w.clock > 0 && now >= w.backoffUntil
+		now >= w.drainUntil && w.orphanCount == 0 && w.clock > 0 && now >= max(w.backoffUntil, w.speed.stalledUntil)
 }
