--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -29,6 +29,9 @@
 	passRatio = 1.5
 	// maxSamples is the number of newest samples that count.
 	maxSamples = 8
+	// maxJobSamples is how many of these are of one job. Otherwise a large step would push out the
+	// runs of other jobs, so that a worker with much room would never have runs of enough jobs.
+	maxJobSamples = maxSamples / 2
 	// minSamples and minJobs are how many runs, and of how many jobs, make a worker slow: one run
 	// in a hundred takes three times the median anywhere.
 	minSamples = 3
@@ -109,10 +112,7 @@
 		r.trialUntil = s.At + maxAge
 	}
 	r.samples = slices.DeleteFunc(r.samples, func(o Sample) bool { return o.Task == s.Task && o.Run == s.Run })
-	r.samples = append(r.samples, s)
-	if len(r.samples) > maxSamples {
-		r.samples = slices.Delete(r.samples, 0, len(r.samples)-maxSamples)
-	}
+	r.add(s)
 }
 
 // Stalled records that runs on a worker make no progress, and reports whether a back-off begins.
@@ -181,6 +181,25 @@
 	return r.backoff > 0 && now >= r.backoffUntil && now < r.trialUntil
 }
 
+// add adds the newest sample and drops those that are too many.
+func (r *record) add(s Sample) {
+	r.samples = append(r.samples, s)
+	sameJob := func(o Sample) bool { return o.Task.Job == s.Task.Job }
+	ofJob := 0
+	for _, o := range r.samples {
+		if sameJob(o) {
+			ofJob++
+		}
+	}
+	if ofJob > maxJobSamples {
+		oldest := slices.IndexFunc(r.samples, sameJob)
+		r.samples = slices.Delete(r.samples, oldest, oldest+1)
+	}
+	if len(r.samples) > maxSamples {
+		r.samples = slices.Delete(r.samples, 0, 1)
+	}
+}
+
 func (r *record) extendTrial(now time.Duration) {
 	if r.onTrial(now) {
 		r.trialUntil = now + maxAge
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -32,6 +32,15 @@
 	return list
 }
 
+// jobSamples are of as many runs of one job.
+func jobSamples(job string, ratio float64, count int) []speed.Sample {
+	var list []speed.Sample
+	for run := range count {
+		list = append(list, sample(job, run, ratio, time.Second))
+	}
+	return list
+}
+
 // Guards against workers that are taken for slow because of single slow runs, of one job's tasks or
 // of what happened long ago, and against slow workers that aren't found.
 func TestWorkerIsSlowComparedWithOthers(t *testing.T) {
@@ -54,6 +63,8 @@
 		{"two jobs", []speed.Sample{sample("a", 1, 9, 0), sample("a", 2, 9, 0), sample("b", 1, 9, 0)}, time.Second, speed.Slow},
 		{"one run observed three times", []speed.Sample{sample("a", 1, 9, 0), sample("b", 1, 9, 0), sample("b", 1, 10, 1)}, time.Second, speed.Normal},
 		{"only the newest count", samples(9, 9, 9, 9, 1, 1, 1, 1, 1, 1, 1, 1), 2 * time.Second, speed.Normal},
+		{"many runs of one job after those of another", append(samples(9, 9), jobSamples("large", 9, 8)...), time.Second, speed.Slow},
+		{"many runs of one slow job", append(samples(1, 1, 1, 1), jobSamples("large", 3, 8)...), time.Second, speed.Normal},
 		{"old runs are forgotten", samples(9, 9, 9), 11 * time.Second, speed.Normal},
 		{"a trial without a back-off clears nothing", append(samples(9, 9, 9, 9), trial), time.Second, speed.Slow},
 	} {
