Slow workers: runs that end before others of their step count as well

A healthy worker counted as slow: of a step whose tasks start on one worker, the usual runs ended before any other could be compared with them, and only the slow ones counted. Such runs are now compared once two runs have ended elsewhere.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	gauge "sapphiregauge"
@@ -16,6 +17,9 @@
 	// minStragglerEnds is how many runs of the step must have ended before, and at least half of
 	// its tasks.
 	minStragglerEnds = 3
+	// maxUncompared is how many ended runs of a step are kept until they can be compared: several
+	// workers' worth of samples.
+	maxUncompared = 32
 	// startOverhead is the time of a start and of the report of an end, which doesn't depend on how
 	// fast the worker is. In steps of short runs it would make runs look slow.
 	startOverhead = 100 * time.Millisecond
@@ -156,6 +160,10 @@
 	if r.showsSpeed() {
 		p.progressOfQueue(r).add(w, now)
 		s.Ratio = r.compare(took)
+		p.compareEarlier(r, now)
+	}
+	if s.Ratio == 0 && r.showsSpeed() && r.hasFullTime() {
+		r.task.stage.keepUncompared(endedRun{run: r, took: took, endedAt: now})
 	}
 	if s.Ratio == 0 && s.Trial {
 		s.Ratio = 1 // nothing to compare it with, but the worker has completed it
@@ -166,6 +174,41 @@
 	}
 }
 
+// endedRun is a run that ended as done.
+type endedRun struct {
+	run     *run
+	took    time.Duration
+	endedAt time.Duration
+}
+
+// keepUncompared keeps a run until enough runs of the step have ended on other workers. The tasks
+// of a step often start on one worker, and end there before any other. If only those that end after
+// others counted, a worker's few slow runs would count and its usual ones wouldn't.
+func (st *stage) keepUncompared(e endedRun) {
+	st.uncompared = append(st.uncompared, e)
+	if n := len(st.uncompared); n > maxUncompared {
+		st.uncompared = st.uncompared[n-maxUncompared:]
+	}
+}
+
+// compareEarlier compares the runs that ended on other workers before this one, if there are enough
+// ended runs now.
+func (p *Pool) compareEarlier(ended *run, now time.Duration) {
+	st := ended.task.stage
+	st.uncompared = slices.DeleteFunc(st.uncompared, func(e endedRun) bool {
+		w := e.run.worker
+		if w == ended.worker {
+			return false // there are no more runs on other workers than before
+		}
+		ratio := e.run.compare(e.took)
+		if ratio > 0 && !w.dead && e.endedAt > w.speed.stalledAt {
+			p.speeds.Observe(w.info.ID, speed.Sample{Task: e.run.task.id, Run: e.run.number, Ratio: ratio, At: e.endedAt})
+			p.updateSpeed(w, now)
+		}
+		return ratio > 0
+	})
+}
+
 // compare returns the ratio of a run's time to the median of the runs of its step on other workers;
 // 0: there are too few of them, or its own time says nothing.
 func (r *run) compare(took time.Duration) float64 {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -58,7 +58,8 @@
 	idle          int           // of these, tasks without a run
 	waiting       bool          // it is on the list of waiting stages
 	runTimes      []runTime     // of a speculative step: of its runs that ended as done
-	typical       time.Duration // their median ...
+	uncompared    []endedRun    // of these, runs that ended before enough runs on other workers had
+	typical       time.Duration // median of all ...
 	typicalOf     int           // ... when there were as many
 
 	advice stageAdvice
--- a/internal/sched/slow_harness_test.go
+++ b/internal/sched/slow_harness_test.go
@@ -25,6 +25,8 @@
 	runs     map[string][]*speedRun
 	target   func(now time.Duration) int // tasks that are to run or wait
 	spec     gauge.Step
+	factor   func(gauge.TaskID) int // by which a task takes longer than its estimate; nil: 1
+	grain    int                    // in percent, in which progress is reported
 	without  gauge.Disabled
 
 	open   map[string]int // tasks that aren't done, by job
@@ -53,7 +55,7 @@
 
 func newSpeedPool(t *testing.T, workers int, spec gauge.Step, target func(time.Duration) int, without ...gauge.Mechanism) *speedPool {
 	s := &speedPool{
-		harness: newHarness(t), check: t, interval: 100 * time.Millisecond, failing: make(map[string]bool), speeds: make(map[string]float64), runs: make(map[string][]*speedRun), target: target, spec: spec, without: without,
+		harness: newHarness(t), check: t, interval: 100 * time.Millisecond, grain: 1, failing: make(map[string]bool), speeds: make(map[string]float64), runs: make(map[string][]*speedRun), target: target, spec: spec, without: without,
 		open: make(map[string]int), rows: make(map[string][]byte), since: make(map[string]int), events: make(map[string]int),
 	}
 	for i := range workers {
@@ -85,7 +87,7 @@
 
 // takeOver replaces the owner by one that knows what the table has.
 func (s *speedPool) takeOver(term int) {
-	s.harness.pool = newHarness(s.t, func(c *sched.Config) {
+	s.pool = newHarness(s.t, func(c *sched.Config) {
 		c.Disabled, c.Term, c.Fence = s.without, term, gauge.FencingToken(fence+1_000_000*term)
 		c.CountEvent = func(event string) { s.events[event]++ }
 		if term > 0 {
@@ -143,8 +145,9 @@
 			ended = append(ended, s.endReport(id, task, r.order.Start.Run, gauge.EndStopped))
 			return true
 		}
-		if r.done < s.spec.Estimate {
-			running = append(running, gauge.RunReport{Task: task, Run: r.order.Start.Run, Progress: int(100 * r.done / s.spec.Estimate)})
+		if work := s.work(task); r.done < work {
+			progress := int(100*r.done/work) / s.grain * s.grain
+			running = append(running, gauge.RunReport{Task: task, Run: r.order.Start.Run, Progress: progress})
 			return false
 		}
 		ended = append(ended, s.endReport(id, task, r.order.Start.Run, gauge.EndDone))
@@ -157,6 +160,14 @@
 	s.report(id, running, ended...)
 }
 
+// work is how long a task takes at the usual speed.
+func (s *speedPool) work(task gauge.TaskID) time.Duration {
+	if s.factor == nil {
+		return s.spec.Estimate
+	}
+	return s.spec.Estimate * time.Duration(s.factor(task))
+}
+
 // submit adds jobs until there are as many tasks as there should be.
 func (s *speedPool) submit() {
 	tasks := 0
