--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -63,4 +63,8 @@
 	EventFailed       = "job failed"
 	EventCompleted    = "job completed"
 	EventBeyondPart   = "account beyond its part" // of a full pool: it comes after the others
+
+	EventWorkerSlow      = "worker slow"      // it is chosen after all others
+	EventWorkerStalled   = "worker stalled"   // it gets no starts for a while
+	EventWorkerRecovered = "worker recovered" // it is treated like the others again
 )
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -10,9 +10,9 @@
 	all     candidateHeap // those of this plan, to be cleared after it
 }
 
-// candidateQueue orders the candidates of a plan: by class, priority and beyondShare, then those of
-// accounts within their fair share before the others, and of these the account with the lower level
-// first, then by the rest of their ranks.
+// candidateQueue orders the candidates of a plan: by class, priority, beyondShare and lateness, then
+// those of accounts within their fair share before the others, and of these the account with the
+// lower level first, then by the rest of their ranks.
 //
 // It is a heap of groups by their first candidates, as a start raises the level of one account and
 // moves all of its candidates at once: ranking a thousand candidates of an account again at each
@@ -33,7 +33,8 @@
 func (g *candidateGroup) isBefore(o *candidateGroup, other *candidate) bool {
 	first := &g.first[0]
 	a, b := &first.rank, &other.rank
-	if g.overuse != o.overuse && a.class == b.class && a.priority == b.priority && a.beyond == b.beyond {
+	sameKind := a.class == b.class && a.priority == b.priority && a.beyond == b.beyond && a.lateness == b.lateness
+	if sameKind && g.overuse != o.overuse {
 		return g.overuse < o.overuse
 	}
 	return first.isBefore(other)
