Hosts are requested by the clients' estimates, as before

Change: Load goes by the old rule; one test is replaced: hopeless jobs ask for hosts like late ones.

--- a/internal/sched/chain.go
+++ b/internal/sched/chain.go
@@ -87,11 +87,6 @@
 	}
 }
 
-// isHopeless reports whether no more hosts are requested for a job of this rank.
-func (p *Pool) isHopeless(j *job, r rank) bool {
-	return p.triages && j.hasObjective && r.lateness == triage.Hopeless.Rank()
-}
-
 // hasObjective reports whether a job has a time by which it should be done. Later occurrences of a
 // scheduled job and long-running tasks are past any that counts from the job's arrival.
 func hasObjective(spec *gauge.JobSpec) bool {
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -8,25 +8,26 @@
 
 const milliPerCore = 1000.0
 
-// Load returns the pool's demand and the load of its workers.
+// Load returns the pool's demand and the load of its workers. What counts as timely demand goes by
+// the clients' estimates, also where the order of starts goes by learned run times: that finds more
+// jobs late in a pool that is full, which would then lose its hosts to others.
 func (p *Pool) Load(now time.Duration) gauge.PoolLoad {
 	l := gauge.PoolLoad{Pool: p.conf.Name, ArrivedCoreSeconds: p.adoptedWork, ArrivedJobs: p.adoptedJobs}
 	for _, j := range p.jobs {
 		if !j.isOpen() {
 			continue
 		}
+		p.policy(j)
 		for _, o := range j.occurrences {
 			if o.remaining == 0 {
 				continue
 			}
 			demand := &l.Timely
-			rank := p.rank(j, o, o.steps[0], now) // lateness is the same for all steps
-			if rank.lateness > 0 || j.beyondShare {
+			if p.estimatedLateness(j, o, now) > 0 || j.beyondShare {
 				demand = &l.Late
 			}
-			hopeless := p.isHopeless(j, rank)
 			for _, st := range o.steps {
-				st.addLoad(&l, demand, o.isReady(st), hopeless, now)
+				st.addLoad(&l, demand, o.isReady(st), now)
 			}
 		}
 	}
@@ -39,9 +40,8 @@
 	return l
 }
 
-// addLoad adds the demand of a stage. Of a hopeless job only what runs counts: it occupies hosts
-// until it ends, but no further ones are requested for it.
-func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, ready, hopeless bool, now time.Duration) {
+// addLoad adds the demand of a stage.
+func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, ready bool, now time.Duration) {
 	if st.remaining == 0 {
 		return
 	}
@@ -55,7 +55,7 @@
 		return
 	}
 	demand.RunningCores += cores * float64(st.remaining-st.idle)
-	if !ready || hopeless {
+	if !ready {
 		return
 	}
 	demand.WaitingCores += cores * float64(st.idle)
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -79,18 +79,30 @@
 	}
 	r.beyond = j.beyondShare && !st.spec.LongRunning
 	r.due = j.arrived + j.objective
-	left := r.due - now
 	if p.conf.Disabled.Has(gauge.MechanismDeadline) {
 		r.due = j.arrived
 	}
+	if p.triages && j.hasObjective && !p.conf.Disabled.Has(gauge.MechanismTimely) {
+		p.judge(j, o, &r, now)
+		return r
+	}
+	r.lateness = p.estimatedLateness(j, o, now)
+	return r
+}
+
+// estimatedLateness is the lateness of a job by its client's estimates, which are off by half: a job
+// counts as able to meet its objective while half of its chain's time is left. The job's policy must
+// have been looked up.
+func (p *Pool) estimatedLateness(j *job, o *occurrence, now time.Duration) int {
+	left := j.arrived + j.objective - now
 	switch {
 	case p.conf.Disabled.Has(gauge.MechanismTimely):
-	case p.triages && j.hasObjective:
-		p.judge(j, o, &r, now)
+		return 0
 	case left < -j.objective*(lateFactor-1):
-		r.lateness = 2
+		return 2
 	case left < o.remainingCriticalPath()/2:
-		r.lateness = 1
+		return 1
+	default:
+		return 0
 	}
-	return r
 }
