Search for stragglers no longer sorts a step's run times once per run

An owner with a wide speculative step spent its time on the search for stragglers: each run of the step copied and sorted the times of all ended runs, ten times a second, and each end of a run did so once more.

Run times are now kept in order, so that the median is read from them.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -63,7 +63,7 @@
 	remaining     int           // tasks that aren't done
 	idle          int           // of these, tasks without a run
 	waiting       bool          // it is on the list of waiting stages
-	runTimes      []runTime     // of a speculative step: of its runs that ended as done
+	runTimes      []runTime     // of a speculative step: of its runs that ended as done, in order of time
 	lastDoneAt    time.Duration // when the last of its runs ended as done
 	lastStart     time.Duration // when a run of it was last ordered, or found
 	uncompared    []endedRun    // of these, runs that ended before enough runs on other workers had
