Runs that report checkpoints are evidence of run times and of slow workers

Of steps whose runs report checkpoints, no run times were learned and no slow worker was found: a run counted as resumed as soon as its task had a checkpoint, which it had reported itself. Only runs that were started from a checkpoint are left out now.

--- a/internal/sched/chain.go
+++ b/internal/sched/chain.go
@@ -114,7 +114,7 @@
 // resumed from a checkpoint or that runs for long shows nothing.
 func (p *Pool) observeRunTime(r *run, took time.Duration) {
 	st := r.task.stage
-	if r.inherited || r.task.checkpoint != "" || st.spec.LongRunning {
+	if r.inherited || r.resumed || st.spec.LongRunning {
 		return
 	}
 	p.spans.Observe(st.job.queue, spans.Run{Estimate: st.spec.Estimate, Took: took, Siblings: st.spec.Count})
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -82,7 +82,7 @@
 // was ordered, with its data on the rack.
 func (r *run) hasFullTime() bool {
 	spec := r.task.stage.spec
-	return !r.inherited && r.task.checkpoint == "" && (spec.DataRack == "" || r.worker.info.HasLabel(spec.DataRack))
+	return !r.inherited && !r.resumed && (spec.DataRack == "" || r.worker.info.HasLabel(spec.DataRack))
 }
 
 // countProgress records the progress of a run that its worker lists, before the run's own fields
--- a/internal/sched/slow_harness_test.go
+++ b/internal/sched/slow_harness_test.go
@@ -147,7 +147,11 @@
 		}
 		if work := s.work(task); r.done < work {
 			progress := int(100*r.done/work) / s.grain * s.grain
-			running = append(running, gauge.RunReport{Task: task, Run: r.order.Start.Run, Progress: progress})
+			rr := gauge.RunReport{Task: task, Run: r.order.Start.Run, Progress: progress}
+			if s.spec.Checkpoints {
+				rr.Checkpoint = fmt.Sprint(progress)
+			}
+			running = append(running, rr)
 			return false
 		}
 		ended = append(ended, s.endReport(id, task, r.order.Start.Run, gauge.EndDone))
