Refused clients that return at an entry whose clock is behind aren't refused each time

A refused client that came back after exactly the Retry-After of 1 s, at an entry whose clock was some milliseconds to 100 ms behind, was refused as too early; its refusal was stored anew with a new time, and the next return met the same. It used up its retries although there was room.

A refusal that is stored anew is now sent with Retry-After 2 s. The next return is then later than the refusal by any entry's clock.

--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -18,8 +18,11 @@
 	minRefusalAge = time.Second
 	// maxClockDifference bounds the difference between the table's clock as two entries read it.
 	maxClockDifference = 100 * time.Millisecond
-	// repeatedRetryAfter is sent with a refusal that repeats a stored one.
+	// repeatedRetryAfter is sent with a refusal that repeats a stored one, renewedRetryAfter if that
+	// is stored anew. After minRefusalAge alone, a client that comes back at an entry whose clock is
+	// behind would be refused, and its refusal be stored anew, each time.
 	repeatedRetryAfter = minRefusalAge
+	renewedRetryAfter  = 2 * minRefusalAge
 )
 
 // admit asks whether the job can be served, if this entry owns the queue's pool and knows of no
@@ -74,7 +77,7 @@
 // then the row is stored anew, so that the other attempt's condition fails.
 func (n *Intake) resolveRefused(p *pendingJob, row *gauge.JobRow, version int64) (outcome, bool) {
 	if p.began-row.Ended <= (minRefusalAge - maxClockDifference).Milliseconds() {
-		p.refuseIfTooSoon(row.Ended)
+		p.refuseIfTooSoon(row.Ended, repeatedRetryAfter)
 		return p.storedOutcome(version), true
 	}
 	if err := n.prepareForRefused(p, row.Ended, version); err != nil {
@@ -84,15 +87,15 @@
 }
 
 // refuseIfTooSoon has the job refused again if its attempt didn't certainly begin after the refusal.
-func (p *pendingJob) refuseIfTooSoon(refusedAt int64) {
+func (p *pendingJob) refuseIfTooSoon(refusedAt int64, retryAfter time.Duration) {
 	if p.refusal == nil && p.began-refusedAt <= minRefusalAge.Milliseconds() {
-		p.refusal = gauge.Errorf(gauge.KindNoSlot, "the job was refused a moment ago").WithRetryAfter(repeatedRetryAfter)
+		p.refusal = gauge.Errorf(gauge.KindNoSlot, "the job was refused a moment ago").WithRetryAfter(retryAfter)
 	}
 }
 
 // prepareForRefused builds the transaction that replaces a refused row, by the job or by a refusal.
 func (n *Intake) prepareForRefused(p *pendingJob, refusedAt, version int64) error {
-	p.refuseIfTooSoon(refusedAt)
+	p.refuseIfTooSoon(refusedAt, renewedRetryAfter)
 	p.replaces = p.refusal == nil
 	return n.prepare(p, version)
 }
--- a/internal/intake/refusal_paths_test.go
+++ b/internal/intake/refusal_paths_test.go
@@ -209,3 +209,26 @@
 	row, _ := s.row()
 	assert.Equal(t, row.Ended, int64(refusalTime+80))
 }
+
+// Guards against a client that is refused until its attempts are used up although there is room: it
+// comes back when told, each time at an entry whose clock is behind the owner's.
+func TestClientIsNotRefusedAgainAndAgainBecauseClocksDiffer(t *testing.T) {
+	const retries = 4
+	for behind := int64(0); behind <= 100; behind += 10 {
+		s := newRefusalSite(t)
+		owner := s.entry(intake.OwnedForLong, nil)
+		s.putRefused(refusalTime)
+		s.setFull(false)
+		wait := time.Second
+		var err error
+		for range retries {
+			s.pass(wait.Milliseconds())
+			if err = submitBegun(owner, s.tableClock()-behind); err == nil {
+				break
+			}
+			wait = gauge.AsError(err).RetryAfter
+		}
+		assert.NilError(t, err, "a clock that is %d ms behind", behind)
+		s.checkState(gauge.JobPending)
+	}
+}
