Workers on trial take no best-effort task

A best-effort task can be slowed down to nothing for the sake of a serving task. As the run on trial it kept its worker on trial, which got no other starts as long as it lasted. It now waits until the trial is over, like long-running tasks and gangs.

--- a/internal/sched/slow_test.go
+++ b/internal/sched/slow_test.go
@@ -175,6 +175,32 @@
 	}
 }
 
+// Guards against a worker that stays on trial, and gets no other starts, as long as its run on trial is
+// slowed down to nothing for the sake of a serving task.
+func TestBestEffortRunIsNoTrial(t *testing.T) {
+	s := newTrial(t)
+	slowed, other := newStep(1), newStep(1)
+	slowed.Label, other.Label = "r-w00", "r-w00"
+	slowed.BestEffort = true
+	s.adopt(1000, false, slowed)
+	var running []gauge.RunReport
+	for range 300 {
+		if len(running) == 1 {
+			s.adopt(1001, false, other)
+		}
+		s.advance(s.interval)
+		s.report("w00", running)
+		for _, o := range s.planStarts() {
+			if o.Start.Task.Job == jobID(1001) {
+				return
+			}
+			s.confirm([]sched.Order{o})
+			running = append(running, runReport(o))
+		}
+	}
+	t.Fatal("the worker gets no other start in half a minute")
+}
+
 // Guards against a worker that restarts and is treated like its previous incarnation.
 func TestRestartedWorkerIsNotOnTrial(t *testing.T) {
 	s := newTrial(t)
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -106,12 +106,14 @@
 
 // admits reports whether a task of a stage may start on the worker, beside what a plan has reserved
 // there. A worker on trial takes one run that ends by itself: a long-running task would never
-// decide the trial, and a gang would wait for a member that doesn't progress.
+// decide the trial, a gang would wait for a member that doesn't progress, and a best-effort task may
+// be slowed down to nothing.
 func (s *workerSpeed) admits(st *stage, taken gauge.Resources) bool {
 	if !s.onTrial() {
 		return true
 	}
-	return s.trialRun == nil && taken == (gauge.Resources{}) && !st.spec.LongRunning && !st.spec.Gang
+	endsByItself := !st.spec.LongRunning && !st.spec.Gang && !st.spec.BestEffort
+	return endsByItself && s.trialRun == nil && taken == (gauge.Resources{})
 }
 
 // addStart records a start on the worker.
