Runs that have just begun no longer count as progress of their queue

While no run of a pool progressed, each new run made all others of its queue look stalled, as its first listing counted as progress, and copies of them were started. Only a change of a run's progress, or progress by its first listing, counts now.

--- a/internal/sched/speculate.go
+++ b/internal/sched/speculate.go
@@ -96,7 +96,9 @@
 	for _, w := range p.workersByID() {
 		for r := range w.runs {
 			t := r.task
-			s.progressed[t.job.queue] = max(s.progressed[t.job.queue], r.progressedAt)
+			if r.hasProgressed() {
+				s.progressed[t.job.queue] = max(s.progressed[t.job.queue], r.progressedAt)
+			}
 			if t.runs[0] != r {
 				continue // counted with the other run
 			}
@@ -112,6 +114,12 @@
 	return s
 }
 
+// hasProgressed reports whether the run has progressed since its worker first listed it, or between its
+// start and that.
+func (r *run) hasProgressed() bool {
+	return r.progressedAt > r.listedAt || r.progress > 0 && !r.inherited
+}
+
 // stragglers returns the runs that lag behind and may have a copy, those that are furthest beyond
 // their expected time first.
 func (p *Pool) stragglers(s runSurvey, now time.Duration) []straggler {
--- a/internal/sched/speculate_start_test.go
+++ b/internal/sched/speculate_start_test.go
@@ -131,3 +131,20 @@
 	g.passUntil("copy", func() bool { return len(g.starts[taskOf(1, 0)]) == 2 })
 	g.assertCompleted()
 }
+
+// Guards against copies of runs that are no further behind than all others: the listing of a run that
+// has just begun counted as progress. Load pattern: no run of the pool progresses, and jobs keep
+// coming.
+func TestRunThatBeginsIsNoProgressOfItsQueue(t *testing.T) {
+	g := newCopyHarness(t, "w1", "w2", "w3")
+	g.lose = func(o sched.Order) (bool, bool) {
+		g.stalled[startKey{o.Start.Task, o.Start.Run}] = true
+		return false, true
+	}
+	g.submit(1, speculativeStep(3))
+	for n := range 8 {
+		g.pass(500 * time.Millisecond)
+		g.submit(2+n, speculativeStep(1))
+	}
+	assert.Equal(t, g.events[sched.EventCopyStarted], 0)
+}
