--- a/internal/sched/frontier.go
+++ b/internal/sched/frontier.go
@@ -18,7 +18,7 @@
 	if free.MilliCPU < 0 || free.MemoryMB < 0 || free.Accels < 0 || f.contains(free) {
 		return f
 	}
-	f = slices.DeleteFunc(f, func(o gauge.Resources) bool { return free.Contains(o) })
+	f = slices.DeleteFunc(f, free.Contains)
 	return append(f, free)
 }
 
