Soak test: stragglers and overload

Whoever changes copies, slow workers, or admission has them tested between real processes under disturbances. SOAK_STRAGGLERS=1 makes steps speculative and has runs or workers stand still or run at a tenth of their speed; SOAK_OVERLOAD=1, with accounts, adds bursts of several times the workers' capacity after calm periods of 17 s, as an owner refuses nothing for 15 s.

Two checks of the fakes were wrong for speculative steps: a copy is a second run, and a copy may begin while the end of the first run is on its way. The payload says which steps are speculative: their tasks may have two runs at once, and no start later than 1 s after an end as done was acknowledged. All other tasks are checked as before. The fakes report the progress of runs, as runs without progress aren't slow.

New checks in all plays: the state of a refused job is 410, and each refusal has a Retry-After of 1 to 30 s. The other account's weight is 40 instead of 100, so that bursts go beyond it.

--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -57,6 +57,11 @@
 
 // logLines returns the newest lines of the process's log that contain text, at most maxLogLines.
 func (e *entry) logLines(text string) []string {
+	lines := e.allLogLines(text)
+	return lines[max(0, len(lines)-maxLogLines):]
+}
+
+func (e *entry) allLogLines(text string) []string {
 	raw, err := os.ReadFile(e.logFile())
 	if err != nil {
 		return []string{err.Error()}
@@ -67,7 +72,7 @@
 			lines = append(lines, strings.TrimSuffix(line, "\n"))
 		}
 	}
-	return lines[max(0, len(lines)-maxLogLines):]
+	return lines
 }
 
 func (e *entry) frontAddr() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -97,6 +97,17 @@
 			w.Resize(cpu)
 		}
 	})
+	mux.HandleFunc("/pace", func(_ http.ResponseWriter, r *http.Request) {
+		pace, _ := strconv.ParseFloat(r.URL.Query().Get("pace"), 64)
+		w := service.Worker(r.URL.Query().Get("machine"))
+		switch {
+		case w == nil:
+		case r.URL.Query().Has("one"):
+			w.SetRunPace(pace)
+		default:
+			w.SetPace(pace)
+		}
+	})
 	mux.HandleFunc("/power", func(http.ResponseWriter, *http.Request) {
 		for _, id := range ids {
 			service.CrashWorker(id)
