Hopeless work that waits refuses no job

Cause: review: work that can't end while it is worth something counted as before a job that is tested as late, although it starts after it, so that more was refused than needed. Change: of hopeless jobs only what runs counts.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -21,18 +21,19 @@
 			if o.remaining == 0 {
 				continue
 			}
-			left, cores := p.remainingWork(o, &w)
 			// The order is the same for all steps that end.
-			late := p.rank(j, o, o.steps[0], now).lateness > 0
-			w.Add(admit.Group{Priority: p.priority(j), Beyond: j.beyondShare, Late: late}, left-elapsed[o], cores)
+			lateness := p.rank(j, o, o.steps[0], now).lateness
+			left, cores := p.remainingWork(o, &w, lateness > 1)
+			w.Add(admit.Group{Priority: p.priority(j), Beyond: j.beyondShare, Late: lateness > 0}, left-elapsed[o], cores)
 		}
 	}
 	return w
 }
 
 // remainingWork returns the core-seconds of an occurrence's tasks that aren't done and the most
-// cores that a step of it can use, and adds the cores of its long-running tasks to the summary.
-func (p *Pool) remainingWork(o *occurrence, w *admit.Work) (coreSeconds, cores float64) {
+// cores that a step of it can use, and adds the cores of its long-running tasks to the summary. Of
+// hopeless work only what runs counts: the rest starts after all that is worth something.
+func (p *Pool) remainingWork(o *occurrence, w *admit.Work, hopeless bool) (coreSeconds, cores float64) {
 	for _, st := range o.steps {
 		if st.remaining == 0 {
 			continue
@@ -42,7 +43,11 @@
 			w.LongRunningCores += perTask * float64(len(st.tasks))
 			continue
 		}
-		width := perTask * float64(st.remaining)
+		tasks := st.remaining
+		if hopeless {
+			tasks -= st.idle
+		}
+		width := perTask * float64(tasks)
 		coreSeconds += width * p.expectedTime(st.job.queue, st.spec).Seconds()
 		cores = max(cores, width)
 	}
