At a peak a tenth of a pool serves late jobs that would otherwise not be served at all

Change: a late job at its last call starts first, on a tenth of the processors, until the pool has been overloaded for 10 s.

--- a/internal/sched/chain.go
+++ b/internal/sched/chain.go
@@ -60,19 +60,46 @@
 	}
 }
 
-// judge sets the lateness and the order of a job's tasks by the deadlines that it can still meet.
+// judge sets the lateness and the order of a job's tasks by the deadlines that it can still meet. A
+// late job that has to start now starts first, as long as few such jobs run.
 func (p *Pool) judge(j *job, o *occurrence, r *rank, now time.Duration) {
 	c := p.expectedChain(o)
-	class := triage.Judge(triage.Job{
+	times := triage.Job{
 		Left: j.arrived + j.objective - now, LeftLate: j.arrived + j.objective*lateFactor - now, Chain: c.left(now), Objective: j.objective, Begun: j.startOrdered,
-	}, triage.Load{Spread: c.spread})
+	}
+	class := triage.Judge(times, triage.Load{Spread: c.spread})
 	r.lateness = class.Rank()
 	if !p.conf.Disabled.Has(gauge.MechanismDeadline) {
 		r.due = dueOf(j, class, c.left(now))
 	}
+	if class == triage.Late && !j.beyondShare && triage.IsLastCall(times) && p.rescueRoom > 0 {
+		r.lateness, r.rescue = triage.Timely.Rank(), true
+		r.due -= c.left(now) // its last start
+	}
 	p.recordClass(j, o, class, c.left(now), now)
 }
 
+// updateRescueRoom computes how much more of the pool late jobs may take before timely ones.
+func (p *Pool) updateRescueRoom(now time.Duration) {
+	p.rescueRoom = 0
+	since := p.index.fair.overloadedSince
+	if p.triages && (since == 0 || now-since < triage.MaxRescueSpan) {
+		p.rescueRoom = int(triage.RescueShare*float64(p.capacity().MilliCPU)) - p.index.rescuedMilliCPU
+	}
+}
+
+// countRescue records that a run of a late job starts before timely jobs.
+func (p *Pool) countRescue(r *run) {
+	r.rescue = true
+	p.index.rescuedMilliCPU += r.resources.MilliCPU
+	p.rescueRoom -= r.resources.MilliCPU
+	if j := r.task.job; !j.rescued {
+		j.rescued = true
+		p.conf.CountEvent(EventRescued)
+		p.conf.Logs.Info("late job starts first", "job", j.id, "pool", p.conf.Name, "left", j.arrived+j.objective*lateFactor-r.orderedAt, "room", p.rescueRoom)
+	}
+}
+
 // dueOf returns by what time a job is ordered within its class. One that has begun and can meet its
 // objective is ordered by its latest start, as its later steps would otherwise wait behind all
 // smaller jobs until it is late, and the work done on it would be wasted.
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -76,12 +76,12 @@
 func (p *Pool) updateOverload(now time.Duration) {
 	f := &p.index.fair
 	switch {
-	case !f.inForce || !p.hasLateJobsWaiting(now):
+	case !f.inForce && !p.triages || !p.hasLateJobsWaiting(now):
 		f.overloadedSince = 0
 	case f.overloadedSince == 0:
 		f.overloadedSince = now
 	}
-	f.overloaded = f.overloadedSince > 0 && now-f.overloadedSince >= overloadDelay
+	f.overloaded = f.inForce && f.overloadedSince > 0 && now-f.overloadedSince >= overloadDelay
 }
 
 // hasLateJobsWaiting reports whether jobs within their accounts' weights wait that can't meet their
@@ -89,7 +89,10 @@
 func (p *Pool) hasLateJobsWaiting(now time.Duration) bool {
 	for _, st := range p.index.waiting {
 		j := st.job
-		if st.idle > 0 && j.isOpen() && !j.beyondShare && !st.spec.LongRunning && p.rank(j, st.occ, st, now).lateness == 1 {
+		if st.idle == 0 || !j.isOpen() || j.beyondShare || st.spec.LongRunning {
+			continue
+		}
+		if r := p.rank(j, st.occ, st, now); r.lateness == 1 || r.rescue {
 			return true
 		}
 	}
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -15,6 +15,8 @@
 	changed   map[*job]bool  // superset of the jobs with something to write; pruned by unwrittenJobs
 	scheduled map[*job]bool  // superset of the open jobs with occurrences to come; pruned by createDue
 
+	rescuedMilliCPU int // of the runs of late jobs that started before timely ones
+
 	uses map[string]*limit.Use // by client account: what may run; Waiting isn't kept
 	fair fairness
 
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -26,6 +26,7 @@
 	barrier        *reportBarrier // reports that its tasks wait for, if it was read late
 	hasObjective   bool           // it is to end by some time, see hasObjective
 	beyondShare    bool           // its account has submitted it beyond its weight
+	rescued        bool           // it has started before timely jobs although it is late
 	standing       *standing      // of its account; nil: not looked up yet
 
 	revision      int  // of row; grows with each change
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -62,6 +62,7 @@
 	EventGivenUp      = "job given up"     // one of its tasks crashes its workers
 	EventFailed       = "job failed"
 	EventCompleted    = "job completed"
+	EventRescued      = "late job starts first"   // before timely ones, to be served at all
 	EventBeyondPart   = "account beyond its part" // of a full pool: it comes after the others
 
 	EventWorkerSlow      = "worker slow"      // it is chosen after all others
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -218,6 +218,7 @@
 	if len(round.workers) == 0 {
 		return
 	}
+	p.updateRescueRoom(now)
 	candidates := p.candidates(round, now)
 	// Free room only shrinks within a plan: once the smallest task doesn't fit, none does.
 	for candidates.hasNext() && round.longRunningRoom.contains(p.index.minNeed) && !p.isWindowFull() {
@@ -249,7 +250,7 @@
 		if t.done || p.mayHaveRun(t, now) || t.needsIsolation(now) {
 			continue
 		}
-		if p.isWindowFull() || !p.mayUse(c.job, c.stage.spec.Needs) {
+		if p.isWindowFull() || !p.mayUse(c.job, c.stage.spec.Needs) || c.rank.rescue && p.rescueRoom <= 0 {
 			break
 		}
 		w := round.place(c.stage, perWorker, nil, p.withinWorkerWindow(c.allowedWorkers(now)))
@@ -325,6 +326,9 @@
 	t.attach(r)
 	w.addRun(r, now)
 	w.speed.addStart(r)
+	if c.rank.rescue {
+		p.countRescue(r)
+	}
 	p.addInFlight(r)
 	if p.mayHaveUnrecordedCrashes(t) {
 		p.recordRoutineRun(r)
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -13,6 +13,7 @@
 	beyond   bool // its account has submitted it beyond its share
 	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it, or triage.Hopeless
 	due      time.Duration
+	rescue   bool // it is late and starts before timely ones, to be served at all
 }
 
 // isBefore reports whether the candidate comes before another of the same client account; see
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,7 @@
 	rates           *share.Rates
 	spans           *spans.Times  // learned run times, by queue
 	triages         bool          // jobs are classified by learned run times
+	rescueRoom      int           // thousandths of a core that late jobs may still take before timely ones
 	grantLimit      time.Duration // no grant reaches beyond this
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
--- a/internal/sched/triage_test.go
+++ b/internal/sched/triage_test.go
@@ -79,6 +79,47 @@
 	assert.Equal(t, g.firstStarted(), jobID(2))
 }
 
+// Guards against late jobs of which hardly any is served while timely ones keep coming, and against a pool that serves late
+// ones only: they get a tenth of it, and nothing once the overload has lasted.
+func TestLateJobStartsFirstAtItsLastCall(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		lasting bool
+		want    []int // jobs of the starts
+	}{
+		{"at a peak", false, []int{1, 2, 2, 2}},
+		{"in a lasting overload", true, []int{2, 2, 2, 2}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newTriageHarness(t)
+			if tt.lasting {
+				waiting := estimated(1, 4*time.Second) // late from 4.2 s to 20.8 s
+				waiting.Label = "nowhere"
+				g.adopt(3, false, waiting)
+				g.advance(4300 * time.Millisecond)
+				g.advance(6400 * time.Millisecond)
+			}
+			g.adopt(4, false, estimated(4, time.Second))
+			running := g.planStarts()
+			g.confirm(running)
+			g.adopt(1, false, estimated(2, time.Second)) // objective 2.3 s, useful until 6.9 s
+			g.advance(2 * time.Second)
+			g.advance(3300 * time.Millisecond)
+			var ends []gauge.EndReport
+			for _, o := range running {
+				ends = append(ends, g.endReport("w1", o.Start.Task, 1, gauge.EndDone))
+			}
+			g.report("w1", nil, ends...)
+			g.adopt(2, false, estimated(4, time.Second))
+			var got []int
+			for _, o := range g.planStarts() {
+				got = append(got, map[string]int{jobID(1): 1, jobID(2): 2}[o.Start.Task.Job])
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
 // Guards against a job that is moved back when it has nearly ended: only the steps that are left
 // count.
 func TestJobWithMostStepsDoneIsTimely(t *testing.T) {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -28,6 +28,7 @@
 	orderedAt     time.Duration // when it was ordered, or found
 	inherited     bool          // a previous owner started it
 	resumed       bool          // it was started from a checkpoint
+	rescue        bool          // it was started before timely ones although its job is late
 	inFlight      bool          // its start has no answer yet, and counts for the start window
 	startDeadline time.Duration // on the worker's clock: the start is refused if it arrives later
 	// confirmedAt is the last time, on the worker's clock, that the worker is known to have had the
@@ -170,6 +171,10 @@
 		w.used = w.used.Minus(r.resources)
 		w.countRun(r, -1)
 		w.speed.removeRun(r)
+		if r.rescue {
+			r.task.job.index.rescuedMilliCPU -= r.resources.MilliCPU
+			r.rescue = false
+		}
 	}
 }
 
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// rescueWindow is the part of its objective by which a late job must be near its last start. Until
+// then it may find room that nobody else needs, and later its tasks wouldn't find room in time.
+const rescueWindow = 0.25
+
+// RescueShare is the part of a pool's capacity that late jobs may have before timely ones. Without
+// it hardly any job that is late in a pool that stays full would be served at all; with all of the
+// capacity, each of them would make another one late.
+const RescueShare = 0.1
+
+// MaxRescueSpan is for how long a pool may have been overloaded if late jobs start before timely ones.
+// In an overload that lasts longer each of them makes another job late, and no more are served.
+const MaxRescueSpan = 10 * time.Second
+
+// IsLastCall reports whether a late job has to start about now to end before its last useful moment.
+func IsLastCall(j Job) bool {
+	return j.LeftLate-j.Chain <= time.Duration(rescueWindow*float64(j.Objective))
+}
+
 const (
 	// maxMargin bounds the margin to a share of the expected duration: where estimates say little, a
 	// job that seems late may well be in time.
