Full pools and stragglers: shared rules in one place, names of the field

Readers of the new packages find each rule once. Admission's options and histogram, and stalled runs, have the usual names. The package comment of sched says how many runs a task may have. No behaviour changes.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -3,9 +3,7 @@
 // client when to come back. It reads no clock and makes no calls.
 package admit
 
-import (
-	"time"
-)
+import "time"
 
 // Job is a job that is submitted, as far as the decision needs it.
 type Job struct {
@@ -65,6 +63,9 @@
 	// storeTimeout is how long an admitted job that isn't adopted counts as accepted: a submission
 	// waits for at most 2 s until it is stored, or isn't.
 	storeTimeout = 3 * time.Second
+	// headroom is the ratio of a pool's cores to those that tasks can use at once: tasks don't pack
+	// exactly. Package sizing asks for machines by the same ratio.
+	headroom = 1.25
 )
 
 // New returns a Controller that has no summary of the accepted work yet.
@@ -121,50 +122,52 @@
 	return max(0, reachable-c.work.LongRunningCores) / headroom
 }
 
-// headroom is the ratio of a pool's cores to those that tasks can use at once: tasks don't pack
-// exactly. Package sizing asks for machines by the same ratio.
-const headroom = 1.25
-
-// Decide decides on a job that is submitted now, with the given cores that the pool can use. Room
-// that was promised to clients who are about to come back isn't given to others, as they would be
-// refused again and again otherwise.
+// Decide decides on a job that is submitted now, with the given cores that the pool can use. Capacity
+// that was promised to clients who are about to come back isn't given to others: otherwise these
+// clients would be refused again and again.
 func (c *Controller) Decide(j Job, cores float64, now time.Duration) Decision {
 	backAt, returned := c.returns.remove(j.ID)
-	tests := testsFor(&j)
-	if c.fits(&j, tests, cores, returned && now >= backAt, now) {
+	options := optionsFor(&j)
+	if c.fits(&j, options, cores, returned && now >= backAt, now) {
 		c.accept(j, now)
 		return Decision{Accepted: true, Returned: returned}
 	}
-	back, ahead := time.Duration(0), 0.0
-	for i, t := range tests {
-		a := c.work.ahead(&j, t)
-		at := c.returns.slot(&j, a.drain(cores), now)
-		if i == 0 || at < back {
-			back = at
+	return c.refuse(&j, options, cores, now)
+}
+
+// refuse promises a job capacity at the earliest time at which one of the options would be open to it.
+func (c *Controller) refuse(j *Job, options []option, cores float64, now time.Duration) Decision {
+	earliest, total := time.Duration(0), 0.0
+	for i, o := range options {
+		a := c.work.ahead(j, o)
+		wait := c.returns.slot(j, a.drain(cores), now)
+		if i == 0 || wait < earliest {
+			earliest = wait
 		}
-		ahead = a.total
+		total = a.total
 	}
-	return Decision{Ahead: ahead, RetryAfter: c.returns.promise(&j, back, now)}
+	return Decision{Ahead: total, RetryAfter: c.returns.promise(j, earliest, now)}
 }
 
 // fits reports whether the pool can serve a job. A job that is back as promised has a little more
 // time to start, and the promises to others don't count.
-func (c *Controller) fits(j *Job, tests []test, cores float64, promised bool, now time.Duration) bool {
+func (c *Controller) fits(j *Job, options []option, cores float64, promised bool, now time.Duration) bool {
 	due := 0.0
 	if !promised {
 		due = c.returns.due(j, now)
 	}
-	for _, t := range tests {
+	for _, o := range options {
 		if promised {
-			t.wait += slotMargin
+			o.wait += slotMargin
 		}
-		if c.work.ahead(j, t).with(due).within(cores) {
+		if c.work.ahead(j, o).with(due).within(cores) {
 			return true
 		}
 	}
 	return false
 }
 
+// accept counts a job as accepted work until the scheduler reports it.
 func (c *Controller) accept(j Job, now time.Duration) {
 	if c.accepted[j.ID] != nil {
 		return
@@ -174,19 +177,19 @@
 	c.work.Add(j.group(), j.Work, j.Cores)
 }
 
-// test is one way in which a job can be served in time.
-type test struct {
+// option is one way in which a job can be served in time.
+type option struct {
 	wait time.Duration // longest time until it starts
 	late bool          // it starts after its objective can't be met any more
 }
 
-// testsFor returns the ways in which a job can be served in time. A job within its account's share
+// optionsFor returns the ways in which a job can be served in time. A job within its account's share
 // may start while it can meet its objective, which puts it before late work, or after that, as late
 // work itself. A job beyond the share must meet its objective.
-func testsFor(j *Job) []test {
-	timely := test{wait: max(minWait, j.Objective-j.Chain)}
+func optionsFor(j *Job) []option {
+	timely := option{wait: max(minWait, j.Objective-j.Chain)}
 	if j.Beyond {
-		return []test{timely}
+		return []option{timely}
 	}
-	return []test{timely, {wait: max(minWait, lateFactor*j.Objective-j.Chain), late: true}}
+	return []option{timely, {wait: max(minWait, lateFactor*j.Objective-j.Chain), late: true}}
 }
--- a/internal/admit/returns.go
+++ b/internal/admit/returns.go
@@ -72,7 +72,7 @@
 	return sum
 }
 
-// due returns the core-seconds before a job for which there is room by now, and whose clients
+// due returns the core-seconds before a job for which there is capacity by now, and whose clients
 // haven't come back yet, as they were told whole seconds.
 func (r *returns) due(j *Job, now time.Duration) float64 {
 	if len(r.promises) == 0 {
--- a/internal/admit/work.go
+++ b/internal/admit/work.go
@@ -33,26 +33,27 @@
 	// LongRunningCores are the cores that long-running tasks reserve.
 	LongRunningCores float64
 
-	groups map[Group]*spans
+	groups map[Group]*histogram
 }
 
-// spans is the work of one group by its span, the least time that a job takes for it: its
-// core-seconds by the cores that it can use at a time. Of a job with a long span only a part can be
-// done before another job starts, and it leaves cores free meanwhile.
-type spans [spanCount]amount
+// histogram is the work of one group by the least time that a job takes: its core-seconds divided by
+// the cores that it can use at a time. Of a job that takes long only a part can be done before another
+// job starts, and it leaves cores free meanwhile.
+type histogram [bucketCount]amount
 
+// amount is the work of the jobs of one bucket.
 type amount struct {
 	coreSeconds float64
 	cores       float64
 }
 
 const (
-	// firstSpan is the upper bound of the first spans, in seconds; the bounds of the next ones grow
-	// by the square root of 2, the last ones have none.
-	firstSpan = 0.05
-	spanCount = 26
-	// spansPerDoubling is the number of bounds until they have doubled.
-	spansPerDoubling = 2
+	// firstBound is the upper bound of the first bucket, in seconds. The next bounds grow by the square
+	// root of 2; the last bucket has none.
+	firstBound  = 0.05
+	bucketCount = 26
+	// bucketsPerDoubling is the number of buckets after which the bound has doubled.
+	bucketsPerDoubling = 2
 )
 
 // Add adds the work of a job: its core-seconds, and the most cores that it can use at a time.
@@ -61,23 +62,23 @@
 		return
 	}
 	if w.groups == nil {
-		w.groups = make(map[Group]*spans)
+		w.groups = make(map[Group]*histogram)
 	}
 	s := w.groups[g]
 	if s == nil {
-		s = new(spans)
+		s = new(histogram)
 		w.groups[g] = s
 	}
-	a := &s[spanIndex(coreSeconds/cores)]
+	a := &s[bucketIndex(coreSeconds/cores)]
 	a.coreSeconds += coreSeconds
 	a.cores += cores
 }
 
-func spanIndex(seconds float64) int {
-	if seconds <= firstSpan {
+func bucketIndex(seconds float64) int {
+	if seconds <= firstBound {
 		return 0
 	}
-	return min(spanCount-1, int(math.Ceil(spansPerDoubling*math.Log2(seconds/firstSpan))))
+	return min(bucketCount-1, int(math.Ceil(bucketsPerDoubling*math.Log2(seconds/firstBound))))
 }
 
 // CoreSeconds returns the work of a group in core-seconds.
@@ -109,17 +110,17 @@
 }
 
 // ahead sums up the work before a job.
-func (w *Work) ahead(j *Job, t test) ahead {
-	sum := ahead{wait: t.wait.Seconds()}
+func (w *Work) ahead(j *Job, o option) ahead {
+	sum := ahead{wait: o.wait.Seconds()}
 	for g, s := range w.groups {
-		if g.isBefore(j, t.late) {
+		if g.isBefore(j, o.late) {
 			sum.add(s)
 		}
 	}
 	return sum
 }
 
-func (a *ahead) add(s *spans) {
+func (a *ahead) add(s *histogram) {
 	for _, part := range s {
 		a.total += part.coreSeconds
 		if part.coreSeconds <= part.cores*a.wait {
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -175,6 +175,7 @@
 	)
 }
 
+// part returns the used part of a capacity, 0 if there is none.
 func part(used, capacity int) float64 {
 	if capacity <= 0 {
 		return 0
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -1,5 +1,5 @@
-// Package hedge decides which runs lag so far behind that a second run of their task, a copy, is
-// worth the room that it takes, and how many copies there may be. It knows no clock and no workers:
+// Package hedge decides which runs are stragglers, so that a second run of their task, a copy, is
+// worth the capacity that it takes, and how many copies there may be. It knows no clock and no workers:
 // what is known of a run is given as spans.
 package hedge
 
@@ -11,7 +11,7 @@
 // Reason is why a run is a straggler.
 type Reason string
 
-// The reasons.
+// The reasons, by the rule that a run has broken.
 const (
 	ReasonNone    Reason = "" // it is no straggler
 	ReasonSlow    Reason = "slow"
@@ -20,15 +20,18 @@
 )
 
 const (
-	// slowFactor times the median of its step is what a run may take.
-	slowFactor = 2.5
+	// SlowFactor is how many times the median of its step a run may take.
+	SlowFactor = 2.5
+	// StallSpan is the least time for which a run must have reported the same progress to have stalled.
+	StallSpan = 1500 * time.Millisecond
+	// StallPercents is for how many times the time of one percent of its work a run may report the same
+	// progress: that of a run of some minutes changes every few seconds only.
+	StallPercents = 3
+)
+
+const (
 	// minEnded is the least number of ended runs that make a median.
 	minEnded = 3
-	// stallSpan is how long a run may report the same progress.
-	stallSpan = 1500 * time.Millisecond
-	// stallPercents times as long as one percent of its work has taken a run may report the same
-	// progress: that of a run of some minutes changes every few seconds only.
-	stallPercents = 3
 	// reportInterval is the most time between two reports of a worker. Runs that have stalled at one
 	// moment, such as all of a queue, show their last progress within it.
 	reportInterval = time.Second
@@ -56,9 +59,9 @@
 	return s.Estimate
 }
 
-// hasMedian reports whether enough of the step has ended to tell from it which runs are slow. If all
+// HasMedian reports whether enough of the step has ended to tell from it which runs are slow. If all
 // of its tasks are slow, the job is large, and a copy would take as long.
-func (s Step) hasMedian() bool { return s.Ended >= minEnded && 2*s.Ended >= s.Tasks }
+func (s Step) HasMedian() bool { return s.Ended >= minEnded && 2*s.Ended >= s.Tasks }
 
 // Run is what is known of a task's only run.
 type Run struct {
@@ -79,7 +82,7 @@
 		return ReasonSilent
 	case r.Steady >= r.maxSteady(s) && r.Behind > reportInterval:
 		return ReasonStalled
-	case s.hasMedian() && r.Elapsed > time.Duration(slowFactor*float64(s.Median)) && r.left() > s.Median:
+	case s.HasMedian() && r.Elapsed > time.Duration(SlowFactor*float64(s.Median)) && r.left() > s.Median:
 		return ReasonSlow
 	default:
 		return ReasonNone
@@ -92,7 +95,7 @@
 	if r.Progress > 0 {
 		percent = (r.Elapsed - r.Steady) / time.Duration(r.Progress)
 	}
-	return max(stallSpan, stallPercents*percent)
+	return max(StallSpan, StallPercents*percent)
 }
 
 // left is how long the run goes on if it progresses as so far.
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -28,10 +28,7 @@
 // admit asks whether the job can be served, if this entry owns the queue's pool and knows of no
 // other attempt that may be stored. A job that isn't admitted is stored as refused.
 func (n *Intake) admit(p *pendingJob) error {
-	if n.conf.Admit == nil || n.ownership(p.queue) != OwnedForLong {
-		return nil
-	}
-	if n.isUnsettled(p.id) || n.hasOtherAttempts(p.id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(p.queue, p.id) {
+	if n.conf.Admit == nil || n.ownership(p.queue) != OwnedForLong || n.mayBeStored(p.queue, p.id) {
 		return nil
 	}
 	refusal := n.conf.Admit(p.queue, p.id, p.spec)
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -37,7 +37,7 @@
 	n.beginAttempt(id)
 	defer n.endAttempt(id)
 	o := n.storeOrForward(ctx, p, relay)
-	if gauge.IsKind(o.err, gauge.KindOutage) && (n.isUnsettled(id) || n.hasOtherAttempts(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id) || !n.mayRefuse(q, before, relay)) {
+	if gauge.IsKind(o.err, gauge.KindOutage) && (n.mayBeStored(q, id) || !n.mayRefuse(q, before, relay)) {
 		o.err, o.notSent = unsettledError(o.err), true
 	}
 	n.reportOutcome(p, o)
@@ -76,6 +76,11 @@
 	}
 }
 
+// mayBeStored reports whether this entry knows that a job is stored, or of an attempt by which it may be.
+func (n *Intake) mayBeStored(q *gauge.Queue, id string) bool {
+	return n.isUnsettled(id) || n.hasOtherAttempts(id) || n.conf.OwnsJob != nil && n.conf.OwnsJob(q, id)
+}
+
 // hasOtherAttempts reports whether several attempts to store a job are under way.
 func (n *Intake) hasOtherAttempts(id string) bool {
 	n.mu.Lock()
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -5,6 +5,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/admit"
+	"sapphiregauge/internal/triage"
 )
 
 // AcceptedWork sums up the work of the open jobs by what starts before what. Of a task that runs,
@@ -23,8 +24,8 @@
 			}
 			// The order is the same for all steps that end.
 			lateness := p.rank(j, o, o.steps[0], now).lateness
-			left, cores := p.remainingWork(o, &w, lateness > 1)
-			w.Add(admit.Group{Priority: p.priority(j), Beyond: j.beyondShare, Late: lateness > 0}, left-elapsed[o], cores)
+			left, cores := p.remainingWork(o, &w, lateness == triage.Hopeless.Rank())
+			w.Add(admit.Group{Priority: p.priority(j), Beyond: j.beyondShare, Late: lateness != triage.Timely.Rank()}, left-elapsed[o], cores)
 		}
 	}
 	return w
@@ -38,7 +39,7 @@
 		if st.remaining == 0 {
 			continue
 		}
-		perTask := float64(st.spec.Reservation().MilliCPU) / milliPerCore
+		perTask := coresPerTask(st.spec)
 		if st.spec.LongRunning {
 			w.LongRunningCores += perTask * float64(len(st.tasks))
 			continue
@@ -66,7 +67,7 @@
 			}
 			whole := p.expectedTime(st.job.queue, st.spec)
 			done := whole - expectedRest(whole, now-r.orderedAt)
-			elapsed[st.occ] += float64(st.spec.Reservation().MilliCPU) / milliPerCore * done.Seconds()
+			elapsed[st.occ] += coresPerTask(st.spec) * done.Seconds()
 		}
 	}
 	return elapsed
@@ -83,6 +84,7 @@
 	return p.spans.Expect(queue, st.Estimate)
 }
 
+// priority returns the priority of a job's queue, 0 (the highest) if the queue has no configuration.
 func (p *Pool) priority(j *job) int {
 	if q := p.policy(j); q != nil {
 		return q.Priority
@@ -106,7 +108,7 @@
 		}
 		ends[i] += expected
 		j.Chain = max(j.Chain, ends[i])
-		width := float64(st.Reservation().MilliCPU) / milliPerCore * float64(st.Count)
+		width := coresPerTask(st) * float64(st.Count)
 		j.Work += width * expected.Seconds()
 		j.Cores = max(j.Cores, width)
 	}
@@ -127,13 +129,5 @@
 // IsAlwaysAdmitted reports whether a job is accepted whatever load the pool has: it is scheduled, or
 // has long-running tasks, which its pool has room for by the size that the operator plans.
 func IsAlwaysAdmitted(spec *gauge.JobSpec) bool {
-	if spec.IsScheduled() {
-		return true
-	}
-	for i := range spec.Steps {
-		if spec.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
+	return !hasObjective(spec)
 }
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -5,18 +5,13 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/hedge"
 	"sapphiregauge/internal/speed"
 )
 
 const (
 	// minOtherRuns is how many ended runs on other workers a run is compared with at least.
 	minOtherRuns = 2
-	// stragglerRatio is how many times the median of its step a run that is still going on must
-	// have taken to be compared like an ended one.
-	stragglerRatio = 2.5
-	// minStragglerEnds is how many runs of the step must have ended before, and at least half of
-	// its tasks.
-	minStragglerEnds = 3
 	// maxUncompared is how many ended runs of a step are kept until they can be compared: several
 	// workers' worth of samples.
 	maxUncompared = 32
@@ -24,19 +19,15 @@
 	// fast the worker is. In steps of short runs it would make runs look slow.
 	startOverhead = 100 * time.Millisecond
 
-	// minStandstill is how long a run that has stopped reports no progress.
-	minStandstill = 1500 * time.Millisecond
-	// standstillGaps and standstillPace are how many times as long as usual for its queue, and for
-	// the run itself, a run must have reported no progress: progress is in whole percent, so that
-	// long runs report none for seconds.
-	standstillGaps = 2
-	standstillPace = 3
-	// standstillShare is the part of its estimate that a run may take to its first percent.
-	// Estimates are off by 90 % in some queues, and large jobs take seven times as long.
-	standstillShare = 4
+	// stallGaps is for how many times the usual gap of its queue a run must have reported no progress to
+	// have stalled: progress is in whole percent, so that long runs report none for seconds.
+	stallGaps = 2
+	// firstPercentDivisor divides the estimate of a run into the time that it may take to its first
+	// percent. Estimates are off by 90 % in some queues, and large jobs take seven times as long.
+	firstPercentDivisor = 4
 	// gapWeight is the weight of a new gap in the mean gap of a queue.
 	gapWeight = 0.05
-	// maxGap bounds a gap: one of a run that had stopped says nothing about its queue.
+	// maxGap bounds a gap: one of a run that had stalled says nothing about its queue.
 	maxGap = 10 * time.Second
 )
 
@@ -116,35 +107,35 @@
 	return q
 }
 
-// hasStopped reports whether a run makes no progress although others of its queue do.
-func (p *Pool) hasStopped(r *run) bool {
+// hasStalled reports whether a run makes no progress although others of its queue do.
+func (p *Pool) hasStalled(r *run) bool {
 	q := p.queueProgress[r.task.job.queue]
 	if q == nil || r.listedAt == 0 || r.progress >= fullProgress {
 		return false
 	}
-	still := r.reportedAt - r.progressedAt
-	return still >= r.maxStandstill(q) && q.elsewhere(r.worker) > r.progressedAt
+	steady := r.reportedAt - r.progressedAt
+	return steady >= r.maxSteady(q) && q.elsewhere(r.worker) > r.progressedAt
 }
 
-// maxStandstill is how long a run may report no progress before it counts as stopped.
-func (r *run) maxStandstill(q *queueProgress) time.Duration {
-	usual := max(minStandstill, standstillGaps*q.meanGap)
+// maxSteady is how long a run may report no progress before it counts as stalled.
+func (r *run) maxSteady(q *queueProgress) time.Duration {
+	usual := max(hedge.StallSpan, stallGaps*q.meanGap)
 	if r.progress == 0 || r.inherited {
-		return max(usual, r.task.stage.spec.Estimate/standstillShare)
+		return max(usual, r.task.stage.spec.Estimate/firstPercentDivisor)
 	}
-	return max(usual, standstillPace*(r.progressedAt-r.orderedAt)/time.Duration(r.progress))
+	return max(usual, hedge.StallPercents*(r.progressedAt-r.orderedAt)/time.Duration(r.progress))
 }
 
 // observeStraggler compares a run that is still going on with the ended ones of its step.
 func (p *Pool) observeStraggler(r *run, now time.Duration) {
 	st, took := r.task.stage, now-r.orderedAt
-	if len(st.runTimes) < max(minStragglerEnds, (len(st.tasks)+1)/2) {
+	if ended := (hedge.Step{Tasks: len(st.tasks), Ended: len(st.runTimes)}); !ended.HasMedian() {
 		return
 	}
-	if took < time.Duration(stragglerRatio*float64(st.typicalRunTime())) {
+	if took < time.Duration(hedge.SlowFactor*float64(st.typicalRunTime())) {
 		return
 	}
-	if ratio := r.compare(took); ratio > stragglerRatio {
+	if ratio := r.compare(took); ratio > hedge.SlowFactor {
 		p.speeds.Observe(r.worker.info.ID, speed.Sample{Task: r.task.id, Run: r.number, Ratio: ratio, At: now})
 	}
 }
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -5,6 +5,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/fair"
+	"sapphiregauge/internal/triage"
 )
 
 // fairness orders the client accounts of an overloaded pool by what they use of it. Runs are counted
@@ -89,7 +90,7 @@
 func (p *Pool) hasLateJobsWaiting(now time.Duration) bool {
 	for _, st := range p.index.waiting {
 		j := st.job
-		if st.idle > 0 && j.isOpen() && !j.beyondShare && !st.spec.LongRunning && p.rank(j, st.occ, st, now).lateness == 1 {
+		if st.idle > 0 && j.isOpen() && !j.beyondShare && !st.spec.LongRunning && p.rank(j, st.occ, st, now).lateness == triage.Late.Rank() {
 			return true
 		}
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -66,9 +66,9 @@
 	runTimes      []runTime     // of a speculative step: of its runs that ended as done, in order of time
 	lastDoneAt    time.Duration // when the last of its runs ended as done
 	lastStart     time.Duration // when a run of it was last ordered, or found
-	uncompared    []endedRun    // of these, runs that ended before enough runs on other workers had
-	typical       time.Duration // median of all ...
-	typicalOf     int           // ... when there were as many
+	uncompared    []endedRun    // its runs that ended before enough runs on other workers had
+	typical       time.Duration // median of runTimes ...
+	typicalOf     int           // ... when there were so many
 
 	advice stageAdvice
 }
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/triage"
 )
 
 const milliPerCore = 1000.0
@@ -23,7 +24,7 @@
 				continue
 			}
 			demand := &l.Timely
-			if p.estimatedLateness(j, o, now) > 0 || j.beyondShare {
+			if p.estimatedLateness(j, o, now) != triage.Timely.Rank() || j.beyondShare {
 				demand = &l.Late
 			}
 			for _, st := range o.steps {
@@ -45,7 +46,7 @@
 	if st.remaining == 0 {
 		return
 	}
-	cores := float64(st.spec.Reservation().MilliCPU) / milliPerCore
+	cores := coresPerTask(st.spec)
 	if st.spec.LongRunning {
 		l.LongRunningCores += cores * float64(len(st.tasks))
 		l.Unplaced += st.idle
@@ -69,13 +70,16 @@
 	}
 }
 
+// coresPerTask is how many cores a task of a step reserves.
+func coresPerTask(st *gauge.Step) float64 { return float64(st.Reservation().MilliCPU) / milliPerCore }
+
 // estimatedWork is the estimated work of a job in core-seconds, without long-running tasks.
 func estimatedWork(j *gauge.JobSpec) float64 {
 	sum := 0.0
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		if !st.LongRunning {
-			sum += float64(st.Reservation().MilliCPU) / milliPerCore * st.Estimate.Seconds() * float64(st.Count)
+			sum += coresPerTask(st) * st.Estimate.Seconds() * float64(st.Count)
 		}
 	}
 	return sum * float64(j.Occurrences())
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -4,6 +4,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/triage"
 )
 
 // rank orders candidates: the lower one starts first.
@@ -11,13 +12,12 @@
 	class    int // 0: long-running tasks, which are few and whose value accrues all the time
 	priority int
 	beyond   bool // its account has submitted it beyond its share
-	lateness int  // 0: it can meet its objective; 1: it can't; 2: long past it, or triage.Hopeless
+	lateness int  // rank of its triage.Class
 	due      time.Duration
 }
 
 // isBefore reports whether the candidate comes before another of the same client account; see
-// candidateQueue for those of different accounts. It is called some thousand times a
-// plan, so it compares the deciding fields first and stops at the first difference.
+// candidateQueue for those of different accounts. It is called some thousand times a plan, so it compares the deciding fields first and stops at the first difference.
 func (c *candidate) isBefore(o *candidate) bool {
 	a, b := &c.rank, &o.rank
 	switch {
@@ -74,9 +74,7 @@
 			r.class = 1
 		}
 	}
-	if q := p.policy(j); q != nil {
-		r.priority = q.Priority
-	}
+	r.priority = p.priority(j)
 	r.beyond = j.beyondShare && !st.spec.LongRunning
 	r.due = j.arrived + j.objective
 	if p.conf.Disabled.Has(gauge.MechanismDeadline) {
@@ -91,18 +89,18 @@
 }
 
 // estimatedLateness is the lateness of a job by its client's estimates, which are off by half: a job
-// counts as able to meet its objective while half of its chain's time is left. The job's policy must
-// have been looked up.
+// counts as able to meet its objective while half of its chain's time is left, and as hopeless only
+// after its last useful moment. The job's policy must have been looked up.
 func (p *Pool) estimatedLateness(j *job, o *occurrence, now time.Duration) int {
 	left := j.arrived + j.objective - now
 	switch {
 	case p.conf.Disabled.Has(gauge.MechanismTimely):
-		return 0
+		return triage.Timely.Rank()
 	case left < -j.objective*(lateFactor-1):
-		return 2
+		return triage.Hopeless.Rank()
 	case left < o.remainingCriticalPath()/2:
-		return 1
+		return triage.Late.Rank()
 	default:
-		return 0
+		return triage.Timely.Rank()
 	}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -1,8 +1,8 @@
 // Package sched decides for one pool which task starts on which worker, and which runs are stopped.
 // It is a state machine without I/O: events go in with their times, and orders come out. It
-// guarantees that a task never has two runs at once (of a speculative step: three), that a worker's capacity is never exceeded,
-// that no task starts before the steps it depends on are done, and that no worker is made to
-// forget an end report before the table has it.
+// guarantees that a task never has more than one run at once, or two if its step is speculative, that
+// a worker's capacity is never exceeded, that no task starts before the steps it depends on are done,
+// and that no worker is made to forget an end report before the table has it.
 //
 // All times are readings of one monotonic clock that also counts while the machine is suspended.
 package sched
@@ -357,7 +357,7 @@
 	delete(p.toRepeat, r)
 	r.task.detach(r)
 	p.keepLateStart(r, now)
-	p.copyOver(r)
+	p.endCopy(r)
 	r.task.job.forgetOccurrence(r.task.stage.occ)
 	r.task.readyAt = now
 	if len(r.task.runs) == 0 {
--- a/internal/sched/secondrun.go
+++ b/internal/sched/secondrun.go
@@ -24,9 +24,9 @@
 	}
 }
 
-// copyOver records that a copy is over without a result. One that its worker refused leaves its task
+// endCopy records that a copy is over without a result. One that its worker refused leaves its task
 // another.
-func (p *Pool) copyOver(r *run) {
+func (p *Pool) endCopy(r *run) {
 	if !r.isCopy {
 		return
 	}
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		p.observeStraggler(r, now)
-		if p.hasStopped(r) {
+		if p.hasStalled(r) {
 			stall.Runs++
 			stall.Quiet = max(stall.Quiet, now-r.progressedAt)
 		}
--- a/internal/spans/history.go
+++ b/internal/spans/history.go
@@ -23,6 +23,7 @@
 	spread   float64 // standard deviation of the logarithm of times around the expectation
 }
 
+// add adds a run, of which wide steps count less.
 func (h *history) add(r Run, decay float64) {
 	weight := min(1, maxStepRuns/float64(max(1, r.Siblings)))
 	bound := math.Log(maxRatio)
@@ -46,6 +47,8 @@
 	return true
 }
 
+// predict returns what the runs so far say. The expectation leans towards the mean time as far as the
+// spread of the ratios exceeds poorSpread, compared with that of the times.
 func (h *history) predict() prediction {
 	p := prediction{runs: h.runs, logRatio: h.ratio.mean(), logTook: h.took.mean()}
 	byRatio, byMean := h.ratio.variance(), h.took.variance()
@@ -56,11 +59,13 @@
 	return p
 }
 
+// differsFrom reports whether expectations by the two predictions differ noticeably.
 func (p prediction) differsFrom(o prediction) bool {
 	return math.Abs(p.logRatio-o.logRatio) > minChange || math.Abs(p.lean-o.lean) > minChange ||
 		math.Abs(p.spread-o.spread) > minChange || p.lean > 0 && math.Abs(p.logTook-o.logTook) > minChange
 }
 
+// expect returns the expected time of a run with an estimate above 0.
 func (p prediction) expect(estimate time.Duration) time.Duration {
 	byRatio := math.Log(estimate.Seconds()) + p.logRatio
 	expected := math.Exp((1-p.lean)*byRatio + p.lean*p.logTook)
--- a/internal/spans/spans.go
+++ b/internal/spans/spans.go
@@ -38,8 +38,8 @@
 	// poorSpread is the spread from which on estimates are poor predictors. Estimates that are off
 	// by 20 %, with one job in thirty that takes seven times as long, stay below it.
 	poorSpread = 0.5
-	// minChange is the relative change of what is learned from which on expectations follow it. Callers
-	// cache expectations, and not each run is worth a recomputation.
+	// minChange is the change of what is learned, of a logarithm or a share, from which on expectations
+	// follow it. Callers cache expectations, and not each run is worth a recomputation.
 	minChange = 0.05
 )
 
