--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -11,9 +11,8 @@
 
 const ms = time.Millisecond
 
-// Guards against copies of runs that need none, which take room and stop nothing from being late,
-// and against stragglers that hold up their job for as long as they take. Load pattern: steps of
-// similar runs, of which few lag.
+// Guards against copies of runs that need none, and against stragglers without a copy. Load pattern:
+// steps of similar runs, of which few lag.
 func TestStragglersAreToldFromLargeJobs(t *testing.T) {
 	step := hedge.Step{Tasks: 8, Ended: 4, Median: 1000 * ms, Estimate: 500 * ms}
 	large := hedge.Step{Tasks: 8, Estimate: 500 * ms}
@@ -50,7 +49,7 @@
 	}
 }
 
-// Guards against copies that take the room of a pool in which much lags at once, such as after the
+// Guards against copies that take the capacity of a pool in which much lags at once, such as after the
 // loss of a rack's network, and against none in a small pool.
 func TestOneInTwentyRunningTasksHasACopy(t *testing.T) {
 	for _, tt := range []struct{ running, most int }{{1, 1}, {19, 1}, {39, 1}, {40, 2}, {59, 2}, {60, 3}, {1000, 50}} {
--- a/internal/intake/refusal_test.go
+++ b/internal/intake/refusal_test.go
@@ -10,9 +10,8 @@
 	"sapphiregauge/internal/intake"
 )
 
-// Guards against running a refused job. Another entry's transaction for it got no answer, the owner
-// refuses the retry, and then the transaction arrives; or it arrives only after the job was accepted
-// at a later submission, and must not replace that one's rows.
+// Guards against another entry's transaction that arrives after the owner has refused the job, which
+// would run, or after it has accepted the job later, whose rows would be replaced.
 func TestLateTransactionDoesNotUndoARefusal(t *testing.T) {
 	s := newRefusalSite(t)
 	s.loseAnswers(false)
@@ -50,10 +49,8 @@
 	assert.Equal(t, s.asked, 1)
 }
 
-// Guards against an attempt that began before the refusal, or that may have, and turns it into a job:
-// at an entry that stores jobs without the owner, at a recent owner, at one that asks and admits, and
-// if it was passed on by an entry that doesn't tell when it began. A refusal after which another
-// attempt may replace the row, as clocks differ, stores the row anew.
+// Guards against an attempt that turns a refusal into a job though it may have begun before it, and
+// against a repeated refusal that leaves the row to an attempt by a clock that is ahead.
 func TestOnlyALaterAttemptReplacesARefusal(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
@@ -103,9 +100,8 @@
 	}
 }
 
-// Guards against a refused job that runs because the clock of an entry is ahead: its attempt is to
-// replace an earlier refusal, and gets no answer; the owner then refuses the next attempt, which by
-// its own clock began 51 ms before that one; the transaction of the first arrives.
+// Guards against a refused job that runs because the clock of an entry is ahead: its unanswered attempt
+// to replace an earlier refusal arrives after the owner has refused the next attempt.
 func TestRefusalHoldsAgainstAnEarlierAttemptOfAFastClock(t *testing.T) {
 	for _, age := range []int64{950, 1001, 3000} {
 		s := newRefusalSite(t)
@@ -146,8 +142,7 @@
 }
 
 // Guards against a 503 for a refusal that may not be stored, and against a refusal without an answer
-// that undoes what followed. The owner's transaction gets no answer, or the owner dies before it
-// tells its caller: the next owner gets the retry.
+// that undoes what followed, also at the next owner.
 func TestRefusalWithoutAnAnswerIsUnsettled(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
--- a/internal/sched/fairness_burst_test.go
+++ b/internal/sched/fairness_burst_test.go
@@ -87,8 +87,7 @@
 }
 
 // Guards against waits that grow for an account within its share while another one submits ten times what the pool can
-// run. Without the order, the account waits for what came before it. Until the pool counts as overloaded, the account's jobs
-// are in time only.
+// run. Until the pool counts as overloaded, the account's jobs are in time only.
 func TestBurstDoesNotDelayAnAccountWithinItsShare(t *testing.T) {
 	const longest = time.Second // until a run of the burst ends
 	assert.Assert(t, longestWaitBesideBurst(t, nil) <= longest)
--- a/internal/sched/fairness_test.go
+++ b/internal/sched/fairness_test.go
@@ -57,9 +57,8 @@
 	assert.DeepEqual(t, g.startedJobs(), []string{jobID(2)})
 }
 
-// Guards against one plan that gives an account more than its share, and against room that isn't used. The pattern: a pool
-// that is free at once, and waiting work of several accounts, of which the first has the earliest objectives. An account
-// exactly at its share is still within it, and starts one more.
+// Guards against one plan that gives an account more than its share, or leaves capacity unused. Load pattern: a pool that
+// is free at once. An account exactly at its share is still within it, and starts one more.
 func TestOnePlanDividesThePool(t *testing.T) {
 	gang := newStep(5)
 	gang.Gang = true
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -214,10 +214,8 @@
 	return number / float64(len(jobs)), work / total
 }
 
-// Guards against a full pool in which each job starts when it can no longer meet its objective, and
-// against one that gives up its largest jobs. Load pattern: a steady load of one and a half times
-// the capacity, with estimates of differing quality. Where sizes differ much, most jobs in time are
-// small: serving the large ones costs some of these.
+// Guards against a full pool that starts jobs when they can no longer meet their objectives, or gives
+// up its largest jobs. Load pattern: one and a half times the capacity, with good and poor estimates.
 func TestMoreJobsEndInTimeInOverload(t *testing.T) {
 	for _, tt := range []struct {
 		name       string
@@ -226,7 +224,7 @@
 	}{
 		{"estimates off by 20 %", 4, 0.2, 1.25},
 		{"estimates off by 90 %", 4, 0.65, 1.1},
-		{"very different sizes", 30, 0.2, 0.85},
+		{"very different sizes", 30, 0.2, 0.85}, // a large job takes the time of many small ones
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			with := newOverload(sharedSite(), logr.Discard(), tt.sizes, tt.off)
--- a/internal/sched/plan_cost_test.go
+++ b/internal/sched/plan_cost_test.go
@@ -58,9 +58,8 @@
 	return p
 }
 
-// Guards against an owner that uses up its processor time when its pool is full and thousands of
-// jobs wait: what is left on the workers is uneven, and each waiting task was tried on all of them
-// in every plan although it fitted on none.
+// Guards against plans that try each of thousands of waiting tasks on all workers although it fits
+// on none. Load pattern: a full pool with uneven amounts left on its workers.
 func TestPlanRanksOnlyTasksThatFitOnAWorker(t *testing.T) {
 	assert.Equal(t, newFragmentedPool(t, 2500).CountCandidates(time.Millisecond), 0)
 }
--- a/internal/sched/speculate_cost_test.go
+++ b/internal/sched/speculate_cost_test.go
@@ -51,9 +51,8 @@
 	return p
 }
 
-// Guards against an owner that uses up its processor time on the search for stragglers. Load
-// pattern: a wide step of which half has ended, whose run times were sorted again for each run of
-// the other half, ten times a second.
+// Guards against a search for stragglers that sorts a step's run times again for each of its runs.
+// Load pattern: a wide step of which half has ended.
 func TestSearchForStragglersSortsNothingPerRun(t *testing.T) {
 	cost := func(p *sched.Pool) float64 {
 		now := time.Second
--- a/internal/sched/speculate_start_test.go
+++ b/internal/sched/speculate_start_test.go
@@ -132,9 +132,8 @@
 	g.assertCompleted()
 }
 
-// Guards against copies of runs that are no further behind than all others: the listing of a run that
-// has just begun counted as progress. Load pattern: no run of the pool progresses, and jobs keep
-// coming.
+// Guards against copies because the first listing of another run counts as progress. Load pattern: no
+// run of the pool progresses, and jobs keep coming.
 func TestRunThatBeginsIsNoProgressOfItsQueue(t *testing.T) {
 	g := newCopyHarness(t, "w1", "w2", "w3")
 	g.lose = func(o sched.Order) (bool, bool) {
--- a/internal/triage/triage_test.go
+++ b/internal/triage/triage_test.go
@@ -53,8 +53,7 @@
 }
 
 // Guards against a full pool that starts each job when it can no longer meet its objective. Load
-// pattern: one and a half times the capacity of a pool that runs one job at a time, all alike, so
-// that in the order of their objectives each would miss its own by a few percent.
+// pattern: one and a half times the capacity of a pool that runs one job at a time, all alike.
 func TestFullPoolStartsJobsThatMeetTheirObjective(t *testing.T) {
 	const (
 		jobs      = 300
--- a/test/machines/stored_refusal_test.go
+++ b/test/machines/stored_refusal_test.go
@@ -27,9 +27,8 @@
 	return position.Now.Milliseconds()
 }
 
-// Guards against a refused id that counts as a job at an entry, at the owner, or on the way between
-// them: told as accepted, shown or cancelled as a job, or never accepted again. The third entry
-// reaches the job's rows only through the owner.
+// Guards against a refused id that counts as a job at an entry or at the owner: told as accepted, shown
+// or cancelled, or never accepted again. The third entry reaches the rows only through the owner.
 func TestRefusalIsNoJobAtAnyEntry(t *testing.T) {
 	t.Parallel()
 	s := newSuccession(t)
