--- a/internal/intake/batcher.go
+++ b/internal/intake/batcher.go
@@ -45,7 +45,7 @@
 
 	mu            sync.Mutex
 	queued        []*pendingJob // queued for a transaction
-	retries       int           // the first of them that share the next transaction with no others
+	retries       int           // how many of the first of them share the next transaction with no others
 	running       bool
 	breakerOpen   bool
 	openSince     time.Duration // since when the circuit breaker is open
@@ -56,7 +56,7 @@
 // means that the caller has gone or this entry stops.
 func (b *batcher) store(ctx context.Context, p *pendingJob) outcome {
 	if !b.enqueue(p) {
-		return outcome{err: b.refusalError()}
+		return outcome{err: b.breakerError()}
 	}
 	select {
 	case o := <-p.result:
@@ -135,54 +135,6 @@
 	}
 }
 
-// nextBatch removes the next batch from the queue. It returns nil if no job is queued.
-func (b *batcher) nextBatch() []*pendingJob {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var batch, later []*pendingJob
-	limit := len(b.queued)
-	if b.retries > 0 {
-		limit = min(limit, b.retries)
-	}
-	b.retries = 0
-	n := 0
-	for ; n < limit && len(batch) < maxBatch; n++ {
-		if contradicts(b.queued[n], batch) {
-			later = append(later, b.queued[n])
-			continue
-		}
-		batch = append(batch, b.queued[n])
-	}
-	b.queued = slices.Concat(later, b.queued[n:])
-	b.running = len(batch) > 0
-	return batch
-}
-
-// contradicts reports whether a batch has the same id, where one attempt is to be accepted and
-// another refused: a transaction with both would be answered to both as executed.
-func contradicts(p *pendingJob, batch []*pendingJob) bool {
-	return slices.ContainsFunc(batch, func(o *pendingJob) bool {
-		return o.id == p.id && (o.refusal != nil || p.refusal != nil)
-	})
-}
-
-// requeue puts jobs back in front of those that were queued meanwhile.
-func (b *batcher) requeue(jobs []*pendingJob) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.queued = append(jobs, b.queued...)
-}
-
-// requeueAfterConflict puts jobs back that shared a transaction with one whose row exists. They are
-// sent without others: if each transaction took in new jobs, and clients come back all the time
-// whose jobs were refused, none might ever be without a conflict.
-func (b *batcher) requeueAfterConflict(jobs []*pendingJob) {
-	b.requeue(jobs)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.retries = len(jobs)
-}
-
 // markInFlight marks the jobs of the transaction that is sent now. Jobs whose callers no longer
 // wait are left out: some callers were told that their jobs are not stored.
 func (b *batcher) markInFlight(batch []*pendingJob) []*pendingJob {
--- a/internal/intake/breaker.go
+++ b/internal/intake/breaker.go
@@ -78,8 +78,8 @@
 	maxRetryAfter = 4 * time.Second
 )
 
-// refusalError returns the error that callers get while the circuit breaker is open.
-func (b *batcher) refusalError() error {
+// breakerError returns the error that callers get while the circuit breaker is open.
+func (b *batcher) breakerError() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	outage := b.intake.conf.Now() - b.openSince
--- a/internal/intake/forward.go
+++ b/internal/intake/forward.go
@@ -25,7 +25,7 @@
 		return mergeOutcomes(outcome{err: gauge.Errorf(gauge.KindOutage, "not tried at this entry")}, ownerErr)
 	}
 	if gauge.IsKind(ownerErr, gauge.KindOutage) && !b.canSend(p.id) {
-		return mergeOutcomes(outcome{err: b.refusalError()}, ownerErr)
+		return mergeOutcomes(outcome{err: b.breakerError()}, ownerErr)
 	}
 	return mergeOutcomes(b.store(ctx, p), ownerErr)
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -82,7 +82,7 @@
 	runs       []*run
 	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
-	copied     bool // it has had two runs
+	copied     bool // it has had two runs, and gets no further copy
 	checkpoint string
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
--- a/internal/sched/simulation_events_test.go
+++ b/internal/sched/simulation_events_test.go
@@ -272,8 +272,8 @@
 }
 
 // Checks invariants under any order of lost, late and overtaking messages, crashes, cancellations
-// and handovers: no task has two runs at once, or three if its step is speculative, or starts after a run has ended done (except for
-// ends that were lost with a crashed worker), no worker exceeds its capacity, no worker is reported
+// and handovers: no task has two runs at once, or three if its step is speculative, or starts after a
+// run has ended done (except for ends that were lost with a crashed worker), no worker exceeds its capacity, no worker is reported
 // as drained that isn't, nothing panics, and after a while without faults no task of a cancelled
 // job runs.
 func TestInvariantsHoldInAnyOrderOfEvents(t *testing.T) {
--- a/internal/sched/slow_test.go
+++ b/internal/sched/slow_test.go
@@ -97,7 +97,7 @@
 }
 
 // Guards against a next owner that goes on starting runs on a stalled worker, because it knows
-// nothing of what the previous owner has learnt. Load: rises and falls.
+// nothing of what the previous owner has learned. Load: rises and falls.
 func TestNextOwnerLearnsOfStalledWorker(t *testing.T) {
 	s := newSpeedPool(t, speedWorkers, speedStep(), risingLoad)
 	s.play(8500 * time.Millisecond)
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -36,7 +36,7 @@
 	// in a hundred takes three times the median anywhere.
 	minSamples = 3
 	minJobs    = 2
-	// maxAge is how long a sample counts, and how long a trial lasts in which nothing is learnt.
+	// maxAge is how long a sample counts, and how long a trial lasts in which nothing is learned.
 	maxAge = 10 * time.Second
 	// stalledRuns is the number of runs without progress with which a worker is stalled.
 	stalledRuns = 2
--- a/mechanism.go
+++ b/mechanism.go
@@ -49,7 +49,7 @@
 	MechanismShares Mechanism = "shares"
 	// MechanismFair orders client accounts in a full pool by what they use of it, by weight.
 	MechanismFair Mechanism = "fair"
-	// MechanismTriage decides by learnt run times which jobs can still meet their objective.
+	// MechanismTriage decides by learned run times which jobs can still meet their objective.
 	MechanismTriage Mechanism = "triage"
 	MechanismAdmit  Mechanism = "admit"  // jobs that can't be served in time are refused
 	MechanismCopies Mechanism = "copies" // runs that lag behind their step get a speculative copy
--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -54,7 +54,7 @@
 	maxTries       = 5
 	retryDelay     = 300 * time.Millisecond
 	submitInterval = 40 * time.Millisecond
-	// stragglerInterval leaves room in the pool, without which there are no copies.
+	// stragglerInterval leaves capacity in the pool, without which there are no copies.
 	stragglerInterval = 3 * submitInterval
 	// notSent is the status of a call to an entry that isn't running; 0 is that of one without an answer.
 	notSent = -1
--- a/test/soak/overload_test.go
+++ b/test/soak/overload_test.go
@@ -23,8 +23,8 @@
 	burstCycle   = 23 * time.Second
 )
 
-// changePace has single runs or whole workers stand still or be slow, one worker at a time, for long
-// enough to be noticed.
+// changePace stalls or slows down single runs or whole workers, one worker at a time, for long enough
+// to be noticed.
 func (s *soak) changePace(ctx context.Context, stream uint64) {
 	random := rand.New(rand.NewPCG(s.seed, stream))
 	for ctx.Err() == nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,7 +36,7 @@
 	crashes bool // some jobs crash their workers, and the capacity of workers changes
 	// accounts: calls need keys, which are replaced, and the limit of an account rises and falls.
 	accounts bool
-	// stragglers: some steps are speculative, and runs and workers stand still or are slow at times.
+	// stragglers: some steps are speculative, and runs and workers stall or are slow at times.
 	stragglers bool
 	// overload: with accounts, bursts of several times what the workers can do, at the end of calm
 	// periods in which an owner lasts long enough to refuse jobs.
