--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -5,6 +5,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/fair"
+	"sapphiregauge/internal/triage"
 )
 
 // fairness orders the client accounts of an overloaded pool by what they use of it. Runs are counted
@@ -92,7 +93,7 @@
 		if st.idle == 0 || !j.isOpen() || j.beyondShare || st.spec.LongRunning {
 			continue
 		}
-		if r := p.rank(j, st.occ, st, now); r.lateness == 1 || r.rescue {
+		if r := p.rank(j, st.occ, st, now); r.lateness == triage.Late.Rank() || r.rescue {
 			return true
 		}
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -67,9 +67,9 @@
 	runTimes      []runTime     // of a speculative step: of its runs that ended as done, in order of time
 	lastDoneAt    time.Duration // when the last of its runs ended as done
 	lastStart     time.Duration // when a run of it was last ordered, or found
-	uncompared    []endedRun    // of these, runs that ended before enough runs on other workers had
-	typical       time.Duration // median of all ...
-	typicalOf     int           // ... when there were as many
+	uncompared    []endedRun    // its runs that ended before enough runs on other workers had
+	typical       time.Duration // median of runTimes ...
+	typicalOf     int           // ... when there were so many
 
 	advice stageAdvice
 }
@@ -83,7 +83,7 @@
 	runs       []*run
 	lateStarts []*run // runs that are over, but whose starts may be carried out late
 	lastRun    int
-	copied     bool // it has had two runs
+	copied     bool // it has had two runs, and gets no further copy
 	checkpoint string
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
