--- a/internal/owner/admission_test.go
+++ b/internal/owner/admission_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	g := newHarness(t)
 	s := &gauge.Site{
-		Version: 1, KeysRequired: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: 1000}, {Name: "schools", Weight: 1}},
+		Version: 1, KeysRequired: true, Contended: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: 1000}, {Name: "schools", Weight: 1}},
 		Queues: []gauge.Queue{{Name: queueName, Pool: "p", MaxAttempts: 2, Stretch: 2}},
 	}
 	for _, c := range change {
@@ -89,6 +89,7 @@
 		then   func(g *harness)
 	}{
 		{name: "no keys", change: func(s *gauge.Site) { s.KeysRequired = false }},
+		{name: "no competition by the settings", change: func(s *gauge.Site) { s.Contended = false }},
 		{name: "no weights", change: func(s *gauge.Site) { s.Accounts[0].Weight, s.Accounts[1].Weight = 0, 0 }},
 		{name: "reachable cores are old", then: func(g *harness) { g.advance(2100 * time.Millisecond) }},
 		{name: "reachable cores are old, and others told without them", then: func(g *harness) {
--- a/internal/owner/admission_unread_test.go
+++ b/internal/owner/admission_unread_test.go
@@ -40,7 +40,7 @@
 				c.Disabled = tt.disabled
 			})
 			waitFor(t, "jobs read", func() bool { return knowsJobs(o, "sheets", jobID(1)) })
-			site := &gauge.Site{Version: 1, KeysRequired: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: 1000}}}
+			site := &gauge.Site{Version: 1, KeysRequired: true, Contended: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: 1000}}}
 			site.Index()
 			o.Configure(site)
 			o.SetReachable(1250)
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	g := newHarness(t, options...)
 	site := newAccountSite(gauge.ClientAccount{Weight: 2})
-	site.KeysRequired = true
+	site.KeysRequired, site.Contended = true, true
 	site.Queues = append(site.Queues, gauge.Queue{Name: "urgent", Pool: poolName, Stretch: 2}, gauge.Queue{Name: "bulk", Pool: poolName, Stretch: 2, Priority: 3})
 	site.Index()
 	g.pool.Configure(site)
--- a/internal/sched/fairness_bench_test.go
+++ b/internal/sched/fairness_bench_test.go
@@ -54,7 +54,7 @@
 func newLargePoolOfAccounts(tb testing.TB, accounts, first int) *sched.Pool {
 	tb.Helper()
 	p := newLargePool(tb, largeWorkers, 0, logr.Discard())
-	site := &gauge.Site{KeysRequired: true, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, Stretch: 2}}}
+	site := &gauge.Site{KeysRequired: true, Contended: true, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, Stretch: 2}}}
 	for i := range accounts {
 		site.Accounts = append(site.Accounts, gauge.ClientAccount{Name: fmt.Sprintf("account-%d", i), Weight: ampleWeight})
 	}
--- a/internal/sched/fairness_burst_test.go
+++ b/internal/sched/fairness_burst_test.go
@@ -24,7 +24,7 @@
 // newSharingSite returns a configuration in which accounts of equal weight share the pools.
 func newSharingSite() *gauge.Site {
 	s := &gauge.Site{
-		Version: 1, KeysRequired: true, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 2, Stretch: 2}},
+		Version: 1, KeysRequired: true, Contended: true, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 2, Stretch: 2}},
 		Accounts: []gauge.ClientAccount{{Name: garages, Weight: ampleWeight}, {Name: schools, Weight: ampleWeight}, {Name: clinics, Weight: ampleWeight}},
 	}
 	s.Index()
--- a/internal/sched/fairness_test.go
+++ b/internal/sched/fairness_test.go
@@ -23,6 +23,7 @@
 		{"in force", nil, func(*gauge.Site) {}, 100},
 		{"disabled", gauge.Disabled{gauge.MechanismFair}, func(*gauge.Site) {}, 9},
 		{"without keys", nil, func(s *gauge.Site) { s.KeysRequired = false }, 9},
+		{"no competition by the settings", nil, func(s *gauge.Site) { s.Contended = false }, 9},
 		{"no account has a weight", nil, func(s *gauge.Site) { clear(s.Accounts) }, 9},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -19,7 +19,7 @@
 // sharedSite has a client account with a weight, so that the pool's capacity is shared.
 func sharedSite() *gauge.Site {
 	s := &gauge.Site{
-		Version: 1, KeysRequired: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: 1000}},
+		Version: 1, KeysRequired: true, Contended: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: 1000}},
 		Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 2, Stretch: 2, Target: 300 * time.Millisecond}},
 	}
 	s.Index()
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -159,7 +159,7 @@
 	w.runsEndBy = nil
 	w.pool.Configure(&gauge.Site{
 		Version: 1, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 3, Stretch: 2}},
-		KeysRequired: w.term%3 == 0, Accounts: []gauge.ClientAccount{{Name: garages, Weight: 2}, {Name: schools, Weight: 1}}, // every third owner orders accounts
+		KeysRequired: w.term%3 == 0, Contended: true, Accounts: []gauge.ClientAccount{{Name: garages, Weight: 2}, {Name: schools, Weight: 1}}, // every third owner orders accounts
 	})
 	w.hideJobs()
 	for id := range w.rows {
--- a/internal/sched/triage_bench_test.go
+++ b/internal/sched/triage_bench_test.go
@@ -16,7 +16,7 @@
 	for name, weight := range map[string]float64{"shared=no": 0, "shared=yes": 1} {
 		b.Run(name, func(b *testing.B) {
 			p := newLargePool(b, largeWorkers, largeJobs, logr.Discard())
-			site := &gauge.Site{KeysRequired: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: weight}}}
+			site := &gauge.Site{KeysRequired: true, Contended: true, Accounts: []gauge.ClientAccount{{Name: "garages", Weight: weight}}}
 			for i := range largeQueues {
 				site.Queues = append(site.Queues, gauge.Queue{Name: queueNameOf(i), Pool: poolName, Stretch: 2, Priority: i % 3})
 			}
--- a/site.go
+++ b/site.go
@@ -46,6 +46,8 @@
 	// deployments have none, and their calls carry no keys.
 	Accounts     []ClientAccount
 	KeysRequired bool
+	// Contended says that accounts compete for the pools' capacity, by the deployment's settings.
+	Contended bool
 
 	byName   map[string]int    // positions in Queues; nil without an index
 	byHost   map[string][]int  // the same, by the host in lower case
@@ -92,10 +94,10 @@
 	return nil
 }
 
-// SharesCapacity reports whether client accounts have shares of the pools' capacity: calls carry
-// their keys, and at least one account has a weight.
+// SharesCapacity reports whether client accounts have shares of the pools' capacity: they compete for
+// it, calls carry their keys, and at least one account has a weight.
 func (s *Site) SharesCapacity() bool {
-	return s.KeysRequired && slices.ContainsFunc(s.Accounts, func(a ClientAccount) bool { return a.Weight > 0 })
+	return s.Contended && s.KeysRequired && slices.ContainsFunc(s.Accounts, func(a ClientAccount) bool { return a.Weight > 0 })
 }
 
 // Match returns the queue of a call and the path after the queue's prefix. The longest matching
--- a/site_test.go
+++ b/site_test.go
@@ -71,10 +71,11 @@
 		site gauge.Site
 		want bool
 	}{
-		{"no accounts", gauge.Site{KeysRequired: true}, false},
-		{"no weights", gauge.Site{KeysRequired: true, Accounts: []gauge.ClientAccount{unweighted}}, false},
-		{"one weight", gauge.Site{KeysRequired: true, Accounts: []gauge.ClientAccount{unweighted, weighted}}, true},
-		{"no keys", gauge.Site{Accounts: []gauge.ClientAccount{weighted}}, false},
+		{"no accounts", gauge.Site{KeysRequired: true, Contended: true}, false},
+		{"no weights", gauge.Site{KeysRequired: true, Contended: true, Accounts: []gauge.ClientAccount{unweighted}}, false},
+		{"one weight", gauge.Site{KeysRequired: true, Contended: true, Accounts: []gauge.ClientAccount{unweighted, weighted}}, true},
+		{"no keys", gauge.Site{Contended: true, Accounts: []gauge.ClientAccount{weighted}}, false},
+		{"no competition by the settings", gauge.Site{KeysRequired: true, Accounts: []gauge.ClientAccount{weighted}}, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, tt.site.SharesCapacity(), tt.want) })
 	}
