--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -17,7 +17,7 @@
 // assemble creates the components of an entry and connects them.
 func assemble(s platform.Settings, disabled gauge.Disabled, log logr.Logger) *components {
 	c := &components{settings: s, log: log, meter: meter.New()}
-	c.table = platform.NewTable(platform.TableConfig{Addr: s.TableAddr, ReadTimeout: readTimeout, CommitTimeout: commitTimeout, Clock: bootTime})
+	c.table = platform.NewTable(platform.TableConfig{Addr: s.TableAddr, ReadTimeout: readTimeout, CommitTimeout: commitTimeout, Clock: bootTime, Observe: c.meter.CountTraffic})
 	store := timely.New(timely.Config{
 		Store: c.table, CheckDelay: commitCheckDelay, MaxFastRead: maxFastRead, ReadTimeout: probeReadTimeout, CommitTimeout: commitTimeout, Now: boot.Now,
 	})
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -25,6 +25,7 @@
 	callSeconds    *prometheus.HistogramVec
 	events         *prometheus.CounterVec
 	owners         *ownerMetrics
+	traffic        *trafficMetrics
 }
 
 const prefix = "sapphiregauge_"
@@ -62,6 +63,8 @@
 	}, []string{"event"})
 	m.owners = newOwnerMetrics()
 	m.owners.register(m.Registry)
+	m.traffic = newTrafficMetrics()
+	m.traffic.register(m.Registry)
 	m.Registry.MustRegister(
 		m.callSeconds, m.events,
 		m.requests, m.requestSeconds, m.tries, m.ejections, m.moves, m.state,
