A handover is stored in parts, and only parts that changed are written

Cause: what the next holder of a lease must know of each worker and machine lay in one row, which the table bounds at 64 KiB: 1,500 workers are 48 KB of names and 159 KB with their leases, and while such a write fails the lease isn't renewed. Each worker that came or left had all names rewritten. Change: 32 rows by a hash of the worker or machine, and a head that lists them; a renewal writes those that it doesn't know to be stored, and the owner leaves room for them in its transactions.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -160,10 +160,8 @@
 	// ackTimeout bounds how long the next heartbeat is delayed until the ended runs of the last
 	// report are written.
 	ackTimeout = 400 * time.Millisecond
-	// maxBatchOperations is the number of a transaction's operations for changes of jobs. A
-	// transaction has at most 100 operations, and the lease needs three: its check and its two
-	// writes.
-	maxBatchOperations = 100 - 3
+	// maxTxnOperations is the most operations that the table takes in a transaction.
+	maxTxnOperations = 100
 )
 
 // New returns an Owner of a pool whose lease was just claimed. When ctx ends, all its work stops
--- a/internal/owner/rowtable_test.go
+++ b/internal/owner/rowtable_test.go
@@ -30,9 +30,9 @@
 
 	mu        sync.Mutex
 	stored    map[gauge.RowKey]gauge.PartitionRow
-	leases    []gauge.LeaseRow  // written by the owner
-	handover  gauge.HandoverRow // last one written
-	listCalls int               // calls of Partitions
+	leases    []gauge.LeaseRow             // written by the owner
+	handover  map[string]gauge.HandoverRow // rows of the handover by key, as last written
+	listCalls int                          // calls of Partitions
 }
 
 func newRowTable() *rowTable {
@@ -109,7 +109,10 @@
 			if err != nil {
 				return gauge.TablePosition{}, nil, err
 			}
-			r.handover = *handover
+			if r.handover == nil {
+				r.handover = make(map[string]gauge.HandoverRow)
+			}
+			r.handover[w.Key] = *handover
 		}
 		if w.Table != gauge.TableLeases {
 			continue
@@ -134,7 +137,14 @@
 func (r *rowTable) lastHandover() gauge.HandoverRow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.handover
+	handover := r.handover[gauge.KeyOwner]
+	for _, i := range handover.Parts {
+		part := r.handover[gauge.HandoverPartKey(gauge.KeyOwner, i)]
+		handover.Merge(&part)
+	}
+	slices.Sort(handover.Workers)
+	handover.Parts = nil
+	return handover
 }
 
 func noAnswer() error { return gauge.Errorf(gauge.KindOutage, "no answer to a read") }
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -145,12 +145,13 @@
 func (o *Owner) prepareWrite() (pendingWrite, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	batch, err := o.pool.NextBatch(maxBatchOperations, o.conf.TableClock(), o.isHeldBack)
+	names := o.pool.LeaseRowWorkers()
+	lease := o.leaseRow(names)
+	batch, err := o.pool.NextBatch(maxTxnOperations-o.conf.Lease.Operations(&lease), o.conf.TableClock(), o.isHeldBack)
 	if err != nil {
 		return pendingWrite{}, err
 	}
-	names := o.pool.LeaseRowWorkers()
-	p := pendingWrite{batch: batch, lease: o.leaseRow(names), namedWorkers: names}
+	p := pendingWrite{batch: batch, lease: lease, namedWorkers: names}
 	for _, c := range batch.Changes {
 		job := gauge.RowKey{Table: gauge.TableJobs, Partition: c.Queue, Key: c.Job}
 		p.txn.Checks = append(p.txn.Checks, gauge.RowCheck{RowKey: job, Version: c.Version})
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,16 +29,17 @@
 type Tenure struct {
 	conf Config
 
-	mu             sync.Mutex
-	version        int64
-	until          time.Duration
-	lost           bool
-	storedHandover *gauge.HandoverRow // the handover row that is known to be in the table; nil: unknown
+	mu      sync.Mutex
+	version int64
+	until   time.Duration
+	lost    bool
+	// stored holds the rows of the handover that are known to be in the table.
+	stored map[gauge.RowKey]gauge.HandoverRow
 }
 
 // New returns a Tenure of a lease that was just claimed.
 func New(c Config) *Tenure {
-	return &Tenure{conf: c, version: c.Version, until: c.ClaimedAt + c.LeaseDuration}
+	return &Tenure{conf: c, version: c.Version, until: c.ClaimedAt + c.LeaseDuration, stored: make(map[gauge.RowKey]gauge.HandoverRow)}
 }
 
 // Until returns when the lease ends unless it is renewed; no other entry can have claimed it
@@ -81,12 +83,17 @@
 	position, rows, err := t.conf.Store.Commit(ctx, txn)
 	if err == nil {
 		t.mu.Lock()
-		t.version, t.until, t.storedHandover = position.Version, sent+t.conf.LeaseDuration, handover
+		t.version, t.until = position.Version, sent+t.conf.LeaseDuration
+		for _, h := range handover {
+			t.stored[h.key] = h.row
+		}
 		t.mu.Unlock()
 		return position, nil, nil
 	}
 	t.mu.Lock()
-	t.storedHandover = nil // the transaction may still be carried out
+	for _, h := range handover {
+		delete(t.stored, h.key) // the transaction may still be carried out
+	}
 	t.mu.Unlock()
 	if !gauge.IsKind(err, gauge.KindConflict) {
 		return position, nil, err
@@ -99,62 +106,117 @@
 	return position, others, err
 }
 
-// withLease adds the lease row to a transaction, and the handover row, which the next holder needs,
-// unless the same one is known to be stored.
-func (t *Tenure) withLease(row gauge.LeaseRow, txn gauge.PartitionTxn) (gauge.PartitionTxn, *gauge.HandoverRow, error) {
+// withLease adds the lease row to a transaction, and the rows of the handover, which the next holder
+// needs, except those that are known to be stored. It also returns the rows of the handover that it
+// added.
+func (t *Tenure) withLease(row gauge.LeaseRow, txn gauge.PartitionTxn) (gauge.PartitionTxn, []handoverRow, error) {
 	row.Holder, row.Addr, row.Term = t.conf.Holder, t.conf.Addr, t.conf.Term
 	row.RenewedAt = t.conf.TableClock()
+	all, handover := row.Split()
+	changed := t.changedRows(&handover)
 	t.mu.Lock()
 	check := gauge.RowCheck{RowKey: t.conf.Key, Version: t.version}
-	storedHandover := t.storedHandover
 	t.mu.Unlock()
-	writes, err := RowWrites(t.conf.Key, &row)
+	writes, err := encodeRows(t.conf.Key, &all, changed)
 	if err != nil {
 		return txn, nil, err
 	}
-	_, handover := row.Split()
-	if storedHandover != nil && storedHandover.Equal(&handover) {
-		writes = writes[:1]
-	}
 	txn.Checks = append([]gauge.RowCheck{check}, txn.Checks...)
 	txn.Writes = append(writes, txn.Writes...)
-	return txn, &handover, nil
+	return txn, changed, nil
+}
+
+// Operations returns how many operations a transaction needs to renew the lease with this row.
+func (t *Tenure) Operations(row *gauge.LeaseRow) int {
+	_, handover := row.Split()
+	return leaseOperations + len(t.changedRows(&handover))
+}
+
+// leaseOperations are the check and the write of the lease row.
+const leaseOperations = 2
+
+// handoverRow is one row of a handover.
+type handoverRow struct {
+	key gauge.RowKey
+	row gauge.HandoverRow
+}
+
+// divide returns the rows in which a handover is stored: the head, and the parts that aren't empty.
+func divide(key gauge.RowKey, h *gauge.HandoverRow) []handoverRow {
+	head, parts := h.Divide()
+	rows := []handoverRow{{key: handoverRowKey(key), row: head}}
+	for _, i := range head.Parts {
+		partKey := handoverRowKey(key)
+		partKey.Key = gauge.HandoverPartKey(key.Key, i)
+		rows = append(rows, handoverRow{key: partKey, row: parts[i]})
+	}
+	return rows
+}
+
+// changedRows returns the rows of a handover that aren't known to be stored.
+func (t *Tenure) changedRows(h *gauge.HandoverRow) []handoverRow {
+	rows := divide(t.conf.Key, h)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(rows, func(r handoverRow) bool {
+		stored, ok := t.stored[r.key]
+		return ok && stored.Equal(&r.row)
+	})
 }
 
 // RowWrites returns the writes that store a lease: first the lease row, which all entries read,
-// then the handover row, which only the next holder reads.
+// then the rows of the handover, which only the next holder reads.
 func RowWrites(key gauge.RowKey, row *gauge.LeaseRow) ([]gauge.RowWrite, error) {
 	all, handover := row.Split()
-	value, err := all.Encode()
+	return encodeRows(key, &all, divide(key, &handover))
+}
+
+func encodeRows(key gauge.RowKey, lease *gauge.LeaseRow, handover []handoverRow) ([]gauge.RowWrite, error) {
+	value, err := lease.Encode()
 	if err != nil {
 		return nil, err
 	}
-	handoverValue, err := handover.Encode()
-	if err != nil {
-		return nil, err
+	writes := []gauge.RowWrite{{RowKey: key, Value: value}}
+	for _, h := range handover {
+		value, err := h.row.Encode()
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, gauge.RowWrite{RowKey: h.key, Value: value})
 	}
-	return []gauge.RowWrite{{RowKey: key, Value: value}, {RowKey: handoverRowKey(key), Value: handoverValue}}, nil
+	return writes, nil
 }
 
 func handoverRowKey(key gauge.RowKey) gauge.RowKey {
 	return gauge.RowKey{Table: gauge.TableHandovers, Partition: key.Partition, Key: key.Key}
 }
 
-// ReadHandoverRow adds the contents of the handover row to a lease row. They are consistent if the
-// lease is then claimed at the version with which the lease row was read.
+// ReadHandoverRow adds the contents of the handover's rows to a lease row. They are consistent if
+// the lease is then claimed at the version with which the lease row was read.
 func ReadHandoverRow(ctx context.Context, store gauge.PartitionedTable, key gauge.RowKey, row *gauge.LeaseRow) error {
-	rowKey := handoverRowKey(key)
-	rows, _, err := store.Range(ctx, rowKey.Table, rowKey.Partition, rowKey.Key, rowKey.Key+"\x00")
+	rows, _, err := store.Range(ctx, gauge.TableHandovers, key.Partition, key.Key, "")
 	if err != nil {
 		return err
 	}
 	if len(rows) == 0 {
 		return nil // the lease row is from an older version, which stored everything in it
 	}
-	handover, err := gauge.DecodeHandoverRow(rows[0].Value)
+	values := make(map[string][]byte, len(rows))
+	for _, r := range rows {
+		values[r.Key] = r.Value
+	}
+	handover, err := gauge.DecodeHandoverRow(values[key.Key])
 	if err != nil {
 		return err
 	}
+	for _, i := range handover.Parts {
+		part, err := gauge.DecodeHandoverRow(values[gauge.HandoverPartKey(key.Key, i)])
+		if err != nil {
+			return err
+		}
+		handover.Merge(part)
+	}
+	slices.Sort(handover.Workers)
 	row.Join(handover)
 	return nil
 }
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,22 +14,27 @@
 	"sapphiregauge/internal/tenure"
 )
 
-// fakeTable has one lease row and one handover row.
+// fakeTable has one lease row and the rows of its handover.
 type fakeTable struct {
 	gauge.PartitionedTable
 	row       gauge.PartitionRow
 	before    func() // called before each transaction
 	commitErr error  // returned after the transaction was carried out
 
-	handover       gauge.PartitionRow
-	handoverWrites int // how often the handover row was written
+	handover       map[gauge.RowKey][]byte
+	handoverWrites int // how many transactions wrote rows of the handover
+	rowsWritten    int // rows of the handover that the last transaction wrote
+	largest        int // bytes of the largest of these rows so far
 }
 
 func (t *fakeTable) Range(_ context.Context, name, part, from, _ string) ([]gauge.PartitionRow, gauge.TablePosition, error) {
-	if t.handoverWrites == 0 || t.handover.RowKey != (gauge.RowKey{Table: name, Partition: part, Key: from}) {
-		return nil, gauge.TablePosition{}, nil
+	var rows []gauge.PartitionRow
+	for k, value := range t.handover {
+		if k.Table == name && k.Partition == part && k.Key >= from {
+			rows = append(rows, gauge.PartitionRow{RowKey: k, Value: value})
+		}
 	}
-	return []gauge.PartitionRow{t.handover}, gauge.TablePosition{}, nil
+	return rows, gauge.TablePosition{}, nil
 }
 
 //nolint:gochecknoglobals // a constant; Go has no constant structs
@@ -40,8 +48,13 @@
 		return gauge.TablePosition{}, []gauge.PartitionRow{t.row, {RowKey: gauge.RowKey{Table: gauge.TableJobs}}}, gauge.Errorf(gauge.KindConflict, "changed")
 	}
 	t.row = gauge.PartitionRow{RowKey: leaseKey, Value: txn.Writes[0].Value, Version: t.row.Version + 1}
-	if len(txn.Writes) > 1 {
-		t.handover, t.handoverWrites = gauge.PartitionRow{RowKey: txn.Writes[1].RowKey, Value: txn.Writes[1].Value}, t.handoverWrites+1
+	t.rowsWritten = len(txn.Writes) - 1
+	if t.rowsWritten > 0 {
+		t.handoverWrites++
+	}
+	for _, w := range txn.Writes[1:] {
+		t.handover[w.RowKey] = w.Value
+		t.largest = max(t.largest, len(w.Value))
 	}
 	if t.commitErr != nil {
 		return gauge.TablePosition{}, nil, t.commitErr
@@ -56,7 +69,7 @@
 }
 
 func newFixture() *fixture {
-	g := &fixture{table: &fakeTable{row: gauge.PartitionRow{RowKey: leaseKey, Version: 7}}}
+	g := &fixture{table: &fakeTable{row: gauge.PartitionRow{RowKey: leaseKey, Version: 7}, handover: make(map[gauge.RowKey][]byte)}}
 	g.lease = tenure.New(tenure.Config{
 		Key: leaseKey, Holder: "me", Addr: "a", Term: 3, Version: 7, ClaimedAt: 0, LeaseDuration: 2 * time.Second,
 		Store: g.table, Now: func() time.Duration { return g.now }, TableClock: func() int64 { return 1 },
@@ -176,3 +189,69 @@
 	assert.NilError(t, tenure.ReadHandoverRow(t.Context(), &fakeTable{}, leaseKey, &row))
 	assert.DeepEqual(t, row.Workers, []string{"a"})
 }
+
+// names returns the incarnations of n workers.
+func names(n int) []string {
+	all := make([]string, n)
+	for i := range all {
+		all[i] = fmt.Sprintf("worker-%016x@%d", i, 1_000_000+i)
+	}
+	return all
+}
+
+// maxRowBytes is the most that the table takes in a row.
+const maxRowBytes = 64 << 10
+
+// Guards against a lease that can't be renewed or handed over, as a row of it is larger than the
+// table takes: a successor must know of each worker of its pool, with what is left of each lease.
+func TestHandoverOfALargePoolFitsIntoRows(t *testing.T) {
+	for _, n := range []int{1_500, 3_000, 12_000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := newFixture()
+			row := gauge.LeaseRow{Workers: names(n), RemainingLeases: make(map[string]int64), DrainedFor: make(map[string]int64)}
+			for i, w := range row.Workers {
+				row.RemainingLeases[w] = int64(10_000 + i)
+				row.DrainedFor[w[:strings.Index(w, "@")]] = int64(i)
+			}
+			assert.NilError(t, g.lease.GiveUp(t.Context(), row))
+			assert.Assert(t, g.table.largest <= maxRowBytes, "a row of %d bytes", g.table.largest)
+			assert.Assert(t, g.table.rowsWritten+2 <= 100, "%d rows in a transaction", g.table.rowsWritten)
+			var read gauge.LeaseRow
+			assert.NilError(t, tenure.ReadHandoverRow(t.Context(), g.table, leaseKey, &read))
+			slices.Sort(row.Workers)
+			assert.DeepEqual(t, read, row)
+		})
+	}
+}
+
+// Guards against writes that grow with the square of a pool: the row that names all workers was
+// rewritten for each worker that came or left.
+func TestOnlyTheChangedPartOfAHandoverIsWritten(t *testing.T) {
+	g := newFixture()
+	all := names(3_000)
+	assert.NilError(t, g.commitWorkers(all))
+	assert.NilError(t, g.commitWorkers(all[1:]))
+	assert.Equal(t, g.table.rowsWritten, 1)
+	assert.NilError(t, g.commitWorkers(all))
+	assert.Equal(t, g.table.rowsWritten, 1)
+	assert.Equal(t, g.lease.Operations(&gauge.LeaseRow{Workers: all[2:]}), 2+2)
+	var read gauge.LeaseRow
+	assert.NilError(t, tenure.ReadHandoverRow(t.Context(), g.table, leaseKey, &read))
+	assert.DeepEqual(t, read.Workers, all)
+}
+
+// Guards against workers that a successor waits for though they are gone: the part that named the
+// last of them is empty, and its row in the table outdated.
+func TestPartsThatHaveBecomeEmptyAreNotRead(t *testing.T) {
+	g := newFixture()
+	assert.NilError(t, g.commitWorkers([]string{"a", "b", "c"}))
+	assert.NilError(t, g.commitWorkers([]string{"b"}))
+	var read gauge.LeaseRow
+	assert.NilError(t, tenure.ReadHandoverRow(t.Context(), g.table, leaseKey, &read))
+	assert.DeepEqual(t, read.Workers, []string{"b"})
+}
+
+func (g *fixture) commitWorkers(workers []string) error {
+	_, _, err := g.lease.Commit(context.Background(), gauge.LeaseRow{Workers: workers}, gauge.PartitionTxn{})
+	return err
+}
--- a/test/machines/drain_test.go
+++ b/test/machines/drain_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/tenure"
+	"sapphiregauge/platform"
 )
 
 // Guards against machines that move two seconds late: after all entries have lost power during a
@@ -22,10 +25,12 @@
 	s.waitFor("tasks started", func() bool { return s.journal.StartCount(fmt.Sprintf("%016x.0.0.1", 1)) == 1 })
 	s.table.PutWave(1, []string{"m-0"}, 600, 1)
 	s.waitFor("the machine is being drained", func() bool { return s.countLogged("worker to be emptied") > 0 })
-	granted := func() gauge.HandoverRow {
-		row, err := gauge.DecodeHandoverRow(s.table.Value(gauge.TableHandovers, fleetLease, gauge.KeyOwner))
-		assert.NilError(t, err)
-		return *row
+	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), ReadTimeout: waitTimeout, CommitTimeout: waitTimeout, Clock: time.Now})
+	defer table.Close()
+	granted := func() gauge.LeaseRow {
+		var row gauge.LeaseRow
+		assert.NilError(t, tenure.ReadHandoverRow(t.Context(), table, gauge.RowKey{Table: gauge.TableLeases, Partition: fleetLease, Key: gauge.KeyOwner}, &row))
+		return row
 	}
 	lease := func() int64 {
 		row, err := gauge.DecodeLeaseRow(s.table.Value(gauge.TableLeases, fleetLease, gauge.KeyOwner))
