A pool's load lists only workers that aren't idle

Cause: ten times a second the fleet lease holder is sent the load of each pool with all its workers, 1,000 to 1,450 of them in the whole fleet, most of them idle. Change: a worker that runs nothing and takes starts isn't listed; the sizer took a missing one for idle before.

--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -36,11 +36,18 @@
 		if w.dead || !w.listed {
 			continue
 		}
-		l.Workers = append(l.Workers, gauge.WorkerLoad{ID: w.info.ID, Runs: len(w.runs), LongRunning: w.longRunning, AcceptsRuns: w.takesStarts(now), RemainingTime: w.remainingTime(now)})
+		if load := w.load(now); !load.IsIdle() {
+			l.Workers = append(l.Workers, load)
+		}
 	}
 	return l
 }
 
+// load returns what runs on the worker.
+func (w *worker) load(now time.Duration) gauge.WorkerLoad {
+	return gauge.WorkerLoad{ID: w.info.ID, Runs: len(w.runs), LongRunning: w.longRunning, AcceptsRuns: w.takesStarts(now), RemainingTime: w.remainingTime(now)}
+}
+
 // addLoad adds the demand of a stage.
 func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, ready bool, now time.Duration) {
 	if st.remaining == 0 {
--- a/load.go
+++ b/load.go
@@ -12,6 +12,9 @@
 	RemainingTime time.Duration `msgpack:"b"`
 }
 
+// IsIdle reports whether nothing runs on the worker and new runs may start there.
+func (l WorkerLoad) IsIdle() bool { return l.Runs == 0 && l.AcceptsRuns }
+
 // Demand is an amount of work: the cores of tasks that run (RunningCores) or could run now
 // (WaitingCores).
 type Demand struct {
@@ -35,5 +38,7 @@
 	ArrivedCoreSeconds float64       `msgpack:"a"` // core-seconds of all jobs that this owner has accepted so far
 	ArrivedJobs        int           `msgpack:"j"` // number of these jobs
 	LongestWait        time.Duration `msgpack:"o"` // longest time that a task has waited
-	Workers            []WorkerLoad  `msgpack:"s"`
+	// Workers lists the workers that aren't idle: most of a large pool's workers are, and the fleet
+	// lease holder asks for loads several times a second.
+	Workers []WorkerLoad `msgpack:"s"`
 }
