Machines are chosen, announced and ordered at the rate that the machine service takes

Cause: a round of the fleet lease holder chose all surplus machines at once, thousands of them. The lease row that named them was longer than the table takes, each was asked for by a call of its own ten times a second, and of the orders most were refused (590 a second are taken), dropped and chosen again: 15,700 choices for some 6,000 moves. Each choice searched all machines of its pool. A pool's owner is asked for all its machines with one call. The candidates of a pool are a heap, built once a round.

--- a/internal/node/background.go
+++ b/internal/node/background.go
@@ -36,6 +36,13 @@
 	return true
 }
 
+// isRunning reports whether a call of that name is in flight or its result hasn't been applied yet.
+func (b *backgroundCalls) isRunning(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running[name]
+}
+
 // applyResults applies the results of the calls that have ended.
 func (b *backgroundCalls) applyResults() {
 	b.mu.Lock()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/quota"
 	"sapphiregauge/internal/sizing"
 	"sapphiregauge/internal/turns"
 	"sapphiregauge/internal/waves"
@@ -35,6 +36,7 @@
 	held          *takenLease
 	scheduler     *waves.Scheduler
 	sizer         *sizing.Sizer
+	orderQuota    *quota.Quota
 	takenAt       time.Duration
 	ordersFrom    time.Duration // no machine is ordered before this
 	orderGuard    *turns.OrderGuard
@@ -61,7 +63,8 @@
 		scheduler: waves.New(waves.Config{
 			MaintenanceDuration: n.conf.MaintenanceDuration, Disabled: n.conf.Disabled, Logs: n.conf.Logs,
 		}),
-		sizer: sizing.New(sizing.Config{Disabled: n.conf.Disabled, Logs: n.conf.Logs}),
+		sizer:      sizing.New(sizing.Config{MaxOrderRate: n.conf.MaxOrderRate, Disabled: n.conf.Disabled, Logs: n.conf.Logs}),
+		orderQuota: quota.New(quota.Config{Calls: int(n.conf.MaxOrderRate), Period: time.Second + orderQuotaMargin}),
 		orderGuard: turns.New(n.conf.MinOrderInterval+monotonicClockMargin, turns.RecentOrders{Own: l.previousRow.OwnOrders, Previous: l.previousRow.PreviousOrders},
 			n.wasOwnLease(&l.previousRow), n.tableClock(), n.conf.Now()),
 		renewedAt: n.conf.Now(), takenAt: n.conf.Now(),
@@ -188,6 +191,7 @@
 		IsMoving: f.sizer.IsMoving, WasOrderedBefore: f.wasOrderedBefore, IsShort: f.sizer.IsShort, LongRunningTasks: f.sizer.LongRunningTasks,
 	})
 	moves := f.nextMoves()
+	steps.Starts, moves = f.limitOrders(steps.Starts, moves)
 	f.announceOrders(ctx, machinesToOrder(steps, moves))
 	f.requestDraining(ctx, steps.Drains)
 	f.orderMaintenance(ctx, steps.Starts)
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -65,25 +66,51 @@
 	return row, msgpack.Unmarshal(rows[0].Value, &row)
 }
 
-// requestDraining asks pool owners to drain workers.
+// drainGroup is what one call to drain workers is about.
+type drainGroup struct {
+	pool  string
+	force bool
+}
+
+// requestDraining asks pool owners to drain workers, each owner with one call.
 func (f *fleet) requestDraining(ctx context.Context, requests []waves.DrainRequest) {
-	for _, request := range requests {
-		f.calls.start("empty "+request.Machine, func() func() {
-			drained, err := f.node.drainWorker(ctx, drainCall{Pool: request.Pool, Worker: request.Worker, Force: request.Force})
-			if err != nil {
-				f.node.conf.Logs.Info("machine not emptied", "machine", request.Machine, "pool", request.Pool, "error", err.Error())
+	groups := make(map[drainGroup][]waves.DrainRequest)
+	for _, r := range requests {
+		g := drainGroup{pool: r.Pool, force: r.Force}
+		groups[g] = append(groups[g], r)
+	}
+	for g, group := range groups {
+		f.calls.start(fmt.Sprintf("empty %s force=%t", g.pool, g.force), func() func() {
+			call := drainCall{Pool: g.pool, Force: g.force}
+			for _, r := range group {
+				call.Workers = append(call.Workers, r.Worker)
+			}
+			drained := f.drainWorkers(ctx, call)
+			return func() {
+				for _, r := range group {
+					f.scheduler.RecordDrainAnswer(r, drained[r.Worker])
+				}
 			}
-			return func() { f.scheduler.RecordDrainAnswer(request, drained && err == nil) }
 		})
 	}
 }
 
+// drainWorkers has a pool's owner drain workers and returns those on which nothing runs; none if
+// the owner doesn't answer.
+func (f *fleet) drainWorkers(ctx context.Context, c drainCall) map[string]bool {
+	drained, err := f.node.drainWorkers(ctx, c)
+	if err != nil {
+		f.node.conf.Logs.Info("machines not emptied", "machines", len(c.Workers), "pool", c.Pool, "error", err.Error())
+	}
+	return drained
+}
+
 // orderMaintenance orders the maintenance of machines, each only within orderWindow after the last
 // renewal of the lease.
 func (f *fleet) orderMaintenance(ctx context.Context, starts []waves.MaintenanceStart) {
 	issuer := gauge.OrderIssuer{Holder: f.node.conf.Name, Fence: f.held.token}
 	for _, start := range starts {
-		f.calls.start("upkeep "+start.Machine, func() func() {
+		f.calls.start(maintenanceCall(start.Machine), func() func() {
 			var err error = gauge.Errorf(gauge.KindOutage, "the lease has ended")
 			if f.allowOrder(start.Machine) {
 				err = f.node.conf.Machines.StartMaintenance(ctx, issuer, start.Machine, start.Wave)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	// MinOrderInterval is the minimum time between orders of two entries for the same machine.
 	MinOrderInterval    time.Duration
 	MaintenanceDuration time.Duration  // duration of a machine's maintenance
+	MaxOrderRate        float64        // most orders for machines that the machine service takes in a second; 0: unknown
 	JobRetention        time.Duration  // how long callers can query an ended job
 	Disabled            gauge.Disabled // mechanisms that are switched off
 }
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -79,6 +80,31 @@
 	}
 }
 
+// orderQuotaMargin covers the different times that orders take to the machine service, which counts
+// them by the second.
+const orderQuotaMargin = 50 * time.Millisecond
+
+// limitOrders leaves out the orders that the machine service would refuse, as it takes only so many
+// in a second. A refused machine would be chosen anew, and the lease row would name machines that
+// aren't ordered.
+func (f *fleet) limitOrders(starts []waves.MaintenanceStart, moves []sizing.Move) ([]waves.MaintenanceStart, []sizing.Move) {
+	now := f.node.conf.Now()
+	mayOrder := func(call string) bool { return f.calls.isRunning(call) || f.orderQuota.Take(now) }
+	starts = slices.DeleteFunc(starts, func(s waves.MaintenanceStart) bool { return !mayOrder(maintenanceCall(s.Machine)) })
+	moves = slices.DeleteFunc(moves, func(m sizing.Move) bool {
+		if !m.Drained || mayOrder(moveCall(m.Machine)) {
+			return false
+		}
+		f.sizer.Postpone(m.Machine)
+		return true
+	})
+	return starts, moves
+}
+
+// maintenanceCall and moveCall return the names of the background calls that order a machine.
+func maintenanceCall(machine string) string { return "upkeep " + machine }
+func moveCall(machine string) string        { return "move " + machine }
+
 // announceOrders writes into the lease row which machines may be ordered from now on.
 func (f *fleet) announceOrders(ctx context.Context, machines map[string]bool) {
 	if f.orderGuard.RetainAnnounced(machines) && f.commitRow(ctx, f.leaseRow(machines), gauge.PartitionTxn{}) {
--- a/internal/node/ownercalls.go
+++ b/internal/node/ownercalls.go
@@ -22,10 +22,10 @@
 	// depthTimeout bounds that call: an owner answers within some milliseconds, one on a slow link
 	// within tenths of a second, and the caller waits.
 	depthTimeout = 400 * time.Millisecond
-	// drainTimeout bounds one call to have a worker drained.
+	// drainTimeout bounds one call to have workers drained.
 	drainTimeout = 600 * time.Millisecond
-	// methodDrain asks a pool's owner to drain a worker.
-	methodDrain = "worker.empty"
+	// methodDrain asks a pool's owner to drain workers.
+	methodDrain = "workers.empty"
 )
 
 // loadTimeout bounds one call for the demand of a pool.
@@ -96,31 +96,42 @@
 	return &l, nil
 }
 
-// drainCall asks to drain a worker; the request holds for some seconds.
+// drainCall asks to drain workers of a pool; the request holds for some seconds. One call names all
+// of them: hundreds of machines of a pool may be on their way, and are asked for ten times a second.
 type drainCall struct {
-	Pool   string `msgpack:"p"`
-	Worker string `msgpack:"w"`
-	Force  bool   `msgpack:"f"`
+	Pool    string   `msgpack:"p"`
+	Workers []string `msgpack:"w"`
+	Force   bool     `msgpack:"f"`
 }
 
 type drainAnswer struct {
-	Drained bool `msgpack:"e"`
+	Drained []string `msgpack:"e"` // the workers on which nothing runs
 }
 
-// drainWorker asks a pool's owner to drain a worker and reports whether nothing runs there.
-func (n *Node) drainWorker(ctx context.Context, c drainCall) (bool, error) {
+// drainWorkers asks a pool's owner to drain workers and returns those on which nothing runs.
+func (n *Node) drainWorkers(ctx context.Context, c drainCall) (map[string]bool, error) {
 	o, addr, err := n.ownerOf(c.Pool)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	if o != nil {
-		return o.DrainWorker(c.Worker, c.Force), nil
+		return setOf(o.DrainWorkers(c.Workers, c.Force)), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
 	var answer drainAnswer
-	err = n.conf.Mesh.Call(ctx, addr, methodDrain, &c, &answer)
-	return answer.Drained, err
+	if err := n.conf.Mesh.Call(ctx, addr, methodDrain, &c, &answer); err != nil {
+		return nil, err
+	}
+	return setOf(answer.Drained), nil
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
 }
 
 func (n *Node) handleDrain(_ context.Context, body []byte) (any, error) {
@@ -132,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drainAnswer{Drained: o.DrainWorker(c.Worker, c.Force)}, nil
+	return drainAnswer{Drained: o.DrainWorkers(c.Workers, c.Force)}, nil
 }
 
 type stateCall struct {
--- a/internal/node/resize.go
+++ b/internal/node/resize.go
@@ -58,34 +58,56 @@
 // at once. After a power loss of all entries while demand moved from one pool to another, half of a
 // pool's machines came two seconds late for that reason.
 func (f *fleet) moveMachines(ctx context.Context, moves []sizing.Move) {
+	byPool := make(map[string][]sizing.Move)
 	for _, m := range moves {
-		began := f.calls.start("move "+m.Machine, func() func() {
-			if !m.Drained {
-				drained := f.drainMachine(ctx, m)
-				return func() { f.sizer.SetDrained(m.Machine, drained) }
-			}
-			err := f.orderMove(ctx, m)
-			return func() {
-				f.sizer.SetDrained(m.Machine, true)
-				f.sizer.RecordOrder(m.Machine, err, f.node.conf.Now())
-			}
-		})
-		if began {
-			f.sizer.MarkInFlight(m.Machine)
+		if m.Drained {
+			f.startMove(ctx, m)
+		} else {
+			byPool[m.From] = append(byPool[m.From], m)
+		}
+	}
+	for pool, group := range byPool {
+		f.drainMachines(ctx, pool, group)
+	}
+}
+
+// startMove orders the move of a drained machine.
+func (f *fleet) startMove(ctx context.Context, m sizing.Move) {
+	began := f.calls.start(moveCall(m.Machine), func() func() {
+		err := f.orderMove(ctx, m)
+		return func() {
+			f.sizer.SetDrained(m.Machine, true)
+			f.sizer.RecordOrder(m.Machine, err, f.node.conf.Now())
 		}
+	})
+	if began {
+		f.sizer.MarkInFlight(m.Machine)
 	}
 }
 
-func (f *fleet) drainMachine(ctx context.Context, m sizing.Move) bool {
-	drained, err := f.node.drainWorker(ctx, drainCall{Pool: m.From, Worker: m.Worker})
-	if err != nil {
-		f.node.conf.Logs.Info("machine not emptied", "machine", m.Machine, "pool", m.From, "error", err.Error())
+// drainMachines asks a pool's owner to drain the machines that are to leave it.
+func (f *fleet) drainMachines(ctx context.Context, pool string, moves []sizing.Move) {
+	began := f.calls.start("drain "+pool, func() func() {
+		call := drainCall{Pool: pool}
+		for _, m := range moves {
+			call.Workers = append(call.Workers, m.Worker)
+		}
+		drained := f.drainWorkers(ctx, call)
+		if len(drained) > 0 {
+			f.wake()
+		}
+		return func() {
+			for _, m := range moves {
+				f.sizer.SetDrained(m.Machine, drained[m.Worker])
+			}
+		}
+	})
+	if !began {
+		return
 	}
-	if !drained || err != nil {
-		return false
+	for _, m := range moves {
+		f.sizer.MarkInFlight(m.Machine)
 	}
-	f.wake()
-	return true
 }
 
 // wake starts the next round soon, since a machine can be ordered.
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -185,9 +185,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newHarness(t)
 		defer g.end()
-		assert.Assert(t, g.owner.DrainWorker("w1", false))
+		assert.DeepEqual(t, g.owner.DrainWorkers([]string{"w1"}, false), []string{"w1"})
 		g.stop()
-		assert.Assert(t, !g.owner.DrainWorker("w1", false))
+		assert.Equal(t, len(g.owner.DrainWorkers([]string{"w1"}, false)), 0)
 	})
 	synctest.Test(t, func(t *testing.T) {
 		g := newHarness(t)
@@ -196,6 +196,6 @@
 		g.table.err = gauge.Errorf(gauge.KindOutage, "unreachable")
 		g.table.mu.Unlock()
 		g.advance(3 * time.Second)
-		assert.Assert(t, !g.owner.DrainWorker("w1", false), "another entry may have the lease")
+		assert.Equal(t, len(g.owner.DrainWorkers([]string{"w1"}, false)), 0, "another entry may have the lease")
 	})
 }
--- a/internal/owner/inherit_test.go
+++ b/internal/owner/inherit_test.go
@@ -42,7 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, w := newRowTable(), newFakeWorkers()
 		first := newSuccessor(t, store, w, 1, gauge.LeaseRow{})
-		assert.Assert(t, first.DrainWorker("w1", false))
+		assert.DeepEqual(t, first.DrainWorkers([]string{"w1"}, false), []string{"w1"})
 		first.Stop("the entry stops")
 		previous, _ := first.LeaseOffer()
 		all, handover := previous.Split()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -385,14 +385,20 @@
 	o.update(nil)
 }
 
-// DrainWorker requests that a worker is drained: for some seconds from now on it gets no starts. It
-// reports whether nothing runs there and the table has all its end reports. With force, tasks that
-// don't end by themselves are stopped. It returns false without a valid lease, because the next
-// owner may have started tasks there.
-func (o *Owner) DrainWorker(id string, force bool) bool {
-	empty := false
-	o.update(func(now time.Duration) { empty = o.pool.DrainWorker(id, force, now) && o.isServing() && !o.stopping })
-	return empty
+// DrainWorkers requests that workers are drained: for some seconds from now on they get no starts.
+// It returns those on which nothing runs and of which the table has all end reports. With force,
+// tasks that don't end by themselves are stopped. It returns none without a valid lease, because
+// the next owner may have started tasks there.
+func (o *Owner) DrainWorkers(ids []string, force bool) []string {
+	var drained []string
+	o.update(func(now time.Duration) {
+		for _, id := range ids {
+			if o.pool.DrainWorker(id, force, now) && o.isServing() && !o.stopping {
+				drained = append(drained, id)
+			}
+		}
+	})
+	return drained
 }
 
 // ServingSince returns when this owner claimed the pool. It reports false if the jobs haven't been
--- a/internal/sizing/move.go
+++ b/internal/sizing/move.go
@@ -20,6 +20,9 @@
 			if s.redirect(pool) {
 				continue
 			}
+			if !s.mayChooseSpare() {
+				break
+			}
 			m, ok := s.findSpare(pools, pool, now, isTaken)
 			if !ok {
 				break
@@ -32,8 +35,8 @@
 	}
 	for _, pool := range pools {
 		w := s.wanted[pool]
-		for w.surplusSince > 0 && now-w.surplusSince > s.retention.current(now) && s.shortfall(pool) < 0 {
-			m, ok := s.findEasiestToDrain(pool, isTaken, s.isPending)
+		for w.surplusSince > 0 && now-w.surplusSince > s.retention.current(now) && s.shortfall(pool) < 0 && s.mayChooseSurplus() {
+			m, ok := s.nextCandidate(pool, isTaken)
 			if !ok {
 				break
 			}
@@ -55,6 +58,10 @@
 	}
 	s.index.assigned[m.Pool]--
 	s.index.assigned[to]++
+	s.index.unordered++
+	if standby {
+		s.index.ready++
+	}
 	s.moves[m.ID] = &Move{Machine: m.ID, From: m.Pool, To: to, Worker: m.Worker, Drained: standby, chosenAt: now}
 	s.conf.Logs.Info("move chosen", "machine", m.ID, "from", m.Pool, "to", to)
 }
@@ -90,7 +97,7 @@
 // findSpare finds a machine for a pool: on standby, or else in a pool with a surplus.
 func (s *Sizer) findSpare(pools []string, to string, now time.Duration, isTaken func(string) bool) (gauge.Machine, bool) {
 	for _, pool := range s.standbyPools {
-		if m, ok := s.findEasiestToDrain(pool, isTaken, s.isPending); ok {
+		if m, ok := s.nextCandidate(pool, isTaken); ok {
 			return m, true
 		}
 	}
@@ -98,39 +105,24 @@
 		if pool == to || s.shortfall(pool) >= 0 || now-s.loads[pool].receivedAt > maxLoadAge {
 			continue
 		}
-		if m, ok := s.findEasiestToDrain(pool, isTaken, s.isPending); ok {
+		if m, ok := s.nextCandidate(pool, isTaken); ok {
 			return m, true
 		}
 	}
 	return gauge.Machine{}, false
 }
 
-// findEasiestToDrain finds the machine of a pool that takes the least work to drain. Machines with
-// long-running tasks don't qualify: these tasks would have to move, and their users would notice.
-func (s *Sizer) findEasiestToDrain(pool string, isTaken, isPending func(string) bool) (gauge.Machine, bool) {
-	workers := s.loads[pool].workers
-	var best gauge.Machine
-	found := false
-	for _, m := range s.index.machines[pool] {
-		if m.State != gauge.MachineUp || s.moves[m.ID] != nil || isTaken(m.ID) {
-			continue
-		}
-		w := workers[m.Worker]
-		if w.LongRunning > 0 {
-			continue
-		}
-		if !found || isLessDisruptive(m, w, best, workers[best.Worker], isPending) {
-			best, found = m, true
-		}
-	}
-	return best, found
+// orderAhead is how far ahead of its order a move is chosen. A move that is chosen long before the
+// machine service takes the order is of no use by then, or of less than another one.
+const orderAhead = time.Second
+
+// mayChooseSpare reports whether the order of one more drained machine would be taken in time.
+func (s *Sizer) mayChooseSpare() bool {
+	return s.conf.MaxOrderRate == 0 || float64(s.index.ready) < s.conf.MaxOrderRate*orderAhead.Seconds()
 }
 
-// isLessDisruptive reports whether machine a is a better choice than b: one that no wave will take
-// comes first, then the one with less work left, then the one with fewer runs, then the lower ID.
-func isLessDisruptive(a gauge.Machine, loadA gauge.WorkerLoad, b gauge.Machine, loadB gauge.WorkerLoad, isPending func(string) bool) bool {
-	if isPending(a.ID) != isPending(b.ID) {
-		return isPending(b.ID)
-	}
-	return cmp.Or(cmp.Compare(loadA.RemainingTime, loadB.RemainingTime), cmp.Compare(loadA.Runs, loadB.Runs), cmp.Compare(a.ID, b.ID)) < 0
+// mayChooseSurplus reports whether one more machine may be sent to standby. Those that are still
+// being drained count, as nothing is urgent about them.
+func (s *Sizer) mayChooseSurplus() bool {
+	return s.conf.MaxOrderRate == 0 || float64(s.index.unordered) < s.conf.MaxOrderRate*orderAhead.Seconds()
 }
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -20,8 +20,10 @@
 
 // Config sets up a Sizer.
 type Config struct {
-	Disabled gauge.Disabled // mechanisms that are switched off
-	Logs     logr.Logger
+	// MaxOrderRate is the most orders that the machine service takes in a second; 0: unknown.
+	MaxOrderRate float64
+	Disabled     gauge.Disabled // mechanisms that are switched off
+	Logs         logr.Logger
 }
 
 // Move is a machine on its way to another pool.
@@ -68,14 +70,27 @@
 // index groups the machines by pool. It is built once a round: with thousands of machines each pass
 // over all of them is costly.
 type index struct {
-	machines map[string][]gauge.Machine // by current pool
-	cores    map[string]float64         // by current pool
-	assigned map[string]int             // machines that stay in the pool or are on their way to it
-	usable   int                        // machines that aren't down
+	machines  map[string][]gauge.Machine // by current pool
+	cores     map[string]float64         // by current pool
+	assigned  map[string]int             // machines that stay in the pool or are on their way to it
+	usable    int                        // machines that aren't down
+	unordered int                        // moves that haven't been ordered
+	ready     int                        // those of them whose machines are drained
+	// candidates holds, by pool, the machines that may leave it; built when the first is chosen.
+	candidates map[string]*candidates
 }
 
 func (s *Sizer) buildIndex() index {
-	x := index{machines: make(map[string][]gauge.Machine), cores: make(map[string]float64), assigned: make(map[string]int)}
+	x := index{machines: make(map[string][]gauge.Machine), cores: make(map[string]float64), assigned: make(map[string]int), candidates: make(map[string]*candidates)}
+	for _, v := range s.moves {
+		if v.orderedAt > 0 {
+			continue
+		}
+		x.unordered++
+		if v.Drained {
+			x.ready++
+		}
+	}
 	for id, m := range s.machines {
 		x.machines[m.Pool] = append(x.machines[m.Pool], m)
 		x.cores[m.Pool] += float64(m.Capacity.MilliCPU) / 1000
@@ -193,6 +208,15 @@
 	}
 }
 
+// Postpone records that a drained machine isn't ordered yet. Runs may start there soon, so its
+// pool's owner has to be asked again; on a standby machine none do, nor on one whose order may have
+// been carried out.
+func (s *Sizer) Postpone(machine string) {
+	if v := s.moves[machine]; v != nil && !v.unanswered {
+		v.Drained = slices.Contains(s.standbyPools, v.From)
+	}
+}
+
 // RecordOrder records the result of an order.
 func (s *Sizer) RecordOrder(machine string, err error, now time.Duration) {
 	v := s.moves[machine]
@@ -214,7 +238,10 @@
 	return err.Error()
 }
 
-// Next returns the machines to drain and the moves to order. IsTaken reports whether a machine is
+// IsInFlight reports whether a call for the move is in flight.
+func (m Move) IsInFlight() bool { return m.inFlight }
+
+// Next returns the machines to drain and the moves to order, the most urgent first. IsTaken reports whether a machine is
 // reserved by a wave or may not be ordered yet; isPending reports whether a wave will take it,
 // which makes it a less suitable choice.
 func (s *Sizer) Next(now time.Duration, isTaken, isPending func(machine string) bool) []Move {
@@ -233,10 +260,21 @@
 			out = append(out, *v)
 		}
 	}
-	slices.SortFunc(out, func(a, b Move) int { return cmp.Compare(a.Machine, b.Machine) })
+	slices.SortFunc(out, func(a, b Move) int { return cmp.Or(s.compareUrgency(a, b), cmp.Compare(a.Machine, b.Machine)) })
 	return out
 }
 
+// compareUrgency orders moves to a pool, where work waits, before those to standby.
+func (s *Sizer) compareUrgency(a, b Move) int {
+	rank := func(m Move) int {
+		if slices.Contains(s.standbyPools, m.To) {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Compare(rank(a), rank(b))
+}
+
 func (s *Sizer) expireMoves(now time.Duration) {
 	for id, v := range s.moves {
 		if v.orderedAt == 0 && !v.inFlight && now-v.chosenAt > drainTimeout {
