--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -223,7 +223,7 @@
 		n.leaseView.MarkClaimUnanswered(c.Pool)
 		n.mu.Unlock()
 	}
-	n.applyLeaseRows(rows, false)
+	n.applyLeaseRows(rows)
 	if from == "" || !gauge.IsKind(err, gauge.KindConflict) {
 		return false
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -65,8 +65,8 @@
 	return (n.conf.Now() + time.Duration(n.clockOffset.Load())).Milliseconds()
 }
 
-func (n *Node) applyOperatorRows(rows []gauge.PartitionRow, _ bool) {
-	for _, r := range rows {
+func (n *Node) applyOperatorRows(u watch.Update) {
+	for _, r := range u.Rows {
 		if r.Deleted {
 			continue
 		}
@@ -115,16 +115,22 @@
 	return owners
 }
 
-func (n *Node) applyLeaseRows(rows []gauge.PartitionRow, whole bool) {
+func (n *Node) applyLeaseUpdate(u watch.Update) {
+	n.applyLeaseRows(u.Rows)
+	if u.Whole {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.leaseView.MarkTableRead()
+	}
+}
+
+func (n *Node) applyLeaseRows(rows []gauge.PartitionRow) {
 	now := n.conf.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, r := range rows {
 		n.applyLeaseRow(r, now)
 	}
-	if whole {
-		n.leaseView.MarkTableRead()
-	}
 }
 
 func (n *Node) applyLeaseRow(r gauge.PartitionRow, now time.Duration) {
@@ -142,27 +148,6 @@
 	n.leaseView.SetLease(r.Partition, *lease, r.Version, now, n.tableClockIfKnown())
 }
 
-func (n *Node) applyEntryRows(rows []gauge.PartitionRow, _ bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range rows {
-		if !r.Deleted {
-			n.applyEntryRow(r)
-		}
-	}
-}
-
-func (n *Node) applyEntryRow(r gauge.PartitionRow) {
-	row, err := gauge.DecodeEntryRow(r.Value)
-	if err != nil {
-		n.conf.Logs.Error(err, "entry row not read", "peer", r.Key, "version", r.Version)
-		return
-	}
-	if n.leaseView.SetEntry(r.Key, *row) {
-		n.conf.Logs.Info("entry known", "peer", r.Key, "addr", row.Addr, "capacity", row.Capacity, "version", r.Version)
-	}
-}
-
 // tableClockIfKnown returns the table's clock, or 0 before the first reading.
 func (n *Node) tableClockIfKnown() int64 {
 	if n.clockOffset.Load() == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -252,7 +252,7 @@
 	})
 	n.group.Go(func() { n.followWorkers(ctx) })
 	n.group.Go(func() {
-		n.followTable(ctx, watch.Config{Name: gauge.TableLeases, Partitioned: true, PollDelay: n.leasePause, OnTablePosition: n.recordLeaseRead, OnRows: n.applyLeaseRows})
+		n.followTable(ctx, watch.Config{Name: gauge.TableLeases, Partitioned: true, PollDelay: n.leasePause, OnTablePosition: n.recordLeaseRead, OnRows: n.applyLeaseUpdate})
 	})
 	n.group.Go(func() { n.manage(ctx) })
 	if !n.conf.Disabled.Has(gauge.MechanismBalance) {
--- a/internal/node/notification.go
+++ b/internal/node/notification.go
@@ -73,7 +73,7 @@
 		n.conf.Logs.Info("lease not read", "pool", notification.Pool, "kind", gauge.KindOf(err), "error", err.Error())
 		return row, false
 	}
-	n.applyLeaseRows(rows, false)
+	n.applyLeaseRows(rows)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.leaseView.Lease(notification.Pool)
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -85,30 +85,6 @@
 	return addrs
 }
 
-// register writes this entry's row, by which other entries find it. An outdated row does little
-// harm, since an entry is probed before a lease is offered to it.
-func (n *Node) register(ctx context.Context) {
-	entry := gauge.EntryRow{Addr: n.conf.Addr, Capacity: n.conf.CapacityCores}
-	value, err := entry.Encode()
-	if err != nil {
-		n.conf.Logs.Error(err, "entry not registered")
-		return
-	}
-	row := gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableEntries, Key: n.conf.Name}, Value: value}
-	for ctx.Err() == nil {
-		_, _, err := n.conf.Store.Commit(ctx, gauge.PartitionTxn{Writes: []gauge.RowWrite{row}})
-		if err == nil {
-			return
-		}
-		n.conf.Logs.Info("entry not registered", "kind", gauge.KindOf(err), "error", err.Error())
-		sleep(ctx, registerRetryDelay)
-	}
-}
-
-// registerRetryDelay is the pause after a failed attempt. Until the other entries know of a large
-// host, small ones claim as if there were none; they poll just as often.
-const registerRetryDelay = 300 * time.Millisecond
-
 // findSuccessor returns the address of an entry that can take over a pool's lease, or "" if there
 // is none. Of the entries that answer at about the same time it chooses the one on the least loaded
 // host. Failing is for how long the table hasn't answered here.
--- a/internal/node/workerlist.go
+++ b/internal/node/workerlist.go
@@ -37,12 +37,12 @@
 	clear(n.workers) // by the next time the rows will have changed
 }
 
-func (n *Node) applyWorkerRows(rows []gauge.PartitionRow, whole bool) {
+func (n *Node) applyWorkerRows(u watch.Update) {
 	n.mu.Lock()
-	if whole {
+	if u.Whole {
 		clear(n.workers)
 	}
-	for _, r := range rows {
+	for _, r := range u.Rows {
 		if r.Deleted {
 			delete(n.workers, r.Key)
 			continue
--- a/internal/terms/burden.go
+++ b/internal/terms/burden.go
@@ -53,6 +53,9 @@
 	return true
 }
 
+// HasEntry reports whether an entry is known by this row.
+func (v *LeaseView) HasEntry(name string, row gauge.EntryRow) bool { return v.entries[name] == row }
+
 // LeaseCount returns the number of leases that name this entry as their holder.
 func (v *LeaseView) LeaseCount() int {
 	n := 0
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -25,8 +25,7 @@
 	PollDelay       func() time.Duration // returns the delay between two calls
 	Logs            logr.Logger
 	Now             func() time.Duration
-	// OnRows receives all rows (whole), or those that have changed.
-	OnRows func(rows []gauge.PartitionRow, whole bool)
+	OnRows          func(Update)
 	// OnTablePosition receives each reading of the table's clock and the time at which the call
 	// was sent, by Now.
 	OnTablePosition func(position gauge.TablePosition, sent time.Duration)
@@ -35,6 +34,13 @@
 	OnKnownAsOf func(asOf time.Duration)
 }
 
+// Update is what a call has returned.
+type Update struct {
+	Rows    []gauge.PartitionRow
+	Whole   bool  // Rows are all rows, otherwise those that have changed
+	Version int64 // table version as of which the rows are complete
+}
+
 // Table follows one table.
 type Table struct {
 	conf        Config
@@ -135,7 +141,7 @@
 	t.conf.OnTablePosition(position, sent)
 	t.version = max(t.version, position.Version)
 	if len(rows) > 0 {
-		t.conf.OnRows(rows, false)
+		t.conf.OnRows(Update{Rows: rows, Version: t.version})
 	}
 	t.reportAsOf(t.coveredUntil(sent, wait, len(rows)))
 	return nil
@@ -192,7 +198,7 @@
 		rows = append(rows, more...)
 	}
 	t.version, t.hasRows = position.Version, true
-	t.conf.OnRows(rows, true)
+	t.conf.OnRows(Update{Rows: rows, Whole: true, Version: t.version})
 	// Only after OnRows: the receiver of the position counts the rows as read at that time.
 	t.conf.OnTablePosition(position, sent)
 	t.reportAsOf(sent)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -52,8 +52,8 @@
 	go watch.New(watch.Config{
 		Name: "workers", Store: store, FeedWait: time.Hour, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
 		Now: func() time.Duration { return 0 }, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
-		OnRows: func(_ []gauge.PartitionRow, whole bool) {
-			if !whole {
+		OnRows: func(u watch.Update) {
+			if !u.Whole {
 				delivered <- true
 			}
 		},
@@ -85,7 +85,7 @@
 	go watch.New(watch.Config{
 		Name: "leases", Store: store, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
 		Now: func() time.Duration { return now }, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
-		OnRows: func(_ []gauge.PartitionRow, all bool) { whole <- all },
+		OnRows: func(u watch.Update) { whole <- u.Whole },
 	}).Run(ctx)
 	for range 2 {
 		select {
@@ -124,7 +124,7 @@
 	store.onPartitionRead = func() { stop() }
 	watch.New(watch.Config{
 		Name: "leases", Partitioned: true, Store: store, Logs: logr.Discard(), Now: func() time.Duration { return 0 },
-		PollDelay: func() time.Duration { return 0 }, OnRows: func([]gauge.PartitionRow, bool) { rounds++ },
+		PollDelay: func() time.Duration { return 0 }, OnRows: func(watch.Update) { rounds++ },
 		OnTablePosition: func(gauge.TablePosition, time.Duration) { positions++ },
 	}).Run(ctx)
 	assert.Equal(t, rounds, 0)
@@ -160,7 +160,7 @@
 			var reported []time.Duration
 			watch.New(watch.Config{
 				Name: "rows", Store: store, FeedWait: wait, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
-				Now: func() time.Duration { return now }, OnRows: func([]gauge.PartitionRow, bool) {}, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
+				Now: func() time.Duration { return now }, OnRows: func(watch.Update) {}, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
 				OnKnownAsOf: func(asOf time.Duration) {
 					if reported = append(reported, asOf); len(reported) == 2 {
 						stop()
@@ -194,7 +194,7 @@
 			rounds := 0
 			watch.New(watch.Config{
 				Name: "rows", Store: store, FeedWait: wait, ConfirmEachWait: c.renew, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
-				Now: func() time.Duration { return now }, OnRows: func([]gauge.PartitionRow, bool) {}, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
+				Now: func() time.Duration { return now }, OnRows: func(watch.Update) {}, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
 				OnKnownAsOf: func(time.Duration) {
 					if rounds++; rounds == 3 {
 						stop()
--- a/test/machines/reads_test.go
+++ b/test/machines/reads_test.go
@@ -77,7 +77,7 @@
 	proxyAddr, calls := newCallCounter(t, s.table.Addr())
 	s.startOn("weak-0", proxyAddr, host{capacity: smallHostCores})
 	s.waitReady()
-	s.waitFor("all are known", func() bool { return s.countLogged("entry known", `"entry"="weak-0"`, `"peer"="peer-`) == 60 })
+	s.waitFor("all are known", func() bool { return s.countLogged("entries known", `"entry"="weak-0"`, `"changed"=6`) == 1 })
 	reads := calls.total(gauge.TableEntries, "rows-get", "rows-parts") + calls.total(gauge.TableLeases, "rows-get", "rows-parts")
 	assert.Assert(t, reads <= 20, "%d reads", reads)
 }
