Owners of pools are told of their workers by the fleet lease holder

Change: the fleet lease holder follows the list and answers, held back until something changes, which of one pool's workers have (filter; a row whose sequence alone has changed hasn't). An owner that is told nothing for a second, or finds no holder, reads the list itself as before, and stops once it is told again. Lists carry the table's version, so that a late one doesn't undo a newer one. Ruled out: pushing (an owner that misses one message has to notice), a follower for each data centre (one more role that can fail; bytes at the store grow by data centres).

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -99,16 +99,6 @@
 	}
 }
 
-// updateWorkerListGate opens the gate of the worker list while this entry holds or claims the lease
-// of a pool, and shuts it otherwise. n.mu is held.
-func (n *Node) updateWorkerListGate() {
-	pools := len(n.leasesInUse)
-	if n.leasesInUse[fleetPool] {
-		pools--
-	}
-	n.workerListGate.Set(pools > 0)
-}
-
 // markReleased records that a lease is neither claimed nor held here any more.
 func (n *Node) markReleased(pool string) {
 	n.mu.Lock()
@@ -264,7 +254,12 @@
 		delete(n.owners, pool)
 		delete(n.ownedSince, pool)
 	}()
+	listCtx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	group.Go(func() { n.followPoolWorkers(listCtx, o, l.previousRow.Workers) })
 	o.Run(n.Site(), workers)
+	cancel()
+	group.Wait()
 }
 
 // claimPauseAfterHandover is how long an entry claims nothing after it handed over a stuck pool.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/access"
 	"sapphiregauge/internal/fill"
+	"sapphiregauge/internal/filter"
 	"sapphiregauge/internal/gate"
 	"sapphiregauge/internal/intake"
 	"sapphiregauge/internal/mesh"
@@ -51,8 +52,8 @@
 	MaxKeyDelay time.Duration
 	// MinOrderInterval is the minimum time between orders of two entries for the same machine.
 	MinOrderInterval    time.Duration
-	MaintenanceDuration time.Duration  // duration of a machine's maintenance
 	MaxOrderRate        float64        // most orders for machines that the machine service takes in a second; 0: unknown
+	MaintenanceDuration time.Duration  // duration of a machine's maintenance
 	JobRetention        time.Duration  // how long callers can query an ended job
 	Disabled            gauge.Disabled // mechanisms that are switched off
 }
@@ -171,9 +172,16 @@
 	fleet             *fleet                   // nil: another entry holds the fleet lease
 	probing           map[string]bool          // addresses of holders with a liveness probe in flight
 	unresponsiveUntil map[string]time.Duration // by address: until when an unresponsive owner isn't called
-	workers           map[string]gauge.Worker
-	broadcasts        chan struct{} // semaphore of the broadcasts of unsettled submissions
-	waves             map[int64]gauge.MaintenanceWave
+	// workers is the list of workers while this entry reads it itself, as of workersVersion, and
+	// filter the same by pool, for owners at other entries. workersChanged is closed and replaced
+	// when a worker has changed.
+	workers        map[string]gauge.Worker
+	workersVersion int64
+	filter         *filter.Filter
+	workersChanged chan struct{}
+	untoldPools    map[string]bool // pools owned here whose workers nobody tells this entry of
+	broadcasts     chan struct{}   // semaphore of the broadcasts of unsettled submissions
+	waves          map[int64]gauge.MaintenanceWave
 }
 
 // ownerMove is where a pool's owner has moved, and the version of the lease row that was known at
@@ -195,6 +203,7 @@
 		owners: make(map[string]*owner.Owner), ownedSince: make(map[string]time.Duration), leasesInUse: make(map[string]bool), claiming: make(map[string]chan struct{}),
 		ownerMoves: make(map[string]ownerMove), lastOffers: make(map[string]time.Duration), unresponsiveUntil: make(map[string]time.Duration), probing: make(map[string]bool), workers: make(map[string]gauge.Worker), broadcasts: make(chan struct{}, maxConcurrentBroadcasts), waves: make(map[int64]gauge.MaintenanceWave),
 	}
+	n.filter, n.workersChanged, n.untoldPools = n.newFilter(), make(chan struct{}), make(map[string]bool)
 	n.leaseView = terms.New(terms.Config{Holder: n.holder, Addr: c.Addr, Capacity: c.CapacityCores, LeaseDuration: leaseDuration, ClaimSpread: claimSpread, DelayPerLease: claimDelayPerLease, ProbeAfter: suspectAfter(c.Disabled), GracePeriod: renewalGrace})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, CountEvent: c.CountEvent, Now: c.Now, TableClock: n.tableClock, CachedDepth: n.cachedDepth, OwnerDepth: n.ownerDepth, NotifyOwner: n.notify, JobStatus: n.jobStatus,
@@ -210,6 +219,7 @@
 	c.Mesh.Handle(methodCancel, n.handleCancel)
 	c.Mesh.Handle(methodProbe, n.handleProbe)
 	c.Mesh.Handle(methodOffer, n.handleOffer)
+	c.Mesh.Handle(methodWorkers, n.handleWorkers)
 	return n
 }
 
--- a/internal/node/workerlist.go
+++ b/internal/node/workerlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/sourcegraph/conc"
 
@@ -9,13 +10,12 @@
 	"sapphiregauge/internal/watch"
 )
 
-// Only entries that own pools follow the list of workers. Each worker rewrites its row every second
-// or two: when all entries followed the list, it made up most of what some hundred entries read
-// from the table, and took a fifth of a small host's link. An entry that takes a pool reads the
-// whole list while it reads the pool's jobs.
+// Each worker rewrites its row every second or two, so following the list of workers costs as much
+// as the whole site is large. The fleet lease holder follows it for all owners of pools, see
+// poolworkers.go. Any other entry does so only while it owns a pool and the holder doesn't tell it of
+// that pool's workers.
 
-// followWorkers follows the list of workers while this entry holds or claims the lease of a pool,
-// until ctx ends.
+// followWorkers follows the list of workers while that is necessary, until ctx ends.
 func (n *Node) followWorkers(ctx context.Context) {
 	for n.workerListGate.WaitOpen(ctx) {
 		n.followWorkerList(ctx)
@@ -35,35 +35,49 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.workers) // by the next time the rows will have changed
+	n.workersVersion = 0
+	n.filter = n.newFilter()
 }
 
+// applyWorkerRows applies rows of the list of workers that this entry has read itself.
 func (n *Node) applyWorkerRows(u watch.Update) {
 	n.mu.Lock()
 	if u.Whole {
 		clear(n.workers)
 	}
 	for _, r := range u.Rows {
-		if r.Deleted {
-			delete(n.workers, r.Key)
-			continue
-		}
-		w, err := n.conf.Codec.DecodeWorkerRow(r)
+		w, err := n.decodeWorker(r)
 		if err != nil {
 			// An earlier row may have described a worker, which may not be valid any more.
-			delete(n.workers, r.Key)
 			n.conf.Logs.Error(err, "worker row not read", "worker", r.Key, "version", r.Version)
+		}
+		if w == nil {
+			delete(n.workers, r.Key)
 			continue
 		}
 		n.workers[w.ID] = *w
 	}
+	n.workersVersion = u.Version
+	if n.filter.Apply(u.Rows, u.Whole, u.Version) {
+		close(n.workersChanged)
+		n.workersChanged = make(chan struct{})
+	}
 	workers := n.workersLocked()
 	owners := n.ownersLocked()
 	n.mu.Unlock()
 	for _, o := range owners {
-		o.SetWorkers(workers)
+		o.SetWorkers(workers, u.Version)
 	}
 }
 
+// decodeWorker decodes a worker's row; nil: there is no such worker.
+func (n *Node) decodeWorker(r gauge.PartitionRow) (*gauge.Worker, error) {
+	if r.Deleted {
+		return nil, nil
+	}
+	return n.conf.Codec.DecodeWorkerRow(r)
+}
+
 func (n *Node) workersLocked() []gauge.Worker {
 	workers := make([]gauge.Worker, 0, len(n.workers))
 	for _, w := range n.workers {
@@ -71,3 +85,18 @@
 	}
 	return workers
 }
+
+// updateWorkerListGate opens the gate of the worker list while this entry holds or claims the fleet
+// lease, or owns a pool whose workers it isn't told of, and shuts it otherwise. n.mu is held.
+func (n *Node) updateWorkerListGate() {
+	n.workerListGate.Set(n.leasesInUse[fleetPool] || len(n.untoldPools) > 0)
+}
+
+// ownWorkers returns the workers of a pool in the list that this entry has read itself, with the
+// version as of which it is; 0: it has none.
+func (n *Node) ownWorkers(pool string) ([]gauge.Worker, int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	workers := n.workersLocked()
+	return slices.DeleteFunc(workers, func(w gauge.Worker) bool { return w.Pool != pool }), n.workersVersion
+}
--- a/internal/owner/config_test.go
+++ b/internal/owner/config_test.go
@@ -40,7 +40,7 @@
 func TestOlderWorkerListDoesNotReplaceNewerOne(t *testing.T) {
 	var calls sync.Map
 	o, run := newOwner(t, newRowTable(), recordingWorkers{calls: &calls}, logr.Discard(), nil)
-	o.SetWorkers([]gauge.Worker{idleWorker("stays")})
+	o.SetWorkers([]gauge.Worker{idleWorker("stays")}, 1)
 	run(&gauge.Site{Version: 1}, idleWorker("stays"), idleWorker("left"))
 	waitFor(t, "the one that stays is called", func() bool {
 		_, called := calls.Load("stays")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -94,6 +94,7 @@
 	loaded           bool                                // the first read of the pool's jobs is over
 	site             *gauge.Site
 	workerList       []gauge.Worker // newest list of workers from the platform
+	workersVersion   int64          // of the table, as of which the list is
 	scanCount        int            // used by scanLoop only
 	lastScan         time.Duration  // when the last scan began; used by scanLoop only
 	// heldBackUntil holds the queues whose changes are held back, and until when; used by writeLoop
@@ -237,9 +238,9 @@
 		return
 	}
 	o.mu.Lock()
-	workers = o.workerList
+	workers, version := o.workerList, o.workersVersion
 	o.mu.Unlock()
-	o.SetWorkers(workers)
+	o.SetWorkers(workers, version)
 	o.spawn(o.tickLoop)
 	o.spawn(o.scanLoop)
 	o.spawn(o.sweepLoop)
@@ -337,10 +338,14 @@
 	o.wakeLimits()
 }
 
-// SetWorkers applies the platform's list of workers.
-func (o *Owner) SetWorkers(workers []gauge.Worker) {
+// SetWorkers applies the platform's list of workers as of a version of the table, with at least all
+// workers of the pool. A list that is older than the present one is ignored.
+func (o *Owner) SetWorkers(workers []gauge.Worker, version int64) {
 	o.withLock(func() {
-		o.workerList = workers
+		if version < o.workersVersion {
+			return
+		}
+		o.workerList, o.workersVersion = workers, version
 		if o.loaded && !o.ended { // before that, reports would refer to jobs that aren't known yet
 			o.pool.UpdateWorkers(workers)
 		}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -51,7 +51,7 @@
 		group.Go(func() { o.Run(&gauge.Site{}, nil) })
 		group.Go(func() {
 			for i := range 50 {
-				o.SetWorkers([]gauge.Worker{{ID: fmt.Sprint(i), Pool: "p"}})
+				o.SetWorkers([]gauge.Worker{{ID: fmt.Sprint(i), Pool: "p"}}, int64(i))
 			}
 		})
 		group.Go(cancel)
