Pools are sized by memory and accelerators, too

Change: a load counts the cores of a worker that a task takes up: those that it needs, or more if its share of the workers' memory or accelerators is larger. Admission counts cores as before.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -33,7 +33,7 @@
 	j.hasObjective = hasObjective(a.Spec)
 	j.beyondShare = p.isBeyondShare(j)
 	p.jobs[a.ID] = j
-	p.adoptedWork += estimatedWork(a.Spec)
+	p.adoptedWork += estimatedWork(a.Spec, p.meanCapacity)
 	p.adoptedJobs++
 	if a.Inherited {
 		j.startOrdered = len(a.Row.Done) > 0 || a.Row.CompletedOccurrences > 0
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -108,14 +108,14 @@
 				if p.estimatedLateness(j, o, now) > 0 || j.beyondShare {
 					demand = &w.Load.Late
 				}
-				w.addStage(demand, st, o.isReady(st), idle, now)
+				w.addStage(demand, st, p.meanCapacity, o.isReady(st), idle, now)
 			}
 		}
 	}
 }
 
-func (w *Recounted) addStage(demand *gauge.Demand, st *stage, ready bool, idle int, now time.Duration) {
-	cores := float64(st.spec.Reservation().MilliCPU) / milliPerCore
+func (w *Recounted) addStage(demand *gauge.Demand, st *stage, capacity gauge.Resources, ready bool, idle int, now time.Duration) {
+	cores := st.spec.Reservation().CoresOf(capacity)
 	if st.spec.LongRunning {
 		w.Load.LongRunningCores += cores * float64(len(st.tasks))
 		w.Load.Unplaced += idle
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -28,7 +28,7 @@
 				demand = &l.Late
 			}
 			for _, st := range o.steps {
-				st.addLoad(&l, demand, o.isReady(st), now)
+				st.addLoad(&l, demand, p.meanCapacity, o.isReady(st), now)
 			}
 		}
 	}
@@ -48,12 +48,13 @@
 	return gauge.WorkerLoad{ID: w.info.ID, Runs: len(w.runs), LongRunning: w.longRunning, AcceptsRuns: w.takesStarts(now), RemainingTime: w.remainingTime(now)}
 }
 
-// addLoad adds the demand of a stage.
-func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, ready bool, now time.Duration) {
+// addLoad adds the demand of a stage, in cores of workers with the mean capacity: where tasks need
+// more memory for each core than workers have, the memory decides how many workers are needed.
+func (st *stage) addLoad(l *gauge.PoolLoad, demand *gauge.Demand, capacity gauge.Resources, ready bool, now time.Duration) {
 	if st.remaining == 0 {
 		return
 	}
-	cores := coresPerTask(st.spec)
+	cores := st.spec.Reservation().CoresOf(capacity)
 	if st.spec.LongRunning {
 		l.LongRunningCores += cores * float64(len(st.tasks))
 		l.Unplaced += st.idle
@@ -80,13 +81,14 @@
 // coresPerTask is how many cores a task of a step reserves.
 func coresPerTask(st *gauge.Step) float64 { return float64(st.Reservation().MilliCPU) / milliPerCore }
 
-// estimatedWork is the estimated work of a job in core-seconds, without long-running tasks.
-func estimatedWork(j *gauge.JobSpec) float64 {
+// estimatedWork is the estimated work of a job in core-seconds of workers with the mean capacity,
+// without long-running tasks.
+func estimatedWork(j *gauge.JobSpec, capacity gauge.Resources) float64 {
 	sum := 0.0
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		if !st.LongRunning {
-			sum += coresPerTask(st) * st.Estimate.Seconds() * float64(st.Count)
+			sum += st.Reservation().CoresOf(capacity) * st.Estimate.Seconds() * float64(st.Count)
 		}
 	}
 	return sum * float64(j.Occurrences())
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
 )
 
 // Guards against load reports that grow with the pool: ten times a second the fleet lease holder was
@@ -30,3 +33,18 @@
 		assert.DeepEqual(t, listed, []string{"busy", "silent"})
 	}
 }
+
+// Guards against a pool in which tasks wait beside idle cores: it was sized by cores alone, and its
+// long-running tasks took up the memory of all of its workers.
+func TestLoadCountsMemoryThatIsScarcerThanCores(t *testing.T) {
+	g := newHarness(t)
+	g.listWorkers("w1", "w2") // 4 cores and 8 GB each
+	lasting := gauge.Step{Count: 3, Needs: gauge.Resources{MilliCPU: 500, MemoryMB: 4000}, LongRunning: true}
+	short := gauge.Step{Count: 2, Needs: gauge.Resources{MilliCPU: 2000, MemoryMB: 1000}, Estimate: time.Second}
+	g.adopt(1, false, lasting)
+	g.adopt(2, false, short)
+	l := g.pool.Load(g.now)
+	assert.Equal(t, l.LongRunningCores, 6.0)
+	assert.Equal(t, l.Timely.WaitingCores+l.Late.WaitingCores, 4.0)
+	assert.Equal(t, l.ArrivedCoreSeconds, 4.0)
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -94,6 +94,7 @@
 	lastTick       time.Duration          // time of the last tick
 	resumedAt      time.Duration          // time of the last tick that followed a pause of this process
 	adoptedWork    float64                // core-seconds of all jobs adopted so far
+	meanCapacity   gauge.Resources        // mean of the listed workers; zero: none was listed yet
 	adoptedJobs    int                    // number of jobs adopted so far
 	// inheritedTasksWait says that inherited tasks have to wait for reports, as of the last round
 	// of starts.
@@ -173,6 +174,22 @@
 			p.conf.Logs.Info("worker unlisted", "pool", p.conf.Name, "worker", id, "born", w.info.StartedAt, "runs", len(w.runs))
 		}
 	}
+	p.updateMeanCapacity()
+}
+
+// updateMeanCapacity sets the mean capacity of the listed workers; without any the last one stays.
+func (p *Pool) updateMeanCapacity() {
+	var sum gauge.Resources
+	n := 0
+	for _, w := range p.workers {
+		if w.listed {
+			sum = sum.Plus(w.info.Capacity)
+			n++
+		}
+	}
+	if n > 0 {
+		p.meanCapacity = gauge.Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, Accels: sum.Accels / n}
+	}
 }
 
 // inheritedExpiry is when all grants of previous owners to a worker have certainly expired. A
--- a/jobspec.go
+++ b/jobspec.go
@@ -39,6 +39,21 @@
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accels * n}
 }
 
+// CoresOf returns how many cores of a host with this capacity an amount takes up: those that it
+// needs, or more if its share of another resource of the host is larger. Without a known capacity
+// only the cores count.
+func (r Resources) CoresOf(host Resources) float64 {
+	cores := float64(r.MilliCPU) / 1000
+	hostCores := float64(host.MilliCPU) / 1000
+	if host.MemoryMB > 0 {
+		cores = max(cores, float64(r.MemoryMB)/float64(host.MemoryMB)*hostCores)
+	}
+	if host.Accels > 0 {
+		cores = max(cores, float64(r.Accels)/float64(host.Accels)*hostCores)
+	}
+	return cores
+}
+
 // Step is one stage of a job: tasks of the same kind.
 type Step struct {
 	Count       int           `msgpack:"n"`
