Entries follow who holds leases, not each renewal; reads that all entries made together

Now a row a lease that changes with its holder, in one partition, by a feed that waits 4 s. The renewals are followed by holders, by entries that claim, and for 5 s by one that has reason to; each other entry looks at one random lease each 0.3 to 5 s, so that all together look at each lease some four times a second. Ruled out: reading leases less often by the same feed (a feed tells each change: 10 s of renewals are more than the rows); a fixed set of watching entries (all of them may die). The start-up test fails reads of both tables now.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -24,6 +24,7 @@
 		case <-tick.C:
 		}
 		n.noteStandstill()
+		n.updateLeaseGate()
 		n.checkHolders()
 		n.probeSuspects()
 		for _, c := range n.dueClaims() {
@@ -87,7 +88,7 @@
 func (n *Node) markClaiming(pool string) {
 	n.leasesInUse[pool] = true
 	n.claiming[pool] = make(chan struct{})
-	n.updateWorkerListGate()
+	n.watchLeases()
 }
 
 // markClaimEnded records that a claim has ended, whether or not the pool has an owner here now.
@@ -105,7 +106,6 @@
 	defer n.mu.Unlock()
 	delete(n.leasesInUse, pool)
 	n.markClaimEnded(pool)
-	n.updateWorkerListGate()
 }
 
 func leaseKey(pool string) gauge.RowKey {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -96,6 +96,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.fleet = f
+	n.updateWorkerListGate()
 }
 
 // requestMove hands the lease to an entry after the current round. An empty address leaves it here.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -12,7 +12,7 @@
 // followTable follows a table until ctx ends. The caller sets the parts of the configuration that
 // differ between tables.
 func (n *Node) followTable(ctx context.Context, c watch.Config) {
-	c.Store, c.Logs, c.Now = n.conf.Store, n.conf.Logs, n.conf.Now
+	c.Store, c.Logs, c.Now, c.RetryDelay = n.conf.Store, n.conf.Logs, n.conf.Now, n.retryDelay
 	if c.OnTablePosition == nil {
 		c.OnTablePosition = n.recordTableClock
 	}
@@ -21,41 +21,36 @@
 	watch.New(c).Run(ctx)
 }
 
-func fixedDelay(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+const (
+	// maxFeedLag is how far the feed of a table whose rows change all the time may be behind before
+	// the whole table is read.
+	maxFeedLag = 2 * time.Second
+	// retriesPerSecond is how many calls for one table all entries together repeat in a second while
+	// the table fails. The table counts what it refuses towards its rate.
+	retriesPerSecond = 250
+	// maxRetryDelay bounds the delay of one entry, which knows nothing new meanwhile.
+	maxRetryDelay = 2 * time.Second
+)
 
-// leasePause returns the pause between two polls of the leases.
-func (n *Node) leasePause() time.Duration {
+// retryDelay returns the mean delay before a failed call to the table is repeated.
+func (n *Node) retryDelay() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.leasesInUse) == 0 && n.leaseView.IsSmallHost() {
-		return smallHostLeasePollDelay
-	}
-	return leasePollDelay
+	return min(time.Duration(n.leaseView.EntryCount())*time.Second/retriesPerSecond, maxRetryDelay)
 }
 
+func fixedDelay(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // recordTableClock records a reading of the table's clock from a call that was sent at the given
 // time. A reading from a slow call is imprecise, by more than the clocks drift apart within a day.
 func (n *Node) recordTableClock(position gauge.TablePosition, sent time.Duration) {
 	now := n.conf.Now()
+	n.tableAnsweredAt.Store(int64(now))
 	if position.Now > 0 && (now-sent < maxClockReadingTime || n.clockOffset.Load() == 0) {
 		n.clockOffset.Store(int64(position.Now - now))
 	}
 }
 
-// recordLeaseRead records that the leases were read, whether or not they have changed.
-func (n *Node) recordLeaseRead(position gauge.TablePosition, sent time.Duration) {
-	n.recordTableClock(position, sent)
-	now := n.conf.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.leasesReadAt > 0 && now-n.leasesReadAt > tableOutageAfter {
-		n.leaseView.StartGracePeriod(now)
-		n.tableBackAt = now
-	}
-	n.leasesReadAt = sent
-	n.leasesRead.Store(true)
-}
-
 // maxClockReadingTime is the longest duration of a call whose reading of the table's clock is used.
 const maxClockReadingTime = 100 * time.Millisecond
 
@@ -115,39 +110,6 @@
 	return owners
 }
 
-func (n *Node) applyLeaseUpdate(u watch.Update) {
-	n.applyLeaseRows(u.Rows)
-	if u.Whole {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.leaseView.MarkTableRead()
-	}
-}
-
-func (n *Node) applyLeaseRows(rows []gauge.PartitionRow) {
-	now := n.conf.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range rows {
-		n.applyLeaseRow(r, now)
-	}
-}
-
-func (n *Node) applyLeaseRow(r gauge.PartitionRow, now time.Duration) {
-	if r.Deleted || r.Key != gauge.KeyOwner {
-		return
-	}
-	lease, err := gauge.DecodeLeaseRow(r.Value)
-	if err != nil {
-		n.conf.Logs.Error(err, "lease row not read", "pool", r.Partition, "version", r.Version)
-		return
-	}
-	if old, ok := n.leaseView.Lease(r.Partition); lease.Holder != "" && (!ok || old.Addr != lease.Addr) && lease.Addr != n.conf.Addr {
-		n.group.Go(func() { n.keepConnected(lease.Addr) })
-	}
-	n.leaseView.SetLease(r.Partition, *lease, r.Version, now, n.tableClockIfKnown())
-}
-
 // tableClockIfKnown returns the table's clock, or 0 before the first reading.
 func (n *Node) tableClockIfKnown() int64 {
 	if n.clockOffset.Load() == 0 {
--- a/internal/node/holdercheck.go
+++ b/internal/node/holdercheck.go
@@ -63,6 +63,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.conf.Now()
+	if now-n.leasesReadAt > maxClaimViewAge {
+		return // it can't be seen which leases are renewed
+	}
 	for _, addr := range n.leaseView.OverdueAddrs(now) {
 		if n.probing[addr] {
 			continue
@@ -104,6 +107,7 @@
 			continue
 		}
 		n.leaseView.MarkExited(h)
+		n.suspectFreeLease()
 		n.conf.CountEvent("holder gone")
 		n.conf.Logs.Info("holder gone", "holder", h, "addr", addr, "answers", a.Holder, "kind", gauge.KindOf(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,9 @@
 	// start together are seen in one or two polls.
 	entryPollDelay   = 2 * time.Second
 	entryPollTimeout = 10 * time.Second
+	// entryRereadDelay bounds the delay before all rows of the entries are read again: what an entry
+	// knows of hundreds of others seldom changes, and all of them read together.
+	entryRereadDelay = 30 * time.Second
 	// maxClaimViewAge is the maximum age of the lease table view for claims: with an older one
 	// nothing is claimed. Each owner renews its lease several times a second.
 	maxClaimViewAge = 1500 * time.Millisecond
@@ -137,6 +140,9 @@
 	site           atomic.Pointer[gauge.Site]
 	clockOffset    atomic.Int64 // table's clock minus the local one, in nanoseconds
 	workerListGate *gate.Gate   // open while the list of workers is followed
+	leaseGate      *gate.Gate   // open while the leases are followed
+	// tableAnsweredAt is when the table last answered a read, by Config.Now.
+	tableAnsweredAt atomic.Int64
 	// running is set by Run and cleared by Release; no leases are taken while it is false.
 	running    atomic.Bool
 	leasesRead atomic.Bool                     // the leases were read at least once
@@ -155,7 +161,8 @@
 	leaseView        *terms.LeaseView // view of the lease table
 	tableBackAt      time.Duration    // when the table last became reachable again; 0: there was no outage
 	holdersCheckedAt time.Duration    // last check of the holders during a table outage
-	leasesReadAt     time.Duration    // when the last successful read of the leases was sent
+	leasesReadAt     time.Duration    // when the last successful read of the leases was sent; 0: they aren't followed
+	watchLeasesUntil time.Duration    // until when the leases are followed even if none is held or claimed
 	claimPauseUntil  time.Duration    // no pool is claimed before this
 	owners           map[string]*owner.Owner
 	ownedSince       map[string]time.Duration // by pool: when its owner here began
@@ -198,7 +205,7 @@
 	}
 	fill.Zero(&c.MaxApplyDelay, defaultApplyDelay)
 	n := &Node{
-		conf: c, holder: c.Name + "/" + c.StartID, workerListGate: gate.New(), freshness: newFreshness(),
+		conf: c, holder: c.Name + "/" + c.StartID, workerListGate: gate.New(), leaseGate: gate.New(), freshness: newFreshness(),
 		guard:  access.New(access.Config{MaxApplyDelay: c.MaxApplyDelay, MaxKeyDelay: c.MaxKeyDelay}),
 		owners: make(map[string]*owner.Owner), ownedSince: make(map[string]time.Duration), leasesInUse: make(map[string]bool), claiming: make(map[string]chan struct{}),
 		ownerMoves: make(map[string]ownerMove), lastOffers: make(map[string]time.Duration), unresponsiveUntil: make(map[string]time.Duration), probing: make(map[string]bool), workers: make(map[string]gauge.Worker), broadcasts: make(chan struct{}, maxConcurrentBroadcasts), waves: make(map[int64]gauge.MaintenanceWave),
@@ -252,18 +259,23 @@
 func (n *Node) Run(ctx context.Context) {
 	n.ctx.Store(&ctx)
 	n.running.Store(true)
+	n.mu.Lock()
+	n.watchLeases() // hosts that start together find free leases
+	n.mu.Unlock()
 	n.group.Go(func() {
 		n.followTable(ctx, watch.Config{
-			Name: n.conf.Codec.OperatorTable(), FeedWait: min(configPollTimeout, n.conf.MaxApplyDelay/configPollsPerApply), ConfirmEachWait: true, PollDelay: fixedDelay(0), OnRows: n.applyOperatorRows,
+			Name: n.conf.Codec.OperatorTable(), FeedWait: min(configPollTimeout, n.conf.MaxApplyDelay/configPollsPerApply), ConfirmEachWait: true, PollDelay: fixedDelay(0), OnTablePosition: n.recordOperatorRead, OnRows: n.applyOperatorRows,
 		})
 	})
 	n.group.Go(func() {
-		n.followTable(ctx, watch.Config{Name: gauge.TableEntries, FeedWait: entryPollTimeout, PollDelay: fixedDelay(entryPollDelay), OnRows: n.applyEntryRows})
+		n.followTable(ctx, watch.Config{Name: gauge.TableEntries, Partition: gauge.PartitionEntries, RereadDelay: entryRereadDelay, FeedWait: entryPollTimeout, PollDelay: fixedDelay(entryPollDelay), OnRows: n.applyEntryRows})
 	})
 	n.group.Go(func() { n.followWorkers(ctx) })
 	n.group.Go(func() {
-		n.followTable(ctx, watch.Config{Name: gauge.TableLeases, Partitioned: true, PollDelay: n.leasePause, OnTablePosition: n.recordLeaseRead, OnRows: n.applyLeaseUpdate})
+		n.followLeases(ctx)
 	})
+	n.group.Go(func() { n.followHolders(ctx) })
+	n.group.Go(func() { n.checkLeases(ctx) })
 	n.group.Go(func() { n.manage(ctx) })
 	if !n.conf.Disabled.Has(gauge.MechanismBalance) {
 		n.group.Go(func() { n.rebalance(ctx) })
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -196,7 +196,7 @@
 	return taken
 }
 
-func (n *Node) handleProbe(_ context.Context, body []byte) (any, error) {
+func (n *Node) handleProbe(ctx context.Context, body []byte) (any, error) {
 	var c probeCall
 	if err := frame.Decode(body, &c); err != nil {
 		return nil, err
@@ -205,6 +205,11 @@
 	if c.FailingFor > 0 {
 		maxAge = c.FailingFor - probeMargin
 	}
+	if n.tableAge() > maxAge {
+		ctx, cancel := context.WithTimeout(ctx, leaseReadTimeout)
+		defer cancel()
+		n.readLease(ctx, fleetPool)
+	}
 	return n.newAnswer(n.canTakeOver(maxAge) && (!c.Reserve || n.reserve())), nil
 }
 
@@ -241,15 +246,19 @@
 }
 
 // canTakeOver reports whether this entry can take over a lease: it isn't stopping, hasn't handed
-// over a stuck pool within claimPauseAfterHandover, and its view of the lease table is no older
-// than maxViewAge. After an outage it first leaves the holders the time to notice that the table
-// answers again.
-func (n *Node) canTakeOver(maxViewAge time.Duration) bool {
+// over a stuck pool within claimPauseAfterHandover, and the table has answered it within maxAge.
+// After an outage it first leaves the holders the time to notice that the table answers again.
+func (n *Node) canTakeOver(maxAge time.Duration) bool {
 	if !n.running.Load() || n.Site() == nil {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.conf.Now()
-	return now >= n.claimPauseUntil && now-n.leasesReadAt <= min(maxViewAge, maxTakeOverViewAge) && (n.tableBackAt == 0 || now-n.tableBackAt > renewalGrace)
+	return now >= n.claimPauseUntil && n.tableAge() <= min(maxAge, maxTakeOverViewAge) && (n.tableBackAt == 0 || now-n.tableBackAt > renewalGrace)
+}
+
+// tableAge returns how long ago the table last answered this entry.
+func (n *Node) tableAge() time.Duration {
+	return n.conf.Now() - time.Duration(n.tableAnsweredAt.Load())
 }
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -30,7 +30,7 @@
 		n.conf.Logs.Error(err, "entry not registered")
 		return
 	}
-	row := gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableEntries, Key: n.conf.Name}, Value: value}
+	row := gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableEntries, Partition: gauge.PartitionEntries, Key: n.conf.Name}, Value: value}
 	backoff := jitter.New(jitter.Config{First: registerWindow, Max: maxRegisterWindow})
 	for sleep(ctx, backoff.Next()); ctx.Err() == nil; sleep(ctx, backoff.Next()) {
 		if n.isRegistered(entry) {
--- a/internal/node/workerlist.go
+++ b/internal/node/workerlist.go
@@ -27,7 +27,7 @@
 	listCtx, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	group.Go(func() {
-		n.followTable(listCtx, watch.Config{Name: n.conf.Codec.WorkerTable(), FeedWait: workerPollTimeout, PollDelay: fixedDelay(workerPollDelay), OnRows: n.applyWorkerRows})
+		n.followTable(listCtx, watch.Config{Name: n.conf.Codec.WorkerTable(), FeedWait: workerPollTimeout, MaxFeedLag: maxFeedLag, PollDelay: fixedDelay(workerPollDelay), OnRows: n.applyWorkerRows})
 	})
 	n.workerListGate.WaitClosed(ctx, workerListLinger)
 	cancel()
@@ -86,10 +86,11 @@
 	return workers
 }
 
-// updateWorkerListGate opens the gate of the worker list while this entry holds or claims the fleet
-// lease, or owns a pool whose workers it isn't told of, and shuts it otherwise. n.mu is held.
+// updateWorkerListGate opens the gate of the worker list while this entry holds the fleet lease, or
+// owns a pool whose workers it isn't told of, and shuts it otherwise. A claim doesn't open it: where
+// a lease is free, hundreds of entries claim it at once, and one of them gets it. n.mu is held.
 func (n *Node) updateWorkerListGate() {
-	n.workerListGate.Set(n.leasesInUse[fleetPool] || len(n.untoldPools) > 0)
+	n.workerListGate.Set(n.fleet != nil || len(n.untoldPools) > 0)
 }
 
 // ownWorkers returns the workers of a pool in the list that this entry has read itself, with the
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -164,11 +164,22 @@
 	})
 }
 
-// RowWrites returns the writes that store a lease: first the lease row, which all entries read,
-// then the rows of the handover, which only the next holder reads.
+// RowWrites returns the writes that store a lease with another holder than before: first the lease
+// row, then the rows of the handover, which only the next holder reads, and the holder row, which
+// all entries read.
 func RowWrites(key gauge.RowKey, row *gauge.LeaseRow) ([]gauge.RowWrite, error) {
 	all, handover := row.Split()
-	return encodeRows(key, &all, divide(key, &handover))
+	writes, err := encodeRows(key, &all, divide(key, &handover))
+	if err != nil {
+		return nil, err
+	}
+	holder := gauge.HolderRow{Holder: row.Holder, Addr: row.Addr, Term: row.Term}
+	value, err := holder.Encode()
+	if err != nil {
+		return nil, err
+	}
+	holderKey := gauge.RowKey{Table: gauge.TableHolders, Partition: gauge.PartitionHolders, Key: gauge.HolderKey(key.Partition)}
+	return append(writes, gauge.RowWrite{RowKey: holderKey, Value: value}), nil
 }
 
 func encodeRows(key gauge.RowKey, lease *gauge.LeaseRow, handover []handoverRow) ([]gauge.RowWrite, error) {
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -25,6 +25,8 @@
 	handoverWrites int // how many transactions wrote rows of the handover
 	rowsWritten    int // rows of the handover that the last transaction wrote
 	largest        int // bytes of the largest of these rows so far
+
+	holder []byte // holder row that the last transaction wrote
 }
 
 func (t *fakeTable) Range(_ context.Context, name, part, from, _ string) ([]gauge.PartitionRow, gauge.TablePosition, error) {
@@ -48,14 +50,19 @@
 		return gauge.TablePosition{}, []gauge.PartitionRow{t.row, {RowKey: gauge.RowKey{Table: gauge.TableJobs}}}, gauge.Errorf(gauge.KindConflict, "changed")
 	}
 	t.row = gauge.PartitionRow{RowKey: leaseKey, Value: txn.Writes[0].Value, Version: t.row.Version + 1}
-	t.rowsWritten = len(txn.Writes) - 1
-	if t.rowsWritten > 0 {
-		t.handoverWrites++
-	}
+	t.rowsWritten, t.holder = 0, nil
 	for _, w := range txn.Writes[1:] {
+		if w.Table == gauge.TableHolders {
+			t.holder = w.Value
+			continue
+		}
+		t.rowsWritten++
 		t.handover[w.RowKey] = w.Value
 		t.largest = max(t.largest, len(w.Value))
 	}
+	if t.rowsWritten > 0 {
+		t.handoverWrites++
+	}
 	if t.commitErr != nil {
 		return gauge.TablePosition{}, nil, t.commitErr
 	}
@@ -136,6 +143,24 @@
 	assert.Equal(t, row.Holder, "")
 }
 
+// Entries that don't follow renewals find the owner of a pool by the holder row, which is written
+// only when the holder changes: a renewal that wrote it would wake all of them.
+func TestHolderRowIsWrittenWhenTheHolderChanges(t *testing.T) {
+	g := newFixture()
+	assert.NilError(t, g.commit())
+	assert.Equal(t, len(g.table.holder), 0)
+	writes, err := tenure.RowWrites(leaseKey, &gauge.LeaseRow{Holder: "next", Addr: "b", Term: 4})
+	assert.NilError(t, err)
+	row, err := gauge.DecodeHolderRow(writes[len(writes)-1].Value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *row, gauge.HolderRow{Holder: "next", Addr: "b", Term: 4})
+	assert.Equal(t, gauge.LeaseOfHolderKey(writes[len(writes)-1].Key), "p")
+	assert.NilError(t, g.lease.GiveUp(t.Context(), gauge.LeaseRow{}))
+	row, err = gauge.DecodeHolderRow(g.table.holder)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *row, gauge.HolderRow{Term: 3})
+}
+
 // What only the next holder needs isn't rewritten with each renewal, because all entries read the
 // lease row: with 600 workers it is 15 KB.
 func TestHandoverRowIsWrittenOnlyWhenChanged(t *testing.T) {
--- a/internal/terms/burden.go
+++ b/internal/terms/burden.go
@@ -56,6 +56,9 @@
 // HasEntry reports whether an entry is known by this row.
 func (v *LeaseView) HasEntry(name string, row gauge.EntryRow) bool { return v.entries[name] == row }
 
+// EntryCount returns how many entries are known, including those that have died.
+func (v *LeaseView) EntryCount() int { return len(v.entries) }
+
 // LeaseCount returns the number of leases that name this entry as their holder.
 func (v *LeaseView) LeaseCount() int {
 	n := 0
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -122,6 +122,17 @@
 	return v.conf.ProbeAfter > 0 && s.row.Holder != "" && now-s.readAt > v.conf.ProbeAfter && now >= v.graceEnd
 }
 
+// MayBeFree reports whether the lease of a row that was just read has no holder, or hasn't been
+// renewed for so long that its holder may be dead.
+func (v *LeaseView) MayBeFree(pool string, now time.Duration) bool {
+	s, ok := v.rows[pool]
+	limit := v.conf.ProbeAfter
+	if limit == 0 {
+		limit = v.conf.LeaseDuration
+	}
+	return ok && (s.row.Holder == "" || now-s.readAt+s.renewalAge > limit+tableClockMargin)
+}
+
 // MarkUnanswered records that the holder at an address didn't answer a probe that was sent at a
 // time.
 func (v *LeaseView) MarkUnanswered(addr string, asked time.Duration) { v.unansweredAt[addr] = asked }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -18,14 +18,26 @@
 // Config sets up a Table.
 type Config struct {
 	Name            string
-	Partitioned     bool // the rows are in many partitions; otherwise all are in the unnamed one
+	Partitioned     bool   // the rows are in many partitions; otherwise all are in one
+	Partition       string // that holds the rows of a table that isn't partitioned
 	Store           gauge.PartitionedTable
 	FeedWait        time.Duration        // how long a feed call waits for a change; 0: it returns at once
 	ConfirmEachWait bool                 // confirms every FeedWait that all rows are known, also while rows change
 	PollDelay       func() time.Duration // returns the delay between two calls
-	Logs            logr.Logger
-	Now             func() time.Duration
-	OnRows          func(Update)
+	// MaxFeedLag is how far a feed may be behind before the whole table is read instead; 0: it is read
+	// only when the history is gone. Rows of 5 KB that are rewritten about a hundred times a second
+	// make a megabyte of changes in 2 s, which a link of 10 Mbit/s transfers just within a read's
+	// timeout. All current rows are a tenth of that.
+	MaxFeedLag time.Duration
+	// RetryDelay returns the mean delay after a failed call; nil, or less than defaultRetryDelay:
+	// defaultRetryDelay.
+	RetryDelay func() time.Duration
+	// RereadDelay bounds the random delay before the whole table is read again where the feed's
+	// history is gone: it is gone for all that follow the table at the same moment.
+	RereadDelay time.Duration
+	Logs        logr.Logger
+	Now         func() time.Duration
+	OnRows      func(Update)
 	// OnTablePosition receives each reading of the table's clock and the time at which the call
 	// was sent, by Now.
 	OnTablePosition func(position gauge.TablePosition, sent time.Duration)
@@ -52,17 +64,9 @@
 	knownAsOf   time.Duration // the rows as of this time have been delivered
 }
 
-const (
-	// maxFeedLag is how far a feed may be behind before the whole table is read instead.
-	// Lease rows of 5 KB are rewritten about a hundred times a second: the changes of 2 s
-	// are a megabyte, which a link of 10 Mbit/s transfers just within a read's timeout.
-	// All current rows are a tenth of that.
-	maxFeedLag = 2 * time.Second
-	// minRetryDelay and maxRetryDelay bound the random delay after a failure. The jitter keeps
-	// entries from calling all at once after an outage.
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
-)
+// defaultRetryDelay is the mean delay after a failure. Delays are random, so that entries don't call
+// all at once after an outage.
+const defaultRetryDelay = 225 * time.Millisecond
 
 // New makes a Table.
 func New(c Config) *Table { return &Table{conf: c} }
@@ -90,10 +94,13 @@
 	if gauge.IsKind(err, gauge.KindCompacted) {
 		t.conf.Logs.Info("table history compacted; reading the whole table", "table", t.conf.Name, "version", t.version)
 		t.hasRows = false
+		if t.conf.RereadDelay > 0 {
+			return rand.N(t.conf.RereadDelay)
+		}
 		return 0
 	}
 	t.failures++
-	if t.hasRows && t.conf.Now()-t.lastAnswer > maxFeedLag {
+	if t.hasRows && t.conf.MaxFeedLag > 0 && t.conf.Now()-t.lastAnswer > t.conf.MaxFeedLag {
 		// Every attempt to read the changes since then would time out, and use up the link's
 		// bandwidth meanwhile.
 		t.conf.Logs.Info("feed given up", "table", t.conf.Name, "version", t.version, "behind", t.conf.Now()-t.lastAnswer)
@@ -103,7 +110,16 @@
 		t.unreachable = true
 		t.conf.Logs.Info("dependency lost", "table", t.conf.Name, "version", t.version, "error", err.Error())
 	}
-	return minRetryDelay + rand.N(maxRetryDelay-minRetryDelay)
+	return t.retryDelay()
+}
+
+// retryDelay returns a random delay of a quarter to seven quarters of the mean.
+func (t *Table) retryDelay() time.Duration {
+	mean := defaultRetryDelay
+	if t.conf.RetryDelay != nil {
+		mean = max(mean, t.conf.RetryDelay())
+	}
+	return mean/4 + rand.N(mean*3/2)
 }
 
 // callWithTimeout makes one call. While the table is unreachable most calls get a short timeout,
@@ -182,7 +198,7 @@
 // readAll reads and delivers the whole table.
 func (t *Table) readAll(ctx context.Context) error {
 	sent := t.conf.Now()
-	rows, position, err := t.conf.Store.Range(ctx, t.conf.Name, "", "", "")
+	rows, position, err := t.conf.Store.Range(ctx, t.conf.Name, t.conf.Partition, "", "")
 	if err != nil {
 		return err
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -83,7 +83,7 @@
 	defer stop()
 	whole := make(chan bool, 10)
 	go watch.New(watch.Config{
-		Name: "leases", Store: store, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
+		Name: "leases", Store: store, MaxFeedLag: 2 * time.Second, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
 		Now: func() time.Duration { return now }, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
 		OnRows: func(u watch.Update) { whole <- u.Whole },
 	}).Run(ctx)
@@ -228,3 +228,39 @@
 	*a.now += a.took
 	return a.rows, gauge.TablePosition{Version: 2}, nil
 }
+
+// Guards against entries that read all of a table that hardly changes, each its own, after every
+// outage of two seconds.
+func TestTableThatSeldomChangesIsNotReadAgainAfterAnOutage(t *testing.T) {
+	now := time.Duration(0)
+	wholeReads, changes := 0, make(chan bool)
+	store := &table{feed: func(_ context.Context, n int) error {
+		now += time.Second
+		if n <= 5 {
+			return gauge.Errorf(gauge.KindOutage, "refused")
+		}
+		return nil
+	}}
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	go watch.New(watch.Config{
+		Name: "operator", Store: store, PollDelay: func() time.Duration { return 0 }, Logs: logr.Discard(),
+		Now: func() time.Duration { return now }, OnTablePosition: func(gauge.TablePosition, time.Duration) {},
+		OnRows: func(u watch.Update) {
+			if u.Whole {
+				wholeReads++
+				return
+			}
+			select {
+			case changes <- true:
+			case <-ctx.Done():
+			}
+		},
+	}).Run(ctx)
+	select {
+	case <-changes:
+		assert.Equal(t, wholeReads, 1, "at the start only")
+	case <-ctx.Done():
+		t.Fatal("the feed didn't go on")
+	}
+}
--- a/leaserow.go
+++ b/leaserow.go
@@ -110,8 +110,14 @@
 	// TableEntries has one partition, so that all entries are read with a call or two: with a
 	// partition each, some hundred entries starting at once would request each other's rows some
 	// ten thousand times, and the table refuses what exceeds its rate limit, including the retries.
-	TableEntries = "entries" // name of an entry -> EntryRow
-	KeyOwner     = "owner"
+	// It isn't the unnamed one: entries that start together would hold up the claim of the fleet
+	// lease, whose row is there.
+	TableEntries     = "entries" // name of an entry -> EntryRow
+	PartitionEntries = "entries"
+	// TableHolders has one partition, too, so that all holders are read with one call.
+	TableHolders     = "holders" // HolderKey of a lease -> HolderRow
+	PartitionHolders = "holders"
+	KeyOwner         = "owner"
 )
 
 // OpenJobMark is the value of an open job's row in TableOpen.
--- /dev/null
+++ b/test/machines/holders_test.go
@@ -0,0 +1,120 @@
+package machines_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
+	"sapphiregauge/internal/tenure"
+	"sapphiregauge/platform"
+)
+
+// ghost is an entry that renews leases and answers nobody.
+type ghost struct {
+	s        *site
+	table    *platform.Table
+	addr     string
+	versions map[string]int64 // of the lease rows
+}
+
+const ghostName = "ghost/1"
+
+// newGhost claims leases for an entry whose host accepts connections and never answers on them.
+func newGhost(s *site, pools ...string) *ghost {
+	l := s.listen()
+	go func() {
+		var held []net.Conn
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			held = append(held, c)
+		}
+	}()
+	g := &ghost{s: s, addr: l.Addr().String(), versions: make(map[string]int64)}
+	g.table = platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), ReadTimeout: waitTimeout, CommitTimeout: waitTimeout, Clock: time.Now})
+	s.t.Cleanup(func() { _ = l.Close(); g.table.Close() })
+	for _, pool := range pools {
+		g.commit(pool, true)
+	}
+	return g
+}
+
+// commit writes the row of a lease, and the rows beside it if the lease is claimed.
+func (g *ghost) commit(pool string, claim bool) {
+	key := gauge.RowKey{Table: gauge.TableLeases, Partition: pool, Key: gauge.KeyOwner}
+	_, position, err := g.table.Range(g.s.t.Context(), key.Table, key.Partition, key.Key, "")
+	assert.NilError(g.s.t, err)
+	writes, err := tenure.RowWrites(key, &gauge.LeaseRow{Holder: ghostName, Addr: g.addr, RenewedAt: position.Now.Milliseconds()})
+	assert.NilError(g.s.t, err)
+	if !claim {
+		writes = writes[:1]
+	}
+	position, _, err = g.table.Commit(g.s.t.Context(), gauge.PartitionTxn{Checks: []gauge.RowCheck{{RowKey: key, Version: g.versions[pool]}}, Writes: writes})
+	assert.NilError(g.s.t, err)
+	g.versions[pool] = position.Version
+}
+
+// renew renews all leases.
+func (g *ghost) renew() {
+	for pool := range g.versions {
+		g.commit(pool, false)
+	}
+}
+
+// Guards against calls to the table that grow with entries times pools: each entry followed the
+// renewals of all leases. And against pools without an owner for good, now that none does: the only
+// holder loses its power, so that its connections don't end, and no other holder is left to notice.
+func TestEntryWithoutLeaseNoticesADeadHolderAndFollowsNoRenewals(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 1)
+	g := newGhost(s, poolName, fleetLease)
+	proxyAddr, calls := newCallCounter(t, s.table.Addr())
+	s.startAt("e-0", proxyAddr)
+	reads := func() int { return calls.total(gauge.TableLeases, "rows-feed", "rows-parts") }
+	since, last := time.Now(), 0
+	s.waitFor("the entry doesn't follow the leases any more", func() bool {
+		g.renew()
+		if n := reads(); n != last {
+			since, last = time.Now(), n
+		}
+		return last > 0 && time.Since(since) > 1500*time.Millisecond
+	})
+	assert.Equal(t, s.countLogged("lease taken"), 0)
+	s.waitLeasesHeldBy("e-0")
+	assert.Assert(t, s.countLogged("lease may be free") > 0)
+	assert.Assert(t, s.submit(1, twoSteps(20)))
+	s.waitCompleted([]int{1})
+	s.checkNoViolations()
+}
+
+// Guards against a stopping owner that finds no successor, as the entries that don't follow the
+// leases can't tell that they reach the table.
+func TestEntryThatFollowsNoLeasesTakesAnOffer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 1)
+	holder := s.startOn("e-0", s.table.Addr(), host{capacity: largeHostCores})
+	s.waitReady()
+	s.waitLeasesHeldBy("e-0")
+	proxyAddr, calls := newCallCounter(t, s.table.Addr())
+	s.startOn("weak-0", proxyAddr, host{capacity: smallHostCores})
+	s.waitFor("the other entry is known", func() bool {
+		return s.countLogged("entry known", `"entry"="e-0"`, `"peer"="weak-0"`) == 1
+	})
+	since, last := time.Now(), 0
+	s.waitFor("it doesn't follow the leases any more", func() bool {
+		if n := calls.total(gauge.TableLeases, "rows-feed", "rows-parts"); n != last {
+			since, last = time.Now(), n
+		}
+		return last > 0 && time.Since(since) > 1500*time.Millisecond
+	})
+	holder.node.Release(t.Context(), time.Second)
+	s.waitFor("both leases are taken", func() bool { return s.countLogged("lease offered", `"entry"="e-0"`, `"taken"=true`) == 2 })
+	assert.Equal(t, s.countLogged("lease offered", `"entry"="e-0"`), 2, "at the first try")
+	s.waitLeasesHeldBy("weak-0")
+	s.checkNoViolations()
+}
--- a/test/machines/poolworkers_test.go
+++ b/test/machines/poolworkers_test.go
@@ -1,6 +1,8 @@
 package machines_test
 
 import (
+	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,3 +47,37 @@
 	assert.Assert(t, reads() > 0)
 	s.checkNoViolations()
 }
+
+// Guards against a load that grows with the entries: wherever a lease was free, each entry that
+// claimed it read the list of workers, though only one of them could get it.
+func TestClaimOfALeaseReadsNoWorkers(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 2)
+	holder := s.startOn("e-0", s.table.Addr(), host{capacity: largeHostCores})
+	s.waitReady()
+	s.waitLeasesHeldBy("e-0")
+	// Its transactions are refused, so that all its claims fail.
+	var claims atomic.Int32
+	workers := platform.TableCodec{}.WorkerTable()
+	var reads atomic.Int32
+	addr := startProxy(t, s.table.Addr(), func(w http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Query().Get("table") == workers {
+			reads.Add(1)
+		}
+		if r.URL.Path != "/sapphiregauge/rows-tx" {
+			return false
+		}
+		claims.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	s.startOn("e-1", addr, host{capacity: largeHostCores})
+	s.waitReady()
+	holder.kill()
+	<-holder.done
+	holder.mesh.Close()
+	s.entries = s.entries[1:]
+	s.waitFor("claims have failed", func() bool { return s.countLogged("lease not taken", `"entry"="e-1"`) >= 3 })
+	assert.Assert(t, claims.Load() > 0)
+	assert.Equal(t, reads.Load(), int32(0), "reads of the list of workers")
+}
--- a/test/machines/reads_test.go
+++ b/test/machines/reads_test.go
@@ -56,7 +56,7 @@
 		value, err := (&gauge.EntryRow{Addr: fmt.Sprintf("127.0.0.2:%d", n+1), Capacity: smallHostCores}).Encode()
 		assert.NilError(s.t, err)
 		txn.Writes = append(txn.Writes, gauge.RowWrite{
-			RowKey: gauge.RowKey{Table: gauge.TableEntries, Key: fmt.Sprintf("peer-%02d", n)}, Value: value,
+			RowKey: gauge.RowKey{Table: gauge.TableEntries, Partition: gauge.PartitionEntries, Key: fmt.Sprintf("peer-%02d", n)}, Value: value,
 		})
 	}
 	_, _, err := table.Commit(s.t.Context(), txn)
--- a/test/machines/rebalance_test.go
+++ b/test/machines/rebalance_test.go
@@ -169,7 +169,7 @@
 func TestMalformedEntryRowIsLoggedAndIgnored(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 0, 2)
-	s.table.Put(gauge.TableEntries, "e-9", "10.0.0.1:7060")
+	s.table.PutIn(gauge.TableEntries, gauge.PartitionEntries, "e-9", "10.0.0.1:7060")
 	s.start("e-0")
 	s.waitReady()
 	assert.Assert(t, s.submit(1, twoSteps(20)))
@@ -215,7 +215,7 @@
 	table := platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), ReadTimeout: waitTimeout, CommitTimeout: waitTimeout, Clock: time.Now})
 	defer table.Close()
 	_, _, err = table.Commit(s.t.Context(), gauge.PartitionTxn{Writes: []gauge.RowWrite{{
-		RowKey: gauge.RowKey{Table: gauge.TableEntries, Key: name}, Value: value,
+		RowKey: gauge.RowKey{Table: gauge.TableEntries, Partition: gauge.PartitionEntries, Key: name}, Value: value,
 	}}})
 	assert.NilError(s.t, err)
 	return p
--- a/test/machines/startup_test.go
+++ b/test/machines/startup_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	gauge "sapphiregauge"
 )
 
 // Guards against a job that runs although its client was told that it never does. An entry that
@@ -17,7 +19,7 @@
 	s := newSite(t, 1, 1)
 	s.waitReady()
 	proxyAddr := startProxy(t, s.table.Addr(), func(w http.ResponseWriter, r *http.Request) bool {
-		if r.URL.Query().Get("table") != "leases" {
+		if table := r.URL.Query().Get("table"); table != gauge.TableLeases && table != gauge.TableHolders {
 			return false
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
