The configuration is polled as seldom as its bound allows, entries' rows reread by their number

Change: two polls within the bound for changes, 2 s at most (1 s before); rereads 0.2 s apart on average, however many entries there are.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -60,6 +60,11 @@
 	return (n.conf.Now() + time.Duration(n.clockOffset.Load())).Milliseconds()
 }
 
+// configPollTimeout returns how long a feed of the configuration waits for a change.
+func (n *Node) configPollTimeout() time.Duration {
+	return min(maxConfigPollTimeout, n.conf.MaxApplyDelay/configPollsPerApply)
+}
+
 func (n *Node) applyOperatorRows(u watch.Update) {
 	for _, r := range u.Rows {
 		if r.Deleted {
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -151,7 +151,7 @@
 // operator's table. n.mu is held.
 func (n *Node) wasTableAway(now time.Duration) bool {
 	age, known := n.configurationAge()
-	return known && age > configPollTimeout+tableOutageAfter || n.tableBackAt > 0 && now-n.tableBackAt < renewalGrace
+	return known && age > n.configPollTimeout()+tableOutageAfter || n.tableBackAt > 0 && now-n.tableBackAt < renewalGrace
 }
 
 // recordOperatorRead records an answer to the feed of the operator's table. An entry that doesn't
@@ -159,7 +159,7 @@
 func (n *Node) recordOperatorRead(position gauge.TablePosition, sent time.Duration) {
 	age, known := n.configurationAge()
 	n.recordTableClock(position, sent)
-	if known && age > configPollTimeout+tableOutageAfter {
+	if known && age > n.configPollTimeout()+tableOutageAfter {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.tableBackAt = n.conf.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,10 +82,10 @@
 	tableOutageAfter = time.Second
 	// manageInterval is the interval between two checks of the leases that were seen.
 	manageInterval = 50 * time.Millisecond
-	// configPollTimeout bounds how long a feed of the configuration waits for a change. A
+	// maxConfigPollTimeout bounds how long a feed of the configuration waits for a change. A
 	// connection that no longer carries data is detected after this and the timeout of the call
 	// itself.
-	configPollTimeout = time.Second
+	maxConfigPollTimeout = 2 * time.Second
 	// configPollsPerApply is the minimum number of configuration polls within the time in which a
 	// change has to be in force: a single answer may be slow.
 	configPollsPerApply = 2
@@ -107,9 +107,6 @@
 	// start together are seen in one or two polls.
 	entryPollDelay   = 2 * time.Second
 	entryPollTimeout = 10 * time.Second
-	// entryRereadDelay bounds the delay before all rows of the entries are read again: what an entry
-	// knows of hundreds of others seldom changes, and all of them read together.
-	entryRereadDelay = 30 * time.Second
 	// maxClaimViewAge is the maximum age of the lease table view for claims: with an older one
 	// nothing is claimed. Each owner renews its lease several times a second.
 	maxClaimViewAge = 1500 * time.Millisecond
@@ -264,11 +261,11 @@
 	n.mu.Unlock()
 	n.group.Go(func() {
 		n.followTable(ctx, watch.Config{
-			Name: n.conf.Codec.OperatorTable(), FeedWait: min(configPollTimeout, n.conf.MaxApplyDelay/configPollsPerApply), ConfirmEachWait: true, PollDelay: fixedDelay(0), OnTablePosition: n.recordOperatorRead, OnRows: n.applyOperatorRows,
+			Name: n.conf.Codec.OperatorTable(), FeedWait: n.configPollTimeout(), ConfirmEachWait: true, PollDelay: fixedDelay(0), OnTablePosition: n.recordOperatorRead, OnRows: n.applyOperatorRows,
 		})
 	})
 	n.group.Go(func() {
-		n.followTable(ctx, watch.Config{Name: gauge.TableEntries, Partition: gauge.PartitionEntries, RereadDelay: entryRereadDelay, FeedWait: entryPollTimeout, PollDelay: fixedDelay(entryPollDelay), OnRows: n.applyEntryRows})
+		n.followTable(ctx, watch.Config{Name: gauge.TableEntries, Partition: gauge.PartitionEntries, RereadDelay: n.entryRereadDelay, FeedWait: entryPollTimeout, PollDelay: fixedDelay(entryPollDelay), OnRows: n.applyEntryRows})
 	})
 	n.group.Go(func() { n.followWorkers(ctx) })
 	n.group.Go(func() {
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// entryRereadSpacing is the mean time between two entries that read all rows of the entries again:
+// with N entries N reads of N rows are due at the same moment, for rows that seldom change.
+const entryRereadSpacing = 200 * time.Millisecond
+
+// entryRereadDelay returns the bound of the delay before this entry reads all rows again.
+func (n *Node) entryRereadDelay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(n.leaseView.EntryCount()) * entryRereadSpacing
+}
+
 // maxLoggedEntries bounds the log lines on the rows of one answer. Where hundreds of entries start
 // together, each learns of all others.
 const maxLoggedEntries = 8
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -32,9 +32,10 @@
 	// RetryDelay returns the mean delay after a failed call; nil, or less than defaultRetryDelay:
 	// defaultRetryDelay.
 	RetryDelay func() time.Duration
-	// RereadDelay bounds the random delay before the whole table is read again where the feed's
-	// history is gone: it is gone for all that follow the table at the same moment.
-	RereadDelay time.Duration
+	// RereadDelay returns the bound of the random delay before the whole table is read again where
+	// the feed's history is gone: it is gone for all that follow the table at the same moment. Nil:
+	// there is no delay.
+	RereadDelay func() time.Duration
 	Logs        logr.Logger
 	Now         func() time.Duration
 	OnRows      func(Update)
@@ -94,10 +95,7 @@
 	if gauge.IsKind(err, gauge.KindCompacted) {
 		t.conf.Logs.Info("table history compacted; reading the whole table", "table", t.conf.Name, "version", t.version)
 		t.hasRows = false
-		if t.conf.RereadDelay > 0 {
-			return rand.N(t.conf.RereadDelay)
-		}
-		return 0
+		return t.rereadDelay()
 	}
 	t.failures++
 	if t.hasRows && t.conf.MaxFeedLag > 0 && t.conf.Now()-t.lastAnswer > t.conf.MaxFeedLag {
@@ -113,6 +111,13 @@
 	return t.retryDelay()
 }
 
+func (t *Table) rereadDelay() time.Duration {
+	if t.conf.RereadDelay == nil {
+		return 0
+	}
+	return rand.N(max(1, t.conf.RereadDelay()))
+}
+
 // retryDelay returns a random delay of a quarter to seven quarters of the mean.
 func (t *Table) retryDelay() time.Duration {
 	mean := defaultRetryDelay
