--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// followsLeases reports whether this entry follows the leases, and so finds out several times a
+// second whether it reaches the table.
+func (n *Node) followsLeases() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leasesReadAt > 0
+}
+
 // leasePause returns the pause between two polls of the leases.
 func (n *Node) leasePause() time.Duration {
 	n.mu.Lock()
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -205,7 +205,7 @@
 	if c.FailingFor > 0 {
 		maxAge = c.FailingFor - probeMargin
 	}
-	if n.tableAge() > maxAge {
+	if n.tableAge() > maxAge && !n.followsLeases() {
 		ctx, cancel := context.WithTimeout(ctx, leaseReadTimeout)
 		defer cancel()
 		n.readLease(ctx, fleetPool)
