--- a/handoverrow.go
+++ b/handoverrow.go
@@ -41,7 +41,7 @@
 // machine. The head lists the parts that aren't empty.
 func (h *HandoverRow) Divide() (head HandoverRow, parts [HandoverParts]HandoverRow) {
 	for _, w := range h.Workers {
-		p := &parts[partOf(w)]
+		p := &parts[partOf(w, HandoverParts)]
 		p.Workers = append(p.Workers, w)
 	}
 	for _, m := range []struct {
@@ -54,7 +54,7 @@
 		{h.PreviousOrders, func(p *HandoverRow) *map[string]int64 { return &p.PreviousOrders }},
 	} {
 		for key, value := range m.from {
-			to := m.to(&parts[partOf(key)])
+			to := m.to(&parts[partOf(key, HandoverParts)])
 			if *to == nil {
 				*to = make(map[string]int64)
 			}
@@ -70,7 +70,8 @@
 	return head, parts
 }
 
-func partOf(key string) int { return int(xxhash.Sum64String(key) % HandoverParts) }
+// partOf returns in which of some parts a key is.
+func partOf(key string, parts int) int { return int(xxhash.Sum64String(key) % uint64(parts)) }
 
 // Merge adds a part to the row.
 func (h *HandoverRow) Merge(part *HandoverRow) {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -43,7 +43,8 @@
 	renewedAt     time.Duration
 	offeredAt     time.Duration // last offer of the lease
 	listedAt      time.Duration
-	statusWritten map[int64]bool // waves whose running state was reported to the operator
+	statusWritten map[int64]bool        // waves whose running state was reported to the operator
+	wavePartSizes map[int64]map[int]int // by wave and part: how many machines the part in the table names
 	calls         *backgroundCalls
 	drained       chan struct{}  // wakes the next round: a machine that is to move has been drained
 	unsaved       map[int64]bool // waves with orders that aren't in the table yet
@@ -59,7 +60,7 @@
 // runFleet runs the fleet until its lease is lost or given up.
 func (n *Node) runFleet(ctx context.Context, l *takenLease) {
 	f := &fleet{
-		node: n, held: l, statusWritten: make(map[int64]bool),
+		node: n, held: l, statusWritten: make(map[int64]bool), wavePartSizes: make(map[int64]map[int]int),
 		scheduler: waves.New(waves.Config{
 			MaintenanceDuration: n.conf.MaintenanceDuration, Disabled: n.conf.Disabled, Logs: n.conf.Logs,
 		}),
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -3,27 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/waves"
 )
 
-// tableWaves is the table of maintenance waves and of the machines in them that have been ordered.
-const tableWaves = "waves"
-
-// waveRow is the stored state of a wave.
-type waveRow struct {
-	Ordered []string `msgpack:"b"`
-	Done    bool     `msgpack:"d"`
-	// FirstSeen is when the wave was first seen, by the table's clock in milliseconds; 0: not
-	// known.
-	FirstSeen int64 `msgpack:"s,omitempty"`
-}
-
 // addNewWaves passes new waves to the scheduler, with their stored state. It reports whether all
 // could be read.
 func (f *fleet) addNewWaves(ctx context.Context) bool {
@@ -52,18 +37,14 @@
 	return true
 }
 
-func waveKey(number int64) gauge.RowKey {
-	return gauge.RowKey{Table: tableWaves, Key: strconv.FormatInt(number, 10)}
-}
+func waveKey(key string) gauge.RowKey { return gauge.RowKey{Table: gauge.TableWaves, Key: key} }
 
-func (f *fleet) readWave(ctx context.Context, number int64) (waveRow, error) {
-	var row waveRow
-	key := waveKey(number)
-	rows, _, err := f.node.conf.Store.Range(ctx, key.Table, key.Partition, key.Key, key.Key+"\x00")
-	if err != nil || len(rows) == 0 {
-		return row, err
+func (f *fleet) readWave(ctx context.Context, number int64) (*gauge.WaveRow, error) {
+	rows, _, err := f.node.conf.Store.Range(ctx, gauge.TableWaves, "", gauge.WaveKey(number), gauge.WaveKeysEnd(number))
+	if err != nil {
+		return nil, err
 	}
-	return row, msgpack.Unmarshal(rows[0].Value, &row)
+	return gauge.DecodeWave(number, rows)
 }
 
 // drainGroup is what one call to drain workers is about.
@@ -135,12 +116,18 @@
 // whether it succeeded.
 func (f *fleet) saveWave(ctx context.Context, number int64, done bool) bool {
 	firstSeen := f.node.tableClock() - f.scheduler.WaveAge(number, f.node.conf.Now()).Milliseconds()
-	value, err := msgpack.Marshal(&waveRow{Ordered: f.scheduler.StartedMachines(number), Done: done, FirstSeen: firstSeen})
+	row := gauge.WaveRow{Done: done, FirstSeen: firstSeen}
+	value, err := row.Encode()
+	if err != nil {
+		f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
+		return false
+	}
+	txn := gauge.PartitionTxn{Writes: []gauge.RowWrite{{RowKey: waveKey(gauge.WaveKey(number)), Value: value}}}
+	sizes, err := f.addWaveParts(&txn, number)
 	if err != nil {
 		f.node.conf.Logs.Error(err, "wave not saved", "wave", number)
 		return false
 	}
-	txn := gauge.PartitionTxn{Writes: []gauge.RowWrite{{RowKey: waveKey(number), Value: value}}}
 	if done || !f.statusWritten[number] {
 		status, err := f.node.conf.Codec.EncodeWaveStatus(number, done)
 		if err != nil {
@@ -149,9 +136,29 @@
 		}
 		txn.Writes = append(txn.Writes, status)
 	}
-	ok := f.commit(ctx, txn)
-	f.statusWritten[number] = f.statusWritten[number] || ok
-	return ok
+	if !f.commit(ctx, txn) {
+		return false
+	}
+	f.statusWritten[number], f.wavePartSizes[number] = true, sizes
+	return true
+}
+
+// addWaveParts adds the parts of a wave that have grown since they were written by this holder. It
+// returns the number of machines in each.
+func (f *fleet) addWaveParts(txn *gauge.PartitionTxn, number int64) (map[int]int, error) {
+	sizes := make(map[int]int)
+	for i, part := range gauge.DivideWave(f.scheduler.StartedMachines(number)) {
+		sizes[i] = len(part.Ordered)
+		if sizes[i] == f.wavePartSizes[number][i] {
+			continue
+		}
+		value, err := part.Encode()
+		if err != nil {
+			return nil, err
+		}
+		txn.Writes = append(txn.Writes, gauge.RowWrite{RowKey: waveKey(gauge.WavePartKey(number, i)), Value: value})
+	}
+	return sizes, nil
 }
 
 func (f *fleet) completeWave(ctx context.Context, number int64) {
