--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -56,7 +56,8 @@
 	}
 	cores := st.spec.Reservation().CoresOf(capacity)
 	if st.spec.LongRunning {
-		l.LongRunningCores += cores * float64(len(st.tasks))
+		l.LongRunningCores += coresPerTask(st.spec) * float64(len(st.tasks))
+		l.LongRunningRoom += cores * float64(len(st.tasks))
 		l.Unplaced += st.idle
 		if per := st.spec.PerWorker; per > 0 {
 			l.MinWorkers = max(l.MinWorkers, (len(st.tasks)+per-1)/per)
--- a/internal/sizing/scale_test.go
+++ b/internal/sizing/scale_test.go
@@ -94,3 +94,24 @@
 		assert.Equal(t, m.Drained, m.From == "spare", "nothing runs on a standby machine")
 	}
 }
+
+// Guards against a pool in which tasks wait beside idle cores, as its long-running tasks take up the
+// memory of its machines.
+func TestRoomOfLongRunningTasksCountsBesideTheirCores(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		load gauge.PoolLoad
+		want int // machines beyond the first three
+	}{
+		{"cores", gauge.PoolLoad{LongRunningCores: 160, LongRunningRoom: 160}, 11},                                                   // with headroom 12.5, and one more
+		{"memory", gauge.PoolLoad{LongRunningCores: 80, LongRunningRoom: 320}, 18},                                                   // 20, and one more
+		{"memory and work", gauge.PoolLoad{LongRunningCores: 80, LongRunningRoom: 320, Timely: gauge.Demand{WaitingCores: 128}}, 27}, // 20 and 10 with headroom
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newHarness(map[string]int{"a": 3, "spare": 60})
+			tt.load.Pool = "a"
+			g.load(tt.load, 0)
+			assert.Equal(t, countTo(g.next(), "a"), tt.want)
+		})
+	}
+}
--- a/internal/sizing/want.go
+++ b/internal/sizing/want.go
@@ -50,9 +50,11 @@
 		timely = max(timely, s.rate(pool, now))
 	}
 	// One machine more than long-running tasks need, so that any of them can be drained, and more
-	// while some of the tasks have no worker.
-	n := need{base: max(minPoolMachines, ceil(l.LongRunningCores*headroom/cores)+1, l.MinWorkers+1) + min(l.Unplaced, maxUnplacedMachines)}
-	n.timely = max(0, ceil((l.LongRunningCores+timely*headroom)/cores)-n.base)
+	// while some of the tasks have no worker. The headroom for what estimates don't tell isn't
+	// needed for memory, which they take up from the start.
+	room := max(l.LongRunningCores, l.LongRunningRoom)
+	n := need{base: max(minPoolMachines, ceil(l.LongRunningCores*headroom/cores)+1, ceil(room/cores)+1, l.MinWorkers+1) + min(l.Unplaced, maxUnplacedMachines)}
+	n.timely = max(0, ceil((room+timely*headroom)/cores)-n.base)
 	if !s.conf.Disabled.Has(gauge.MechanismOverdue) {
 		n.late = ceil(l.Late.Cores() / cores)
 	}
--- a/load.go
+++ b/load.go
@@ -29,6 +29,9 @@
 type PoolLoad struct {
 	Pool             string  `msgpack:"p"`
 	LongRunningCores float64 `msgpack:"l"` // cores of long-running tasks
+	// LongRunningRoom is the cores of workers that long-running tasks take up, also by their memory
+	// and accelerators.
+	LongRunningRoom float64 `msgpack:"m"`
 	// MinWorkers is the number of workers that the widest long-running step needs, given its bound
 	// on tasks per worker.
 	MinWorkers         int           `msgpack:"x"`
