An entry takes a lease only if the table has answered a call that it sent just before

Since entries don't follow all leases, the time of any answer had counted; feeds that were held back since before the outage are answered up to 2 s later. Change: the time counts at which the answered call was sent, as it did for the leases' feed.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -45,12 +45,20 @@
 // time. A reading from a slow call is imprecise, by more than the clocks drift apart within a day.
 func (n *Node) recordTableClock(position gauge.TablePosition, sent time.Duration) {
 	now := n.conf.Now()
-	n.tableAnsweredAt.Store(int64(now))
+	n.recordTableAnswer(sent)
 	if position.Now > 0 && (now-sent < maxClockReadingTime || n.clockOffset.Load() == 0) {
 		n.clockOffset.Store(int64(position.Now - now))
 	}
 }
 
+// recordTableAnswer records that the table has answered a call that was sent at a time. The answer
+// to a feed comes up to its wait later, also from a table that takes no new calls meanwhile.
+func (n *Node) recordTableAnswer(sent time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tableReachedAt = max(n.tableReachedAt, sent)
+}
+
 // maxClockReadingTime is the longest duration of a call whose reading of the table's clock is used.
 const maxClockReadingTime = 100 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,8 +138,6 @@
 	clockOffset    atomic.Int64 // table's clock minus the local one, in nanoseconds
 	workerListGate *gate.Gate   // open while the list of workers is followed
 	leaseGate      *gate.Gate   // open while the leases are followed
-	// tableAnsweredAt is when the table last answered a read, by Config.Now.
-	tableAnsweredAt atomic.Int64
 	// running is set by Run and cleared by Release; no leases are taken while it is false.
 	running    atomic.Bool
 	leasesRead atomic.Bool                     // the leases were read at least once
@@ -159,6 +157,7 @@
 	tableBackAt      time.Duration    // when the table last became reachable again; 0: there was no outage
 	holdersCheckedAt time.Duration    // last check of the holders during a table outage
 	leasesReadAt     time.Duration    // when the last successful read of the leases was sent; 0: they aren't followed
+	tableReachedAt   time.Duration    // when the last call was sent that the table has answered
 	watchLeasesUntil time.Duration    // until when the leases are followed even if none is held or claimed
 	claimPauseUntil  time.Duration    // no pool is claimed before this
 	owners           map[string]*owner.Owner
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -246,7 +246,7 @@
 }
 
 // canTakeOver reports whether this entry can take over a lease: it isn't stopping, hasn't handed
-// over a stuck pool within claimPauseAfterHandover, and the table has answered it within maxAge.
+// over a stuck pool within claimPauseAfterHandover, and the table has answered a call that it sent within maxAge.
 // After an outage it first leaves the holders the time to notice that the table answers again.
 func (n *Node) canTakeOver(maxAge time.Duration) bool {
 	if !n.running.Load() || n.Site() == nil {
@@ -255,10 +255,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.conf.Now()
-	return now >= n.claimPauseUntil && n.tableAge() <= min(maxAge, maxTakeOverViewAge) && (n.tableBackAt == 0 || now-n.tableBackAt > renewalGrace)
+	return now >= n.claimPauseUntil && now-n.tableReachedAt <= min(maxAge, maxTakeOverViewAge) && (n.tableBackAt == 0 || now-n.tableBackAt > renewalGrace)
 }
 
-// tableAge returns how long ago the table last answered this entry.
+// tableAge returns how long ago the last call was sent that the table has answered.
 func (n *Node) tableAge() time.Duration {
-	return n.conf.Now() - time.Duration(n.tableAnsweredAt.Load())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conf.Now() - n.tableReachedAt
 }
--- a/test/machines/holders_test.go
+++ b/test/machines/holders_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,3 +120,31 @@
 	s.waitLeasesHeldBy("weak-0")
 	s.checkNoViolations()
 }
+
+// Guards against a pool without an owner for the rest of an outage: a stopping owner offered it to
+// an entry to which the table seemed to answer, as the feeds that it had held back since before the
+// outage were answered.
+func TestAnswersToHeldFeedsAreNoProofThatTheTableIsReachable(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1)
+	s.waitReady()
+	var away atomic.Bool
+	addr := startProxy(t, s.table.Addr(), func(w http.ResponseWriter, _ *http.Request) bool {
+		if !away.Load() {
+			return false
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	e := s.startAt("e-1", addr)
+	s.waitFor("the entry accepts leases", func() bool { return s.acceptsLeases(e) })
+	away.Store(true)
+	began := time.Now()
+	s.waitFor("the last call that got through is old", func() bool { return time.Since(began) > 900*time.Millisecond })
+	accepted := false
+	s.waitFor("held feeds were answered", func() bool {
+		accepted = accepted || s.acceptsLeases(e)
+		return accepted || time.Since(began) > 2500*time.Millisecond
+	})
+	assert.Assert(t, !accepted, "after %s", time.Since(began))
+}
