--- a/internal/sizing/rate.go
+++ b/internal/sizing/rate.go
@@ -34,32 +34,6 @@
 	jobs        int
 }
 
-// jobSize is the mean size of the jobs of a pool. The sizes of the dozen jobs that come within half a
-// second say little about the rate of work, their number says more.
-type jobSize struct {
-	coreSeconds float64
-	jobs        float64
-}
-
-// jobSizeMemory is the number of jobs after which what came before counts half.
-const jobSizeMemory = 100
-
-// add counts jobs with their sum of core-seconds.
-func (s *jobSize) add(coreSeconds float64, jobs int) {
-	kept := math.Exp2(-float64(jobs) / jobSizeMemory)
-	s.coreSeconds = s.coreSeconds*kept + coreSeconds
-	s.jobs = s.jobs*kept + float64(jobs)
-}
-
-// typical returns the core-seconds of some jobs if they were of the mean size. Without a number of
-// jobs it is what they were said to be.
-func (s *jobSize) typical(coreSeconds float64, jobs int) float64 {
-	if jobs == 0 || s.jobs == 0 {
-		return coreSeconds
-	}
-	return float64(jobs) * s.coreSeconds / s.jobs
-}
-
 // arrivals are the recent arrivals of one pool, the oldest first.
 type arrivals []arrival
 
@@ -108,29 +82,14 @@
 	// trendLead is how far ahead the rate is forecast, from the middle of the window: a machine
 	// that is requested now runs tasks 1.7 s later.
 	trendLead = 2 * time.Second
-	// maxTrend bounds the forecast increase, as a multiple of the rate: where a rise ends, all of it is
-	// too much.
-	maxTrend = 0.5
+	// maxTrend bounds the forecast increase, as a multiple of the rate.
+	maxTrend = 1.0
 	// trendDeviations is how many standard deviations of the counts are subtracted from a trend, so
 	// that a few jobs show none: on sites with ten jobs a second the forecast followed noise, and
 	// the machines it took gained nothing.
 	trendDeviations = 2.5
 )
 
-// forecastSamples is the number of consecutive samples whose forecasts have to agree. Machines are
-// kept once they have come, so the highest of many forecasts, each with its error, would count.
-const forecastSamples = 3
-
-// confirmedForecast returns the lowest of the forecasts of the last samples.
-func (a arrivals) confirmedForecast(now time.Duration) float64 {
-	lowest := a.forecast(now)
-	for i := 1; i < forecastSamples && i < len(a) && lowest > 0; i++ {
-		earlier := a[:len(a)-i]
-		lowest = min(lowest, earlier.forecast(earlier[len(earlier)-1].at))
-	}
-	return lowest
-}
-
 // forecast returns how many more cores the arrivals will need when a machine that is requested now
 // is ready; 0 unless the number of arrivals rises significantly. A queue's demand rises over some
 // seconds, so a pool sized by past arrivals would always be behind by the duration of a move.
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -47,7 +47,6 @@
 	moves        map[string]*Move
 	wanted       map[string]want
 	arrivals     map[string]arrivals
-	jobSizes     map[string]*jobSize
 	longRunning  map[string]int // number of long-running tasks by worker
 	loggedCounts map[string]int
 	retention    retention
@@ -111,7 +110,7 @@
 func New(c Config) *Sizer {
 	return &Sizer{
 		conf: c, loads: make(map[string]load), machines: make(map[string]gauge.Machine),
-		moves: make(map[string]*Move), wanted: make(map[string]want), arrivals: make(map[string]arrivals), jobSizes: make(map[string]*jobSize), longRunning: make(map[string]int), loggedCounts: make(map[string]int),
+		moves: make(map[string]*Move), wanted: make(map[string]want), arrivals: make(map[string]arrivals), longRunning: make(map[string]int), loggedCounts: make(map[string]int),
 	}
 }
 
@@ -146,7 +145,7 @@
 func (s *Sizer) RecordLoad(l gauge.PoolLoad, now time.Duration) {
 	old, ok := s.loads[l.Pool]
 	if ok && l.ArrivedCoreSeconds >= old.ArrivedCoreSeconds {
-		s.recordArrivals(l.Pool, arrival{at: now, previous: old.receivedAt, coreSeconds: l.ArrivedCoreSeconds - old.ArrivedCoreSeconds, jobs: l.ArrivedJobs - old.ArrivedJobs})
+		s.arrivals[l.Pool] = s.arrivals[l.Pool].add(arrival{at: now, previous: old.receivedAt, coreSeconds: l.ArrivedCoreSeconds - old.ArrivedCoreSeconds, jobs: l.ArrivedJobs - old.ArrivedJobs})
 	}
 	workers := make(map[string]gauge.WorkerLoad, len(l.Workers))
 	for _, w := range l.Workers {
@@ -161,18 +160,6 @@
 	s.loads[l.Pool] = load{PoolLoad: l, receivedAt: now, workers: workers}
 }
 
-// recordArrivals records the work that has come to a pool since the previous report.
-func (s *Sizer) recordArrivals(pool string, a arrival) {
-	size := s.jobSizes[pool]
-	if size == nil {
-		size = new(jobSize)
-		s.jobSizes[pool] = size
-	}
-	size.add(a.coreSeconds, a.jobs)
-	a.coreSeconds = size.typical(a.coreSeconds, a.jobs)
-	s.arrivals[pool] = s.arrivals[pool].add(a)
-}
-
 // SetMachines replaces the list of machines and the standby pools. RequestedAt is when the list was
 // requested.
 func (s *Sizer) SetMachines(list []gauge.Machine, standby []string, requestedAt time.Duration) {
--- a/internal/sizing/want.go
+++ b/internal/sizing/want.go
@@ -69,7 +69,7 @@
 		rate = max(rate, arrivals.riseRate(now))
 	}
 	if !s.conf.Disabled.Has(gauge.MechanismForecast) {
-		rate += arrivals.confirmedForecast(now)
+		rate += arrivals.forecast(now)
 	}
 	return rate
 }
