--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -13,17 +13,17 @@
 
 // The row of a lease changes with each write of its holder. An entry follows these rows only while
 // it holds or claims a lease, or has reason to believe that one is free. Any other follows who the
-// holders are, which seldom changes, and now and then looks at one lease, chosen at random: all
-// entries together look at each lease several times a second, however many they are, so that a
-// holder which dies is noticed even if no other holder is left to notice it.
+// holders are, which seldom changes, and now and then checks one lease, chosen at random: all entries
+// together check each lease several times a second, however many they are, so that a holder which
+// dies is noticed even if no other holder is left to notice it.
 
 const (
 	// leaseWatchDuration is how long an entry follows the leases after it had reason to: longer than
 	// a dead holder's lease and the claims after it take.
 	leaseWatchDuration = 5 * time.Second
-	// leaseChecksPerSecond is how often all entries together look at each lease.
+	// leaseChecksPerSecond is how often all entries together check each lease.
 	leaseChecksPerSecond = 4
-	// minLeaseCheckInterval and maxLeaseCheckInterval bound the mean time between two looks of one
+	// minLeaseCheckInterval and maxLeaseCheckInterval bound the mean time between two checks of one
 	// entry. After most entries have died, the others still count them.
 	minLeaseCheckInterval = 300 * time.Millisecond
 	maxLeaseCheckInterval = 5 * time.Second
@@ -200,7 +200,7 @@
 	}
 }
 
-// checkLeases looks at one lease at a time, at random moments, until ctx ends.
+// checkLeases checks one lease at a time, at random moments, until ctx ends.
 func (n *Node) checkLeases(ctx context.Context) {
 	for {
 		interval := n.leaseCheckInterval()
@@ -214,7 +214,7 @@
 	}
 }
 
-// leaseCheckInterval returns the mean time between two looks of this entry.
+// leaseCheckInterval returns the mean time between two checks of this entry.
 func (n *Node) leaseCheckInterval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -234,7 +234,7 @@
 	return pools[rand.N(len(pools))], true
 }
 
-// checkLease looks at one lease. It follows the leases from then on if that one is free or hasn't
+// checkLease checks one lease. It follows the leases from then on if that one is free or hasn't
 // been renewed in time.
 func (n *Node) checkLease(ctx context.Context, pool string) {
 	if !n.readLease(ctx, pool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,7 +182,7 @@
 	workersVersion int64
 	filter         *filter.Filter
 	workersChanged chan struct{}
-	untoldPools    map[string]bool // pools owned here whose workers nobody tells this entry of
+	poolsWithoutUpdates    map[string]bool // pools owned here whose workers nobody tells this entry of
 	broadcasts     chan struct{}   // semaphore of the broadcasts of unsettled submissions
 	waves          map[int64]gauge.MaintenanceWave
 }
@@ -206,7 +206,7 @@
 		owners: make(map[string]*owner.Owner), ownedSince: make(map[string]time.Duration), leasesInUse: make(map[string]bool), claiming: make(map[string]chan struct{}),
 		ownerMoves: make(map[string]ownerMove), lastOffers: make(map[string]time.Duration), unresponsiveUntil: make(map[string]time.Duration), probing: make(map[string]bool), workers: make(map[string]gauge.Worker), broadcasts: make(chan struct{}, maxConcurrentBroadcasts), waves: make(map[int64]gauge.MaintenanceWave),
 	}
-	n.filter, n.workersChanged, n.untoldPools = n.newFilter(), make(chan struct{}), make(map[string]bool)
+	n.filter, n.workersChanged, n.poolsWithoutUpdates = n.newFilter(), make(chan struct{}), make(map[string]bool)
 	n.leaseView = terms.New(terms.Config{Holder: n.holder, Addr: c.Addr, Capacity: c.CapacityCores, LeaseDuration: leaseDuration, ClaimSpread: claimSpread, DelayPerLease: claimDelayPerLease, ProbeAfter: suspectAfter(c.Disabled), GracePeriod: renewalGrace})
 	n.intake = intake.New(intake.Config{
 		Store: c.Store, Logs: c.Logs, CountEvent: c.CountEvent, Now: c.Now, TableClock: n.tableClock, CachedDepth: n.cachedDepth, OwnerDepth: n.ownerDepth, NotifyOwner: n.notify, JobStatus: n.jobStatus,
--- a/internal/node/poolworkers.go
+++ b/internal/node/poolworkers.go
@@ -25,13 +25,13 @@
 	workersTimeout = 600 * time.Millisecond
 	// workersRetryDelay is the pause after a call that failed.
 	workersRetryDelay = 100 * time.Millisecond
-	// maxToldAge is the age of the holder's list from which it doesn't answer. It polls the table
+	// maxServedListAge is the age of the holder's list from which it doesn't answer. It polls the table
 	// every 0.35 s, and a poll takes some tenths of a second while the table is slow.
-	maxToldAge = 700 * time.Millisecond
-	// maxUntoldTime is how long an owner is told nothing before it reads the list itself: a new
-	// holder reads the whole list within this. A worker that begins to drain must not get starts
-	// two seconds later.
-	maxUntoldTime = time.Second
+	maxServedListAge = 700 * time.Millisecond
+	// maxUpdateGap is how long an owner gets no updates before it reads the list itself: a new holder
+	// reads the whole list within this. Two seconds after a worker begins to drain it must get no
+	// more starts.
+	maxUpdateGap = time.Second
 )
 
 type workersCall struct {
@@ -75,7 +75,7 @@
 	for waited := false; ; {
 		age, known := n.freshness.age(n.conf.Codec.WorkerTable(), n.conf.Now())
 		n.mu.Lock()
-		if !known || age > maxToldAge || !n.filter.IsLoaded() {
+		if !known || age > maxServedListAge || !n.filter.IsLoaded() {
 			n.mu.Unlock()
 			return workersAnswer{}, gauge.Errorf(gauge.KindOutage, "the list of workers isn't known here, or is %s old", age)
 		}
@@ -106,7 +106,7 @@
 	return answer
 }
 
-// poolWorkers is what the owner of a pool was told of its workers.
+// poolWorkers is an owner's list of its pool's workers, as the fleet lease holder updates it.
 type poolWorkers struct {
 	node     *Node
 	owner    *owner.Owner
@@ -114,43 +114,43 @@
 	workers  map[string]gauge.Worker
 	version  int64         // version up to which workers is complete; 0: nothing is known
 	asOf     time.Duration // when all that the table held was known
-	teller   string        // holder of the fleet lease that answered last
+	source   string        // holder of the fleet lease that answered last
 }
 
 // followPoolWorkers keeps an owner's list of workers up to date until ctx ends. Previous are the
 // workers that the previous owner named.
 func (n *Node) followPoolWorkers(ctx context.Context, o *owner.Owner, previous []string) {
 	w := &poolWorkers{node: n, owner: o, workers: make(map[string]gauge.Worker)}
-	defer n.setUntold(o.Pool(), false)
+	defer n.setWithoutUpdates(o.Pool(), false)
 	for _, name := range previous {
 		w.previous = append(w.previous, gauge.ParseIncarnation(name).Worker)
 	}
 	for ctx.Err() == nil {
 		err := w.ask(ctx)
 		if err == nil {
-			n.setUntold(o.Pool(), false)
+			n.setWithoutUpdates(o.Pool(), false)
 			continue
 		}
-		if w.version == 0 || n.conf.Now()-w.asOf > maxUntoldTime {
-			n.setUntold(o.Pool(), true)
+		if w.version == 0 || n.conf.Now()-w.asOf > maxUpdateGap {
+			n.setWithoutUpdates(o.Pool(), true)
 		}
 		w.adoptOwnList()
 		sleep(ctx, workersRetryDelay)
 	}
 }
 
-// setUntold records whether this entry has to read the workers of a pool that it owns itself.
-func (n *Node) setUntold(pool string, untold bool) {
+// setWithoutUpdates records whether this entry has to read the workers of a pool that it owns itself.
+func (n *Node) setWithoutUpdates(pool string, missing bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if untold && !n.untoldPools[pool] {
+	if missing && !n.poolsWithoutUpdates[pool] {
 		n.conf.CountEvent("workers read by the pool's owner")
-		n.conf.Logs.Info("workers not told", "pool", pool)
+		n.conf.Logs.Info("worker updates missing", "pool", pool)
 	}
-	if untold {
-		n.untoldPools[pool] = true
+	if missing {
+		n.poolsWithoutUpdates[pool] = true
 	} else {
-		delete(n.untoldPools, pool)
+		delete(n.poolsWithoutUpdates, pool)
 	}
 	n.updateWorkerListGate()
 }
@@ -165,7 +165,7 @@
 		return gauge.Errorf(gauge.KindOutage, "nobody holds the fleet lease")
 	}
 	call := workersCall{Pool: w.owner.Pool(), After: w.version}
-	if row.Holder != w.teller { // it may not know the changes since that version
+	if row.Holder != w.source { // it may not know the changes since that version
 		call.Known = append(slices.Collect(maps.Keys(w.workers)), w.previous...)
 	}
 	sent := n.conf.Now()
@@ -174,7 +174,7 @@
 		return err
 	}
 	w.apply(answer)
-	w.teller, w.asOf = row.Holder, max(w.asOf, sent-answer.Age)
+	w.source, w.asOf = row.Holder, max(w.asOf, sent-answer.Age)
 	return nil
 }
 
--- a/internal/node/workerlist.go
+++ b/internal/node/workerlist.go
@@ -90,7 +90,7 @@
 // owns a pool whose workers it isn't told of, and shuts it otherwise. A claim doesn't open it: where
 // a lease is free, hundreds of entries claim it at once, and one of them gets it. n.mu is held.
 func (n *Node) updateWorkerListGate() {
-	n.workerListGate.Set(n.fleet != nil || len(n.untoldPools) > 0)
+	n.workerListGate.Set(n.fleet != nil || len(n.poolsWithoutUpdates) > 0)
 }
 
 // ownWorkers returns the workers of a pool in the list that this entry has read itself, with the
--- a/test/machines/holders_test.go
+++ b/test/machines/holders_test.go
@@ -14,18 +14,18 @@
 	"sapphiregauge/platform"
 )
 
-// ghost is an entry that renews leases and answers nobody.
-type ghost struct {
+// silentHolder is an entry that renews leases and answers nobody.
+type silentHolder struct {
 	s        *site
 	table    *platform.Table
 	addr     string
 	versions map[string]int64 // of the lease rows
 }
 
-const ghostName = "ghost/1"
+const silentHolderName = "silent/1"
 
-// newGhost claims leases for an entry whose host accepts connections and never answers on them.
-func newGhost(s *site, pools ...string) *ghost {
+// newSilentHolder claims leases for an entry whose host accepts connections and never answers on them.
+func newSilentHolder(s *site, pools ...string) *silentHolder {
 	l := s.listen()
 	go func() {
 		var held []net.Conn
@@ -37,7 +37,7 @@
 			held = append(held, c)
 		}
 	}()
-	g := &ghost{s: s, addr: l.Addr().String(), versions: make(map[string]int64)}
+	g := &silentHolder{s: s, addr: l.Addr().String(), versions: make(map[string]int64)}
 	g.table = platform.NewTable(platform.TableConfig{Addr: s.table.Addr(), ReadTimeout: waitTimeout, CommitTimeout: waitTimeout, Clock: time.Now})
 	s.t.Cleanup(func() { _ = l.Close(); g.table.Close() })
 	for _, pool := range pools {
@@ -47,11 +47,11 @@
 }
 
 // commit writes the row of a lease, and the rows beside it if the lease is claimed.
-func (g *ghost) commit(pool string, claim bool) {
+func (g *silentHolder) commit(pool string, claim bool) {
 	key := gauge.RowKey{Table: gauge.TableLeases, Partition: pool, Key: gauge.KeyOwner}
 	_, position, err := g.table.Range(g.s.t.Context(), key.Table, key.Partition, key.Key, "")
 	assert.NilError(g.s.t, err)
-	writes, err := tenure.RowWrites(key, &gauge.LeaseRow{Holder: ghostName, Addr: g.addr, RenewedAt: position.Now.Milliseconds()})
+	writes, err := tenure.RowWrites(key, &gauge.LeaseRow{Holder: silentHolderName, Addr: g.addr, RenewedAt: position.Now.Milliseconds()})
 	assert.NilError(g.s.t, err)
 	if !claim {
 		writes = writes[:1]
@@ -62,7 +62,7 @@
 }
 
 // renew renews all leases.
-func (g *ghost) renew() {
+func (g *silentHolder) renew() {
 	for pool := range g.versions {
 		g.commit(pool, false)
 	}
@@ -74,7 +74,7 @@
 func TestEntryWithoutLeaseNoticesADeadHolderAndFollowsNoRenewals(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 0, 1)
-	g := newGhost(s, poolName, fleetLease)
+	g := newSilentHolder(s, poolName, fleetLease)
 	proxyAddr, calls := newCallCounter(t, s.table.Addr())
 	s.startAt("e-0", proxyAddr)
 	reads := func() int { return calls.total(gauge.TableLeases, "rows-feed", "rows-parts") }
--- a/test/machines/poolworkers_test.go
+++ b/test/machines/poolworkers_test.go
@@ -16,7 +16,7 @@
 func TestOwnerIsToldOfItsWorkers(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 0, 2)
-	teller := s.startOn("e-0", s.table.Addr(), host{capacity: largeHostCores})
+	holder := s.startOn("e-0", s.table.Addr(), host{capacity: largeHostCores})
 	s.waitReady()
 	s.waitLeasesHeldBy("e-0")
 	proxyAddr, calls := newCallCounter(t, s.table.Addr())
@@ -37,9 +37,9 @@
 	s.waitCompleted([]int{1})
 	assert.Equal(t, reads(), 0, "calls for the list of workers")
 
-	teller.kill()
-	<-teller.done
-	teller.mesh.Close()
+	holder.kill()
+	<-holder.done
+	holder.mesh.Close()
 	s.entries = s.entries[1:]
 	addWorker("m-9")
 	assert.Assert(t, s.submit(2, twoSteps(20)))
