--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,7 @@
 			MaintenanceDuration: n.conf.MaintenanceDuration, Disabled: n.conf.Disabled, Logs: n.conf.Logs,
 		}),
 		sizer:      sizing.New(sizing.Config{MaxOrderRate: n.conf.MaxOrderRate, Disabled: n.conf.Disabled, Logs: n.conf.Logs}),
-		orderQuota: quota.New(quota.Config{Calls: int(n.conf.MaxOrderRate), Period: time.Second + orderQuotaMargin}),
+		orderQuota: quota.New(quota.Config{Calls: int(math.Ceil(n.conf.MaxOrderRate)), Period: time.Second + orderQuotaMargin}),
 		orderGuard: turns.New(n.conf.MinOrderInterval+monotonicClockMargin, turns.RecentOrders{Own: l.previousRow.OwnOrders, Previous: l.previousRow.PreviousOrders},
 			n.wasOwnLease(&l.previousRow), n.tableClock(), n.conf.Now()),
 		renewedAt: n.conf.Now(), takenAt: n.conf.Now(),
