--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,13 +178,13 @@
 	// workers is the list of workers while this entry reads it itself, as of workersVersion, and
 	// filter the same by pool, for owners at other entries. workersChanged is closed and replaced
 	// when a worker has changed.
-	workers        map[string]gauge.Worker
-	workersVersion int64
-	filter         *filter.Filter
-	workersChanged chan struct{}
-	poolsWithoutUpdates    map[string]bool // pools owned here whose workers nobody tells this entry of
-	broadcasts     chan struct{}   // semaphore of the broadcasts of unsettled submissions
-	waves          map[int64]gauge.MaintenanceWave
+	workers             map[string]gauge.Worker
+	workersVersion      int64
+	filter              *filter.Filter
+	workersChanged      chan struct{}
+	poolsWithoutUpdates map[string]bool // pools owned here whose workers nobody tells this entry of
+	broadcasts          chan struct{}   // semaphore of the broadcasts of unsettled submissions
+	waves               map[int64]gauge.MaintenanceWave
 }
 
 // ownerMove is where a pool's owner has moved, and the version of the lease row that was known at
