--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -246,8 +246,9 @@
 }
 
 // canTakeOver reports whether this entry can take over a lease: it isn't stopping, hasn't handed
-// over a stuck pool within claimPauseAfterHandover, and the table has answered a call that it sent within maxAge.
-// After an outage it first leaves the holders the time to notice that the table answers again.
+// over a stuck pool within claimPauseAfterHandover, and the table has answered a call that it sent
+// within maxAge. After an outage it first leaves the holders the time to notice that the table
+// answers again.
 func (n *Node) canTakeOver(maxAge time.Duration) bool {
 	if !n.running.Load() || n.Site() == nil {
 		return false
