--- a/internal/sizing/share.go
+++ b/internal/sizing/share.go
@@ -6,16 +6,21 @@
 type need struct {
 	base   int // for long-running tasks and work that comes meanwhile
 	timely int // in addition, for jobs that can meet their objective
+	// memory is in addition, for the memory of long-running tasks beyond what goes with their cores.
+	// Most other tasks need little memory; so a pool gets these only if its work waits, and while no
+	// other pool lacks machines for timely work.
+	memory int
 	late   int // in addition, for jobs that can't
 }
 
-// share divides the available machines: each pool gets its base, then timely work is served and
-// then late work, in proportion to the needs where there aren't enough machines for all.
+// share divides the available machines: each pool gets its base, then timely work is served, then
+// what long-running tasks take up of memory is made up for, and then late work is served, in proportion to the needs where there aren't enough machines for all.
 func share(needs map[string]need, pools []string, supply int) map[string]int {
 	machines := make(map[string]int, len(pools))
 	for _, part := range []func(need) int{
 		func(n need) int { return n.base },
 		func(n need) int { return n.timely },
+		func(n need) int { return n.memory },
 		func(n need) int { return n.late },
 	} {
 		requested := make([]int, len(pools))
--- a/internal/sizing/want.go
+++ b/internal/sizing/want.go
@@ -42,6 +42,10 @@
 		"rate", s.rate(pool, now), "age", now-l.receivedAt)
 }
 
+// maxRoomWait is how long a task may wait for room before the memory of long-running tasks counts.
+// Most tasks start within some tenths of a second where the cores of a pool suffice.
+const maxRoomWait = 500 * time.Millisecond
+
 // poolNeed computes how many machines a pool could use.
 func (s *Sizer) poolNeed(pool string, now time.Duration) need {
 	l, cores := s.loads[pool], s.cores(pool)
@@ -50,11 +54,12 @@
 		timely = max(timely, s.rate(pool, now))
 	}
 	// One machine more than long-running tasks need, so that any of them can be drained, and more
-	// while some of the tasks have no worker. The headroom for what estimates don't tell isn't
-	// needed for memory, which they take up from the start.
-	room := max(l.LongRunningCores, l.LongRunningRoom)
-	n := need{base: max(minPoolMachines, ceil(l.LongRunningCores*headroom/cores)+1, ceil(room/cores)+1, l.MinWorkers+1) + min(l.Unplaced, maxUnplacedMachines)}
-	n.timely = max(0, ceil((room+timely*headroom)/cores)-n.base)
+	// while some of the tasks have no worker.
+	n := need{base: max(minPoolMachines, ceil(l.LongRunningCores*headroom/cores)+1, l.MinWorkers+1) + min(l.Unplaced, maxUnplacedMachines)}
+	n.timely = max(0, ceil((l.LongRunningCores+timely*headroom)/cores)-n.base)
+	if l.Timely.WaitingCores > 0 && l.LongestWait > maxRoomWait {
+		n.memory = max(0, ceil((l.LongRunningRoom-l.LongRunningCores)/cores))
+	}
 	if !s.conf.Disabled.Has(gauge.MechanismOverdue) {
 		n.late = ceil(l.Late.Cores() / cores)
 	}
