--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -33,8 +33,8 @@
 	// holderPollDelay is the pause between two polls of the holders: leases that change hands
 	// together are seen together.
 	holderPollDelay = 100 * time.Millisecond
-	// leaseReadTimeout bounds reading one lease when another entry asks whether this one reaches
-	// the table. A read takes 4 ms, and the asker waits for 0.4 s.
+	// leaseReadTimeout bounds reading one lease when another entry asks whether this one can take
+	// over a lease. A read takes 4 ms, and the other entry waits for 0.4 s.
 	leaseReadTimeout = 200 * time.Millisecond
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,8 +113,8 @@
 	// workerPollDelay is the pause between two polls of the list of workers, which changes
 	// continually. It delays the use of a new worker, by half of it on average.
 	workerPollDelay = 150 * time.Millisecond
-	// workerListLinger is how long an entry goes on following the list of workers after its last
-	// pool: a failed claim is retried within this.
+	// workerListLinger is how long an entry goes on following the list of workers when it isn't
+	// needed any more: reading the whole list again costs as much as following it for as long.
 	workerListLinger = 2 * time.Second
 	// notificationRetryDelay is the pause between two attempts to notify a pool owner of a job.
 	notificationRetryDelay = 250 * time.Millisecond
--- a/internal/node/offer.go
+++ b/internal/node/offer.go
@@ -27,12 +27,13 @@
 	// offerRetryDelay is the minimum time between two searches for a successor for the same lease.
 	offerRetryDelay = 300 * time.Millisecond
 	// probeMargin is by how much an entry's last answer from the table must be later than the
-	// holder's first failure to show that the entry reaches what the holder can't. Each entry polls
-	// the leases every 0.3 s, so in an outage for all, each had its last answer before that failure
+	// holder's first failure to show that the entry reaches what the holder can't. Entries with
+	// leases poll every 0.3 s, so in an outage for all, each had its last answer before that failure
 	// or shortly after it.
 	probeMargin = 350 * time.Millisecond
-	// maxTakeOverViewAge is the maximum age of the lease table view of an entry that takes over a
-	// lease. Entries poll every 0.3 s, and the poll takes as long in a slow period of the table.
+	// maxTakeOverViewAge is how long ago an entry that takes over a lease may have sent the last call
+	// that the table has answered. Entries with leases poll every 0.3 s, and the poll takes as long
+	// in a slow period of the table; others read one row when they are asked.
 	maxTakeOverViewAge = 800 * time.Millisecond
 	// maxConcurrentProbes is how many entries are probed at first, and how many more after each
 	// nextProbesDelay while none is ready. A call takes some milliseconds, and 100 ms more where a
