--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -146,20 +146,25 @@
 	}
 }
 
-// crash ends a worker at once: all that runs there ends, and nothing is told of it.
-func (w *worker) crash() {
-	f := w.fleet
+// crash ends workers at one moment: all that runs there ends, and nothing is told of it.
+func (f *fleet) crash(workers []*worker) {
 	f.mu.Lock()
-	w.down = true
-	delete(f.workers, w.id)
-	for _, r := range w.running {
-		f.rec.add("crashed", w, r.task, r.run, "")
-		w.remove(r)
-		f.leaveGang(r)
+	for _, w := range workers {
+		w.down = true
+		delete(f.workers, w.id)
+	}
+	for _, w := range workers {
+		for _, r := range w.running {
+			f.rec.add("crashed", w, r.task, r.run, "")
+			w.remove(r)
+			f.leaveGang(r)
+		}
 	}
 	f.mu.Unlock()
-	close(w.gone)
-	_ = w.server.Close()
+	for _, w := range workers {
+		close(w.gone)
+		_ = w.server.Close()
+	}
 }
 
 func (w *worker) clock() time.Duration { return time.Since(w.zero) }
@@ -269,7 +274,11 @@
 	}
 	r := &taskRun{worker: w, task: c.Task, run: c.Run, work: wk, saved: savedWork(c.Checkpoint)}
 	w.running[c.Task] = r
-	f.rec.add("started", w, c.Task, c.Run, "checkpoint="+strconv.Quote(c.Checkpoint))
+	more := "checkpoint=" + strconv.Quote(c.Checkpoint)
+	if wk.Gang > 0 {
+		more += " gang"
+	}
+	f.rec.add("started", w, c.Task, c.Run, more)
 	if wk.Gang > 0 {
 		f.joinGang(r)
 		return http.StatusOK, map[string]any{}
@@ -378,7 +387,7 @@
 		return
 	}
 	for _, m := range g.members {
-		if m.worker.running[m.task] == m {
+		if m.worker.running[m.task] == m && !m.worker.down {
 			m.worker.end(m, "broken")
 		}
 	}
