--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,7 @@
 var errNotRun = errors.New("the case couldn't run")
 
 // cases return the breaks of their rule.
-var cases = map[string]func(*testCase) ([]string, error){"1": scheduled, "2": gangCheckpoints}
+var cases = map[string]func(*testCase) ([]string, error){"1": scheduled, "2": gangCheckpoints, "3": cancelled}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -25,6 +26,8 @@
 	log     []row
 	changed chan struct{}
 	slow    float64 // answers take this many times as long
+	lose    float64 // share of the writes that get no answer and are carried out later
+	lost    int
 	refused []string
 }
 
@@ -67,6 +70,30 @@
 	s.slow = x
 }
 
+// setLose has a share of the writes get no answer.
+func (s *store) setLose(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = share
+}
+
+func (s *store) lostWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+// loses reports whether a call is one of the lost writes.
+func (s *store) loses(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if path != "/sapphiregauge/rows-tx" || rand.Float64() >= s.lose {
+		return false
+	}
+	s.lost++
+	return true
+}
+
 // serve carries a call out on arrival and delays its answer.
 func (s *store) serve(do func(r *http.Request, body []byte) (int, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -74,6 +101,13 @@
 		if err != nil {
 			return
 		}
+		if s.loses(r.URL.Path) {
+			// The connection delivers nothing further; the call is carried out 1 to 6 s later if its
+			// condition still holds.
+			time.AfterFunc(time.Second+rand.N(5*time.Second), func() { do(r, body) })
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		status, out := do(r, body)
 		s.mu.Lock()
 		delay := time.Duration(float64(answerTime) * s.slow)
