--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,8 +29,8 @@
 
 var errNotRun = errors.New("the case couldn't run")
 
-// cases return the breaks of their rule.
-var cases = map[string]func(*testCase) ([]string, error){"1": scheduled, "2": gangCheckpoints, "3": cancelled}
+// cases return the breaks of their rule. REPORT.md tells of gang, which has no folder of its own.
+var cases = map[string]func(*testCase) ([]string, error){"1": scheduled, "2": soundGang, "3": cancelled, "gang": gangCheckpoints}
 
 func main() { os.Exit(run()) }
 
