--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,8 +29,9 @@
 
 var errNotRun = errors.New("the case couldn't run")
 
-// cases return the breaks of their rule. REPORT.md tells of gang, which has no folder of its own.
-var cases = map[string]func(*testCase) ([]string, error){"1": scheduled, "2": soundGang, "3": cancelled, "gang": gangCheckpoints}
+// cases return the breaks of their rule. REPORT.md tells of gang and count, which have no
+// folders of their own.
+var cases = map[string]func(*testCase) ([]string, error){"1": scheduled, "2": soundGang, "3": cancelled, "gang": gangCheckpoints, "count": countAfterKill}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -28,6 +28,7 @@
 	slow    float64 // answers take this many times as long
 	lose    float64 // share of the writes that get no answer and are carried out later
 	lost    int
+	refuse  string // partition whose calls are refused with 503; empty: none
 	refused []string
 }
 
@@ -83,6 +84,20 @@
 	return s.lost
 }
 
+// refusePart has the store refuse the calls to one partition; empty: to none.
+func (s *store) refusePart(part string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = part
+}
+
+// refuses reports whether a call is to the partition that is refused.
+func (s *store) refuses(r *http.Request, body []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refuse != "" && (r.URL.Query().Get("part") == s.refuse || strings.Contains(string(body), `"part":"`+s.refuse+`"`))
+}
+
 // loses reports whether a call is one of the lost writes.
 func (s *store) loses(path string) bool {
 	s.mu.Lock()
@@ -101,6 +116,10 @@
 		if err != nil {
 			return
 		}
+		if s.refuses(r, body) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if s.loses(r.URL.Path) {
 			// The connection delivers nothing further; the call is carried out 1 to 6 s later if its
 			// condition still holds.
