Scheduled jobs: an occurrence completed before it was created isn't run again

Cause: a job knows the next occurrence to create (nextOccurrence) and, in its row, the first that isn't completed (CompletedOccurrences). An end that a worker reports creates its occurrence if need be. With it the occurrence could be completed and dropped while nextOccurrence still named it, and the next tick created it anew with all tasks undone. No end of these runs was credited, as a task of a completed occurrence isn't known.

No restart is needed: a successor whose clock is behind its predecessor's hears of the ends before the occurrence is due here; that case of the test failed too.

Change: the count of completed occurrences moves the next one to create with it. It is also read from the row past occurrences that aren't created: one that was done first has no end left that could complete it, and the job would never have ended. An end that comes before its occurrence is created is logged.

Before: TestOccurrenceCompletedBeforeItIsCreatedIsNotRepeated failed in all four cases (2 starts of occurrence 0), TestJobEndsThoughItsLastOccurrenceWasDoneFirst too (1 start; with the first change alone the job stays running).

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -273,23 +273,44 @@
 }
 
 // advance updates the count of completed occurrences, and completes the job with the last of them.
+//
+// Ends may be reported before their occurrence is created as due: the job was read late, or this
+// entry's clock is behind. A completed occurrence must not be created then, as its tasks would run
+// again.
 func (j *job) advance() {
-	for {
-		o := j.occurrences[j.row.CompletedOccurrences]
-		if o == nil || o.remaining > 0 {
-			break
-		}
-		if o.isOver() {
+	for j.row.CompletedOccurrences < j.spec.Occurrences() && j.isOccurrenceDone(j.row.CompletedOccurrences) {
+		if o := j.occurrences[j.row.CompletedOccurrences]; o != nil && o.isOver() {
 			delete(j.occurrences, j.row.CompletedOccurrences)
 		}
 		delete(j.row.Done, j.row.CompletedOccurrences)
 		j.row.CompletedOccurrences++
 	}
+	j.nextOccurrence = max(j.nextOccurrence, j.row.CompletedOccurrences)
 	if j.row.CompletedOccurrences >= j.spec.Occurrences() && j.isOpen() {
 		j.close(gauge.JobCompleted)
 	}
 }
 
+// isOccurrenceDone reports whether all tasks of an occurrence are done, also if it isn't created: the
+// row says what previous owners have completed.
+func (j *job) isOccurrenceDone(number int) bool {
+	if o := j.occurrences[number]; o != nil {
+		return o.remaining == 0
+	}
+	done := j.row.Done[number]
+	if len(done) < len(j.spec.Steps) {
+		return false
+	}
+	for i := range j.spec.Steps {
+		for k := range j.spec.Steps[i].Count {
+			if !hasBit(done[i], k) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // fail ends an open job as failed.
 func (j *job) fail() {
 	if j.isOpen() {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -171,6 +171,9 @@
 	if t == nil {
 		return
 	}
+	if e.Task.Occurrence >= j.nextOccurrence {
+		p.conf.Logs.Info("run ended before its occurrence was due here", "job", j.id, "task", e.Task.String(), "run", e.Run, "end", e.Ending, "next", j.nextOccurrence)
+	}
 	j.markStarted()
 	t.lastRun = max(t.lastRun, e.Run)
 	r := w.findRun(t, e.Run)
