Scheduled jobs: run numbers of previous owners aren't used again

Adopt left the run numbers of previous owners to them by going over the tasks that existed then, and of a scheduled job none did. A failed run of the previous owner on a worker that was silent, and one of the same number ordered by the next owner, were taken for one.

Change: the job keeps the numbers left to previous owners, and each task begins above them, whenever it is created.

Before: TestRunNumbersOfPreviousOwnersAreNotUsedAgainInOccurrences failed (a third start after two failed runs, where two are allowed). After: it passes, as do the other tests of sched.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -32,6 +32,9 @@
 	}
 	j.hasObjective = hasObjective(a.Spec)
 	j.beyondShare = p.isBeyondShare(j)
+	if a.Inherited {
+		j.runNumberBase = p.conf.Term * runNumbersPerTerm
+	}
 	p.jobs[a.ID] = j
 	p.adoptedWork += estimatedWork(a.Spec, p.meanCapacity)
 	p.adoptedJobs++
@@ -52,9 +55,6 @@
 	if a.Inherited {
 		j.barrier = p.newestBarrier
 	}
-	if a.Inherited && p.conf.Term > 0 {
-		j.skipRunNumbers(p.conf.Term)
-	}
 	p.inheritSuspectRuns(j, now)
 	p.conf.Logs.Info("job adopted", "job", a.ID, "queue", a.Queue, "pool", p.conf.Name, "version", a.Version,
 		"state", a.Row.State, "inherited", a.Inherited, "account", a.Spec.Account, "beyond", j.beyondShare, "age", now-a.Arrived)
@@ -64,18 +64,6 @@
 // so that an unreported run of a previous owner is never mistaken for one of this owner's.
 const runNumbersPerTerm = 1000
 
-// skipRunNumbers leaves the run numbers of previous owners to them: the job's next runs get higher
-// ones.
-func (j *job) skipRunNumbers(term int) {
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				t.lastRun = max(t.lastRun, term*runNumbersPerTerm)
-			}
-		}
-	}
-}
-
 // SetJobsMissing sets whether jobs may be missing because some of the table can't be read. Runs of
 // unknown jobs are left alone until the jobs are known, and their end reports stay with the
 // workers.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -23,6 +23,7 @@
 	startOrdered   bool           // a start of one of its tasks was ordered
 	started        bool           // a worker has reported a run of it
 	inherited      bool           // it was there before this owner took over
+	runNumberBase  int            // the run numbers up to this one are left to previous owners
 	barrier        *reportBarrier // reports that its tasks wait for, if it was read late
 	hasObjective   bool           // it is to end by some time, see hasObjective
 	beyondShare    bool           // its account has submitted it beyond its weight
@@ -167,7 +168,7 @@
 		for k := range st.spec.Count {
 			t := &task{
 				id:  gauge.TaskID{Job: j.id, Occurrence: number, Step: i, Index: k},
-				job: j, stage: st, readyAt: now, noRunSince: now,
+				job: j, stage: st, readyAt: now, noRunSince: now, lastRun: j.runNumberBase,
 			}
 			t.done = i < len(done) && hasBit(done[i], k)
 			if len(j.row.Checkpoints) > 0 {
--- a/internal/sched/schedule_test.go
+++ b/internal/sched/schedule_test.go
@@ -93,3 +93,23 @@
 	assert.Equal(t, len(g.startsAfterWrites()), 0)
 	g.checkJobState(id, gauge.JobCompleted)
 }
+
+// Guards against a run too many: the numbers of a previous owner's runs are used again for occurrences
+// that are created after the adoption, and two failed runs of one number count once.
+func TestRunNumbersOfPreviousOwnersAreNotUsedAgainInOccurrences(t *testing.T) {
+	g := newHarness(t, withPredecessor("w1", "w2"))
+	g.listWorkers("w1", "w2")
+	g.advance(firstDue)
+	g.failHeartbeat("w1")
+	id := g.adoptScheduled(1, newStep(1), gauge.JobRow{})
+	g.advance(10 * time.Second)
+	g.report("w2", nil)
+	starts := g.startsAfterWrites()
+	assert.Equal(t, len(starts), 1)
+	task := starts[0].Start.Task
+	g.confirm(starts)
+	g.report("w2", nil, g.endReport("w2", task, starts[0].Start.Run, gauge.EndFailed))
+	g.report("w1", nil, g.endReport("w1", task, 1, gauge.EndFailed))
+	assert.Equal(t, len(g.startsAfterWrites()), 0, "both attempts are used up")
+	g.checkJobState(id, gauge.JobFailed)
+}
