Jobs: a job that is cancelled before it is stored never runs

Cause: a cancellation that found no row was answered "there is no such job". That was true for that moment only: a transaction of the submission that got no answer was executed later, as its condition, that there is no row, still held.

Ruled out: asking whether a submission may still be stored, as for refusals. No entry can know: the one that sent it may be dead, the pool may have changed hands, and a submission may be delayed before any entry has read it.

Change: a cancellation that finds no row, or that of a refusal, stores one: a tombstone, in state cancelled, on the condition that nothing has changed since. Transactions of earlier attempts fail on theirs from then on. To callers there is still no job (410). If the tombstone's transaction has no answer, or is in conflict with the submission, the cancellation is tried again, as before. The row goes with those of ended jobs.

TestRefusedIDIsNoJob wanted a refused row to stay refused after a cancellation, with which an unanswered replacement of it runs; it checks now that the id is no job after that either, and the refusal's replacement by itself.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -8,7 +8,8 @@
 )
 
 // Cancel cancels a job. Once it returns nil, no task of the job starts any more except for those
-// that the owner had ordered before it was notified.
+// that the owner had ordered before it was notified. KindGone: there is no such job, and none of its
+// submissions so far, nor a later one, has it run.
 func (n *Intake) Cancel(ctx context.Context, q *gauge.Queue, id, account string) error {
 	return n.cancel(ctx, q, id, account, n.conf.Relay)
 }
@@ -50,10 +51,13 @@
 
 // tryCancel reads the job's row and marks the job as cancelled, in one attempt.
 func (n *Intake) tryCancel(ctx context.Context, q *gauge.Queue, id, account string) error {
-	row, version, err := n.readJob(ctx, q, id)
+	row, version, err := n.readRow(ctx, q, id)
 	if err != nil {
 		return err
 	}
+	if row == nil || !row.IsJob() {
+		return n.cancelUnstored(ctx, q, id, account, row, version)
+	}
 	if err := n.checkAccess(q, id, account, row.Account); err != nil {
 		return err
 	}
@@ -67,7 +71,7 @@
 	}
 	position, err := n.markCancelled(ctx, q, id, row, version)
 	if err != nil {
-		return gauge.Errorf(gauge.KindExpired, "it is not known whether the job was cancelled; ask again").WithCause(err)
+		return uncertainCancelError(err)
 	}
 	n.conf.CountEvent("job cancelled")
 	n.conf.Logs.Info("job cancelled", "job", id, "queue", q.Name, "pool", row.Pool, "version", position.Version)
@@ -75,6 +79,10 @@
 	return nil
 }
 
+func uncertainCancelError(cause error) error {
+	return gauge.Errorf(gauge.KindExpired, "it is not known whether the job was cancelled; ask again").WithCause(cause)
+}
+
 func (n *Intake) markCancelled(ctx context.Context, q *gauge.Queue, id string, row *gauge.JobRow, version int64) (gauge.TablePosition, error) {
 	row.State = gauge.JobCancelled
 	row.Ended = n.conf.TableClock()
--- a/internal/intake/existing.go
+++ b/internal/intake/existing.go
@@ -25,7 +25,7 @@
 
 // existingOutcome returns the outcome for a job whose id exists already: to its account the same
 // job, to any other account one that it must not learn of. It reports false for a job that has to be
-// sent again: there is no row, or a refused one that it may replace.
+// sent again: there is no row, or a refused one or a tombstone that it may replace.
 func (b *batcher) existingOutcome(p *pendingJob, r gauge.PartitionRow) (outcome, bool) {
 	if r.Version == 0 {
 		return b.resolveMissing(p)
@@ -34,6 +34,9 @@
 	if err == nil && row.State == gauge.JobRefused {
 		return b.intake.resolveRefused(p, row, r.Version)
 	}
+	if err == nil && row.Tombstone {
+		return b.intake.resolveTombstone(p, row, r.Version)
+	}
 	if err == nil {
 		if err := b.intake.checkAccess(p.queue, p.id, p.spec.Account, row.Account); err != nil {
 			return outcome{err: err}, true
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -133,23 +133,34 @@
 	n.conf.Logs.Info(message, "job", id, "queue", q.Name, "pool", q.Pool, "kind", gauge.KindOf(err), "error", err.Error())
 }
 
-// readJob reads a job's row and its version. Errors: KindOutage: the table can't be reached;
-// KindGone: there is no such job.
-func (n *Intake) readJob(ctx context.Context, q *gauge.Queue, id string) (*gauge.JobRow, int64, error) {
+// readRow reads the row of a job's id and its version; nil and 0: there is none. KindOutage: the table
+// can't be reached.
+func (n *Intake) readRow(ctx context.Context, q *gauge.Queue, id string) (*gauge.JobRow, int64, error) {
 	rows, _, err := n.conf.Store.Range(ctx, gauge.TableJobs, q.Name, id, id+"\x00")
 	if err != nil {
 		return nil, 0, gauge.Errorf(gauge.KindOutage, "the table can't be reached").WithCause(err)
 	}
 	if len(rows) == 0 {
-		return nil, 0, gauge.Errorf(gauge.KindGone, "there is no job %s in this queue", id)
+		return nil, 0, nil
 	}
 	row, err := gauge.DecodeJobRow(rows[0].Value)
-	if err == nil && row.State == gauge.JobRefused {
-		return nil, 0, gauge.Errorf(gauge.KindGone, "there is no job %s in this queue", id)
-	}
 	return row, rows[0].Version, err
 }
 
+// readJob reads a job's row. Errors: KindOutage: the table can't be reached; KindGone: there is no
+// such job.
+func (n *Intake) readJob(ctx context.Context, q *gauge.Queue, id string) (*gauge.JobRow, error) {
+	row, _, err := n.readRow(ctx, q, id)
+	if err == nil && (row == nil || !row.IsJob()) {
+		err = goneError(id)
+	}
+	return row, err
+}
+
+func goneError(id string) error {
+	return gauge.Errorf(gauge.KindGone, "there is no job %s in this queue", id)
+}
+
 // State returns the state of a job: from its owner if that answers, which costs no call to the
 // table, otherwise from the table.
 func (n *Intake) State(ctx context.Context, q *gauge.Queue, id, account string) (gauge.JobState, error) {
@@ -181,7 +192,7 @@
 // awaitRow reads a job's row, as often as needed.
 func (n *Intake) awaitRow(ctx context.Context, q *gauge.Queue, id string) (*gauge.JobRow, error) {
 	for delay := minRetryDelay; ; delay = min(2*delay, maxRetryDelay) {
-		row, _, err := n.readJob(ctx, q, id)
+		row, err := n.readJob(ctx, q, id)
 		if err == nil {
 			return row, nil
 		}
--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -18,6 +18,9 @@
 
 	refusal  error // the job is stored as refused, and its caller gets this error; nil: it is accepted
 	replaces bool  // it replaces a row in state JobRefused
+	// cancelled is the row that its transaction stores in place of a tombstone; nil: it wasn't
+	// cancelled before.
+	cancelled *gauge.JobRow
 	// refusedAt is the time of the refusal that its transaction stores, by the table's clock in
 	// milliseconds.
 	refusedAt int64
@@ -78,6 +81,9 @@
 
 // storedOutcome returns the outcome of a job whose transaction was executed.
 func (p *pendingJob) storedOutcome(version int64) outcome {
+	if p.cancelled != nil {
+		return outcome{version: version, duplicate: true, row: p.txn.Writes[0].Value}
+	}
 	if p.refusal != nil {
 		return outcome{version: version, err: p.refusal, refused: true}
 	}
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -42,9 +42,12 @@
 // prepare builds the transaction of a job for a row of the given version, 0 for none.
 func (n *Intake) prepare(p *pendingJob, version int64) error {
 	var err error
-	if p.refusal != nil {
+	switch {
+	case p.cancelled != nil:
+		p.txn, err = replaceRowTxn(p.queue, p.id, p.cancelled, version)
+	case p.refusal != nil:
 		p.txn, err = n.refusalTxn(p, version)
-	} else {
+	default:
 		p.txn, err = insertTxn(p.queue, p.id, p.spec, p.row, version)
 	}
 	return err
@@ -55,15 +58,7 @@
 func (n *Intake) refusalTxn(p *pendingJob, version int64) (gauge.PartitionTxn, error) {
 	p.refusedAt = max(n.conf.TableClock(), p.began)
 	row := gauge.JobRow{State: gauge.JobRefused, Pool: p.queue.Pool, Ended: p.refusedAt}
-	value, err := row.Encode()
-	if err != nil {
-		return gauge.PartitionTxn{}, err
-	}
-	key := jobKey(p.queue.Name, p.id)
-	return gauge.PartitionTxn{
-		Checks: []gauge.RowCheck{{RowKey: key, Version: version}},
-		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
-	}, nil
+	return replaceRowTxn(p.queue, p.id, &row, version)
 }
 
 // resolveRefused handles a job whose id was refused before. It reports false if the job has to be
--- a/internal/intake/refusal_paths_test.go
+++ b/internal/intake/refusal_paths_test.go
@@ -78,13 +78,18 @@
 	q := &gauge.Queue{Name: "sheets", Pool: "brakes"}
 	_, err := h.intake.State(t.Context(), q, id(1), "")
 	assert.Equal(t, gauge.KindOf(err), gauge.KindGone)
-	assert.Equal(t, gauge.KindOf(h.intake.Cancel(t.Context(), q, id(1), "")), gauge.KindGone)
 	s.checkRefused()
 	s.pass(2000)
 	spec := &gauge.JobSpec{Steps: []gauge.Step{{Count: 1}}, Account: "north"}
 	assert.NilError(t, h.intake.Submit(t.Context(), q, id(1), spec))
+	s.checkState(gauge.JobPending)
 	row, _ := s.row()
 	assert.Equal(t, row.Account, "north")
+
+	s.putRefused(refusalTime)
+	delete(s.store.rows, gauge.RowKey{Table: gauge.TableOpen, Partition: q.Name, Key: id(1)})
+	assert.Equal(t, gauge.KindOf(h.intake.Cancel(t.Context(), q, id(1), "")), gauge.KindGone)
+	s.checkGone(h)
 }
 
 // Guards against a refusal by an entry that may not know of other attempts to store the job.
--- a/internal/owner/chunk.go
+++ b/internal/owner/chunk.go
@@ -159,7 +159,7 @@
 		o.conf.Logs.Error(err, "job row not decoded", "job", r.Key, "queue", queue)
 		return sched.AcceptedJob{}, false
 	}
-	if row.Pool != o.conf.Pool || row.State == gauge.JobRefused {
+	if row.Pool != o.conf.Pool || !row.IsJob() {
 		return sched.AcceptedJob{}, false
 	}
 	spec, err := gauge.DecodeJobSpec(body)
--- a/jobrow.go
+++ b/jobrow.go
@@ -42,6 +42,10 @@
 	Account  string `msgpack:"k,omitempty"` // client account that submitted it; empty: by a public queue
 	Accepted int64  `msgpack:"a"`           // by the table's clock, in milliseconds
 	Ended    int64  `msgpack:"e,omitempty"`
+	// Tombstone marks a job that was cancelled before it was stored, in state JobCancelled. It keeps
+	// a submission that is still under way from being stored. Until the job is submitted again,
+	// callers are told that there is none.
+	Tombstone bool `msgpack:"b,omitempty"`
 	// Done maps occurrence -> step -> bitmap of completed tasks.
 	Done                 map[int][][]byte `msgpack:"d,omitempty"`
 	CompletedOccurrences int              `msgpack:"o,omitempty"` // occurrences below this one are completed
@@ -60,6 +64,9 @@
 	UnattributedIsolated map[string]int `msgpack:"l,omitempty"`
 }
 
+// IsJob reports whether the row is that of a job, which callers are told of.
+func (r *JobRow) IsJob() bool { return r.State != JobRefused && !r.Tombstone }
+
 // JobStatus is what callers may learn of a job.
 type JobStatus struct {
 	State   JobState `msgpack:"s"`           // empty: the job isn't known
--- a/test/machines/succession_test.go
+++ b/test/machines/succession_test.go
@@ -88,6 +88,13 @@
 	l.refuses, l.keeps = true, false
 }
 
+// answer makes the table answer calls for the job.
+func (l *jobLink) answer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuses, l.keeps = false, false
+}
+
 // refuseQueue makes the table refuse the whole queue.
 func (l *jobLink) refuseQueue() {
 	l.mu.Lock()
