--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -8,8 +8,8 @@
 )
 
 // Cancel cancels a job. Once it returns nil, no task of the job starts any more except for those
-// that the owner had ordered before it was notified. KindGone: there is no such job, and none of its
-// submissions so far, nor a later one, has it run.
+// that the owner had ordered before it was notified. KindGone: there is no such job, and no
+// submission of its id makes one run any more.
 func (n *Intake) Cancel(ctx context.Context, q *gauge.Queue, id, account string) error {
 	return n.cancel(ctx, q, id, account, n.conf.Relay)
 }
--- a/internal/intake/tombstone.go
+++ b/internal/intake/tombstone.go
@@ -11,6 +11,7 @@
 // job have the same condition: one that got no answer fails from then on, however late it arrives.
 // Nobody is asked whether there is such an attempt, because no entry can know of all of them: the one
 // that sent it may have been killed, and a submission may be delayed before an entry receives it.
+// Tombstones are deleted with the rows of jobs that have ended.
 
 // cancelUnstored writes the tombstone of a job without a row or with a refused one, and returns an error
 // of kind KindGone once the table has it.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -6,7 +6,6 @@
 	"time"
 
 	gauge "sapphiregauge"
-	"sapphiregauge/internal/triage"
 )
 
 // job is one accepted job and what is known of its tasks.
@@ -42,19 +41,6 @@
 	changeAge ageTracker    // of changes, for Pool.Backlog
 }
 
-// occurrence is one execution of a job's steps; a scheduled job has several.
-type occurrence struct {
-	number    int
-	steps     []*stage
-	remaining int // tasks that aren't done
-
-	criticalPath      time.Duration // result of the last call of remainingCriticalPath
-	criticalPathStale bool          // the result has to be computed again
-
-	chain expectedChain // of the steps that are left
-	class triage.Class  // as of the last time that it was judged; empty: never
-}
-
 // stage is one step of one occurrence.
 type stage struct {
 	spec          *gauge.Step
@@ -156,41 +142,6 @@
 // isOpen reports whether tasks of the job may still start.
 func (j *job) isOpen() bool { return !j.row.State.IsFinal() }
 
-// occurrence returns an occurrence, created from the row if needed.
-func (j *job) occurrence(number int, now time.Duration) *occurrence {
-	if o := j.occurrences[number]; o != nil {
-		return o
-	}
-	o := &occurrence{number: number, criticalPathStale: true}
-	done := j.row.Done[number]
-	for i := range j.spec.Steps {
-		st := &stage{spec: &j.spec.Steps[i], job: j, occ: o, earliestReady: now}
-		for k := range st.spec.Count {
-			t := &task{
-				id:  gauge.TaskID{Job: j.id, Occurrence: number, Step: i, Index: k},
-				job: j, stage: st, readyAt: now, noRunSince: now, lastRun: j.runNumberBase,
-			}
-			t.done = i < len(done) && hasBit(done[i], k)
-			if len(j.row.Checkpoints) > 0 {
-				t.checkpoint = j.row.Checkpoints[t.key()]
-			}
-			for _, n := range t.failedRuns() {
-				t.lastRun = max(t.lastRun, n)
-			}
-			if !t.done {
-				st.remaining++
-				st.idle++
-			}
-			st.tasks = append(st.tasks, t)
-		}
-		o.remaining += st.remaining
-		o.steps = append(o.steps, st)
-	}
-	j.occurrences[number] = o
-	o.enqueue()
-	return o
-}
-
 // task returns a task by its id, nil if the job has no such task, or if its occurrence is completed and
 // no run of it may exist.
 func (j *job) task(id gauge.TaskID, now time.Duration) *task {
@@ -203,38 +154,6 @@
 	return j.occurrence(id.Occurrence, now).steps[id.Step].tasks[id.Index]
 }
 
-// isReady reports whether all steps that the stage depends on are done.
-func (o *occurrence) isReady(st *stage) bool {
-	for _, a := range st.spec.After {
-		if o.steps[a].remaining > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// markReady records when tasks became ready whose steps waited for this one. Their waiting time
-// counts from then, not from the job's arrival, so that it shows how long they have waited for
-// room.
-func (o *occurrence) markReady(done *stage, now time.Duration) {
-	for _, st := range o.steps {
-		if !slices.Contains(st.spec.After, done.tasks[0].id.Step) || !o.isReady(st) {
-			continue
-		}
-		st.earliestReady = now
-		for _, t := range st.tasks {
-			t.readyAt = now
-		}
-	}
-}
-
-// enqueue adds all stages with tasks that may start to the waiting list.
-func (o *occurrence) enqueue() {
-	for _, st := range o.steps {
-		st.job.index.enqueue(st)
-	}
-}
-
 // finish marks a task done, and updates its stage, occurrence and job.
 func (j *job) finish(t *task, now time.Duration) {
 	o := j.occurrences[t.id.Occurrence]
@@ -273,45 +192,6 @@
 	j.advance()
 }
 
-// advance updates the count of completed occurrences, and completes the job with the last of them.
-//
-// Ends may be reported before their occurrence is created as due: the job was read late, or this
-// entry's clock is behind. A completed occurrence must not be created then, as its tasks would run
-// again.
-func (j *job) advance() {
-	for j.row.CompletedOccurrences < j.spec.Occurrences() && j.isOccurrenceDone(j.row.CompletedOccurrences) {
-		if o := j.occurrences[j.row.CompletedOccurrences]; o != nil && o.isOver() {
-			delete(j.occurrences, j.row.CompletedOccurrences)
-		}
-		delete(j.row.Done, j.row.CompletedOccurrences)
-		j.row.CompletedOccurrences++
-	}
-	j.nextOccurrence = max(j.nextOccurrence, j.row.CompletedOccurrences)
-	if j.row.CompletedOccurrences >= j.spec.Occurrences() && j.isOpen() {
-		j.close(gauge.JobCompleted)
-	}
-}
-
-// isOccurrenceDone reports whether all tasks of an occurrence are done, also if it isn't created: the
-// row says what previous owners have completed.
-func (j *job) isOccurrenceDone(number int) bool {
-	if o := j.occurrences[number]; o != nil {
-		return o.remaining == 0
-	}
-	done := j.row.Done[number]
-	if len(done) < len(j.spec.Steps) {
-		return false
-	}
-	for i := range j.spec.Steps {
-		for k := range j.spec.Steps[i].Count {
-			if !hasBit(done[i], k) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // fail ends an open job as failed.
 func (j *job) fail() {
 	if j.isOpen() {
@@ -340,27 +220,6 @@
 	return rs
 }
 
-// remainingCriticalPath returns the estimated duration of the longest chain of steps that are left.
-// It changes only when a step is done.
-func (o *occurrence) remainingCriticalPath() time.Duration {
-	if !o.criticalPathStale {
-		return o.criticalPath
-	}
-	ends := make([]time.Duration, len(o.steps))
-	var longest time.Duration
-	for i, st := range o.steps {
-		for _, a := range st.spec.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		if st.remaining > 0 {
-			ends[i] += st.spec.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	o.criticalPath, o.criticalPathStale = longest, false
-	return longest
-}
-
 // criticalPath returns the estimated duration of the longest chain of a job's steps.
 func criticalPath(spec *gauge.JobSpec) time.Duration {
 	ends := make([]time.Duration, len(spec.Steps))
@@ -376,10 +235,6 @@
 	return longest
 }
 
-func hasBit(bits []byte, i int) bool {
-	return i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0
-}
-
 func setBit(bits []byte, i int) []byte {
 	for len(bits) <= i/8 {
 		bits = append(bits, 0)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -305,17 +305,6 @@
 	return p.sortedWorkers
 }
 
-// createDue creates the occurrences that are due.
-func (j *job) createDue(wall time.Time, now time.Duration) {
-	if !j.spec.IsScheduled() || !j.isOpen() {
-		return
-	}
-	for j.nextOccurrence < j.spec.Occurrences() && !wall.Before(j.spec.DueAt(j.nextOccurrence)) {
-		j.occurrence(j.nextOccurrence, now)
-		j.nextOccurrence++
-	}
-}
-
 // awaitsReports reports whether some workers haven't reported everything that previous owners
 // started there: the previous owner may have started a task on a worker that hasn't answered yet,
 // or that has more end reports to deliver.
--- a/jobrow.go
+++ b/jobrow.go
@@ -67,6 +67,12 @@
 // IsJob reports whether the row is that of a job, which callers are told of.
 func (r *JobRow) IsJob() bool { return r.State != JobRefused && !r.Tombstone }
 
+// IsDone reports whether a task is marked as completed in Done.
+func (r *JobRow) IsDone(occurrence, step, index int) bool {
+	steps := r.Done[occurrence]
+	return step < len(steps) && index/8 < len(steps[step]) && steps[step][index/8]&(1<<(index%8)) != 0
+}
+
 // JobStatus is what callers may learn of a job.
 type JobStatus struct {
 	State   JobState `msgpack:"s"`           // empty: the job isn't known
