--- a/internal/intake/tombstone.go
+++ b/internal/intake/tombstone.go
@@ -43,8 +43,8 @@
 	if p.refusal != nil {
 		return p.storedOutcome(version), true // the tombstone keeps it from running, too
 	}
-	n.conf.CountEvent("job submitted after its cancellation")
-	n.conf.Logs.Info("job submitted after its cancellation", "job", p.id, "queue", p.queue.Name, "pool", p.queue.Pool, "cancelled", tombstone.Ended, "began", p.began)
+	n.conf.CountEvent("submission of a cancelled job")
+	n.conf.Logs.Info("submission of a cancelled job", "job", p.id, "queue", p.queue.Name, "pool", p.queue.Pool, "cancelled", tombstone.Ended, "began", p.began)
 	p.cancelled = &gauge.JobRow{State: gauge.JobCancelled, Pool: p.row.Pool, Account: p.row.Account, Accepted: p.row.Accepted, Ended: tombstone.Ended}
 	if err := n.prepare(p, version); err != nil {
 		return outcome{err: err}, true
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -172,7 +172,7 @@
 		return
 	}
 	if e.Task.Occurrence >= j.nextOccurrence {
-		p.conf.Logs.Info("run ended before its occurrence was due here", "job", j.id, "task", e.Task.String(), "run", e.Run, "end", e.Ending, "next", j.nextOccurrence)
+		p.conf.Logs.Info("run ended before its occurrence was created", "job", j.id, "task", e.Task.String(), "run", e.Run, "end", e.Ending, "next", j.nextOccurrence)
 	}
 	j.markStarted()
 	t.lastRun = max(t.lastRun, e.Run)
