intake: a cancellation whose own write has no answer is tried again

The way is as it was; nothing tested it for the row of a job that isn't stored. TestCancellationWithoutAnAnswerIsTriedAgain: executed or not, then 410 with the row stored; without any answer 504.

--- a/internal/intake/cancel_test.go
+++ b/internal/intake/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -68,13 +69,14 @@
 	assert.Equal(t, gauge.KindOf(h.submit(1)), gauge.KindExpired)
 	s.answerAgain()
 	first := true
-	s.store.onCommit = func(int) { // after the first read
-		if first {
-			first = false
-			for _, w := range s.store.txns[0].Writes {
-				s.store.version++
-				s.store.rows[w.RowKey] = gauge.PartitionRow{RowKey: w.RowKey, Value: w.Value, Version: s.store.version}
-			}
+	s.store.onCommit = func(int) { // between the cancellation's read and its write
+		if !first {
+			return
+		}
+		first = false
+		for _, w := range s.store.txns[0].Writes {
+			s.store.version++
+			s.store.rows[w.RowKey] = gauge.PartitionRow{RowKey: w.RowKey, Value: w.Value, Version: s.store.version}
 		}
 	}
 	assert.NilError(t, h.intake.Cancel(context.Background(), sheetsQueue(), id(1), ""))
@@ -83,6 +85,41 @@
 	assert.Assert(t, h.notifications[0].Cancelled)
 }
 
+// Guards against a 410 that nothing stands behind, as the table's answer to the cancellation was lost.
+func TestCancellationWithoutAnAnswerIsTriedAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		lost     int  // how many answers
+		executed bool // the transactions without an answer
+		timeout  time.Duration
+		kind     gauge.Kind
+		stored   bool
+	}{
+		{"executed", 1, true, time.Minute, gauge.KindGone, true},
+		{"not executed", 1, false, time.Minute, gauge.KindGone, true},
+		{"no answer until the caller's deadline", 1000, false, 200 * time.Millisecond, gauge.KindExpired, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newRefusalSite(t)
+			s.store.answer = func(n int, execute func()) error {
+				if n > tt.lost {
+					return nil
+				}
+				if tt.executed {
+					execute()
+				}
+				return gauge.Errorf(gauge.KindUnknown, "no answer")
+			}
+			ctx, stop := context.WithTimeout(context.Background(), tt.timeout)
+			defer stop()
+			err := s.entry(intake.OwnedForLong, nil).intake.Cancel(ctx, sheetsQueue(), id(1), "")
+			assert.Equal(t, gauge.KindOf(err), tt.kind)
+			row, _ := s.row()
+			assert.Equal(t, row != nil && row.Tombstone, tt.stored)
+		})
+	}
+}
+
 // Guards against a job that runs although its caller has cancelled it: an attempt to submit it, delayed
 // on its way, is taken for a new one.
 func TestSubmissionAfterItsCancellationIsCancelled(t *testing.T) {
--- a/internal/sched/occurrence_test.go
+++ b/internal/sched/occurrence_test.go
@@ -17,7 +17,7 @@
 	scheduleInterval = 10 * time.Second
 )
 
-// adoptScheduled adopts a job of previous owners with as many occurrences of one step.
+// adoptScheduled adopts a job that previous owners had, with a number of occurrences of one step.
 func (g *harness) adoptScheduled(repeats int, step gauge.Step, row gauge.JobRow) string {
 	id := jobID(1)
 	spec := &gauge.JobSpec{Steps: []gauge.Step{step}, Repeats: repeats, FirstAt: time.Unix(1000, 0).Add(firstDue), Interval: scheduleInterval}
