intake: the transactions of a submission stand together

prepare and the transactions that it builds are in pending.go, and the insertion of a job is the replacement of its row and two writes more; the same lines stood in three places. No change of what the code does; intake and sched pass.

--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -57,6 +57,20 @@
 	return p, nil
 }
 
+// prepare builds the transaction of a job for a row of the given version, 0 for none.
+func (n *Intake) prepare(p *pendingJob, version int64) error {
+	var err error
+	switch {
+	case p.cancelled != nil:
+		p.txn, err = replaceRowTxn(p.queue, p.id, p.cancelled, version)
+	case p.refusal != nil:
+		p.txn, err = n.refusalTxn(p, version)
+	default:
+		p.txn, err = insertTxn(p.queue, p.id, p.spec, p.row, version)
+	}
+	return err
+}
+
 // insertTxn returns the transaction that stores a job in place of a row of the given version, 0 for
 // none.
 func insertTxn(q *gauge.Queue, id string, j *gauge.JobSpec, row *gauge.JobRow, version int64) (gauge.PartitionTxn, error) {
@@ -64,6 +78,21 @@
 	if err != nil {
 		return gauge.PartitionTxn{}, err
 	}
+	txn, err := replaceRowTxn(q, id, row, version)
+	if err != nil {
+		return gauge.PartitionTxn{}, err
+	}
+	txn.Writes = append(
+		txn.Writes,
+		gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableSpecs, Partition: q.Name, Key: id}, Value: spec},
+		gauge.RowWrite{RowKey: gauge.RowKey{Table: gauge.TableOpen, Partition: q.Name, Key: id}, Value: gauge.OpenJobMark{Pool: row.Pool}.Encode()},
+	)
+	return txn, nil
+}
+
+// replaceRowTxn returns the transaction that stores a row alone in place of one of the given version,
+// 0 for none.
+func replaceRowTxn(q *gauge.Queue, id string, row *gauge.JobRow, version int64) (gauge.PartitionTxn, error) {
 	value, err := row.Encode()
 	if err != nil {
 		return gauge.PartitionTxn{}, err
@@ -71,11 +100,7 @@
 	key := jobKey(q.Name, id)
 	return gauge.PartitionTxn{
 		Checks: []gauge.RowCheck{{RowKey: key, Version: version}},
-		Writes: []gauge.RowWrite{
-			{RowKey: key, Value: value},
-			{RowKey: gauge.RowKey{Table: gauge.TableSpecs, Partition: q.Name, Key: id}, Value: spec},
-			{RowKey: gauge.RowKey{Table: gauge.TableOpen, Partition: q.Name, Key: id}, Value: gauge.OpenJobMark{Pool: row.Pool}.Encode()},
-		},
+		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
 	}, nil
 }
 
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -39,20 +39,6 @@
 	return n.prepare(p, 0)
 }
 
-// prepare builds the transaction of a job for a row of the given version, 0 for none.
-func (n *Intake) prepare(p *pendingJob, version int64) error {
-	var err error
-	switch {
-	case p.cancelled != nil:
-		p.txn, err = replaceRowTxn(p.queue, p.id, p.cancelled, version)
-	case p.refusal != nil:
-		p.txn, err = n.refusalTxn(p, version)
-	default:
-		p.txn, err = insertTxn(p.queue, p.id, p.spec, p.row, version)
-	}
-	return err
-}
-
 // refusalTxn returns the transaction that stores a refusal. It neither precedes the attempt that it
 // refuses nor has the account: a refused id is no job of anyone.
 func (n *Intake) refusalTxn(p *pendingJob, version int64) (gauge.PartitionTxn, error) {
--- a/internal/intake/tombstone.go
+++ b/internal/intake/tombstone.go
@@ -51,17 +51,3 @@
 	}
 	return outcome{}, false
 }
-
-// replaceRowTxn returns the transaction that stores a row alone in place of one of the given version,
-// 0 for none.
-func replaceRowTxn(q *gauge.Queue, id string, row *gauge.JobRow, version int64) (gauge.PartitionTxn, error) {
-	value, err := row.Encode()
-	if err != nil {
-		return gauge.PartitionTxn{}, err
-	}
-	key := jobKey(q.Name, id)
-	return gauge.PartitionTxn{
-		Checks: []gauge.RowCheck{{RowKey: key, Version: version}},
-		Writes: []gauge.RowWrite{{RowKey: key, Value: value}},
-	}, nil
-}
