--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -69,7 +69,7 @@
 	defer o.mu.Unlock()
 	o.lastPlan, o.planScheduled = now, false
 	if o.loaded && !o.ended && !o.stopping {
-		o.pool.SetGrantLimit(o.conf.Lease.Until() + o.conf.OrderGrace)
+		o.applyLeaseEnd()
 		orders = o.pool.Plan(now)
 		if o.limits.Wants() {
 			o.wakeLimits()
@@ -78,6 +78,13 @@
 	return orders, o.pool.HasUrgent()
 }
 
+// applyLeaseEnd tells the state until when the lease is known to be held. The lock is held.
+func (o *Owner) applyLeaseEnd() {
+	until := o.conf.Lease.Until()
+	o.pool.SetLeaseEnd(until)
+	o.pool.SetGrantLimit(until + o.conf.OrderGrace)
+}
+
 // spawn starts a goroutine of this owner. Once the owner has ended it starts nothing: Run may be
 // waiting for the group, and adding to it while Wait returns panics.
 func (o *Owner) spawn(work func()) {
--- a/internal/owner/heartbeat.go
+++ b/internal/owner/heartbeat.go
@@ -134,7 +134,10 @@
 // tickLoop checks deadlines and reports the backlog at regular intervals.
 func (o *Owner) tickLoop() {
 	for o.ctx.Err() == nil {
-		o.update(func(now time.Duration) { o.pool.Tick(now, o.conf.WallClock()) })
+		o.update(func(now time.Duration) {
+			o.applyLeaseEnd()
+			o.pool.Tick(now, o.conf.WallClock())
+		})
 		o.reportBacklog()
 		o.pause(nil, tickInterval)
 	}
--- a/internal/sched/barrier.go
+++ b/internal/sched/barrier.go
@@ -69,6 +69,8 @@
 	for id, incarnation := range p.unreported {
 		if now > p.previousRunsEnd(incarnation) {
 			delete(p.unreported, id)
+			p.conf.Logs.Info("worker not awaited any more", "pool", p.conf.Name, "worker", id, "born", incarnation.StartedAt, "lease", p.leaseEnd-now,
+				"left", len(p.unreported))
 			p.loseUnreported(incarnation, now)
 		}
 	}
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -103,7 +103,7 @@
 		return
 	}
 	p.conf.CountEvent(EventLeaseExpired)
-	p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", w.info.ID, "runs", len(lost), "unsure", len(w.runs)-len(lost), "listed", w.listed)
+	p.conf.Logs.Info("worker lapsed", "pool", p.conf.Name, "worker", w.info.ID, "born", w.info.StartedAt, "lease", p.leaseEnd-now, "runs", len(lost), "unsure", len(w.runs)-len(lost), "listed", w.listed)
 	for _, r := range lost {
 		p.lose(r, "its worker's lease expired", len(lost)-1, now)
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -341,7 +341,7 @@
 		}
 	}
 	p.conf.Logs.Info("run starts", "job", t.job.id, "task", t.id.String(), "run", number, "worker", w.info.ID,
-		"waited", now-t.waitingSince(), "free", w.free().MilliCPU)
+		"born", w.info.StartedAt, "fence", p.fence(w), "lease", p.leaseEnd-now, "waited", now-t.waitingSince(), "free", w.free().MilliCPU)
 	p.sendStart(r, ticketText)
 	return r
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -65,6 +65,7 @@
 	spans           *spans.Times  // learned run times, by queue
 	triages         bool          // jobs are classified by learned run times
 	rescueRoom      int           // thousandths of a core that late jobs may still take before timely ones
+	leaseEnd        time.Duration // when this owner's lease ends unless it is renewed
 	grantLimit      time.Duration // no grant reaches beyond this
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
@@ -144,6 +145,10 @@
 	p.triages = s.SharesCapacity() && !p.conf.Disabled.Has(gauge.MechanismTriage)
 }
 
+// SetLeaseEnd sets when this owner's lease ends unless it is renewed. Another owner may act from then
+// on.
+func (p *Pool) SetLeaseEnd(t time.Duration) { p.leaseEnd = t }
+
 // SetGrantLimit sets the time beyond which no grant may reach. No other owner can have taken over
 // before it.
 func (p *Pool) SetGrantLimit(t time.Duration) { p.grantLimit = t }
