Red: a replaced owner starts tasks again which its successor has found

Callers see a task run twice at once, or again after it was done.

An owner acts for up to 6 s beyond the end of its lease, as nobody may have taken over. A run at a worker that doesn't answer counts as over 4.5 s after the last heartbeat, by time alone, and its task starts on a worker that answers. A successor that has claimed the pool meanwhile and reaches the silent worker has found the run and extends it.

--- a/test/machines/site_test.go
+++ b/test/machines/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -136,8 +137,15 @@
 	capacity float64              // cores
 	now      func() time.Duration // nil: the time since boot
 	peers    net.Listener         // for calls of other entries; nil: at a new port
+	peerAddr string               // at which other entries reach it, as through a proxy; empty: that of peers
+	workers  *workerLink          // nil: it reaches all workers
 }
 
+const (
+	heartbeatTimeout = 800 * time.Millisecond
+	orderTimeout     = 300 * time.Millisecond
+)
+
 // startOn starts an entry on a host.
 func (s *site) startOn(name, tableAddr string, on host) *entry {
 	if on.now == nil {
@@ -149,15 +157,15 @@
 	if peer == nil {
 		peer = s.listen()
 	}
-	e.addr, e.peerAddr = front.Addr().String(), peer.Addr().String()
+	e.addr, e.peerAddr = front.Addr().String(), cmp.Or(on.peerAddr, peer.Addr().String())
 	table := platform.NewTable(platform.TableConfig{Addr: tableAddr, ReadTimeout: 900 * time.Millisecond, CommitTimeout: 1500 * time.Millisecond, Clock: time.Now})
-	workers := platform.NewWorkers(platform.WorkersConfig{HeartbeatTimeout: 800 * time.Millisecond, OrderTimeout: 300 * time.Millisecond, Clock: time.Now})
+	workers := platform.NewWorkers(platform.WorkersConfig{HeartbeatTimeout: heartbeatTimeout, OrderTimeout: orderTimeout, Clock: time.Now})
 	e.node = node.New(node.Config{
 		Store: timely.New(timely.Config{
 			Store: table, CheckDelay: 300 * time.Millisecond, MaxFastRead: 100 * time.Millisecond, ReadTimeout: 500 * time.Millisecond,
 			CommitTimeout: 1500 * time.Millisecond, Now: boot.Now,
 		}),
-		Name: name, StartID: "1", Addr: peer.Addr().String(), Workers: workers,
+		Name: name, StartID: "1", Addr: e.peerAddr, Workers: on.workers.through(workers),
 		Machines: platform.NewMachines(platform.MachinesConfig{Addr: s.machines.Addr(), Timeout: time.Second, Clock: time.Now}),
 		Codec:    platform.TableCodec{KeysRequired: s.keysRequired}, MaxKeyDelay: maxKeyDelay, Mesh: e.mesh, Logs: s.log().WithValues("entry", name), Now: on.now, WallClock: time.Now, CapacityCores: on.capacity,
 		ObserveCall: func(string, time.Duration) {}, CountEvent: func(string) {}, MaxWorkerLease: 10 * time.Second, MinOrderInterval: time.Second, MaintenanceDuration: 200 * time.Millisecond,
