A replaced owner starts no task again because time has passed

Callers saw tasks run twice at once, or again after they were done.

Cause: an owner acts for 6 s beyond the end of its lease. What runs on a worker that doesn't answer counted as over once this owner's grants had expired, 4.5 s after the last heartbeat. A successor may own the pool by then, reach that worker, and have extended the run. The same held for every wait that ended as time passed: workers of predecessors, jobs read late, ends not taken note of, late starts.

Change: an expiry counts once a write has succeeded that depends on the lease and was sent after it: nobody else owned the pool until then, so that nobody can have extended the worker's lease. The lease is renewed at once when an expiry waits for that, so that tasks of a lost worker wait for one write more. While the table doesn't answer, they wait for it.

Weighed: counting what passes before the lease's end (red where the successor has claimed because the owner didn't answer, which it may from 1 s after a renewal), or within 1 s of a renewal (red where the owner's process was taken for ended). Starting nothing beyond the lease's end would stop pools in each table outage.

Tests of sched move time under a lease that is renewed, as an owner does: their harness says so now, and the random test with each write.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -75,7 +75,7 @@
 			o.wakeLimits()
 		}
 	}
-	return orders, o.pool.HasUrgent()
+	return orders, o.pool.HasUrgent() || o.pool.AwaitsRenewal()
 }
 
 // applyLeaseEnd tells the state until when the lease is known to be held. The lock is held.
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -125,7 +125,7 @@
 		return false, err
 	}
 	o.conf.ObserveTableClock(position, sent)
-	return o.applyWrite(p, position), nil
+	return o.applyWrite(p, position, sent), nil
 }
 
 // holdBack holds back a queue's changes for a while after a write with them has failed. Only the
@@ -212,10 +212,11 @@
 	return incarnations
 }
 
-// applyWrite applies a write that is in the table. It reports whether the next one is due at once.
-func (o *Owner) applyWrite(p pendingWrite, position gauge.TablePosition) bool {
+// applyWrite applies a write that was sent at a time and is in the table. It reports whether the next one is due at once.
+func (o *Owner) applyWrite(p pendingWrite, position gauge.TablePosition, sent time.Duration) bool {
 	urgent, more := false, false
 	o.withLock(func() {
+		o.pool.LeaseHeld(sent)
 		o.pool.BatchWritten(p.batch, position.Version, o.conf.Now())
 		o.pool.LeaseRowWritten(p.namedWorkers, position.Version)
 		urgent = o.pool.HasUrgent()
--- a/internal/sched/barrier.go
+++ b/internal/sched/barrier.go
@@ -67,7 +67,7 @@
 func (p *Pool) expireAwaited(now time.Duration) {
 	p.loseReplaced(now)
 	for id, incarnation := range p.unreported {
-		if now > p.previousRunsEnd(incarnation) {
+		if p.hasExpired(p.previousRunsEnd(incarnation), now) {
 			delete(p.unreported, id)
 			p.conf.Logs.Info("worker not awaited any more", "pool", p.conf.Name, "worker", id, "born", incarnation.StartedAt, "lease", p.leaseEnd-now,
 				"left", len(p.unreported))
@@ -76,7 +76,7 @@
 	}
 	for _, b := range slices.Clone(p.barriers) {
 		for id := range b.missing {
-			if w := p.workers[id]; w == nil || now > w.leaseExpiry {
+			if w := p.workers[id]; w == nil || p.hasExpired(w.leaseExpiry, now) {
 				p.markReported(id)
 			}
 		}
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -104,6 +104,7 @@
 
 func (g *harness) advance(d time.Duration) {
 	g.now += d
+	g.pool.LeaseHeld(g.now)
 	g.pool.Tick(g.now, time.Unix(1000, 0).Add(g.now))
 }
 
--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -67,7 +67,7 @@
 	if r.mayStartLate(now) {
 		return true
 	}
-	return r.mayStartLate(now-p.longestLease()) && r.worker.seenAt < r.attempts.lateUntil()
+	return r.mayStartLate(p.heldAt-p.longestLease()) && r.worker.seenAt < r.attempts.lateUntil()
 }
 
 // awaitsOutcome reports whether the outcome of a start that may be carried out by the next
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -204,7 +204,7 @@
 // orderStarts places the waiting tasks in order of rank.
 func (p *Pool) orderStarts(now time.Duration) {
 	if now >= p.grantLimit {
-		return // another owner may have taken over
+		return // a successor may not wait for this owner's starts any more
 	}
 	if p.isWindowFull() {
 		return
--- a/internal/sched/replaced_owner_harness_test.go
+++ b/internal/sched/replaced_owner_harness_test.go
@@ -198,6 +198,7 @@
 	o.renewedAt, o.succession.renewedAt = o.now, o.now
 	o.pool.BatchWritten(batch, o.version, o.now)
 	o.pool.LeaseRowWritten(o.named, o.version)
+	o.pool.LeaseHeld(o.now)
 }
 
 // heartbeat sends a heartbeat to a worker, which answers at once or not at all.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -67,6 +67,8 @@
 	rescueRoom      int           // thousandths of a core that late jobs may still take before timely ones
 	leaseEnd        time.Duration // when this owner's lease ends unless it is renewed
 	grantLimit      time.Duration // no grant reaches beyond this
+	heldAt          time.Duration // this owner is known to have held its lease then
+	renewalAwaited  bool          // an expiry counts once the lease has been renewed
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
 	workers         map[string]*worker           // by id: there is one incarnation at a time
@@ -149,8 +151,9 @@
 // on.
 func (p *Pool) SetLeaseEnd(t time.Duration) { p.leaseEnd = t }
 
-// SetGrantLimit sets the time beyond which no grant may reach. No other owner can have taken over
-// before it.
+// SetGrantLimit sets the time beyond which no grant may reach. It is later than the end of the
+// lease, so that runs survive a table outage: until then a successor waits for the workers that it
+// doesn't reach.
 func (p *Pool) SetGrantLimit(t time.Duration) { p.grantLimit = t }
 
 // NextHeartbeat returns the next heartbeat for an incarnation of a worker; false if it is dead.
@@ -264,17 +267,17 @@
 	p.lastTick = now
 	p.forgetCancels(now)
 	for id, w := range p.workers {
-		if w.silent && now > max(w.leaseExpiry, p.conf.PreviousRunsEnd) {
+		if w.silent && p.heldAt > max(w.leaseExpiry, p.conf.PreviousRunsEnd) {
 			p.forgetOrphans(w) // whoever ordered them, their leases have expired
 		}
-		if now > w.leaseExpiry && (w.silent || !w.listed) {
+		if len(w.runs) > 0 && (w.silent || !w.listed) && p.hasExpired(w.leaseExpiry, now) {
 			p.expireRuns(w, now)
 		}
 		p.expireLateStarts(w, now)
 		if len(w.lostRuns) > 0 && w.isGone(now) {
 			p.recordLoss(w, now)
 		}
-		if !w.listed && now > w.leaseExpiry && len(w.runs)+len(w.lateStarts)+len(w.lostRuns) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
+		if !w.listed && p.heldAt > w.leaseExpiry && len(w.runs)+len(w.lateStarts)+len(w.lostRuns) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
 			p.forgetOrphans(w)
 			p.rememberIdleLoss(w)
 			delete(p.workers, id)
@@ -322,7 +325,7 @@
 		return true
 	}
 	for _, w := range p.workers {
-		if w.endsPending && !w.dead && (!w.silent || now <= w.leaseExpiry) {
+		if w.endsPending && !w.dead && (!w.silent || !p.hasExpired(w.leaseExpiry, now)) {
 			return true
 		}
 	}
--- a/internal/sched/simulation_events_test.go
+++ b/internal/sched/simulation_events_test.go
@@ -152,6 +152,7 @@
 	w.leaseWorkers = names
 	if rapid.IntRange(0, 4).Draw(w.t, "lost") > 0 || len(b.Changes) == 0 {
 		w.pool.BatchWritten(b, w.lastVersion, w.now)
+		w.pool.LeaseHeld(w.now)
 		w.pool.LeaseRowWritten(names, w.lastVersion)
 		return
 	}
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -216,6 +216,7 @@
 func (w *simulation) renewLease() {
 	w.lastVersion++
 	w.leaseWorkers = w.pool.LeaseRowWorkers()
+	w.pool.LeaseHeld(w.now)
 	w.pool.LeaseRowWritten(w.leaseWorkers, w.lastVersion)
 }
 
