An entry whose address refuses connections may be alive

Cause: an entry whose connection to a holder breaks and is refused anew took the holder's process for exited, for good. A firewall or a cut that refuses shows the same. The successor then waited for workers that it doesn't reach until 6.2 s after its claim, while a holder that lives may act for up to 8 s after its last renewal; and it claimed the leases of that process again whenever it held one. Found by looking for the same cause elsewhere: what an owner that can't be reached may still do was taken for less than it is.

Change: a refused connection counts until a renewal that was sent after it, and what may be left of the lease is waited for, as for a holder that doesn't answer. Only a process that answers at the address under another name proves the exit.

Result: terms: TestHolderWhoseAddressRefusesConnectionsMayBeAlive fails without it. A pool whose owner is killed is claimed at once as before (TestPoolOfKilledOwnerIsClaimedWhenItsConnectionsClose); its next owner waits for up to 2 s longer for workers that don't answer.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -155,7 +155,7 @@
 	term        int // number of previous holders
 	previousRow gauge.LeaseRow
 	// previousLeaseLeft is how much of the previous holder's lease may be left; it is above 0 only
-	// if that holder didn't answer a probe.
+	// if that holder may be alive.
 	previousLeaseLeft time.Duration
 }
 
--- a/internal/node/holdercheck.go
+++ b/internal/node/holdercheck.go
@@ -106,7 +106,11 @@
 			n.leaseView.MarkAlive(h, n.conf.Now())
 			continue
 		}
-		n.leaseView.MarkExited(h)
+		if err == nil {
+			n.leaseView.MarkExited(h)
+		} else {
+			n.leaseView.MarkRefused(h, n.conf.Now())
+		}
 		n.suspectFreeLease()
 		n.conf.CountEvent("holder gone")
 		n.conf.Logs.Info("holder gone", "holder", h, "addr", addr, "answers", a.Holder, "kind", gauge.KindOf(err))
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -44,7 +44,7 @@
 	Pool              string
 	Version           int64 // of the lease row as read; 0: there is no row
 	Row               gauge.LeaseRow
-	PreviousLeaseLeft time.Duration // how much of the lease hasn't run out; above 0 if the holder didn't answer a probe
+	PreviousLeaseLeft time.Duration // how much of the lease hasn't run out; above 0 if the holder may be alive
 }
 
 // LeaseView is this entry's view of the lease table. It is not safe for concurrent use.
@@ -55,6 +55,7 @@
 	freeSince        map[string]time.Duration  // by pool: since when it is known to be without an owner
 	unansweredClaims map[string]bool           // pools whose claim got no answer
 	exited           map[string]bool           // holders whose processes have exited
+	refusedAt        map[string]time.Duration  // when the addresses of holders last refused connections
 	answeredAt       map[string]time.Duration  // when holders last answered during a table outage
 	unansweredAt     map[string]time.Duration  // by address: when the last unanswered probe of a holder was sent
 	tableRead        bool                      // the whole table was read
@@ -73,7 +74,7 @@
 	if c.Capacity == 0 {
 		c.Capacity = DefaultCapacity
 	}
-	return &LeaseView{conf: c, rows: make(map[string]leaseState), entries: make(map[string]gauge.EntryRow), freeSince: make(map[string]time.Duration), unansweredClaims: make(map[string]bool), exited: make(map[string]bool), answeredAt: make(map[string]time.Duration), unansweredAt: make(map[string]time.Duration)}
+	return &LeaseView{conf: c, rows: make(map[string]leaseState), entries: make(map[string]gauge.EntryRow), freeSince: make(map[string]time.Duration), unansweredClaims: make(map[string]bool), exited: make(map[string]bool), refusedAt: make(map[string]time.Duration), answeredAt: make(map[string]time.Duration), unansweredAt: make(map[string]time.Duration)}
 }
 
 // SetLease records a lease row that was read at a time. Clock is an upper bound of the table's
@@ -106,6 +107,11 @@
 // MarkExited records that a holder's process has exited, so that its leases needn't run out.
 func (v *LeaseView) MarkExited(holder string) { v.exited[holder] = true }
 
+// MarkRefused records that a holder's address refuses connections. Its process has probably exited,
+// but a firewall in between may refuse them as well. If so, the holder may act as if it hadn't answered
+// a probe, and the next renewal shows that it hasn't exited.
+func (v *LeaseView) MarkRefused(holder string, now time.Duration) { v.refusedAt[holder] = now }
+
 // OverdueAddrs returns the addresses of holders that should have renewed a lease by now: a holder
 // renews four times within the lease duration, and two of these renewals are overdue.
 func (v *LeaseView) OverdueAddrs(now time.Duration) []string {
@@ -215,18 +221,26 @@
 	if answered, ok := v.answeredAt[s.row.Holder]; ok && now < v.graceEnd && now-answered < v.conf.LeaseDuration {
 		return false
 	}
-	if v.isDead(&s, now) {
+	if v.mayBeDead(&s, now) {
 		return true
 	}
 	unchanged := now - s.readAt
 	return unchanged > v.conf.LeaseDuration+clockMargin || unchanged+s.renewalAge > v.conf.LeaseDuration+clockMargin+tableClockMargin
 }
 
-// remainingLease returns how much of the lease of a holder that didn't answer a probe may not have
-// run out yet; 0 for other holders.
+// mayBeDead reports whether a holder has probably died but, if it has only been cut off, may act until
+// its lease has run out.
+func (v *LeaseView) mayBeDead(s *leaseState, now time.Duration) bool {
+	refused, ok := v.refusedAt[s.row.Holder]
+	renewed := s.readAt - s.renewalAge // at the earliest
+	return ok && refused >= renewed || v.isDead(s, now)
+}
+
+// remainingLease returns how much of the lease of a holder that may be alive may not have run out yet;
+// 0 for other holders.
 func (v *LeaseView) remainingLease(pool string, now time.Duration) time.Duration {
 	s := v.rows[pool]
-	if !v.isDead(&s, now) {
+	if v.exited[s.row.Holder] || !v.mayBeDead(&s, now) {
 		return 0
 	}
 	return max(0, v.conf.LeaseDuration-(now-s.readAt))
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// Guards against tasks that run twice, and against leases that are taken again and again: connections to a
+// holder that is alive are refused, and it is taken for exited.
+func TestHolderWhoseAddressRefusesConnectionsMayBeAlive(t *testing.T) {
+	v := newLeaseView("self")
+	v.SetLease("p", rowOf("other"), 5, 0, 0)
+	v.MarkRefused("other", 100*time.Millisecond)
+	claims := dueClaims(v, 200*time.Millisecond, "p")
+	assert.Equal(t, len(claims), 1)
+	assert.Assert(t, claims[0].PreviousLeaseLeft > 0, "the holder may continue for this long")
+
+	before := rowOf("other")
+	before.RenewedAt = 1000
+	v.SetLease("p", before, 6, 300*time.Millisecond, before.RenewedAt+250)
+	assert.Equal(t, len(dueClaims(v, 300*time.Millisecond, "p")), 1, "that renewal was sent before")
+
+	v.SetLease("p", rowOf("other"), 7, 300*time.Millisecond, 0)
+	assert.Equal(t, len(dueClaims(v, 400*time.Millisecond, "p")), 0, "the holder has renewed its lease since")
+}
+
 func TestLeaseClaims(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
