Jobs accepted while the previous owner may still serve wait for its workers

Cause: a pool may be claimed 1.4 s after the last renewal of its lease, if the owner doesn't answer, and that owner serves until 2 s after it. A job that is accepted in between is new for the successor, which starts it at once; the previous owner, if it is told of the job, starts it, too, on a worker that the successor doesn't reach.

Change: tasks of jobs that arrived while the previous lease may have lasted wait like inherited ones. This holds only after claims for a holder that didn't answer.

Result: sched: TestJobThatThePreviousOwnerMayHaveAdoptedWaitsForItsWorkers fails without it (two runs at 2.75 s).

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,7 +77,7 @@
 		pool: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, LeaseExtension: c.LeaseExtension, StartTimeout: startTimeout, HeartbeatWait: maxHeartbeatWait, StartWindow: maxUnansweredStarts, WorkerStartWindow: maxConcurrentOrders,
 			Disabled: c.Disabled, Logs: c.Logs, CountEvent: c.CountEvent, MaxWorkerLease: c.MaxWorkerLease,
-			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + c.PreviousLeaseLeft + c.OrderGrace + clockMargin, WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
+			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + c.PreviousLeaseLeft + c.OrderGrace + clockMargin, PreviousLeaseEnd: previousLeaseEnd(&c, now), WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
 			DrainedUntil: drainedUntil(&c.PreviousRow, now), UnrecordedOwners: c.PreviousRow.UnrecordedOwners,
 			Limits: limits,
 		}),
@@ -86,6 +86,15 @@
 	return o
 }
 
+// previousLeaseEnd returns when the previous owner's lease has certainly run out; 0 if that owner has
+// ended.
+func previousLeaseEnd(c *Config, now time.Duration) time.Duration {
+	if c.PreviousLeaseLeft == 0 {
+		return 0
+	}
+	return now + c.PreviousLeaseLeft + clockMargin
+}
+
 // runDeadlines returns, for each worker that didn't answer the previous owner, when nothing can run
 // there any more. The previous owner writes this when it gives up the lease; a row written while it
 // still held the lease doesn't cover what it granted later.
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -14,7 +14,7 @@
 	Row       *gauge.JobRow
 	Version   int64         // of the row
 	Arrived   time.Duration // when it was accepted
-	Inherited bool          // it was there before this owner took over, so that runs of it may exist
+	Inherited bool          // it was there before this owner took over
 }
 
 // Adopt adds a job; a known one is left as it is.
@@ -26,19 +26,21 @@
 	if p.Knows(a.ID) || (!a.Inherited && a.Version <= int64(p.conf.Fence)) {
 		return
 	}
+	// Previous owners may have started its tasks.
+	inherited := a.Inherited || a.Arrived < p.conf.PreviousLeaseEnd
 	j := &job{
-		id: a.ID, queue: a.Queue, spec: a.Spec, row: *a.Row, version: a.Version, arrived: a.Arrived, inherited: a.Inherited,
+		id: a.ID, queue: a.Queue, spec: a.Spec, row: *a.Row, version: a.Version, arrived: a.Arrived, inherited: inherited,
 		occurrences: make(map[int]*occurrence), nextOccurrence: a.Row.CompletedOccurrences, criticalPath: criticalPath(a.Spec), index: &p.index,
 	}
 	j.hasObjective = hasObjective(a.Spec)
 	j.beyondShare = p.isBeyondShare(j)
-	if a.Inherited {
+	if inherited {
 		j.runNumberBase = p.conf.Term * runNumbersPerTerm
 	}
 	p.jobs[a.ID] = j
 	p.adoptedWork += estimatedWork(a.Spec, p.meanCapacity)
 	p.adoptedJobs++
-	if a.Inherited {
+	if inherited {
 		j.startOrdered = len(a.Row.Done) > 0 || a.Row.CompletedOccurrences > 0
 		j.started = j.startOrdered || len(a.Row.Failures) > 0 || len(a.Row.Checkpoints) > 0
 	}
@@ -48,16 +50,16 @@
 		j.nextOccurrence = 1
 	}
 	p.applyEarlyCancel(j)
-	if a.Inherited && p.jobsMissing {
+	if inherited && p.jobsMissing {
 		// Reports about its runs were ignored so far, also those that came while it was being read.
 		p.RequireFreshReports()
 	}
-	if a.Inherited {
+	if inherited {
 		j.barrier = p.newestBarrier
 	}
 	p.inheritSuspectRuns(j, now)
 	p.conf.Logs.Info("job adopted", "job", a.ID, "queue", a.Queue, "pool", p.conf.Name, "version", a.Version,
-		"state", a.Row.State, "inherited", a.Inherited, "account", a.Spec.Account, "beyond", j.beyondShare, "age", now-a.Arrived)
+		"state", a.Row.State, "inherited", inherited, "account", a.Spec.Account, "beyond", j.beyondShare, "age", now-a.Arrived)
 }
 
 // runNumbersPerTerm is how many run numbers each owner has to itself for the jobs that it inherits,
--- a/internal/sched/replaced_owner_harness_test.go
+++ b/internal/sched/replaced_owner_harness_test.go
@@ -87,7 +87,7 @@
 	left := max(0, s.renewedAt+ownerLease-s.now)
 	o.pool = sched.New(sched.Config{
 		Name: poolName, Fence: o.fence, Term: len(s.owners), LeaseExtension: workerLease, StartTimeout: time.Second, HeartbeatWait: time.Second, MaxWorkerLease: maxLease,
-		PreviousWorkers: s.named, PreviousRunsEnd: s.now + left + orderGrace + clockDrift, Logs: logr.Discard(),
+		PreviousWorkers: s.named, PreviousRunsEnd: s.now + left + orderGrace + clockDrift, PreviousLeaseEnd: s.now + left, Logs: logr.Discard(),
 	})
 	o.pool.Configure(&gauge.Site{Version: 1, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 2, Stretch: 2}}})
 	o.pool.SetJobsMissing(unread != "")
@@ -108,6 +108,13 @@
 	o.pool.Adopt(sched.AcceptedJob{ID: id, Queue: queueName, Spec: o.specs[id], Row: row, Version: o.version, Arrived: o.now, Inherited: true}, o.now)
 }
 
+// adopt has the owner adopt a job that was accepted just now.
+func (o *poolOwner) adopt(id string) {
+	row, err := gauge.DecodeJobRow(o.rows[id])
+	assert.NilError(o.t, err)
+	o.pool.Adopt(sched.AcceptedJob{ID: id, Queue: queueName, Spec: o.specs[id], Row: row, Version: o.version, Arrived: o.now}, o.now)
+}
+
 // submit has the owner accept a job of one step.
 func (o *poolOwner) submit(n int, step gauge.Step) gauge.TaskID {
 	id, row := jobID(n), &gauge.JobRow{State: gauge.JobPending, Pool: poolName}
--- a/internal/sched/replaced_owner_test.go
+++ b/internal/sched/replaced_owner_test.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// Guards against two runs: a job is accepted just after a claim, and the previous owner, which may not know of the claim, starts it as well.
+func TestJobThatThePreviousOwnerMayHaveAdoptedWaitsForItsWorkers(t *testing.T) {
+	s := newSuccession(t, "w1", "w2")
+	first := s.takeOver("", "w1", "w2")
+	s.run(silentFrom)
+	first.runUntilRenewed()
+	first.reached["w1"], first.reachesRows = false, false
+	s.run(first.renewedAt + ownerLease/2)
+	next := s.takeOver("", "w1")
+	s.run(s.now + 4*successionStep)
+	task := first.submit(1, newStep(1))
+	s.run(s.now + 4*successionStep)
+	assert.Equal(t, s.workers["w2"].runs[task], 1, "the previous owner has started it")
+	next.adopt(task.Job)
+	s.run(first.renewedAt + ownerLease + orderGrace)
+	assert.Equal(t, s.starts[task], 1)
+	s.run(s.now + 2*time.Second)
+	assert.Equal(t, s.starts[task], 2, "it waits no longer than the previous owner's orders last")
+}
+
 // Guards against a task that never starts again: its owner, which isn't replaced, waits for a worker that runs nothing any more.
 func TestOwnerThatRenewsItsLeaseStartsTasksOfSilentWorkersAgain(t *testing.T) {
 	for _, w := range waits {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -42,6 +42,9 @@
 	PreviousWorkers []gauge.Incarnation
 	// PreviousRunsEnd is when everything that the previous owner ordered has certainly ended.
 	PreviousRunsEnd time.Duration
+	// PreviousLeaseEnd is when the previous owner's lease has certainly run out: until then it may
+	// adopt jobs that are accepted. It is 0 if that owner has ended.
+	PreviousLeaseEnd time.Duration
 	// WorkerRunsEnd is that time for each worker that didn't answer the previous owner. Without it
 	// each owner would wait a full lease duration again for the same silent workers.
 	WorkerRunsEnd map[gauge.Incarnation]time.Duration
