Owners wait for each earlier owner that may be alive, not for the last one only

Cause: the successor of an owner that didn't answer waits for what is left of that owner's lease and for 6 s beyond it. If the successor ends at once, the next owner knew of its lease alone and waited for 6 s from its own claim, though the first owner may go on for longer. Found by looking for the same cause elsewhere.

Change: the row for the next holder says until when the lease of an earlier holder may last that may be alive.

--- a/handoverrow.go
+++ b/handoverrow.go
@@ -18,14 +18,15 @@
 // The table bounds the size of a row, and with thousands of workers only a few change at a time. So
 // what is kept by worker or machine is stored in parts, each in a row of its own: see Divide.
 type HandoverRow struct {
-	Workers          []string         `msgpack:"w,omitempty"`
-	RemainingLeases  map[string]int64 `msgpack:"l,omitempty"`
-	DrainedFor       map[string]int64 `msgpack:"y,omitempty"`
-	UnrecordedOwners int              `msgpack:"z,omitempty"`
-	OwnOrders        map[string]int64 `msgpack:"o,omitempty"`
-	PreviousOrders   map[string]int64 `msgpack:"e,omitempty"`
-	Retention        int64            `msgpack:"p,omitempty"`
-	OrdersAnnounced  bool             `msgpack:"b,omitempty"`
+	Workers           []string         `msgpack:"w,omitempty"`
+	RemainingLeases   map[string]int64 `msgpack:"l,omitempty"`
+	DrainedFor        map[string]int64 `msgpack:"y,omitempty"`
+	EarlierLeaseUntil int64            `msgpack:"x,omitempty"`
+	UnrecordedOwners  int              `msgpack:"z,omitempty"`
+	OwnOrders         map[string]int64 `msgpack:"o,omitempty"`
+	PreviousOrders    map[string]int64 `msgpack:"e,omitempty"`
+	Retention         int64            `msgpack:"p,omitempty"`
+	OrdersAnnounced   bool             `msgpack:"b,omitempty"`
 	// Parts lists the parts that belong to the row; the rows of others are outdated.
 	Parts []int `msgpack:"c,omitempty"`
 }
@@ -61,7 +62,7 @@
 			(*to)[key] = value
 		}
 	}
-	head = HandoverRow{UnrecordedOwners: h.UnrecordedOwners, Retention: h.Retention, OrdersAnnounced: h.OrdersAnnounced}
+	head = HandoverRow{EarlierLeaseUntil: h.EarlierLeaseUntil, UnrecordedOwners: h.UnrecordedOwners, Retention: h.Retention, OrdersAnnounced: h.OrdersAnnounced}
 	for i := range parts {
 		if !parts[i].Equal(&HandoverRow{}) {
 			head.Parts = append(head.Parts, i)
@@ -90,7 +91,7 @@
 
 // Split separates the fields for all entries from those for the next holder.
 func (r *LeaseRow) Split() (LeaseRow, HandoverRow) {
-	h := HandoverRow{Workers: r.Workers, RemainingLeases: r.RemainingLeases, DrainedFor: r.DrainedFor, UnrecordedOwners: r.UnrecordedOwners, OwnOrders: r.OwnOrders, PreviousOrders: r.PreviousOrders, Retention: r.Retention, OrdersAnnounced: r.OrdersAnnounced}
+	h := HandoverRow{Workers: r.Workers, RemainingLeases: r.RemainingLeases, DrainedFor: r.DrainedFor, EarlierLeaseUntil: r.EarlierLeaseUntil, UnrecordedOwners: r.UnrecordedOwners, OwnOrders: r.OwnOrders, PreviousOrders: r.PreviousOrders, Retention: r.Retention, OrdersAnnounced: r.OrdersAnnounced}
 	all := *r
 	all.Join(&HandoverRow{})
 	return all, h
@@ -98,13 +99,14 @@
 
 // Join adds the fields for the next holder.
 func (r *LeaseRow) Join(h *HandoverRow) {
-	r.Workers, r.RemainingLeases, r.DrainedFor, r.UnrecordedOwners = h.Workers, h.RemainingLeases, h.DrainedFor, h.UnrecordedOwners
+	r.Workers, r.RemainingLeases, r.DrainedFor = h.Workers, h.RemainingLeases, h.DrainedFor
+	r.EarlierLeaseUntil, r.UnrecordedOwners = h.EarlierLeaseUntil, h.UnrecordedOwners
 	r.OwnOrders, r.PreviousOrders, r.Retention, r.OrdersAnnounced = h.OwnOrders, h.PreviousOrders, h.Retention, h.OrdersAnnounced
 }
 
 // Equal reports whether two rows have the same content.
 func (h *HandoverRow) Equal(o *HandoverRow) bool {
-	return h.Retention == o.Retention && h.UnrecordedOwners == o.UnrecordedOwners && h.OrdersAnnounced == o.OrdersAnnounced &&
+	return h.Retention == o.Retention && h.EarlierLeaseUntil == o.EarlierLeaseUntil && h.UnrecordedOwners == o.UnrecordedOwners && h.OrdersAnnounced == o.OrdersAnnounced &&
 		slices.Equal(h.Workers, o.Workers) && slices.Equal(h.Parts, o.Parts) &&
 		maps.Equal(h.RemainingLeases, o.RemainingLeases) && maps.Equal(h.DrainedFor, o.DrainedFor) && maps.Equal(h.OwnOrders, o.OwnOrders) && maps.Equal(h.PreviousOrders, o.PreviousOrders)
 }
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -173,6 +173,10 @@
 		term++
 	}
 	row := gauge.LeaseRow{Holder: n.holder, Addr: n.conf.Addr, Term: term, Workers: c.Row.Workers, UnrecordedOwners: c.Row.UnrecordedOwners, RenewedAt: n.tableClock()}
+	row.EarlierLeaseUntil = c.Row.EarlierLeaseUntil
+	if c.PreviousLeaseLeft > 0 {
+		row.EarlierLeaseUntil = max(row.EarlierLeaseUntil, row.RenewedAt+c.PreviousLeaseLeft.Milliseconds()+1)
+	}
 	row.InheritDepths(&c.Row) // nothing was counted since the previous row was written
 	if c.Pool == fleetPool {
 		n.carryOverOrders(&row, &c.Row)
--- a/internal/owner/config.go
+++ b/internal/owner/config.go
@@ -94,6 +94,8 @@
 	fullScanEvery = 4
 	// clockMargin covers the difference between the monotonic clocks of two entries.
 	clockMargin = 200 * time.Millisecond
+	// tableClockMargin covers the errors with which two entries know the table's clock.
+	tableClockMargin = 300 * time.Millisecond
 	// heldEndsDelay is the pause between heartbeats to a worker whose end reports aren't
 	// acknowledged yet.
 	heldEndsDelay = 50 * time.Millisecond
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -30,6 +30,7 @@
 	onHandoverNeeded  func(failing time.Duration) // see OnHandoverNeeded
 	handoverAfter     time.Duration               // how long writes may fail before onHandoverNeeded is called
 	claimedAt         time.Duration               // when this owner was made, right after the claim
+	earlierLeaseUntil int64                       // as in LeaseRow, for the next owner
 	waitingOrders     atomic.Int64                // orders that wait for a slot at their worker
 	behindDetector    *lag.BehindDetector         // whether this owner is behind; used by tickLoop only
 	lastBacklogReport time.Duration               // when the backlog was last reported; used by tickLoop only
@@ -68,6 +69,7 @@
 // and the lease is left to expire.
 func New(ctx context.Context, c Config) *Owner {
 	now := c.Now()
+	leaseLeft := earlierLeaseLeft(&c)
 	limits := limit.New(limit.Config{Pool: c.Pool, Fence: c.Fence, First: c.Term == 0, Logs: c.Logs})
 	o := &Owner{
 		conf: c, claimedAt: now, limits: limits, admission: admit.New(),
@@ -77,22 +79,34 @@
 		pool: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, LeaseExtension: c.LeaseExtension, StartTimeout: startTimeout, HeartbeatWait: maxHeartbeatWait, StartWindow: maxUnansweredStarts, WorkerStartWindow: maxConcurrentOrders,
 			Disabled: c.Disabled, Logs: c.Logs, CountEvent: c.CountEvent, MaxWorkerLease: c.MaxWorkerLease,
-			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + c.PreviousLeaseLeft + c.OrderGrace + clockMargin, PreviousLeaseEnd: previousLeaseEnd(&c, now), WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
+			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + leaseLeft + c.OrderGrace + clockMargin, PreviousLeaseEnd: previousLeaseEnd(leaseLeft, now), WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
 			DrainedUntil: drainedUntil(&c.PreviousRow, now), UnrecordedOwners: c.PreviousRow.UnrecordedOwners,
 			Limits: limits,
 		}),
 	}
+	if leaseLeft > 0 {
+		o.earlierLeaseUntil = c.TableClock() + leaseLeft.Milliseconds() + 1
+	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	return o
 }
 
-// previousLeaseEnd returns when the previous owner's lease has certainly run out; 0 if that owner has
-// ended.
-func previousLeaseEnd(c *Config, now time.Duration) time.Duration {
-	if c.PreviousLeaseLeft == 0 {
+// earlierLeaseLeft returns how much may be left of the lease of an earlier owner that may be alive.
+func earlierLeaseLeft(c *Config) time.Duration {
+	if c.PreviousRow.EarlierLeaseUntil == 0 {
+		return c.PreviousLeaseLeft
+	}
+	left := time.Duration(c.PreviousRow.EarlierLeaseUntil-c.TableClock())*time.Millisecond + tableClockMargin
+	return max(0, left, c.PreviousLeaseLeft)
+}
+
+// previousLeaseEnd returns when the leases of earlier owners have certainly run out, given how much may
+// be left of them; 0 if these owners have ended.
+func previousLeaseEnd(left, now time.Duration) time.Duration {
+	if left == 0 {
 		return 0
 	}
-	return now + c.PreviousLeaseLeft + clockMargin
+	return now + left + clockMargin
 }
 
 // runDeadlines returns, for each worker that didn't answer the previous owner, when nothing can run
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -171,6 +171,9 @@
 // that wait there.
 func (o *Owner) leaseRow(named []gauge.Incarnation) gauge.LeaseRow {
 	row := gauge.LeaseRow{Workers: incarnationNames(named), UnrecordedOwners: o.unrecordedCrashes()}
+	if o.conf.TableClock() < o.earlierLeaseUntil {
+		row.EarlierLeaseUntil = o.earlierLeaseUntil
+	}
 	if !o.loaded {
 		row.InheritDepths(&o.conf.PreviousRow)
 		return row
--- a/leaserow.go
+++ b/leaserow.go
@@ -28,6 +28,10 @@
 	// reported as drained: their machines may be taken away meanwhile. It is set when
 	// RemainingLeases is.
 	DrainedFor map[string]int64 `msgpack:"y,omitempty"`
+	// EarlierLeaseUntil is until when, by the table's clock in milliseconds, the lease of an earlier
+	// holder may last that may be alive: the lease was claimed because it didn't answer. 0: there is
+	// none.
+	EarlierLeaseUntil int64 `msgpack:"x,omitempty"`
 	// UnrecordedOwners is how many recent holders may not have recorded all crashes.
 	UnrecordedOwners int `msgpack:"z,omitempty"`
 	// Depths holds, by queue, the number of jobs without a started task; a queue that isn't listed
