A run that was lost with its worker is started again only under a lease renewed since

Cause: a worker that starts again has lost its runs, and the ends that it had told. An owner that was replaced takes a run there for lost that has ended as done under its successor, which has acknowledged the end, and starts the task again on a worker that the successor doesn't reach. The same where the worker is found in another pool, and for copies of a speculative step.

Change: tasks of runs that were lost with their worker's incarnation wait for a renewal that was sent after that, as for an expiry; inherited tasks wait in the same way for a worker that is lost before it has reported. No copies are started beyond the end of the lease. SetLease tells the scheduler both times at once, so that the tests' owners have a lease, too.

Ruled out: a run whose worker's lease had lapsed under this owner's lease may have left an end there that a successor hears. By the contract such an end doesn't count, as the lease lapsed before it was acknowledged.

Result: TestReplacedOwnerStartsNoTaskAgainWhoseWorkerStartedAgain (three ways) and TestReplacedOwnerStartsNoCopyOfATaskThatHasEnded failed before.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -81,8 +81,7 @@
 // applyLeaseEnd tells the state until when the lease is known to be held. The lock is held.
 func (o *Owner) applyLeaseEnd() {
 	until := o.conf.Lease.Until()
-	o.pool.SetLeaseEnd(until)
-	o.pool.SetGrantLimit(until + o.conf.OrderGrace)
+	o.pool.SetLease(until, until+o.conf.OrderGrace)
 }
 
 // spawn starts a goroutine of this owner. Once the owner has ended it starts nothing: Run may be
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -80,7 +80,7 @@
 	previous, awaited := p.unreported[info.ID]
 	if w.staleCallsPossible = awaited && previous != info.Incarnation(); w.staleCallsPossible {
 		p.replacedUnreported = append(p.replacedUnreported, previous)
-		p.lostUnreported = true
+		p.lostUnreported, p.unheardLostAt = true, p.lastTick
 	}
 	p.workers[info.ID] = w
 	p.speeds.Forget(info.ID)
--- a/internal/sched/large_pool_bench_test.go
+++ b/internal/sched/large_pool_bench_test.go
@@ -33,7 +33,7 @@
 		site.Queues = append(site.Queues, gauge.Queue{Name: queueNameOf(i), Pool: poolName, Stretch: 2, Priority: i % 3})
 	}
 	p.Configure(site)
-	p.SetGrantLimit(time.Hour)
+	p.SetLease(time.Hour, time.Hour)
 	var list []gauge.Worker
 	var ids []string
 	for i := range workers {
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -81,7 +81,7 @@
 	g.listWorkers("w1")
 	g.report("w1", nil)
 	g.adopt(1, false, newStep(1))
-	g.pool.SetGrantLimit(g.now)
+	g.pool.SetLease(g.now, g.now)
 	assert.Equal(t, len(g.pool.Plan(g.now)), 0)
 }
 
--- a/internal/sched/replaced_owner_harness_test.go
+++ b/internal/sched/replaced_owner_harness_test.go
@@ -35,10 +35,12 @@
 	version   int64               // of the table
 	named     []gauge.Incarnation // in the stored lease row
 	renewedAt time.Duration       // the stored lease row
-	rows      map[string][]byte   // open jobs
-	specs     map[string]*gauge.JobSpec
-	starts    map[gauge.TaskID]int  // carried out so far
-	acked     map[gauge.TaskID]bool // whose end as done was acknowledged
+	// leasesUntil is until when the leases of earlier owners may last, as the lease row tells.
+	leasesUntil time.Duration
+	rows        map[string][]byte // open jobs
+	specs       map[string]*gauge.JobSpec
+	starts      map[gauge.TaskID]int  // carried out so far
+	acked       map[gauge.TaskID]bool // whose end as done was acknowledged
 }
 
 // poolOwner is one of the owners, as its entry runs it.
@@ -84,7 +86,8 @@
 	for _, id := range reached {
 		o.reached[id] = true
 	}
-	left := max(0, s.renewedAt+ownerLease-s.now)
+	s.leasesUntil = max(s.leasesUntil, s.renewedAt+ownerLease)
+	left := max(0, s.leasesUntil-s.now)
 	o.pool = sched.New(sched.Config{
 		Name: poolName, Fence: o.fence, Term: len(s.owners), LeaseExtension: workerLease, StartTimeout: time.Second, HeartbeatWait: time.Second, MaxWorkerLease: maxLease,
 		PreviousWorkers: s.named, PreviousRunsEnd: s.now + left + orderGrace + clockDrift, PreviousLeaseEnd: s.now + left, Logs: logr.Discard(),
@@ -166,7 +169,7 @@
 
 // act has the owner do what it does in a step.
 func (o *poolOwner) act() {
-	if !o.ended && o.reachesRows && (o.now >= o.renewedAt+renewInterval || o.pool.HasUrgent()) {
+	if !o.ended && o.reachesRows && (o.now >= o.renewedAt+renewInterval || o.pool.HasUrgent() || o.pool.AwaitsRenewal()) {
 		o.write()
 	}
 	for _, id := range o.workerIDs() {
@@ -178,7 +181,8 @@
 		return
 	}
 	o.pool.Tick(o.now, time.Unix(1000, 0).Add(o.now))
-	o.pool.SetGrantLimit(o.renewedAt + ownerLease + orderGrace)
+	end := o.renewedAt + ownerLease
+	o.pool.SetLease(end, end+orderGrace)
 	for _, order := range o.pool.Plan(o.now) {
 		o.send(order)
 	}
@@ -228,7 +232,7 @@
 	}
 	m.leaseEnd = max(m.leaseEnd, min(call.Until, o.clock(m)+maxLease))
 	for len(m.ends) > 0 && m.ends[0].Number <= call.LastSeenEnd {
-		o.acked[m.ends[0].Task] = true
+		o.acked[m.ends[0].Task] = o.acked[m.ends[0].Task] || m.ends[0].Ending == gauge.EndDone
 		m.ends = m.ends[1:]
 	}
 	report := &gauge.WorkerReport{StartedAt: m.startedAt, Clock: o.clock(m), Ended: slices.Clone(m.ends)}
--- a/internal/sched/replaced_owner_test.go
+++ b/internal/sched/replaced_owner_test.go
@@ -231,3 +231,64 @@
 		})
 	}
 }
+
+// checkStartedOnce lets time pass until the owner can't act any more, and checks that the task had one run.
+func (o *poolOwner) checkStartedOnce(task gauge.TaskID) {
+	o.t.Helper()
+	o.run(o.renewedAt + ownerLease + orderGrace + time.Second)
+	assert.Equal(o.t, o.starts[task], 1)
+}
+
+// Guards against a start after the end as done was acknowledged: the worker starts again after its end was taken note
+// of by the successor, and the replaced owner takes the run for lost with the worker.
+func TestReplacedOwnerStartsNoTaskAgainWhoseWorkerStartedAgain(t *testing.T) {
+	for name, learn := range map[string]func(owner *poolOwner){
+		"as the platform lists it": func(owner *poolOwner) { owner.list("w1", "w2") },
+		"as it answers":            func(owner *poolOwner) { owner.reached["w1"] = true },
+		"in another pool": func(owner *poolOwner) {
+			moved := workerRow("w1", 2)
+			moved.Pool = "other"
+			owner.pool.UpdateWorkers([]gauge.Worker{moved, workerRow("w2", 1)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession(t, "w1", "w2")
+			owner, task := startAndGoSilent(s)
+			owner.reachesRows = false
+			s.run(silentFrom + ownerLease + 100*time.Millisecond)
+			next := s.takeOver("", "w1")
+			s.run(s.now + 500*time.Millisecond)
+			s.workers["w1"].end(task, gauge.EndDone)
+			s.run(s.now + time.Second)
+			assert.Assert(t, s.acked[task])
+			next.reached["w1"] = false
+			s.startWorker("w1", 2)
+			learn(owner)
+			owner.checkStartedOnce(task)
+		})
+	}
+}
+
+// Guards against a start after the end as done was acknowledged: the replaced owner starts a copy of a run on a worker
+// that doesn't answer it, which has ended under the successor.
+func TestReplacedOwnerStartsNoCopyOfATaskThatHasEnded(t *testing.T) {
+	s := newSuccession(t, "w1", "w2", "w3")
+	first := s.takeOver("", "w1", "w2", "w3")
+	s.run(100 * time.Millisecond)
+	step := newStep(1)
+	step.Speculative = true
+	task := first.submit(1, step)
+	s.run(killedAt)
+	assert.Equal(t, len(s.workers["w1"].runs), 1)
+	first.runUntilRenewed()
+	first.reachesRows = false
+	s.run(s.now + ownerLease - 200*time.Millisecond)
+	first.reached["w1"] = false
+	s.run(s.now + 300*time.Millisecond)
+	s.takeOver("", "w1")
+	s.run(s.now + 200*time.Millisecond)
+	s.workers["w1"].end(task, gauge.EndDone)
+	s.run(s.now + 200*time.Millisecond)
+	assert.Assert(t, s.acked[task] && !first.ended)
+	first.checkStartedOnce(task)
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -114,7 +114,8 @@
 	lastSweep          time.Duration             // when ended jobs were last forgotten
 	copiesCheckedAt    time.Duration             // when stragglers were last searched for
 
-	lostUnreported bool // workers were lost before they reported to this owner
+	lostUnreported bool          // workers were lost before they reported to this owner
+	unheardLostAt  time.Duration // when a worker was last lost that hadn't reported all that it ran; 0: none was
 
 	sortedWorkers []*worker      // workers by id; nil: to be sorted again
 	roundBuf      []*worker      // reused by the next plan for its workers ...
@@ -150,14 +151,10 @@
 	p.triages = s.SharesCapacity() && !p.conf.Disabled.Has(gauge.MechanismTriage)
 }
 
-// SetLeaseEnd sets when this owner's lease ends unless it is renewed. Another owner may act from then
-// on.
-func (p *Pool) SetLeaseEnd(t time.Duration) { p.leaseEnd = t }
-
-// SetGrantLimit sets the time beyond which no grant may reach. It is later than the end of the
-// lease, so that runs survive a table outage: until then a successor waits for the workers that it
-// doesn't reach.
-func (p *Pool) SetGrantLimit(t time.Duration) { p.grantLimit = t }
+// SetLease sets when this owner's lease ends unless it is renewed, and the time beyond which no grant
+// may reach. From the end of the lease on a successor may act. The second time is later, so that runs
+// survive a table outage: until then a successor waits for the workers that it doesn't reach.
+func (p *Pool) SetLease(end, grantLimit time.Duration) { p.leaseEnd, p.grantLimit = end, grantLimit }
 
 // NextHeartbeat returns the next heartbeat for an incarnation of a worker; false if it is dead.
 func (p *Pool) NextHeartbeat(incarnation gauge.Incarnation, now time.Duration) (gauge.Worker, gauge.Heartbeat, bool) {
@@ -236,8 +233,12 @@
 	p.conf.Logs.Info("worker over", "pool", p.conf.Name, "worker", w.info.ID, "born", w.info.StartedAt, "runs", len(w.runs), "reason", reason)
 	lost := len(w.runs)
 	for r := range w.runs {
+		r.task.lostAt = now
 		p.lose(r, reason, lost-1, now)
 	}
+	if !w.reported || w.endsPending {
+		p.unheardLostAt = now
+	}
 	p.recordLoss(w, now)
 	p.forgetOrphans(w)
 }
@@ -324,7 +325,7 @@
 // started there: the previous owner may have started a task on a worker that hasn't answered yet,
 // or that has more end reports to deliver.
 func (p *Pool) awaitsReports(now time.Duration) bool {
-	if len(p.unreported) > 0 {
+	if len(p.unreported) > 0 || p.unheardLostAt > 0 && !p.hasHeldSince(p.unheardLostAt) {
 		return true
 	}
 	for _, w := range p.workers {
--- a/internal/sched/speculate.go
+++ b/internal/sched/speculate.go
@@ -63,7 +63,7 @@
 // startCopies starts copies of stragglers. It follows the starts of a plan: what those left can't be
 // taken by any waiting task now.
 func (p *Pool) startCopies(now time.Duration) {
-	if p.conf.Disabled.Has(gauge.MechanismCopies) || now >= p.grantLimit || p.isWindowFull() || now < p.copiesCheckedAt+copyCheckInterval {
+	if p.conf.Disabled.Has(gauge.MechanismCopies) || now >= p.leaseEnd || p.isWindowFull() || now < p.copiesCheckedAt+copyCheckInterval {
 		return
 	}
 	p.copiesCheckedAt = now
--- a/internal/sched/speculate_cost_test.go
+++ b/internal/sched/speculate_cost_test.go
@@ -17,7 +17,7 @@
 	tb.Helper()
 	p := sched.New(sched.Config{Name: poolName, Fence: fence, LeaseExtension: 5 * time.Second, StartTimeout: time.Second, Logs: logr.Discard()})
 	p.Configure(&gauge.Site{Queues: []gauge.Queue{{Name: queueName, Pool: poolName, Stretch: 2}}})
-	p.SetGrantLimit(time.Hour)
+	p.SetLease(time.Hour, time.Hour)
 	var list []gauge.Worker
 	var ids []string
 	for i := range tasks / tasksPerWorker {
