A lease lasts no longer for its holder than its row tells

Cause: the row's time was read before the time from which the holder counts its lease. A process that stands still between the two holds the lease for longer, by its own account, than others grant it. Found by the review.

Change: the holder counts from before the row's time is read.

Result: tenure: TestLeaseLastsNoLongerThanItsRowTells fails without it.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -75,11 +75,11 @@
 // Commit carries out a transaction that also renews the lease. With an error of KindConflict it
 // returns the other rows as the table has them. KindFenced means that another holder has the lease.
 func (t *Tenure) Commit(ctx context.Context, row gauge.LeaseRow, txn gauge.PartitionTxn) (gauge.TablePosition, []gauge.PartitionRow, error) {
+	sent := t.conf.Now() // before the row's time is read: others count from that
 	txn, handover, err := t.withLease(row, txn)
 	if err != nil {
 		return gauge.TablePosition{}, nil, err
 	}
-	sent := t.conf.Now()
 	position, rows, err := t.conf.Store.Commit(ctx, txn)
 	if err == nil {
 		t.mu.Lock()
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -281,3 +281,23 @@
 	_, _, err := g.lease.Commit(context.Background(), gauge.LeaseRow{Workers: workers}, gauge.PartitionTxn{})
 	return err
 }
+
+// Guards against a lease that others see run out long before its holder does: the process stands still between the two readings of
+// its clocks. A successor that claims by the time in the row then waits too short for this holder's orders.
+func TestLeaseLastsNoLongerThanItsRowTells(t *testing.T) {
+	g := newFixture()
+	const paused = 1500 * time.Millisecond
+	g.now = time.Second
+	g.lease = tenure.New(tenure.Config{
+		Key: leaseKey, Holder: "me", Addr: "a", Term: 3, Version: 7, ClaimedAt: 0, LeaseDuration: 2 * time.Second,
+		Store: g.table, Now: func() time.Duration { return g.now }, TableClock: func() int64 {
+			defer func() { g.now += paused }()
+			return g.now.Milliseconds()
+		},
+	})
+	assert.NilError(t, g.commit())
+	row, err := gauge.DecodeLeaseRow(g.table.row.Value)
+	assert.NilError(t, err)
+	told := time.Duration(row.RenewedAt)*time.Millisecond + 2*time.Second
+	assert.Assert(t, g.lease.Until() <= told, "it lasts until %v, its row tells %v", g.lease.Until(), told)
+}
