--- a/internal/sched/barrier_test.go
+++ b/internal/sched/barrier_test.go
@@ -66,7 +66,7 @@
 
 // sendHeartbeat sends a worker a heartbeat; the test decides on its answer.
 func (g *harness) sendHeartbeat(id string) {
-	g.pool.SetLease(g.now + 9*time.Second, g.now + 9*time.Second)
+	g.pool.SetLease(g.now+9*time.Second, g.now+9*time.Second)
 	_, _, ok := g.pool.NextHeartbeat(incarnation(id), g.now)
 	assert.Assert(g.t, ok)
 }
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -111,7 +111,7 @@
 // plan sets how far grants may reach and returns the orders.
 func (g *harness) plan() []sched.Order {
 	g.pool.LeaseHeld(g.now + 1) // it was renewed after all that has happened
-	g.pool.SetLease(g.now + 9*time.Second, g.now + 9*time.Second)
+	g.pool.SetLease(g.now+9*time.Second, g.now+9*time.Second)
 	return g.pool.Plan(g.now)
 }
 
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -139,7 +139,7 @@
 		l.version++
 		l.pool.BatchWritten(b, l.version, l.now)
 	}
-	l.pool.SetLease(l.now + 9*time.Second, l.now + 9*time.Second)
+	l.pool.SetLease(l.now+9*time.Second, l.now+9*time.Second)
 	for _, o := range ofKind(l.pool.Plan(l.now), sched.OrderStart) {
 		l.pool.OrderAnswered(o, l.now+time.Hour, nil, l.now)
 		l.runs = append(l.runs, overloadRun{order: o, ends: l.now + l.duration(o)})
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -338,7 +338,7 @@
 }
 
 func (w *simulation) plan() {
-	w.pool.SetLease(w.now + 6*time.Second, w.now + 6*time.Second)
+	w.pool.SetLease(w.now+6*time.Second, w.now+6*time.Second)
 	orders := w.pool.Plan(w.now)
 	for _, o := range ofKind(orders, sched.OrderStart) {
 		w.startSentAt[startKey{o.Start.Task, o.Start.Run}] = w.now
