What a handover tells of a worker's lease isn't cut to that of other workers

Cause: a worker that has started again may hold the longest lease, by a call that was meant for its previous incarnation. The owner knows that and tells it when it hands the pool over; the next owner took the shorter of that and of what the others' orders may last. Found by the random test.

Change: what the previous owner tells of a worker holds as it is.

--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -21,7 +21,7 @@
 // previousRunsEnd is when everything that previous owners ordered on a worker has certainly ended.
 func (p *Pool) previousRunsEnd(incarnation gauge.Incarnation) time.Duration {
 	if end, ok := p.conf.WorkerRunsEnd[incarnation]; ok {
-		return min(end, p.conf.PreviousRunsEnd)
+		return end
 	}
 	return p.conf.PreviousRunsEnd
 }
--- a/internal/sched/handover_test.go
+++ b/internal/sched/handover_test.go
@@ -54,3 +54,21 @@
 	left, limited := g.pool.RemainingLeases(g.now)[incarnation("w1")]
 	assert.Assert(t, !limited || left >= 5*time.Second, "a successor would wait for %v, and what runs there has a lease of 5 s more", left)
 }
+
+// Guards against two runs: a worker that has started again has a lease by a call that was meant for its previous
+// incarnation, up to the longest that it grants, and the next owner waits for no longer than for any other.
+func TestSuccessorWaitsForTheLeaseOfARestartedWorker(t *testing.T) {
+	g := newLateHarness(t, newStep(1))
+	g.breakStart()
+	g.answerHeartbeat(incarnationAt("w1", 1), 2, time.Minute, []gauge.RunReport{{Task: g.late.Start.Task, Run: g.late.Start.Run}})
+	g.failHeartbeatOf(incarnationAt("w1", 2))
+	left := g.pool.RemainingLeases(g.now)
+	assert.Assert(t, left[incarnationAt("w1", 2)] >= maxLease, "%v", left)
+	previous := g.pool.LeaseRowWorkers()
+	g.harness = newHarness(t, func(c *sched.Config) {
+		c.Term, c.MaxWorkerLease, c.PreviousWorkers, c.PreviousRunsEnd, c.WorkerRunsEnd = 1, maxLease, previous, 6*time.Second, left
+	})
+	g.adopt(1, true, newStep(1))
+	g.listRows(400, workerRow("w2", 1), workerRow("w3", 1))
+	g.assertNoStartFor(maxLease - 100*time.Millisecond)
+}
