Random test of sched: owners that were replaced go on beside their successors

The random test replaced owners at one moment: the old one never acted again. Now an owner that can't reach the table goes on for up to 8 s after its last renewal, with its own token, beside successors that reach other workers; it may be told of jobs while its lease lasts. No worker restarts in it: late starts on next incarnations are known.

A loss that counts at once isn't noticed by it, as no worker restarts: that is in TestReplacedOwnerStartsNoTaskAgainWhoseWorkerStartedAgain.

--- a/internal/sched/simulation_cut_test.go
+++ b/internal/sched/simulation_cut_test.go
@@ -67,6 +67,9 @@
 // loseCutOff ends the workers that are cut off as the owner changes: a successor isn't told of starts
 // that may have been carried out there, see TestSuccessorWaitsForLateStartsOfItsPredecessor.
 func (w *simulation) loseCutOff() {
+	if w.noRestarts {
+		return
+	}
 	for i := 1; i <= w.joined; i++ {
 		if m := w.workers[fmt.Sprintf("w%d", i)]; m.alive && m.isCut(w.now) {
 			w.endIncarnation(m)
@@ -106,6 +109,7 @@
 		w.writeBatch()
 		w.plan()
 		w.resolveAll()
+		w.actReplaced()
 	}
 }
 
--- a/internal/sched/simulation_events_test.go
+++ b/internal/sched/simulation_events_test.go
@@ -171,7 +171,7 @@
 	steps := []gauge.Step{newStep(rapid.IntRange(1, 4).Draw(w.t, "count"))}
 	steps[0].LongRunning = (rapid.IntRange(0, 3).Draw(w.t, "lasts") == 0) != w.mostlyLongRunning
 	steps[0].Gang = !steps[0].LongRunning && rapid.IntRange(0, 3).Draw(w.t, "gang") == 0
-	steps[0].Speculative = !steps[0].LongRunning && !steps[0].Gang && rapid.Bool().Draw(w.t, "copies")
+	steps[0].Speculative = !steps[0].LongRunning && !steps[0].Gang && !w.noCopies && rapid.Bool().Draw(w.t, "copies")
 	steps[0].PerWorker = rapid.IntRange(0, 2).Draw(w.t, "most on a worker")
 	if !steps[0].LongRunning {
 		second := newStep(2)
@@ -321,7 +321,9 @@
 	case 14:
 		switch rapid.IntRange(0, 13).Draw(w.t, "rare") {
 		case 0:
-			w.crashWorker()
+			if !w.noRestarts {
+				w.crashWorker()
+			}
 		case 1:
 			w.startOwner(w.leaseWorkers)
 		case 6, 7:
@@ -333,7 +335,9 @@
 		case 8, 9:
 			w.resizeWorker()
 		case 10, 11, 12, 13:
-			w.restartQueued()
+			if !w.noRestarts {
+				w.restartQueued()
+			}
 		case 3:
 			w.pool.HeartbeatFailed(w.heartbeatsTo[fmt.Sprintf("w%d", w.joined)], gauge.Errorf(gauge.KindUnknown, "no answer"), w.now)
 		}
@@ -342,7 +346,9 @@
 		w.sendHeartbeat()
 		w.deliverReports()
 	case 16:
-		w.restartCutOff()
+		if !w.noRestarts {
+			w.restartCutOff()
+		}
 	case 17:
 		w.passTime()
 	}
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -100,6 +100,11 @@
 	// runsEndBy is when the runs of silent workers have ended, as reported by the owner that hands
 	// the pool over.
 	runsEndBy map[gauge.Incarnation]time.Duration
+
+	replaced   []*replacedOwner // owners that go on beside their successors
+	claimedAt  time.Duration    // when the owner claimed the pool
+	noRestarts bool             // no worker ends or starts again
+	noCopies   bool             // no step is speculative
 }
 
 // startKey identifies a start.
@@ -153,13 +158,13 @@
 func (w *simulation) startOwner(earlier []gauge.Incarnation) {
 	w.loseCutOff()
 	w.lastVersion++
-	w.fence = gauge.FencingToken(w.lastVersion)
+	w.fence, w.claimedAt = gauge.FencingToken(w.lastVersion), w.now
 	w.orders, w.reports = nil, make(map[string]heartbeatAnswer)
 	clear(w.heartbeatsTo)
 	clear(w.connectedTo)
 	w.pool = sched.New(sched.Config{
 		Name: poolName, Fence: w.fence, Term: w.term, LeaseExtension: 5 * time.Second, StartTimeout: time.Second, HeartbeatWait: time.Second,
-		Logs: logr.Discard(), PreviousWorkers: earlier, PreviousRunsEnd: w.now + 6*time.Second,
+		Logs: logr.Discard(), PreviousWorkers: earlier, PreviousRunsEnd: max(w.now, w.leasesEnd()) + 6*time.Second, PreviousLeaseEnd: w.leasesEnd(),
 		WorkerRunsEnd: w.runsEndBy, MaxWorkerLease: maxLease,
 		StartWindow: w.term % 2 * 3, WorkerStartWindow: w.term % 2 * 2, // every other owner limits its unanswered starts
 	})
