A run that its worker no longer lists is started again only under a lease renewed since

Cause: an answer to a call that a replaced owner still has open at a worker may come after its successor has acknowledged an end there: it lists neither the run nor the end, the run counts as vanished, and the task starts again.

Change: one rule for all of them, lapsed, lost, vanished and late starts: the task waits until the lease has been renewed since the run was over. The lapse itself needs no proof of its own any more.

Result: TestReplacedOwnerStartsNoTaskAgainWhoseEndIsListedNoMore fails without it.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -74,7 +74,7 @@
 	checkpoint string
 	readyAt    time.Duration // when it last became ready to start, but for late starts
 	lateOverAt time.Duration // when a late start of it was last over
-	lostAt     time.Duration // when a run of it was last lost with its worker; 0: none was
+	lostAt     time.Duration // when a run of it was last over without an end report; 0: none was
 	noRunSince time.Duration // long-running tasks: since when it has no run
 
 	isSuspect          bool          // it may crash the worker that starts it
--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -67,7 +67,7 @@
 	if r.mayStartLate(now) {
 		return true
 	}
-	return r.mayStartLate(p.heldAt-p.longestLease()) && r.worker.seenAt < r.attempts.lateUntil()
+	return r.mayStartLate(now-p.longestLease()) && r.worker.seenAt < r.attempts.lateUntil()
 }
 
 // awaitsOutcome reports whether the outcome of a start that may be carried out by the next
@@ -107,7 +107,7 @@
 		p.dropLateStart(r)
 		p.conf.Logs.Info("late start over", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", r.worker.info.ID,
 			"born", r.worker.info.StartedAt, "age", now-r.attempts.failedAt, "waited", now-r.task.waitingSince(), "unseen", now-r.worker.seenAt)
-		r.task.lateOverAt = now
+		r.task.lateOverAt, r.task.lostAt = now, now
 	}
 }
 
@@ -134,7 +134,9 @@
 func (p *Pool) passOnLateStarts(previous, next *worker, now time.Duration) {
 	for r := range previous.lateStarts {
 		p.dropLateStart(r)
-		if p.mayRunUnseen(r, now) && !r.task.done && r.task.job.isOpen() {
+		if !p.mayRunUnseen(r, now) {
+			r.task.lostAt = now
+		} else if !r.task.done && r.task.job.isOpen() {
 			r.task.attach(r)
 			p.moveToNext(r, next, now)
 		}
--- a/internal/sched/leaseheld.go
+++ b/internal/sched/leaseheld.go
@@ -2,11 +2,10 @@
 
 import "time"
 
-// What runs on a worker that doesn't answer is over once its lease has expired, unless another owner
-// extends the lease. A successor that reaches the worker does so, and this owner, which may act for
-// some time after the end of its own lease, isn't told; nor that a run has ended there, if it finds
-// the worker started again. So what is over without an end report counts as over only if this owner
-// has certainly held its lease until after that.
+// An owner may act for some time after the end of its lease, and isn't told that it has a successor.
+// That one extends runs on workers that don't answer this owner, and acknowledges ends that this
+// owner hasn't heard. So once a run is over without an end report, however that was noticed, its task
+// starts again only if this owner has certainly held its lease until after that.
 
 // LeaseHeld records that this owner held its lease at a time: a write has succeeded that was sent
 // then, and that depends on the lease.
@@ -15,8 +14,7 @@
 	p.renewalAwaited = false
 }
 
-// AwaitsRenewal reports whether a renewal of the lease would show that an expiry counts. It should
-// then be renewed at once, as tasks wait for that.
+// AwaitsRenewal reports whether tasks wait until the lease has been renewed.
 func (p *Pool) AwaitsRenewal() bool { return p.renewalAwaited }
 
 // hasHeldSince reports whether this owner has held its lease until after a time, so that nobody else
@@ -29,6 +27,6 @@
 // hasExpired reports whether a time has passed under this owner's lease.
 func (p *Pool) hasExpired(at, now time.Duration) bool { return now > at && p.hasHeldSince(at) }
 
-// mayHaveEnded reports whether a run of the task that was lost with its worker may have ended as
-// done before, and a successor may have heard it.
-func (p *Pool) mayHaveEnded(t *task) bool { return t.lostAt > 0 && !p.hasHeldSince(t.lostAt) }
+// mayBeSucceeded reports whether a successor may know more of the task's last run: it goes on, or has
+// ended as done.
+func (p *Pool) mayBeSucceeded(t *task) bool { return t.lostAt > 0 && !p.hasHeldSince(t.lostAt) }
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -81,6 +81,7 @@
 		"addr", r.worker.info.Addr, "lived", r.minRunTime(), "started", now-r.orderedAt, "with", others, "reason", reason)
 	r.worker.addLost(lostRun{task: r.task, number: r.number, minRunTime: r.minRunTime(), reported: r.reportedAt > 0})
 	r.lost = true
+	r.task.lostAt = now
 	p.endRun(r, now)
 }
 
--- a/internal/sched/replaced_owner_test.go
+++ b/internal/sched/replaced_owner_test.go
@@ -292,3 +292,24 @@
 	assert.Assert(t, s.acked[task] && !first.ended)
 	first.checkStartedOnce(task)
 }
+
+// Guards against a start after the end as done was acknowledged: a call that the replaced owner still has open at
+// the worker is answered after its successor has acknowledged the end, and lists neither the run nor the end.
+func TestReplacedOwnerStartsNoTaskAgainWhoseEndIsListedNoMore(t *testing.T) {
+	s := newSuccession(t, "w1", "w2")
+	owner, task := startOnW1(s)
+	owner.reachesRows = false
+	s.run(owner.renewedAt + ownerLease)
+	incarnation := owner.asked["w1"]
+	_, open, _ := owner.pool.NextHeartbeat(incarnation, s.now)
+	owner.reached["w1"] = false
+	s.run(s.now + 100*time.Millisecond)
+	s.takeOver("", "w1")
+	s.run(s.now + 100*time.Millisecond)
+	m := s.workers["w1"]
+	m.end(task, gauge.EndDone)
+	s.run(s.now + 500*time.Millisecond)
+	assert.Assert(t, s.acked[task])
+	owner.pool.HandleReport(incarnation, open, &gauge.WorkerReport{StartedAt: m.startedAt, Clock: s.clock(m)}, s.now)
+	owner.checkStartedOnce(task)
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -116,6 +116,7 @@
 				p.conf.CountEvent(EventVanished)
 				p.conf.Logs.Info("run vanished", "job", r.task.id.Job, "task", r.task.id.String(), "run", r.number, "worker", w.info.ID, "lease", p.leaseEnd-now)
 			}
+			r.task.lostAt = now
 			p.endRun(r, now)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -233,7 +233,6 @@
 	p.conf.Logs.Info("worker over", "pool", p.conf.Name, "worker", w.info.ID, "born", w.info.StartedAt, "runs", len(w.runs), "reason", reason)
 	lost := len(w.runs)
 	for r := range w.runs {
-		r.task.lostAt = now
 		p.lose(r, reason, lost-1, now)
 	}
 	if !w.reported || w.endsPending {
@@ -274,7 +273,7 @@
 		if w.silent && p.heldAt > max(w.leaseExpiry, p.conf.PreviousRunsEnd) {
 			p.forgetOrphans(w) // whoever ordered them, their leases have expired
 		}
-		if len(w.runs) > 0 && (w.silent || !w.listed) && p.hasExpired(w.leaseExpiry, now) {
+		if now > w.leaseExpiry && (w.silent || !w.listed) {
 			p.expireRuns(w, now)
 		}
 		p.expireLateStarts(w, now)
