--- a/internal/node/holdercheck.go
+++ b/internal/node/holdercheck.go
@@ -11,8 +11,9 @@
 
 // When the process of a pool's owner exits, its connections are closed at once. Without this check
 // the pool would still have no owner until the lease expires. An early claim does no harm, since
-// workers accept no orders from an owner that was wrongly taken for dead. So the whole lease is
-// only waited for if the holder may just be unreachable from here.
+// workers that the successor has called accept no orders from an owner that was wrongly taken for
+// dead, and for the others the successor waits. So the whole lease is only waited for if the holder
+// may just be unreachable from here.
 
 const (
 	// dialTimeout bounds connecting to a holder.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -276,8 +276,8 @@
 	o.update(nil)
 }
 
-// isServing reports whether the pool is loaded and the lease surely still held, so that no other
-// owner can have newer state. The lock is held.
+// isServing reports whether the pool is loaded and the lease isn't over. Another owner can have newer
+// state only if it has claimed the pool early, as this one didn't answer. The lock is held.
 func (o *Owner) isServing() bool { return !o.ended && o.loaded && o.conf.Now() < o.conf.Lease.Until() }
 
 // Adopt adds a job that this or another entry has just accepted. It reports false if this owner
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -42,8 +42,8 @@
 	return &Tenure{conf: c, version: c.Version, until: c.ClaimedAt + c.LeaseDuration, stored: make(map[gauge.RowKey]gauge.HandoverRow)}
 }
 
-// Until returns when the lease ends unless it is renewed; no other entry can have claimed it
-// before. The lease duration counts from when the renewal was sent, however long the answer took.
+// Until returns when the lease ends unless it is renewed. Another entry may have claimed it before if
+// it took this holder for dead. The lease duration counts from when the renewal was sent, however long the answer took.
 func (t *Tenure) Until() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -146,8 +146,7 @@
 // isDead reports whether a holder neither renews its lease nor answers. A host that lost power
 // doesn't refuse connections, so that nothing else shows its failure; its pools would start nothing
 // until their leases ran out, and no machine would move if it held the fleet lease. A holder that
-// is taken for dead by mistake can't give orders any more once the workers have been called by its
-// successor.
+// is taken for dead by mistake can't give orders any more to workers that its successor has called.
 func (v *LeaseView) isDead(s *leaseState, now time.Duration) bool {
 	probedAt, ok := v.unansweredAt[s.row.Addr]
 	return ok && probedAt > s.readAt && v.isOverdue(s, now)
