An offer of an earlier term doesn't take the lease

Cause: an entry that was offered a lease tried again at the version that its row has by now, if the row names the holder that offered it. The holder may have lost the lease and taken it again meanwhile; the offer then tells of an earlier term, and the next owner waits for the workers of that one only. Found by the review, by reading.

Change: the row has to be of the term that was offered.

Result: machines: TestOfferOfAnEarlierTermIsNotTaken fails without it: the lease is taken from its holder, with no workers to wait for.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -223,7 +223,7 @@
 	}
 	for _, r := range rows {
 		row, err := gauge.DecodeLeaseRow(r.Value)
-		if err != nil || row.Holder != from {
+		if err != nil || row.Holder != from || row.Term != c.Row.Term {
 			continue
 		}
 		c.Version = r.Version
--- a/test/machines/holders_test.go
+++ b/test/machines/holders_test.go
@@ -121,6 +121,26 @@
 	s.checkNoViolations()
 }
 
+// Guards against a lease that is taken with an old handover: an offer that was delayed on its way reaches an entry
+// after the holder has lost the lease and taken it again.
+func TestOfferOfAnEarlierTermIsNotTaken(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 0, 1)
+	holder := s.startOn("e-0", s.table.Addr(), host{capacity: largeHostCores})
+	s.waitReady()
+	s.waitLeasesHeldBy("e-0")
+	other := s.startOn("e-1", s.table.Addr(), host{capacity: smallHostCores})
+	s.waitReady()
+	offer := map[string]any{"p": poolName, "h": "e-0/1", "v": 1, "r": gauge.LeaseRow{Holder: "e-0/1", Term: 7}}
+	var answer any
+	assert.NilError(t, holder.mesh.Call(t.Context(), other.peerAddr, "lease.offer", &offer, &answer))
+	s.waitFor("the offer is refused by the table", func() bool { return s.countLogged("lease not taken", `"entry"="e-1"`) == 1 })
+	assert.Assert(t, s.submit(1, twoSteps(20)))
+	s.waitCompleted([]int{1})
+	assert.Equal(t, s.countLogged("lease taken", `"entry"="e-1"`), 0)
+	s.checkNoViolations()
+}
+
 // Guards against a pool without an owner for the rest of an outage: a stopping owner offered it to
 // an entry to which the table seemed to answer, as the feeds that it had held back since before the
 // outage were answered.
