The lease is renewed alone after a failed write

Callers could see a pool change hands, and its jobs wait, while two of its queues can't be written.

Cause: a queue whose write fails is held back for 0.4 s. With two queues whose writes hang for 0.3 s, or three that fail at once, one of them was due again each time, and no write renewed the lease.

Change: after a failed write the next one carries the lease alone.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,28 @@
 	maxOperations int // number of operations of the largest transaction
 	txns          int
 	cutOff        int // transactions whose context ended before the answer
+	jobsOutage    jobsOutage
+}
+
+// jobsOutage is that transactions with rows of jobs get no answer for some time.
+type jobsOutage struct {
+	takes  time.Duration // 0: they are answered
+	failed int
+}
+
+// failsJobs fails a transaction with rows of jobs during such an outage.
+func (b *fakeTable) failsJobs(t *gauge.PartitionTxn) error {
+	b.mu.Lock()
+	takes := b.jobsOutage.takes
+	b.mu.Unlock()
+	if takes == 0 || !slices.ContainsFunc(t.Writes, func(w gauge.RowWrite) bool { return w.Table == gauge.TableJobs }) {
+		return nil
+	}
+	time.Sleep(takes)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.jobsOutage.failed++
+	return gauge.Errorf(gauge.KindUnknown, "no answer")
 }
 
 func (b *fakeTable) Partitions(context.Context, string) ([]string, error) { return nil, nil }
@@ -37,6 +60,9 @@
 }
 
 func (b *fakeTable) Commit(ctx context.Context, t gauge.PartitionTxn) (gauge.TablePosition, []gauge.PartitionRow, error) {
+	if err := b.failsJobs(&t); err != nil {
+		return gauge.TablePosition{}, nil, err
+	}
 	b.mu.Lock()
 	delay := b.delay
 	b.mu.Unlock()
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -147,7 +147,9 @@
 	defer o.mu.Unlock()
 	names := o.pool.LeaseRowWorkers()
 	lease := o.leaseRow(names)
-	batch, err := o.pool.NextBatch(maxTxnOperations-o.conf.Lease.Operations(&lease), o.conf.TableClock(), o.isHeldBack)
+	// After a failed write the lease is renewed alone: the partitions of several queues may fail.
+	avoid := func(queue string) bool { return o.tableUnreachable || o.isHeldBack(queue) }
+	batch, err := o.pool.NextBatch(maxTxnOperations-o.conf.Lease.Operations(&lease), o.conf.TableClock(), avoid)
 	if err != nil {
 		return pendingWrite{}, err
 	}
