--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -75,7 +75,7 @@
 			o.wakeLimits()
 		}
 	}
-	return orders, o.pool.HasUrgent() || o.pool.AwaitsRenewal()
+	return orders, o.pool.HasUrgent() || o.pool.NeedsRenewal()
 }
 
 // applyLeaseEnd tells the state until when the lease is known to be held. The lock is held.
--- a/internal/sched/leaseheld.go
+++ b/internal/sched/leaseheld.go
@@ -10,23 +10,24 @@
 // LeaseHeld records that this owner held its lease at a time: a write has succeeded that was sent
 // then, and that depends on the lease.
 func (p *Pool) LeaseHeld(at time.Duration) {
-	p.heldAt = max(p.heldAt, at)
-	p.renewalAwaited = false
+	p.leaseHeldAt = max(p.leaseHeldAt, at)
+	p.renewalNeeded = false
 }
 
-// AwaitsRenewal reports whether tasks wait until the lease has been renewed.
-func (p *Pool) AwaitsRenewal() bool { return p.renewalAwaited }
+// NeedsRenewal reports whether tasks wait until the lease has been renewed.
+func (p *Pool) NeedsRenewal() bool { return p.renewalNeeded }
 
-// hasHeldSince reports whether this owner has held its lease until after a time, so that nobody else
-// has acted by then. If that isn't known, the next renewal shows it.
-func (p *Pool) hasHeldSince(at time.Duration) bool {
-	p.renewalAwaited = p.renewalAwaited || p.heldAt <= at
-	return p.heldAt > at
+// renewedSince reports whether the lease has been renewed since a time, so that nobody else has acted
+// until then. If it hasn't, a renewal is needed.
+func (p *Pool) renewedSince(at time.Duration) bool {
+	renewed := p.leaseHeldAt > at
+	p.renewalNeeded = p.renewalNeeded || !renewed
+	return renewed
 }
 
 // hasExpired reports whether a time has passed under this owner's lease.
-func (p *Pool) hasExpired(at, now time.Duration) bool { return now > at && p.hasHeldSince(at) }
+func (p *Pool) hasExpired(at, now time.Duration) bool { return now > at && p.renewedSince(at) }
 
-// mayBeSucceeded reports whether a successor may know more of the task's last run: it goes on, or has
-// ended as done.
-func (p *Pool) mayBeSucceeded(t *task) bool { return t.lostAt > 0 && !p.hasHeldSince(t.lostAt) }
+// awaitsRenewal reports whether the task's last run was over without an end report, and the lease
+// hasn't been renewed since: a successor may have found the run going on, or ended as done.
+func (p *Pool) awaitsRenewal(t *task) bool { return t.lostAt > 0 && !p.renewedSince(t.lostAt) }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -238,7 +238,7 @@
 // mayHaveRun reports whether a run of the task may exist, or may yet begin, so that another one might
 // run at the same time.
 func (p *Pool) mayHaveRun(t *task, now time.Duration) bool {
-	return len(t.runs) > 0 || p.mayHaveUnreportedRun(t) || p.hasLateStarts(t, now) || p.mayBeSucceeded(t)
+	return len(t.runs) > 0 || p.mayHaveUnreportedRun(t) || p.hasLateStarts(t, now) || p.awaitsRenewal(t)
 }
 
 // startEach starts as many tasks of a stage as there is room for, until another account's candidate
--- a/internal/sched/replaced_owner_harness_test.go
+++ b/internal/sched/replaced_owner_harness_test.go
@@ -169,7 +169,7 @@
 
 // act has the owner do what it does in a step.
 func (o *poolOwner) act() {
-	if !o.ended && o.reachesRows && (o.now >= o.renewedAt+renewInterval || o.pool.HasUrgent() || o.pool.AwaitsRenewal()) {
+	if !o.ended && o.reachesRows && (o.now >= o.renewedAt+renewInterval || o.pool.HasUrgent() || o.pool.NeedsRenewal()) {
 		o.write()
 	}
 	for _, id := range o.workerIDs() {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -70,8 +70,8 @@
 	rescueRoom      int           // thousandths of a core that late jobs may still take before timely ones
 	leaseEnd        time.Duration // when this owner's lease ends unless it is renewed
 	grantLimit      time.Duration // no grant reaches beyond this
-	heldAt          time.Duration // this owner is known to have held its lease then
-	renewalAwaited  bool          // an expiry counts once the lease has been renewed
+	leaseHeldAt     time.Duration // this owner is known to have held its lease then
+	renewalNeeded   bool          // tasks wait until the lease has been renewed
 	jobs            map[string]*job
 	endedJobs       map[string]endedJob          // jobs that have ended here
 	workers         map[string]*worker           // by id: there is one incarnation at a time
@@ -270,7 +270,7 @@
 	p.lastTick = now
 	p.forgetCancels(now)
 	for id, w := range p.workers {
-		if w.silent && p.heldAt > max(w.leaseExpiry, p.conf.PreviousRunsEnd) {
+		if w.silent && p.leaseHeldAt > max(w.leaseExpiry, p.conf.PreviousRunsEnd) {
 			p.forgetOrphans(w) // whoever ordered them, their leases have expired
 		}
 		if now > w.leaseExpiry && (w.silent || !w.listed) {
@@ -280,7 +280,7 @@
 		if len(w.lostRuns) > 0 && w.isGone(now) {
 			p.recordLoss(w, now)
 		}
-		if !w.listed && p.heldAt > w.leaseExpiry && len(w.runs)+len(w.lateStarts)+len(w.lostRuns) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
+		if !w.listed && p.leaseHeldAt > w.leaseExpiry && len(w.runs)+len(w.lateStarts)+len(w.lostRuns) == 0 && (w.dead || w.silent && w.lastStoredEnd == w.lastEnd) {
 			p.forgetOrphans(w)
 			p.rememberIdleLoss(w)
 			delete(p.workers, id)
@@ -324,7 +324,7 @@
 // started there: the previous owner may have started a task on a worker that hasn't answered yet,
 // or that has more end reports to deliver.
 func (p *Pool) awaitsReports(now time.Duration) bool {
-	if len(p.unreported) > 0 || p.unheardLostAt > 0 && !p.hasHeldSince(p.unheardLostAt) {
+	if len(p.unreported) > 0 || p.unheardLostAt > 0 && !p.renewedSince(p.unheardLostAt) {
 		return true
 	}
 	for _, w := range p.workers {
