--- a/test/soak/cut_test.go
+++ b/test/soak/cut_test.go
@@ -24,6 +24,8 @@
 	cutPauseFactor = 5
 	minCutMillis   = 1000
 	maxCutMillis   = 9000
+	// maxAheadMillis bounds how long before a cut open connections go silent, while new ones work.
+	maxAheadMillis = 2000
 	// firstWorkerIP is the last byte of the IP address of the first machine.
 	firstWorkerIP = 30
 	firstEntryIP  = 10
@@ -133,17 +135,29 @@
 			e = owner
 		}
 		s.t.Logf("%s cut of %s at %s in %s, %s, for %s", clock(time.Now()), kind, e.name, e.zone, how, duration)
+		var cut []*route
 		for _, r := range s.routes {
 			if kind.separates(e, r, random.IntN(2) == 0) {
-				r.setCut(how)
+				cut = append(cut, r)
 			}
 		}
+		if ahead := time.Duration(random.IntN(maxAheadMillis)) * time.Millisecond; random.IntN(3) == 0 {
+			s.t.Logf("%s open connections go silent, the cut follows in %s", clock(time.Now()), ahead)
+			setCuts(cut, modeSilent)
+			setCuts(cut, "")
+			sleep(ctx, ahead)
+		}
+		setCuts(cut, how)
 		sleep(ctx, until)
 		s.disturbCut(e, random)
 		sleep(ctx, duration-until)
-		for _, r := range s.routes {
-			r.setCut("")
-		}
+		setCuts(cut, "")
+	}
+}
+
+func setCuts(routes []*route, m mode) {
+	for _, r := range routes {
+		r.setCut(m)
 	}
 }
 
