--- a/test/soak/cut_test.go
+++ b/test/soak/cut_test.go
@@ -121,12 +121,13 @@
 }
 
 // cutZones cuts a zone or a part of it off, again and again. Owners are cut off more often than
-// others.
+// others, and whole zones, as an owner that is cut off alone hands its pool over in its zone.
 func (s *soak) cutZones(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.seed, cutStream))
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(500+random.IntN(2000))*time.Millisecond)
-		kind := []cutKind{cutZone, cutEntry, cutCalls, cutWorkers}[random.IntN(4)]
+		kinds := []cutKind{cutZone, cutZone, cutEntry, cutCalls, cutWorkers}
+		kind := kinds[random.IntN(len(kinds))]
 		how := []mode{modeSilent, modeHeld}[random.IntN(2)]
 		duration := time.Duration(minCutMillis+random.IntN(maxCutMillis-minCutMillis)) * time.Millisecond
 		until := time.Duration(random.Float64() * float64(duration))
