--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -78,7 +78,7 @@
 	return orders, o.pool.HasUrgent() || o.pool.NeedsRenewal()
 }
 
-// applyLeaseEnd tells the state until when the lease is known to be held. The lock is held.
+// applyLeaseEnd tells the state when the lease ends unless it is renewed. The lock is held.
 func (o *Owner) applyLeaseEnd() {
 	until := o.conf.Lease.Until()
 	o.pool.SetLease(until, until+o.conf.OrderGrace)
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -217,7 +217,8 @@
 	return incarnations
 }
 
-// applyWrite applies a write that was sent at a time and is in the table. It reports whether the next one is due at once.
+// applyWrite applies a write that was sent at a time and is in the table. It reports whether the next
+// one is due at once.
 func (o *Owner) applyWrite(p pendingWrite, position gauge.TablePosition, sent time.Duration) bool {
 	urgent, more := false, false
 	o.withLock(func() {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -43,7 +43,8 @@
 }
 
 // Until returns when the lease ends unless it is renewed. Another entry may have claimed it before if
-// it took this holder for dead. The lease duration counts from when the renewal was sent, however long the answer took.
+// it took this holder for dead. The lease duration counts from when the renewal was sent, however long
+// the answer took.
 func (t *Tenure) Until() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
