Soak: a link is set up before it takes connections

A connection reached a link's port while its entry still set the address that it dials from; the race is the test's, in the link made general for the cuts.

Change: what a link does is given to newLink, before it listens.

--- a/test/soak/cut_test.go
+++ b/test/soak/cut_test.go
@@ -79,19 +79,18 @@
 			if to == e {
 				continue
 			}
-			l := newLink(s.t, to.ip+string(aliasPort(i)), peerAddr(to.ip))
-			l.rename = func(b []byte, isAnswer bool) []byte {
+			l := newLink(s.t, &link{at: to.ip + string(aliasPort(i)), to: peerAddr(to.ip), rename: func(b []byte, isAnswer bool) []byte {
 				if isAnswer {
 					return portAlias(e.ip, portAlias(to.ip, b, true), false)
 				}
 				return portAlias(to.ip, portAlias(e.ip, b, true), false)
-			}
+			}})
 			to.inbound = append(to.inbound, l)
 			s.routes = append(s.routes, &route{link: l, from: e, to: to, zone: to.zone})
 		}
 		for m := range machines {
 			ip := workerIP(ownNetwork(), m)
-			s.routes = append(s.routes, &route{link: newLink(s.t, ip+string(aliasPort(i)), peerAddr(ip)), from: e, zone: zoneName(m, cutZones)})
+			s.routes = append(s.routes, &route{link: newLink(s.t, &link{at: ip + string(aliasPort(i)), to: peerAddr(ip)}), from: e, zone: zoneName(m, cutZones)})
 		}
 	}
 }
--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -44,9 +44,9 @@
 )
 
 func newEntry(t *testing.T, program, dir string, number, zones int, p *platform, keyDelay time.Duration) *entry {
-	e := &entry{t: t, program: program, name: fmt.Sprintf("e-%d", number), zone: zoneName(number, zones), dir: dir, link: newLink(t, anyPort, p.addrs.Table)}
-	e.ip = entryIP(number)
-	e.link.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(e.ip)} // by which the table knows it
+	e := &entry{t: t, program: program, name: fmt.Sprintf("e-%d", number), zone: zoneName(number, zones), dir: dir, ip: entryIP(number)}
+	source := &net.TCPAddr{IP: net.ParseIP(e.ip)} // by which the table knows it
+	e.link = newLink(t, &link{at: anyPort, to: p.addrs.Table, dialer: net.Dialer{LocalAddr: source}})
 	settings := fakes.Host{
 		Name: e.name, Zone: e.zone, IP: e.ip, FrontendPort: frontPort, ReadyPort: readyPort, FirstPeerPort: peerPort,
 		TableAddr: e.link.at, MachinesAddr: p.addrs.Machines, GraceSeconds: graceS, MaxKeyDelay: keyDelay,
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -43,14 +43,12 @@
 	lost    map[net.Conn]bool // these stay silent: only new connections work
 }
 
-// newLink starts a link that listens at an ip:port.
-func newLink(t *testing.T, at, to string) *link {
-	l, err := net.Listen("tcp", at)
+// newLink starts a link, of which the caller sets where it listens, where it leads and what it changes.
+func newLink(t *testing.T, k *link) *link {
+	l, err := net.Listen("tcp", k.at)
 	assert.NilError(t, err)
-	k := &link{
-		at: l.Addr().String(), to: to, listen: l, mode: modeOpen,
-		changed: make(chan struct{}), conns: make(map[net.Conn]bool), lost: make(map[net.Conn]bool),
-	}
+	k.at, k.listen, k.mode = l.Addr().String(), l, modeOpen
+	k.changed, k.conns, k.lost = make(chan struct{}), make(map[net.Conn]bool), make(map[net.Conn]bool)
 	t.Cleanup(func() { k.setCut(""); k.refuse(); k.setMode(modeReset) })
 	go k.serve(l)
 	return k
