--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	machines map[string]*machine
 	lives    int
+	keepsIDs bool // workers start again under their IDs, and tell when they started
 	// onOrder is asked before an order is carried out whether its answer is to be lost, and how
 	// much later it is carried out then; nil: none is.
 	onOrder func(o order) (lost bool, later time.Duration)
@@ -196,7 +197,13 @@
 	_ = m.server.Close()
 	m.server = nil
 	old.die("crashed")
-	time.AfterFunc(silentBeats*heartbeatTime, func() { f.store.put("servers", old.id, nil) })
+	time.AfterFunc(silentBeats*heartbeatTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if m.worker == nil || m.worker.id != old.id {
+			f.store.put("servers", old.id, nil)
+		}
+	})
 	time.AfterFunc(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/review/standin2/mix.go
+++ b/review/standin2/mix.go
@@ -19,12 +19,13 @@
 
 // playMix plays jobs of all shapes, with the disruptions of a seed (SEED). It is no case of the review
 // but a search: with GANG all jobs are gangs, and workers and hosts fail together; with HARD all hosts
-// are killed at once, too.
+// are killed at once, too; with SILENT open connections go silent, and
+// hosts freeze; with BORN workers start again under their IDs.
 func playMix(s *site, trouble bool) ([]string, error) {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	random := rand.New(rand.NewPCG(seed, 7))
 	s.fleet.judge = newJudge(s.fleet)
-	s.fleet.log = true
+	s.fleet.log, s.fleet.keepsIDs = true, os.Getenv("BORN") != ""
 	for i := range 5 {
 		if err := s.fleet.add(fmt.Sprintf("m-%d", i+1), poolName, 4000, workerMemMB); err != nil {
 			return nil, err
@@ -204,6 +205,10 @@
 			kind = 7
 		case os.Getenv("HARD") != "":
 			kind = []int{3, 4, 5, 7, 7, 8, 8}[kind]
+		case os.Getenv("BORN") != "":
+			kind = []int{2, 2, 3, 3, 4, 11, 0}[kind]
+		case os.Getenv("SILENT") != "":
+			kind = []int{9, 9, 10, 10, 10, 0, 3}[kind]
 		}
 		switch kind {
 		case 7:
@@ -216,6 +221,34 @@
 					_ = h.start()
 				}()
 			}
+		case 11: // orders are late while workers crash
+			s.rec.say("for 5 s half of the orders get no answer and are late; workers crash")
+			s.setOnCall(func(_ *worker, path string) (bool, time.Duration) {
+				if strings.HasSuffix(path, "hold") && rand.IntN(100) < 85 || rand.IntN(2) == 0 {
+					return false, 0
+				}
+				return true, time.Duration(2000+rand.IntN(10000)) * time.Millisecond
+			})
+			for range 3 {
+				time.Sleep(1500 * time.Millisecond)
+				s.fleet.crash(fmt.Sprintf("m-%d", 1+r.IntN(5)), time.Duration(300+r.IntN(1500))*time.Millisecond)
+			}
+			s.setOnCall(nil)
+		case 9:
+			s.rec.say("all connections to the stand-ins go silent")
+			mutedBefore.Store(time.Now().UnixNano())
+		case 10: // machines freeze
+			var frozen []*host
+			for _, h := range s.hosts {
+				if r.IntN(2) == 0 {
+					frozen = append(frozen, h)
+					h.signal(syscall.SIGSTOP)
+				}
+			}
+			time.Sleep(time.Duration(1000+r.IntN(11000)) * time.Millisecond)
+			for _, h := range frozen {
+				h.signal(syscall.SIGCONT)
+			}
 		case 8: // all processes are killed
 			for _, h := range s.hosts {
 				h.signal(syscall.SIGKILL)
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -177,7 +177,7 @@
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(mutableListener{l}) }()
 	return l.Addr().String(), nil
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -92,6 +92,7 @@
 type worker struct {
 	m         *machine
 	id        string
+	born      int64 // Unix milliseconds of its start, where workers tell it; else 0
 	clockZero time.Time
 
 	mu       sync.Mutex
@@ -155,7 +156,14 @@
 	}
 	if lost {
 		background := r.Clone(context.Background())
-		time.AfterFunc(late, func() { w.handle(discarded{make(http.Header)}, background, c) })
+		time.AfterFunc(late, func() {
+			w.m.fleet.mu.Lock()
+			present := w.m.worker // the next life may have the same ID
+			w.m.fleet.mu.Unlock()
+			if present != nil {
+				present.handle(discarded{make(http.Header)}, background, c)
+			}
+		})
 		<-r.Context().Done()
 		return
 	}
@@ -262,7 +270,11 @@
 	for _, e := range w.ended[:min(maxListed, len(w.ended))] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
-	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "finished": finished})
+	lists := map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "finished": finished}
+	if w.born > 0 {
+		lists["born"] = w.born
+	}
+	reply(rw, http.StatusOK, lists)
 }
 
 // advance ends the runs that are over. The lock is held.
@@ -345,6 +357,9 @@
 		"service": w.m.pool, "address": w.m.addr, "zone": zoneName, "version": "1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 		"sequence": sequence, "capacity": w.m.capacity(), "labels": w.m.labels(),
 	}
+	if w.born > 0 {
+		entry["born"] = w.born
+	}
 	w.mu.Lock()
 	if !w.leaves.IsZero() {
 		entry["state"], entry["remainingMs"] = "draining", max(0, time.Until(w.leaves)).Milliseconds()
@@ -383,6 +398,7 @@
 	state  string
 	fence  int64
 	wave   map[int64]bool
+	lastID string
 }
 
 func (m *machine) capacity() map[string]int {
@@ -398,7 +414,7 @@
 	}
 	m.addr = l.Addr().String()
 	m.server = &http.Server{Handler: http.HandlerFunc(m.serve), ReadHeaderTimeout: time.Minute}
-	go func(s *http.Server) { _ = s.Serve(l) }(m.server)
+	go func(s *http.Server) { _ = s.Serve(mutableListener{l}) }(m.server)
 	return nil
 }
 
@@ -426,6 +442,13 @@
 		m: m, id: "i-" + strconv.FormatInt(0x100000+int64(m.fleet.lives), 16), clockZero: time.Now().Add(-time.Duration(m.fleet.lives) * time.Minute),
 		running: make(map[string]*taskRun), highest: make(map[string]int), newEnd: make(chan struct{}),
 	}
+	if m.fleet.keepsIDs {
+		m.worker.born = time.Now().UnixMilli()
+		if m.lastID != "" {
+			m.worker.id, m.worker.clockZero = m.lastID, time.Now()
+		}
+		m.lastID = m.worker.id
+	}
 	m.fleet.rec.say("worker %s starts on %s of %s at %s", m.worker.id, m.id, m.pool, m.addr)
 	go m.worker.live()
 	return nil
