--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin2 ] || exit 2
-exec target/review-2/standin2 wave review/7/record.txt
+exec target/review-2/standin2 schedule review/7/record.txt
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/4 to review/8. It needs no network beyond what the build of the
+# Builds the stand-ins of review/4, review/5 and review/7. It needs no network beyond what the build of the
 # deploy file needs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
