owner: a row that the table refuses no longer holds back its queue

Cause: a refusal as invalid was handled like an outage: the whole queue was held back for 400 ms, and the next batch began with the same row.

Change: of a refused batch the rows are written one by one, and only the job whose row is refused waits 2 s. The log of a failed write tells the largest row, and 'job row refused' names the job.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -28,6 +28,8 @@
 	txns          int
 	cutOff        int // transactions whose context ended before the answer
 	jobsOutage    jobsOutage
+	refusedJob    string // transactions with this job's row are refused as invalid
+	refusals      int
 }
 
 // jobsOutage is that transactions with rows of jobs get no answer for some time.
@@ -79,6 +81,10 @@
 	if b.err != nil {
 		return gauge.TablePosition{}, nil, b.err
 	}
+	if b.refusedJob != "" && slices.ContainsFunc(t.Writes, func(w gauge.RowWrite) bool { return w.Key == b.refusedJob }) {
+		b.refusals++
+		return gauge.TablePosition{}, nil, gauge.Errorf(gauge.KindInvalid, "status 400")
+	}
 	b.version++
 	b.txns++
 	b.maxOperations = max(b.maxOperations, len(t.Checks)+len(t.Writes)+len(t.Deletes))
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -118,16 +118,26 @@
 		return false, err
 	}
 	if err != nil {
-		o.holdBack(p.batch.Queue)
-		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "queue", p.batch.Queue, "changes", len(p.batch.Changes), "lease", o.conf.Lease.Until()-o.conf.Now(),
+		o.conf.Logs.Info("write failed", "pool", o.conf.Pool, "queue", p.batch.Queue, "changes", len(p.batch.Changes), "largest", p.batch.LargestRow(), "lease", o.conf.Lease.Until()-o.conf.Now(),
 			"took", took, "kind", gauge.KindOf(err), "error", err.Error())
-		o.recordWrite(true)
+		o.handleFailedWrite(p.batch, err)
 		return false, err
 	}
 	o.conf.ObserveTableClock(position, sent)
 	return o.applyWrite(p, position, sent), nil
 }
 
+// handleFailedWrite handles a write that failed for another reason than a changed row.
+func (o *Owner) handleFailedWrite(b sched.Batch, err error) {
+	if gauge.IsKind(err, gauge.KindInvalid) && len(b.Changes) > 0 {
+		// The table answers, and would refuse these rows again.
+		o.withLock(func() { o.pool.BatchRefused(b) })
+		return
+	}
+	o.holdBack(b.Queue)
+	o.recordWrite(true)
+}
+
 // holdBack holds back a queue's changes for a while after a write with them has failed. Only the
 // partition of the table that holds this queue may be failing; the next write, without these
 // changes, then renews the lease.
--- a/internal/sched/batch.go
+++ b/internal/sched/batch.go
@@ -25,6 +25,15 @@
 	HasMore bool // more changes wait than fit into the transaction, in queues that aren't avoided
 }
 
+// LargestRow returns the size in bytes of the largest row.
+func (b Batch) LargestRow() int {
+	largest := 0
+	for _, c := range b.Changes {
+		largest = max(largest, len(c.Row))
+	}
+	return largest
+}
+
 const (
 	// jobOperations is how many operations of a transaction a job's change takes: its check and its
 	// write. dropOperations is how many more it takes to drop spec and open-job mark.
@@ -52,10 +61,14 @@
 	}
 	b.HasMore = due > operations
 	for _, j := range firstOf(waiting, b.Queue, max(1, operations/jobOperations)) {
-		c, err := j.change(now)
+		c, err := p.change(j, now)
 		if err != nil {
 			return b, err
 		}
+		if len(b.Changes) > 0 && j.writeAlone {
+			b.HasMore = true
+			break
+		}
 		left -= j.operationCount(c.Final)
 		size += len(c.Row)
 		if len(b.Changes) > 0 && (left < 0 || size > batchBytes) {
@@ -63,10 +76,35 @@
 			break
 		}
 		b.Changes = append(b.Changes, c)
+		if j.writeAlone {
+			b.HasMore = len(waiting) > 1
+			break
+		}
 	}
 	return b, nil
 }
 
+// refusedRowDelay is the pause before a row that the table has refused is written again: it may fit when
+// more of the job's tasks are done.
+const refusedRowDelay = 2 * time.Second
+
+// BatchRefused records that the table refuses a batch and would refuse it again, at a time of Tick. Its
+// rows are then written one by one, and the one that is the cause is held back, so that the changes of
+// other jobs don't wait for it.
+func (p *Pool) BatchRefused(b Batch) {
+	for _, c := range b.Changes {
+		j := p.jobs[c.Job]
+		if j == nil {
+			continue
+		}
+		j.writeAlone = true
+		if len(b.Changes) == 1 {
+			j.refusedUntil = p.lastTick + refusedRowDelay
+			p.conf.Logs.Info("job row refused", "job", j.id, "queue", j.queue, "pool", p.conf.Name, "bytes", len(c.Row))
+		}
+	}
+}
+
 // operationCount is how many operations of a transaction the job's change takes.
 func (j *job) operationCount(final bool) int {
 	if final {
@@ -75,8 +113,8 @@
 	return jobOperations
 }
 
-// change returns the job's row as it is to be written.
-func (j *job) change(now int64) (Change, error) {
+// change returns a job's row as it is to be written.
+func (p *Pool) change(j *job, now int64) (Change, error) {
 	if j.row.State.IsFinal() && j.row.Ended == 0 {
 		j.row.Ended = now
 	}
@@ -104,10 +142,10 @@
 	return false
 }
 
-// writable returns the jobs with changes to write, except those of queues to avoid.
+// writable returns the jobs with changes to write, except those of queues to avoid and those whose rows
+// the table has just refused.
 func (p *Pool) writable(avoid func(queue string) bool) []*job {
-	dirty := slices.DeleteFunc(p.index.unwrittenJobs(), func(j *job) bool { return avoid(j.queue) })
-	return dirty
+	return slices.DeleteFunc(p.index.unwrittenJobs(), func(j *job) bool { return avoid(j.queue) || p.lastTick < j.refusedUntil })
 }
 
 // byUrgency compares jobs by which is to be written first.
@@ -153,6 +191,7 @@
 		}
 		j.version = version
 		j.savedRevision = max(j.savedRevision, c.revision)
+		j.writeAlone = false
 		if !j.isDirty() {
 			j.urgent = false
 		}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -33,6 +33,9 @@
 	savedRevision int  // revision of row that the table has
 	urgent        bool // the changes justify a write of their own
 	dropped       bool // its spec and open-job mark are dropped from the table
+	// writeAlone says that its row shares no transaction, as the table has refused one with it.
+	writeAlone   bool
+	refusedUntil time.Duration // its row isn't written before, as the table has refused it
 
 	index     *poolIndex    // of its pool
 	site      *gauge.Site   // configuration in which its queue was looked up ...
