sched: a job's row fits into the table, however many of its tasks were stopped or lost

Cause: a row has a checkpoint for each stopped task and a record for each lost run, and nothing bounded it. The setting platform.rowBytes wasn't read.

The first time, 'job row shortened' is logged and counted.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -35,7 +35,7 @@
 	c.node = node.New(node.Config{
 		Name: s.NodeName, StartID: newStartID(), Addr: c.peerAddr(), CapacityCores: s.CapacityCores(), Store: store, Workers: c.workers, Machines: machines, Adviser: adviser,
 		Codec: platform.TableCodec{KeysRequired: s.KeysRequired, Contended: s.Contended}, Mesh: c.mesh, Logs: log, Now: boot.Now, WallClock: time.Now, ObserveCall: c.meter.ObserveCall, CountEvent: c.meter.CountEvent,
-		ObserveBacklog: c.meter.SetBacklog, MaxWorkerLease: s.MaxWorkerLease, MaxApplyDelay: s.MaxApplyDelay, MaxKeyDelay: s.MaxKeyDelay, Disabled: disabled, MinOrderInterval: s.MinOrderInterval, MaxOrderRate: s.MaxOrderRate, MaintenanceDuration: s.MaintenanceDuration, JobRetention: s.JobRetention,
+		ObserveBacklog: c.meter.SetBacklog, MaxWorkerLease: s.MaxWorkerLease, MaxRowBytes: s.MaxRowBytes, MaxApplyDelay: s.MaxApplyDelay, MaxKeyDelay: s.MaxKeyDelay, Disabled: disabled, MinOrderInterval: s.MinOrderInterval, MaxOrderRate: s.MaxOrderRate, MaintenanceDuration: s.MaintenanceDuration, JobRetention: s.JobRetention,
 	})
 	c.meter.RegisterTableAges(c.node.TableAges)
 	c.front = platform.NewFrontend(platform.FrontendConfig{Jobs: c.node.Jobs(), Site: c.node.ServingSite, Admit: c.node.Admit, MayBeStored: c.node.MayBeStored, Ready: c.node.Ready, Logs: log})
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -236,7 +236,7 @@
 func (n *Node) runPool(ctx context.Context, pool string, l *takenLease) {
 	o := owner.New(ctx, owner.Config{
 		Pool: pool, Lease: l.lease, Term: l.term, Fence: l.token, PreviousWorkers: l.previousRow.Workers, PreviousRow: l.previousRow, PreviousLeaseLeft: l.previousLeaseLeft,
-		OrderGrace: workerLeaseGrace, JobRetention: retentionFactor * n.conf.JobRetention, LeaseExtension: min(workerLeaseDuration, n.conf.MaxWorkerLease), MaxWorkerLease: n.conf.MaxWorkerLease,
+		OrderGrace: workerLeaseGrace, JobRetention: retentionFactor * n.conf.JobRetention, LeaseExtension: min(workerLeaseDuration, n.conf.MaxWorkerLease), MaxWorkerLease: n.conf.MaxWorkerLease, MaxRowBytes: n.conf.MaxRowBytes,
 		Store: n.conf.Store, Workers: n.conf.Workers, Adviser: n.conf.Adviser, Logs: n.conf.Logs, Now: n.conf.Now, WallClock: n.conf.WallClock,
 		ObserveTableClock: n.recordTableClock, TableClock: n.tableClock, ObserveCall: n.conf.ObserveCall, CountEvent: n.conf.CountEvent, ObserveBacklog: n.conf.ObserveBacklog,
 		Disabled: n.conf.Disabled,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	// ObserveBacklog receives the backlog of each pool that is owned here; nil: it is not reported.
 	ObserveBacklog func(pool string, b *gauge.Backlog)
 	MaxWorkerLease time.Duration // longest lease that a worker accepts
+	MaxRowBytes    int           // size limit of a row in the table; 0: none
 	// MaxApplyDelay is how long after a configuration change was stored it is in force at all
 	// entries; default 2 s.
 	MaxApplyDelay time.Duration
--- a/internal/owner/config.go
+++ b/internal/owner/config.go
@@ -29,6 +29,7 @@
 	LeaseExtension time.Duration // how far a heartbeat extends a worker's lease
 	// MaxWorkerLease is the longest lease that a worker grants.
 	MaxWorkerLease time.Duration
+	MaxRowBytes    int // size limit of a row in the table; 0: none
 
 	Store     gauge.PartitionedTable
 	Workers   gauge.Workers
--- a/internal/sched/batch.go
+++ b/internal/sched/batch.go
@@ -118,10 +118,16 @@
 	if j.row.State.IsFinal() && j.row.Ended == 0 {
 		j.row.Ended = now
 	}
-	row, err := j.row.Encode()
+	row, omitted, err := j.row.EncodeWithin(p.conf.MaxRowBytes)
 	if err != nil {
 		return Change{}, err
 	}
+	if omitted > 0 && !j.shortened {
+		j.shortened = true
+		p.conf.CountEvent(EventRowShortened)
+		p.conf.Logs.Info("job row shortened", "job", j.id, "queue", j.queue, "pool", p.conf.Name, "bytes", len(row), "omitted", omitted,
+			"checkpoints", len(j.row.Checkpoints), "suspects", len(j.row.SuspectRuns), "failures", len(j.row.Failures))
+	}
 	return Change{
 		Job: j.id, Queue: j.queue, Row: row, Version: j.version,
 		Final: j.row.State.IsFinal() && len(j.liveRuns()) == 0, revision: j.revision,
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -33,6 +33,7 @@
 	savedRevision int  // revision of row that the table has
 	urgent        bool // the changes justify a write of their own
 	dropped       bool // its spec and open-job mark are dropped from the table
+	shortened     bool // its row was written without some entries, as it was too large
 	// writeAlone says that its row shares no transaction, as the table has refused one with it.
 	writeAlone   bool
 	refusedUntil time.Duration // its row isn't written before, as the table has refused it
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -55,6 +55,7 @@
 const (
 	EventSurplus      = "surplus run"      // a task had more runs than it may; the surplus one is stopped
 	EventVanished     = "run vanished"     // a worker lost a run without an end report
+	EventRowShortened = "row shortened"    // a job's row was too large, and written without some entries
 	EventOrphan       = "run of ended job" // a run that belongs to no open job; stopped
 	EventLost         = "run lost"         // a run ended with its worker's incarnation or lease
 	EventLeaseExpired = "worker lapsed"    // a silent worker's lease expired with runs there
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -56,6 +56,7 @@
 	// MaxWorkerLease is the longest lease that a worker grants. A worker that has restarted may
 	// hold a lease that was meant for its previous incarnation, measured by another clock.
 	MaxWorkerLease time.Duration
+	MaxRowBytes    int // size limit of a job's row; 0: none
 	// Limits are this pool's parts of the client accounts' limits; nil: there are no limits.
 	Limits *limit.Parts
 }
