intake: a spec that fits no row is refused at once, naming the field

Cause: labels, images and the lists of earlier steps have no bound of their own, and 64 steps of them can exceed a row. Such a job went into a transaction with those of other callers, which was refused and then repeated one by one.

Change: an encoded spec has at most 48 KiB, 64 KiB as base64; a larger one is refused before anything is sent.

--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -78,6 +78,11 @@
 	if err != nil {
 		return gauge.PartitionTxn{}, err
 	}
+	if len(spec) > gauge.MaxSpecBytes {
+		var fs gauge.Faults
+		fs.Add("steps", "take %d bytes with the spec in the table, the bound is %d", len(spec), gauge.MaxSpecBytes)
+		return gauge.PartitionTxn{}, fs.Err()
+	}
 	txn, err := replaceRowTxn(q, id, row, version)
 	if err != nil {
 		return gauge.PartitionTxn{}, err
--- a/jobspec.go
+++ b/jobspec.go
@@ -122,6 +122,7 @@
 	MaxSteps       = 64
 	MaxTasks       = 4096
 	MaxOccurrences = 100_000
+	MaxSpecBytes   = 48 << 10 // of an encoded spec: a row in the table
 )
 
 // Validate returns all faults of the spec, by field.
