sched: of a schedule that is late, so many occurrences are created as may be open

Cause: all occurrences that are due were created at once, with all their tasks: 1,036,800 in the case.

Change: at most 2,048 occurrences and 8,192 tasks (two of the largest occurrences) are created beyond the completed ones; the others follow as the first ones are completed. That also bounds what the row says of done occurrences, which is the one part of it that can't be left out.

--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -16,6 +16,7 @@
 	Urgent             bool
 	Changed            []string // jobs that are to be written
 	Waiting            []string // steps with tasks that may start
+	Tasks              int      // of open jobs, in memory
 	WrongCriticalPaths []string // occurrences whose cached critical path is wrong
 	Load               gauge.PoolLoad
 	Uses               map[string]limit.Use       // by client account
@@ -90,6 +91,7 @@
 			w.WrongCriticalPaths = append(w.WrongCriticalPaths, fmt.Sprintf("%s.%d, expected", j.id, o.number))
 		}
 		for i, st := range o.steps {
+			w.Tasks += len(st.tasks)
 			idle, remaining := 0, 0
 			for _, t := range st.tasks {
 				if !t.done {
@@ -215,3 +217,6 @@
 
 // Running returns what the runs of a client account take of the workers.
 func (p *Pool) Running(account string) gauge.Resources { return p.index.fair.shares.Running(account) }
+
+// OpenOccurrenceLimit is openOccurrenceLimit.
+func OpenOccurrenceLimit(spec *gauge.JobSpec) int { return openOccurrenceLimit(spec) }
--- a/internal/sched/occurrence.go
+++ b/internal/sched/occurrence.go
@@ -21,12 +21,29 @@
 	class triage.Class  // as of the last time that it was judged; empty: never
 }
 
-// createDue creates the occurrences that are due.
+const (
+	// maxOpenOccurrences bounds how far the occurrences that were created may go beyond the completed
+	// ones: the job's row says of each of them which tasks are done.
+	maxOpenOccurrences = 2048
+	// maxOpenTasks bounds the same by tasks, which take up the owner's memory. All occurrences of a
+	// schedule may be due at once, if it was submitted late or has waited for room. Two of the largest
+	// may overlap.
+	maxOpenTasks = 2 * gauge.MaxTasks
+)
+
+// openOccurrenceLimit returns how many occurrences of a job may be created beyond the completed ones.
+func openOccurrenceLimit(spec *gauge.JobSpec) int {
+	return min(max(1, maxOpenTasks/spec.TaskCount()), maxOpenOccurrences)
+}
+
+// createDue creates the occurrences that are due, as far as the limit allows. The others follow when the
+// first ones are completed.
 func (j *job) createDue(wall time.Time, now time.Duration) {
 	if !j.spec.IsScheduled() || !j.isOpen() {
 		return
 	}
-	for j.nextOccurrence < j.spec.Occurrences() && !wall.Before(j.spec.DueAt(j.nextOccurrence)) {
+	end := min(j.row.CompletedOccurrences+openOccurrenceLimit(j.spec), j.spec.Occurrences())
+	for j.nextOccurrence < end && !wall.Before(j.spec.DueAt(j.nextOccurrence)) {
 		j.occurrence(j.nextOccurrence, now)
 		j.nextOccurrence++
 	}
--- a/internal/sched/occurrence_test.go
+++ b/internal/sched/occurrence_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,3 +114,74 @@
 	assert.Equal(t, len(g.startsAfterWrites()), 0, "both attempts are used up")
 	g.checkJobState(id, gauge.JobFailed)
 }
+
+// Guards against an owner that runs out of memory, and each of its successors in turn: all occurrences
+// of a schedule are due at once, and each takes memory for all of its tasks.
+func TestOccurrencesThatAreDueAreCreatedAsTheFirstOnesEnd(t *testing.T) {
+	for _, tt := range []struct{ repeats, tasks, most int }{
+		{1000, 1, 2048}, {gauge.MaxOccurrences, 1, 2048}, {1000, 12, 682}, {gauge.MaxOccurrences, 12, 682}, {100, gauge.MaxTasks, 2},
+	} {
+		t.Run(fmt.Sprintf("%d of %d", tt.repeats, tt.tasks), func(t *testing.T) {
+			g := newHarness(t)
+			g.pool.UpdateWorkers([]gauge.Worker{wideWorker("w1")})
+			g.pool.LeaseRowWritten(incarnations("w1"), fence)
+			g.report("w1", nil)
+			g.advance(time.Duration(tt.repeats+1) * scheduleInterval)
+			step := gauge.Step{Count: tt.tasks, Needs: gauge.Resources{MilliCPU: 1, MemoryMB: 1}, Estimate: time.Second}
+			g.adoptScheduled(tt.repeats, step, gauge.JobRow{})
+			g.advance(100 * time.Millisecond)
+			assert.Equal(t, g.pool.Recount(g.now).Tasks, min(tt.repeats, tt.most)*tt.tasks)
+		})
+	}
+}
+
+// Guards against a schedule that stops: the occurrences that weren't created as the limit was reached have
+// to follow, also while the first one isn't completed, and in the order of their times.
+func TestAllOccurrencesOfALateScheduleRun(t *testing.T) {
+	const repeats, tasks = 20, gauge.MaxTasks / 2
+	for _, slow := range []int{-1, 0, 5} { // this occurrence ends only when nothing else is left
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			g := newHarness(t)
+			g.pool.UpdateWorkers([]gauge.Worker{wideWorker("w1")})
+			g.pool.LeaseRowWritten(incarnations("w1"), fence)
+			g.report("w1", nil)
+			g.advance((repeats + 1) * scheduleInterval)
+			step := gauge.Step{Count: tasks, Needs: gauge.Resources{MilliCPU: 1, MemoryMB: 1}, Estimate: time.Second}
+			id := g.adoptScheduled(repeats, step, gauge.JobRow{})
+			started := make(map[int]int)
+			var held []gauge.EndReport
+			for range 2 * repeats {
+				g.advance(100 * time.Millisecond)
+				starts := g.startsAfterWrites()
+				g.confirm(starts)
+				var ends []gauge.EndReport
+				for _, o := range starts {
+					started[o.Start.Task.Occurrence]++
+					e := gauge.EndReport{Task: o.Start.Task, Run: o.Start.Run, Ending: gauge.EndDone}
+					if o.Start.Task.Occurrence == slow {
+						held = append(held, e)
+						continue
+					}
+					ends = append(ends, e)
+				}
+				if len(starts) == 0 {
+					ends, held = held, nil
+				}
+				var running []gauge.RunReport
+				for _, e := range held {
+					running = append(running, gauge.RunReport{Task: e.Task, Run: e.Run})
+				}
+				for i := range ends {
+					g.ends["w1"]++
+					ends[i].Number = g.ends["w1"]
+				}
+				g.advance(100 * time.Millisecond)
+				g.report("w1", running, ends...)
+			}
+			for k := range repeats {
+				assert.Equal(t, started[k], tasks, "starts of occurrence %d", k)
+			}
+			g.checkJobState(id, gauge.JobCompleted)
+		})
+	}
+}
--- a/internal/sched/rowsize_test.go
+++ b/internal/sched/rowsize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,21 @@
 		})
 	}
 }
+
+// Guards against a row that is too large whatever else it leaves out: it lists the done tasks of all
+// occurrences after one that isn't completed.
+func TestRowOfDoneOccurrencesFits(t *testing.T) {
+	for _, tt := range []struct{ steps, tasks int }{{1, 1}, {1, 4}, {1, 12}, {4, 1}, {8, 1}, {16, 1}, {64, 1}, {64, 64}, {1, gauge.MaxTasks}} {
+		t.Run(fmt.Sprintf("%d steps of %d", tt.steps, tt.tasks), func(t *testing.T) {
+			spec := &gauge.JobSpec{Steps: slices.Repeat([]gauge.Step{{Count: tt.tasks}}, tt.steps)}
+			row := &gauge.JobRow{State: gauge.JobRunning, Pool: poolName, Done: make(map[int][][]byte)}
+			for k := range sched.OpenOccurrenceLimit(spec) {
+				row.Done[gauge.MaxOccurrences-k] = slices.Repeat([][]byte{make([]byte, (tt.tasks+7)/8)}, tt.steps)
+			}
+			b, err := row.Encode()
+			assert.NilError(t, err)
+			t.Logf("%d bytes for %d occurrences", len(b), len(row.Done))
+			assert.Assert(t, len(b) <= rowLimit)
+		})
+	}
+}
--- a/jobspec.go
+++ b/jobspec.go
@@ -107,6 +107,15 @@
 // Occurrences returns how often the steps are run.
 func (j *JobSpec) Occurrences() int { return max(1, j.Repeats) }
 
+// TaskCount returns how many tasks an occurrence has.
+func (j *JobSpec) TaskCount() int {
+	count := 0
+	for i := range j.Steps {
+		count += j.Steps[i].Count
+	}
+	return count
+}
+
 // IsScheduled reports whether the job follows a schedule.
 func (j *JobSpec) IsScheduled() bool { return j.Repeats > 0 }
 
