A job has at most 4,096 tasks in all steps together

Change: such a job is refused at once, naming the field and both figures. The widest step in the users' job sheets has 32 tasks.

--- a/jobspec.go
+++ b/jobspec.go
@@ -129,7 +129,7 @@
 const (
 	MaxPayload     = 4000 // bytes
 	MaxSteps       = 64
-	MaxTasks       = 4096
+	MaxTasks       = 4096 // of all steps together
 	MaxOccurrences = 100_000
 	MaxSpecBytes   = 48 << 10 // of an encoded spec: a row in the table
 )
@@ -152,8 +152,15 @@
 	if j.Interval < 0 {
 		fs.Add("intervalMs", "is negative")
 	}
+	total := 0
 	for i := range j.Steps {
 		j.Steps[i].validate(&fs, i)
+		if j.Steps[i].Count <= MaxTasks {
+			total += j.Steps[i].Count
+		}
+	}
+	if total > MaxTasks {
+		fs.Add("steps", "have %d tasks together, the bound is %d", total, MaxTasks)
 	}
 	return fs
 }
