sched: the longest lease of a worker that started again lasts longer on a slow clock

Cause: of a worker that has started again, the owner took the longest lease that workers grant for a time on its own clock. Workers' clocks may show 2 % less, so that such a lease lasts up to 10.2 s, not 10 s. For late starts that is reckoned with since they are kept. Found by reading, for the servers under their old IDs.

Change: both places use the same figure.

Result: TestNextIncarnationIsAssumedToHaveTheLongestLease asked for 10 s and now asks for the longest lease on the slowest clock, which is stricter; it fails on the code before.

--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -95,7 +95,7 @@
 func (p *Pool) replaceIncarnation(previous *worker, info gauge.Worker, now time.Duration) *worker {
 	w := p.addIncarnation(info)
 	w.staleCallsPossible = true
-	w.leaseExpiry = max(w.leaseExpiry, now+p.conf.MaxWorkerLease)
+	w.leaseExpiry = max(w.leaseExpiry, now+p.longestLease())
 	w.drainUntil, w.forceDrain, w.drainSoonUntil = previous.drainUntil, previous.forceDrain, previous.drainSoonUntil
 	w.releasedUntil = previous.releasedUntil
 	w.fence, w.fencePending = p.fence(previous), previous.fencePending
--- a/internal/sched/incarnation_test.go
+++ b/internal/sched/incarnation_test.go
@@ -229,20 +229,20 @@
 }
 
 // Guards against a lease that is longer than the owner assumes: a grant meant for the previous
-// incarnation, by another clock, may have reached the next one.
+// incarnation, by another clock, may have reached the next one, whose own clock may be slow.
 func TestNextIncarnationIsAssumedToHaveTheLongestLease(t *testing.T) {
 	g, _ := newHarnessWithRun(t)
 	g.failHeartbeatOf(incarnationAt("w1", 1))
 	g.answerHeartbeat(incarnationAt("w1", 1), 2, time.Second, nil)
 	g.failHeartbeatOf(incarnationAt("w1", 2))
-	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], maxLease)
+	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], time.Duration(slowClockLease))
 
 	g.advance(3 * time.Second)
 	// The token rises. Until the worker has answered a call with it, older grants may reach it.
 	g.pool.LeaseRowWritten(g.pool.LeaseRowWorkers(), 300)
 	g.answerHeartbeat(incarnationAt("w1", 2), 2, 4*time.Second, nil)
 	g.failHeartbeatOf(incarnationAt("w1", 2))
-	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], maxLease)
+	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], time.Duration(slowClockLease))
 }
 
 // Guards against a worker that drains when the owner first learns of it and is taken to leave at
