sched: a successor waits for stale orders of workers that started again unheard

Cause: a worker's next incarnation knows no fencing token, and takes orders that the previous owner meant for its former one. Their deadlines are on the former one's clock, so that it grants the longest lease that it knows (10 s). The next owner waited for the former incarnation only, by what was left of its lease (some 6 s), and then started its tasks again.

Change: if an incarnation later than the awaited one is known before it reports (listed here or in another pool, or named by the previous owner beside the awaited one), inherited tasks wait until the longest lease of an order has passed that the previous owner may have sent last. An owner names both incarnations in the lease row until the later one has reported, and tells how long it may run at a handover.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -79,7 +79,7 @@
 		pool: sched.New(sched.Config{
 			Name: c.Pool, Fence: c.Fence, Term: c.Term, LeaseExtension: c.LeaseExtension, StartTimeout: startTimeout, HeartbeatWait: maxHeartbeatWait, StartWindow: maxUnansweredStarts, WorkerStartWindow: maxConcurrentOrders,
 			Disabled: c.Disabled, Logs: c.Logs, CountEvent: c.CountEvent, MaxWorkerLease: c.MaxWorkerLease, MaxRowBytes: c.MaxRowBytes,
-			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + leaseLeft + c.OrderGrace + clockMargin, PreviousLeaseEnd: previousLeaseEnd(leaseLeft, now), WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
+			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + leaseLeft + c.OrderGrace + clockMargin, PreviousOrdersEnd: max(now, previousLeaseEnd(leaseLeft, now)), PreviousLeaseEnd: previousLeaseEnd(leaseLeft, now), WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
 			DrainedUntil: drainedUntil(&c.PreviousRow, now), UnrecordedOwners: c.PreviousRow.UnrecordedOwners,
 			Limits: limits,
 		}),
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -29,14 +29,14 @@
 // RemainingLeases returns how much longer anything may run on each worker that doesn't answer.
 func (p *Pool) RemainingLeases(now time.Duration) map[gauge.Incarnation]time.Duration {
 	left := make(map[gauge.Incarnation]time.Duration)
-	for _, incarnation := range p.unreported {
+	for id, incarnation := range p.unreported {
 		if w := p.current(incarnation); w != nil && w.reported && !w.silent {
 			continue // it answers, but not with all that previous owners ordered: its lease goes on
 		}
-		left[incarnation] = max(0, p.previousRunsEnd(incarnation)-now)
+		left[incarnation] = max(0, p.previousRunsEnd(incarnation)-now, p.staleRunsEnd[id]-now)
 	}
 	for _, w := range p.workers {
-		if incarnation := w.info.Incarnation(); w.silent && !w.dead {
+		if incarnation := w.info.Incarnation(); (w.silent || p.awaitsEarlier(incarnation)) && !w.dead {
 			left[incarnation] = max(0, w.leaseExpiry-now, left[incarnation])
 		}
 	}
@@ -63,7 +63,7 @@
 		incarnations = append(incarnations, w.info.Incarnation())
 	}
 	for id := range awaited {
-		if p.workers[id] == nil {
+		if w := p.workers[id]; w == nil || p.awaitsEarlier(w.info.Incarnation()) {
 			incarnations = append(incarnations, p.awaitedIncarnation(id))
 		}
 	}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -41,6 +41,9 @@
 // there isn't this owner's, even if it has answered a heartbeat that was meant for the previous
 // one.
 func (p *Pool) handleListedElsewhere(info gauge.Worker) {
+	if _, known := p.staleRunsEnd[info.ID]; !known && p.awaitsEarlier(info.Incarnation()) {
+		p.expectStaleRuns(info.Incarnation())
+	}
 	w := p.workers[info.ID]
 	if w == nil || info.Incarnation().IsBefore(w.info.Incarnation()) || w.listedHere && info.Incarnation() == w.info.Incarnation() {
 		return
@@ -48,6 +51,38 @@
 	p.retireWorker(w, "restarted in another pool", p.lastTick)
 }
 
+// awaitReport has inherited tasks wait for the report of an incarnation to which previous owners may have
+// given orders. If they name two of one worker, the later one hasn't answered them.
+func (p *Pool) awaitReport(incarnation gauge.Incarnation) {
+	newest, named := p.unreported[incarnation.Worker]
+	if !named || newest.IsBefore(incarnation) {
+		p.unreported[incarnation.Worker] = incarnation
+	}
+	if named && newest != incarnation {
+		p.expectStaleRuns(p.unreported[incarnation.Worker])
+	}
+}
+
+// expectStaleRuns records that a worker has started again before it reported to this owner. Its new
+// incarnation takes calls of previous owners that were meant for the earlier one, as it knows of no
+// fencing token, and measures their deadlines by a clock of its own, so that they may give it the longest
+// lease that it grants.
+func (p *Pool) expectStaleRuns(incarnation gauge.Incarnation) {
+	end, known := p.conf.WorkerRunsEnd[incarnation]
+	if !known {
+		end = p.conf.PreviousOrdersEnd + p.longestLease()
+	}
+	p.staleRunsEnd[incarnation.Worker] = max(p.staleRunsEnd[incarnation.Worker], end)
+	p.conf.Logs.Info("worker started again before it reported", "pool", p.conf.Name, "worker", incarnation.Worker, "born", incarnation.StartedAt,
+		"awaited", p.unreported[incarnation.Worker].StartedAt, "known", known)
+}
+
+// awaitsEarlier reports whether inherited tasks wait for an earlier incarnation of a worker.
+func (p *Pool) awaitsEarlier(incarnation gauge.Incarnation) bool {
+	previous, awaited := p.unreported[incarnation.Worker]
+	return awaited && previous.IsBefore(incarnation)
+}
+
 // workerThatAnswered returns the worker whose incarnation has answered a call; nil if the
 // incarnation is dead or no longer the newest.
 func (p *Pool) workerThatAnswered(incarnation gauge.Incarnation, startedAt int64, now time.Duration) *worker {
@@ -77,6 +112,10 @@
 	}
 	w.info.Draining = false // handled with its row in the platform's list
 	p.raiseFence(w)
+	if p.awaitsEarlier(info.Incarnation()) {
+		p.expectStaleRuns(info.Incarnation())
+	}
+	w.leaseExpiry = max(w.leaseExpiry, p.staleRunsEnd[info.ID])
 	previous, awaited := p.unreported[info.ID]
 	if w.staleCallsPossible = awaited && previous != info.Incarnation(); w.staleCallsPossible {
 		p.replacedUnreported = append(p.replacedUnreported, previous)
--- a/internal/sched/replaced_owner_harness_test.go
+++ b/internal/sched/replaced_owner_harness_test.go
@@ -90,7 +90,7 @@
 	left := max(0, s.leasesUntil-s.now)
 	o.pool = sched.New(sched.Config{
 		Name: poolName, Fence: o.fence, Term: len(s.owners), LeaseExtension: workerLease, StartTimeout: time.Second, HeartbeatWait: time.Second, MaxWorkerLease: maxLease,
-		PreviousWorkers: s.named, PreviousRunsEnd: s.now + left + orderGrace + clockDrift, PreviousLeaseEnd: s.now + left, Logs: logr.Discard(),
+		PreviousWorkers: s.named, PreviousRunsEnd: s.now + left + orderGrace + clockDrift, PreviousOrdersEnd: s.now + left, PreviousLeaseEnd: s.now + left, Logs: logr.Discard(),
 	})
 	o.pool.Configure(&gauge.Site{Version: 1, Queues: []gauge.Queue{{Name: queueName, Pool: poolName, MaxAttempts: 2, Stretch: 2}}})
 	o.pool.SetJobsMissing(unread != "")
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -42,6 +42,8 @@
 	PreviousWorkers []gauge.Incarnation
 	// PreviousRunsEnd is when everything that the previous owner ordered has certainly ended.
 	PreviousRunsEnd time.Duration
+	// PreviousOrdersEnd is when the previous owner may have sent its last order.
+	PreviousOrdersEnd time.Duration
 	// PreviousLeaseEnd is when the previous owner's lease has certainly run out: until then it may
 	// adopt jobs that are accepted. It is 0 if that owner has ended.
 	PreviousLeaseEnd time.Duration
@@ -63,21 +65,24 @@
 
 // Pool is the owner's state of one pool. It is not safe for concurrent use.
 type Pool struct {
-	conf            Config
-	site            *gauge.Site
-	rates           *share.Rates
-	spans           *spans.Times  // learned run times, by queue
-	triages         bool          // jobs are classified by learned run times
-	rescueRoom      int           // thousandths of a core that late jobs may still take before timely ones
-	leaseEnd        time.Duration // when this owner's lease ends unless it is renewed
-	grantLimit      time.Duration // no grant reaches beyond this
-	leaseHeldAt     time.Duration // this owner is known to have held its lease then
-	renewalNeeded   bool          // tasks wait until the lease has been renewed
-	jobs            map[string]*job
-	endedJobs       map[string]endedJob          // jobs that have ended here
-	workers         map[string]*worker           // by id: there is one incarnation at a time
-	unreported      map[string]gauge.Incarnation // workers of the previous owner that haven't reported yet
-	newIncarnations []gauge.Worker               // incarnations without heartbeats yet
+	conf          Config
+	site          *gauge.Site
+	rates         *share.Rates
+	spans         *spans.Times  // learned run times, by queue
+	triages       bool          // jobs are classified by learned run times
+	rescueRoom    int           // thousandths of a core that late jobs may still take before timely ones
+	leaseEnd      time.Duration // when this owner's lease ends unless it is renewed
+	grantLimit    time.Duration // no grant reaches beyond this
+	leaseHeldAt   time.Duration // this owner is known to have held its lease then
+	renewalNeeded bool          // tasks wait until the lease has been renewed
+	jobs          map[string]*job
+	endedJobs     map[string]endedJob          // jobs that have ended here
+	workers       map[string]*worker           // by id: there is one incarnation at a time
+	unreported    map[string]gauge.Incarnation // workers of the previous owner that haven't reported yet
+	// staleRunsEnd is, by worker, until when a later incarnation than the unreported one may run what
+	// previous owners ordered; see expectStaleRuns.
+	staleRunsEnd    map[string]time.Duration
+	newIncarnations []gauge.Worker // incarnations without heartbeats yet
 	// leaseRowVersion is the version of the newest write of the lease row, and the next fencing
 	// token that a worker can get; see fence.
 	leaseRowVersion gauge.FencingToken
@@ -131,16 +136,14 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), endedJobs: make(map[string]endedJob), toStop: make(map[*run]bool), toRepeat: make(map[*run]bool), workers: make(map[string]*worker),
-		unreported: make(map[string]gauge.Incarnation), site: &gauge.Site{}, rates: share.New(), spans: spans.New(spans.Config{}), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
+		unreported: make(map[string]gauge.Incarnation), staleRunsEnd: make(map[string]time.Duration), site: &gauge.Site{}, rates: share.New(), spans: spans.New(spans.Config{}), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
 		suspects: make(map[*task]bool), suspectWorkers: make(map[gauge.Incarnation]bool),
 		unsettled: make(map[gauge.Incarnation][]unsettledRun),
 	}
 	p.queueProgress = make(map[string]*queueProgress)
 	p.speeds = speed.New(speed.Config{MayBackOff: p.mayBackOff})
 	for _, incarnation := range c.PreviousWorkers {
-		if !incarnation.IsBefore(p.unreported[incarnation.Worker]) {
-			p.unreported[incarnation.Worker] = incarnation
-		}
+		p.awaitReport(incarnation)
 	}
 	return p
 }
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -164,7 +164,7 @@
 	clear(w.connectedTo)
 	w.pool = sched.New(sched.Config{
 		Name: poolName, Fence: w.fence, Term: w.term, LeaseExtension: 5 * time.Second, StartTimeout: time.Second, HeartbeatWait: time.Second,
-		Logs: logr.Discard(), PreviousWorkers: earlier, PreviousRunsEnd: max(w.now, w.leasesEnd()) + 6*time.Second, PreviousLeaseEnd: w.leasesEnd(),
+		Logs: logr.Discard(), PreviousWorkers: earlier, PreviousRunsEnd: max(w.now, w.leasesEnd()) + 6*time.Second, PreviousOrdersEnd: max(w.now, w.leasesEnd()), PreviousLeaseEnd: w.leasesEnd(),
 		WorkerRunsEnd: w.runsEndBy, MaxWorkerLease: maxLease,
 		StartWindow: w.term % 2 * 3, WorkerStartWindow: w.term % 2 * 2, // every other owner limits its unanswered starts
 	})
