sched: a successor reckons with long leases of workers that started again lately

The next owner heard the worker at 7.34 s, found the run, and took for the end of the lease what its predecessor's own grants allow (15.26 s). The worker was cut off, and the task was started elsewhere at 15.33 s: two runs for 0.57 s.

Change: the lease row names the former incarnation, too, for as long as a call for it may have extended the lease. The next owner takes two names of a worker for that, and reckons with the longest lease of an order that was sent last.

--- a/internal/sched/barrier.go
+++ b/internal/sched/barrier.go
@@ -48,7 +48,6 @@
 func (p *Pool) markReported(id string) {
 	if _, awaited := p.unreported[id]; awaited {
 		delete(p.unreported, id)
-		delete(p.staleRunsEnd, id)
 		w := p.workers[id]
 		p.lostUnreported = p.lostUnreported || w == nil || !w.reported
 	}
@@ -68,9 +67,8 @@
 func (p *Pool) expireAwaited(now time.Duration) {
 	p.loseReplaced(now)
 	for id, incarnation := range p.unreported {
-		if p.hasExpired(max(p.previousRunsEnd(incarnation), p.staleRunsEnd[id]), now) {
+		if p.hasExpired(max(p.previousRunsEnd(incarnation), p.staleLeases[id].end), now) {
 			delete(p.unreported, id)
-			delete(p.staleRunsEnd, id)
 			p.conf.Logs.Info("worker not awaited any more", "pool", p.conf.Name, "worker", id, "born", incarnation.StartedAt, "lease", p.leaseEnd-now,
 				"left", len(p.unreported))
 			p.loseUnreported(incarnation, now)
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -33,7 +33,7 @@
 		if w := p.current(incarnation); w != nil && w.reported && !w.silent {
 			continue // it answers, but not with all that previous owners ordered: its lease goes on
 		}
-		left[incarnation] = max(0, p.previousRunsEnd(incarnation)-now, p.staleRunsEnd[id]-now)
+		left[incarnation] = max(0, p.previousRunsEnd(incarnation)-now, p.staleLeases[id].end-now)
 	}
 	for _, w := range p.workers {
 		if incarnation := w.info.Incarnation(); (w.silent || p.awaitsEarlier(incarnation)) && !w.dead {
@@ -48,6 +48,9 @@
 // it restarts anything that it inherits. LeaseRowWorkers also excludes from starts the workers that
 // it leaves out, until LeaseRowWritten names them again.
 //
+// Of a worker that has started again, and whose lease may be the longest for that reason, both
+// incarnations are named; see expectStaleLease.
+//
 // Workers that run nothing, take no starts and have all their end reports in the table are left
 // out. Machines change pools several times a minute. If workers of machines that have left stayed
 // in the row until their leases expire, a successor would wait seconds for them, with the whole
@@ -56,14 +59,18 @@
 	incarnations := make([]gauge.Incarnation, 0, len(p.workers))
 	awaited := p.awaitedWorkers()
 	for _, w := range p.workersByID() {
-		if w.mayBeOmitted() && !awaited[w.info.ID] {
+		startedAgain := !w.dead && p.lastTick < w.longLeaseUntil
+		if w.mayBeOmitted() && !awaited[w.info.ID] && !startedAgain {
 			w.inLeaseRow = false
 			continue
 		}
 		incarnations = append(incarnations, w.info.Incarnation())
+		if startedAgain && w.earlier.Worker != "" {
+			incarnations = append(incarnations, w.earlier)
+		}
 	}
 	for id := range awaited {
-		if w := p.workers[id]; w == nil || p.awaitsEarlier(w.info.Incarnation()) {
+		if p.workers[id] == nil {
 			incarnations = append(incarnations, p.awaitedIncarnation(id))
 		}
 	}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -41,8 +41,8 @@
 // there isn't this owner's, even if it has answered a heartbeat that was meant for the previous
 // one.
 func (p *Pool) handleListedElsewhere(info gauge.Worker) {
-	if _, known := p.staleRunsEnd[info.ID]; !known && p.awaitsEarlier(info.Incarnation()) {
-		p.expectStaleRuns(info.Incarnation())
+	if _, expected := p.staleLeases[info.ID]; !expected && p.awaitsEarlier(info.Incarnation()) {
+		p.expectStaleLease(info.Incarnation(), p.unreported[info.ID])
 	}
 	w := p.workers[info.ID]
 	if w == nil || info.Incarnation().IsBefore(w.info.Incarnation()) || w.listedHere && info.Incarnation() == w.info.Incarnation() {
@@ -52,29 +52,36 @@
 }
 
 // awaitReport has inherited tasks wait for the report of an incarnation to which previous owners may have
-// given orders. If they name two of one worker, the later one hasn't answered them.
+// given orders. If they name two of one worker, the later one may have a lease from calls for the other.
 func (p *Pool) awaitReport(incarnation gauge.Incarnation) {
-	newest, named := p.unreported[incarnation.Worker]
-	if !named || newest.IsBefore(incarnation) {
-		p.unreported[incarnation.Worker] = incarnation
+	other, named := p.unreported[incarnation.Worker]
+	if named && incarnation.IsBefore(other) {
+		incarnation, other = other, incarnation
 	}
-	if named && newest != incarnation {
-		p.expectStaleRuns(p.unreported[incarnation.Worker])
+	p.unreported[incarnation.Worker] = incarnation
+	if named && other != incarnation {
+		p.expectStaleLease(incarnation, other)
 	}
 }
 
-// expectStaleRuns records that a worker has started again before it reported to this owner. Its new
-// incarnation takes calls of previous owners that were meant for the earlier one, as it knows of no
-// fencing token, and measures their deadlines by a clock of its own, so that they may give it the longest
-// lease that it grants.
-func (p *Pool) expectStaleRuns(incarnation gauge.Incarnation) {
+// staleLease is a lease that an incarnation of a worker may have from calls for an earlier one.
+type staleLease struct {
+	earlier gauge.Incarnation
+	end     time.Duration
+}
+
+// expectStaleLease records that a worker has started again lately. Its new incarnation carries out calls
+// of previous owners that were meant for the earlier one, as it knows of no fencing token, and measures
+// their deadlines by a clock of its own, so that they may give it the longest lease that it grants. A
+// worker has one lease for all its runs, which never gets shorter.
+func (p *Pool) expectStaleLease(incarnation, earlier gauge.Incarnation) {
 	end, known := p.conf.WorkerRunsEnd[incarnation]
 	if !known {
 		end = p.conf.PreviousOrdersEnd + p.longestLease()
 	}
-	p.staleRunsEnd[incarnation.Worker] = max(p.staleRunsEnd[incarnation.Worker], end)
-	p.conf.Logs.Info("worker started again before it reported", "pool", p.conf.Name, "worker", incarnation.Worker, "born", incarnation.StartedAt,
-		"awaited", p.unreported[incarnation.Worker].StartedAt, "known", known)
+	p.staleLeases[incarnation.Worker] = staleLease{earlier: earlier, end: end}
+	p.conf.Logs.Info("worker started again under a previous owner", "pool", p.conf.Name, "worker", incarnation.Worker, "born", incarnation.StartedAt,
+		"before", earlier.StartedAt, "known", known)
 }
 
 // awaitsEarlier reports whether inherited tasks wait for an earlier incarnation of a worker.
@@ -113,9 +120,11 @@
 	w.info.Draining = false // handled with its row in the platform's list
 	p.raiseFence(w)
 	if p.awaitsEarlier(info.Incarnation()) {
-		p.expectStaleRuns(info.Incarnation())
+		p.expectStaleLease(info.Incarnation(), p.unreported[info.ID])
+	}
+	if stale, expected := p.staleLeases[info.ID]; expected {
+		w.assumeLongestLease(stale.earlier, stale.end)
 	}
-	w.leaseExpiry = max(w.leaseExpiry, p.staleRunsEnd[info.ID])
 	previous, awaited := p.unreported[info.ID]
 	if w.staleCallsPossible = awaited && previous != info.Incarnation(); w.staleCallsPossible {
 		p.replacedUnreported = append(p.replacedUnreported, previous)
@@ -134,7 +143,7 @@
 func (p *Pool) replaceIncarnation(previous *worker, info gauge.Worker, now time.Duration) *worker {
 	w := p.addIncarnation(info)
 	w.staleCallsPossible = true
-	w.leaseExpiry = max(w.leaseExpiry, now+p.longestLease())
+	w.assumeLongestLease(previous.info.Incarnation(), now+p.longestLease())
 	w.drainUntil, w.forceDrain, w.drainSoonUntil = previous.drainUntil, previous.forceDrain, previous.drainSoonUntil
 	w.releasedUntil = previous.releasedUntil
 	w.fence, w.fencePending = p.fence(previous), previous.fencePending
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -18,7 +18,7 @@
 		// From now on no call that was meant for the previous incarnation is carried out. Until now
 		// one may have extended the lease.
 		w.staleCallsPossible = false
-		w.leaseExpiry = max(w.leaseExpiry, now+p.longestLease())
+		w.assumeLongestLease(w.earlier, now+p.longestLease())
 	}
 	if !w.fencePending && call.Fence >= w.fence {
 		w.backUnproved = false
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -79,9 +79,9 @@
 	endedJobs     map[string]endedJob          // jobs that have ended here
 	workers       map[string]*worker           // by id: there is one incarnation at a time
 	unreported    map[string]gauge.Incarnation // workers of the previous owner that haven't reported yet
-	// staleRunsEnd is, by worker, until when a later incarnation than the unreported one may run what
-	// previous owners ordered; see expectStaleRuns.
-	staleRunsEnd    map[string]time.Duration
+	// staleLeases are, by worker, the leases that later incarnations than those that previous owners
+	// called may have got from them; see expectStaleLease.
+	staleLeases     map[string]staleLease
 	newIncarnations []gauge.Worker // incarnations without heartbeats yet
 	// leaseRowVersion is the version of the newest write of the lease row, and the next fencing
 	// token that a worker can get; see fence.
@@ -136,7 +136,7 @@
 	}
 	p := &Pool{
 		conf: c, jobs: make(map[string]*job), endedJobs: make(map[string]endedJob), toStop: make(map[*run]bool), toRepeat: make(map[*run]bool), workers: make(map[string]*worker),
-		unreported: make(map[string]gauge.Incarnation), staleRunsEnd: make(map[string]time.Duration), site: &gauge.Site{}, rates: share.New(), spans: spans.New(spans.Config{}), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
+		unreported: make(map[string]gauge.Incarnation), staleLeases: make(map[string]staleLease), site: &gauge.Site{}, rates: share.New(), spans: spans.New(spans.Config{}), index: newPoolIndex(), orphans: make(map[*orphanRun]bool), earlyCancels: make(map[string]earlyCancel),
 		suspects: make(map[*task]bool), suspectWorkers: make(map[gauge.Incarnation]bool),
 		unsettled: make(map[gauge.Incarnation][]unsettledRun),
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -74,10 +74,14 @@
 	// staleCallsPossible says that calls for an earlier incarnation may still be carried out and
 	// extend its lease.
 	staleCallsPossible bool
-	reported           bool // it has answered a call with this owner's fencing token
-	startUnanswered    bool // a start got no answer, and no report has come since
-	inFlight           int  // starts that have no answer yet
-	silent             bool // its last heartbeat got no answer
+	// longLeaseUntil is until when its lease may be the longest that it grants, as a call for an earlier
+	// incarnation has extended it. Until then the lease row names that one, too.
+	longLeaseUntil  time.Duration
+	earlier         gauge.Incarnation
+	reported        bool // it has answered a call with this owner's fencing token
+	startUnanswered bool // a start got no answer, and no report has come since
+	inFlight        int  // starts that have no answer yet
+	silent          bool // its last heartbeat got no answer
 	// backUnproved says that it hasn't answered a call that was sent since a heartbeat got no
 	// answer: the next call may reach another incarnation, which would discard its own end reports by
 	// the numbers of this one.
@@ -150,6 +154,12 @@
 	return w.minClockAt(now) + time.Duration(float64(span)*minClockRate)
 }
 
+// assumeLongestLease records that calls for an earlier incarnation may extend the lease up to a time.
+func (w *worker) assumeLongestLease(earlier gauge.Incarnation, until time.Duration) {
+	w.earlier, w.longLeaseUntil = earlier, max(w.longLeaseUntil, until)
+	w.leaseExpiry = max(w.leaseExpiry, until)
+}
+
 // readClock records a reading of the worker's clock.
 func (w *worker) readClock(clock, now time.Duration) {
 	if clock > 0 && clock >= w.clock {
--- a/jobrowsize.go
+++ b/jobrowsize.go
@@ -67,8 +67,12 @@
 	return remaining
 }
 
-// encodedSize returns the size of a value in an encoded row, 0 if it can't be encoded.
+// encodedSize returns the size of a value in an encoded row, 0 if it can't be encoded. Short texts, of
+// which a wide job's row has thousands, aren't encoded for it.
 func encodedSize(v any) int {
+	if text, ok := v.(string); ok && len(text) <= maxShortText {
+		return 1 + len(text)
+	}
 	b, err := msgpack.Marshal(v)
 	if err != nil {
 		return 0
@@ -76,17 +80,8 @@
 	return len(b)
 }
 
-// weight returns how much the runs say about their task: those that crashed their worker or were
-// isolated count twice.
-func (s SuspectRuns) weight() int {
-	weight := len(s)
-	for _, r := range s {
-		if r.Crashed || r.Isolated {
-			weight++
-		}
-	}
-	return weight
-}
+// maxShortText is the most bytes of a text that has a header of one byte.
+const maxShortText = 31
 
 // onlyKeysOf returns the entries of a map whose keys another one has.
 func onlyKeysOf(keys, entries map[string]int) map[string]int {
--- a/jobrowsize_test.go
+++ b/jobrowsize_test.go
@@ -74,3 +74,17 @@
 	assert.Equal(t, len(read.SuspectRuns["0.0.9"]), 2)
 	assert.Assert(t, len(read.SuspectRuns) > 300, "%d tasks with suspect runs left", len(read.SuspectRuns))
 }
+
+// BenchmarkEncodeWithin measures the encoding of a row that is too large, beside one that fits.
+func BenchmarkEncodeWithin(b *testing.B) {
+	for _, tasks := range []int{300, 3000} {
+		row := &gauge.JobRow{State: gauge.JobRunning, Pool: "p", Checkpoints: wideRow(tasks).Checkpoints}
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			for b.Loop() {
+				if _, _, err := row.EncodeWithin(rowLimit); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/suspect.go
+++ b/suspect.go
@@ -121,6 +121,18 @@
 	return slices.ContainsFunc(s, func(r SuspectRun) bool { return r.Run == run && r.Isolated && !r.Crashed })
 }
 
+// weight returns how much the runs say about their task: those that crashed their worker or were
+// isolated count twice.
+func (s SuspectRuns) weight() int {
+	weight := len(s)
+	for _, r := range s {
+		if r.Crashed || r.Isolated {
+			weight++
+		}
+	}
+	return weight
+}
+
 // String describes the crashed runs for the log.
 func (s SuspectRuns) String() string {
 	var crashes []string
