sched: a late start's lease is told to the next owner, too

Cause: a start for a worker's former incarnation that the next one answers some seconds later gives it the longest lease from then on. The owner reckoned with it, but its lease row named both incarnations only for as long as since the worker had started again. Found by looking for the same cause on related paths.

Result: TestLeaseRowNamesBothIncarnationsAfterALateStart failed before and passes.

--- a/internal/sched/latestart.go
+++ b/internal/sched/latestart.go
@@ -33,7 +33,7 @@
 	r.attempts.pending--
 	mayBeLater = mayBeLater || r.worker.lateStarts[r]
 	if err == nil && mayBeLater {
-		r.worker.leaseExpiry = max(r.worker.leaseExpiry, now+p.longestLease())
+		r.worker.assumeLongestLease(r.worker.earlier, now+p.longestLease())
 	}
 	switch kind := gauge.KindOf(err); {
 	case err == nil && !mayBeLater:
--- a/internal/sched/stale_lease_test.go
+++ b/internal/sched/stale_lease_test.go
@@ -179,3 +179,28 @@
 	_, left := g.pool.RemainingLeases(g.now)[second]
 	assert.Assert(t, !left)
 }
+
+// Guards against a next owner that doesn't know how long a worker's lease may be: a start for the former
+// incarnation is carried out, and answered, long after the worker has started again.
+func TestLeaseRowNamesBothIncarnationsAfterALateStart(t *testing.T) {
+	const late = 5 * time.Second // after the worker has started again
+	g := newLateHarness(t, newStep(1))
+	first, second := incarnationAt("w1", 1), incarnationAt("w1", 2)
+	began := g.now
+	g.answerHeartbeat(first, 2, time.Second, nil)
+	g.listRows(300, workerRow("w1", 2))
+	running := []gauge.RunReport{{Task: g.late.Start.Task, Run: g.late.Start.Run}}
+	for g.now < began+late+slowClockLease-time.Second {
+		g.advance(100 * time.Millisecond)
+		if g.now == began+late {
+			g.pool.OrderAnswered(g.late, time.Second+g.now-began, nil, g.now)
+		}
+		if g.now >= began+late {
+			g.answerHeartbeat(second, 2, time.Second+g.now-began, running)
+		} else {
+			g.answerHeartbeat(second, 2, time.Second+g.now-began, nil)
+		}
+	}
+	named := g.namedWorkers()
+	assert.Assert(t, named[first] && named[second])
+}
