--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -42,7 +42,7 @@
 	PreviousWorkers []gauge.Incarnation
 	// PreviousRunsEnd is when everything that the previous owner ordered has certainly ended.
 	PreviousRunsEnd time.Duration
-	// PreviousOrdersEnd is when the previous owner may have sent its last order.
+	// PreviousOrdersEnd is until when the previous owner may have sent orders.
 	PreviousOrdersEnd time.Duration
 	// PreviousLeaseEnd is when the previous owner's lease has certainly run out: until then it may
 	// adopt jobs that are accepted. It is 0 if that owner has ended.
@@ -65,24 +65,22 @@
 
 // Pool is the owner's state of one pool. It is not safe for concurrent use.
 type Pool struct {
-	conf          Config
-	site          *gauge.Site
-	rates         *share.Rates
-	spans         *spans.Times  // learned run times, by queue
-	triages       bool          // jobs are classified by learned run times
-	rescueRoom    int           // thousandths of a core that late jobs may still take before timely ones
-	leaseEnd      time.Duration // when this owner's lease ends unless it is renewed
-	grantLimit    time.Duration // no grant reaches beyond this
-	leaseHeldAt   time.Duration // this owner is known to have held its lease then
-	renewalNeeded bool          // tasks wait until the lease has been renewed
-	jobs          map[string]*job
-	endedJobs     map[string]endedJob          // jobs that have ended here
-	workers       map[string]*worker           // by id: there is one incarnation at a time
-	unreported    map[string]gauge.Incarnation // workers of the previous owner that haven't reported yet
-	// staleLeases are, by worker, the leases that later incarnations than those that previous owners
-	// called may have got from them; see expectStaleLease.
-	staleLeases     map[string]staleLease
-	newIncarnations []gauge.Worker // incarnations without heartbeats yet
+	conf            Config
+	site            *gauge.Site
+	rates           *share.Rates
+	spans           *spans.Times  // learned run times, by queue
+	triages         bool          // jobs are classified by learned run times
+	rescueRoom      int           // thousandths of a core that late jobs may still take before timely ones
+	leaseEnd        time.Duration // when this owner's lease ends unless it is renewed
+	grantLimit      time.Duration // no grant reaches beyond this
+	leaseHeldAt     time.Duration // this owner is known to have held its lease then
+	renewalNeeded   bool          // tasks wait until the lease has been renewed
+	jobs            map[string]*job
+	endedJobs       map[string]endedJob          // jobs that have ended here
+	workers         map[string]*worker           // by id: there is one incarnation at a time
+	unreported      map[string]gauge.Incarnation // workers of the previous owner that haven't reported yet
+	staleLeases     map[string]staleLease        // by worker, see expectStaleLease
+	newIncarnations []gauge.Worker               // incarnations without heartbeats yet
 	// leaseRowVersion is the version of the newest write of the lease row, and the next fencing
 	// token that a worker can get; see fence.
 	leaseRowVersion gauge.FencingToken
