--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,73 +69,22 @@
 // and the lease is left to expire.
 func New(ctx context.Context, c Config) *Owner {
 	now := c.Now()
-	leaseLeft := earlierLeaseLeft(&c)
+	previous := newPredecessor(&c, now)
 	limits := limit.New(limit.Config{Pool: c.Pool, Fence: c.Fence, First: c.Term == 0, Logs: c.Logs})
 	o := &Owner{
 		conf: c, claimedAt: now, limits: limits, admission: admit.New(),
-		wake: make(chan struct{}, 1), limitWake: make(chan struct{}, 1), orderSlots: make(map[gauge.Incarnation]chan struct{}), stopSlots: make(map[gauge.Incarnation]chan struct{}),
-		orderLag: lag.New(lag.Config{Window: lagWindow, SlowCall: lagThreshold, MinCalls: lagMinOrders, MinPeers: lagMinWorkers}), heldBackUntil: make(map[string]time.Duration), writeDone: make(chan struct{}),
-		behindDetector: lag.NewBehindDetector(lag.BehindConfig{Threshold: behindAfter, ReportInterval: behindLogInterval}),
-		pool: sched.New(sched.Config{
-			Name: c.Pool, Fence: c.Fence, Term: c.Term, LeaseExtension: c.LeaseExtension, StartTimeout: startTimeout, HeartbeatWait: maxHeartbeatWait, StartWindow: maxUnansweredStarts, WorkerStartWindow: maxConcurrentOrders,
-			Disabled: c.Disabled, Logs: c.Logs, CountEvent: c.CountEvent, MaxWorkerLease: c.MaxWorkerLease, MaxRowBytes: c.MaxRowBytes,
-			PreviousWorkers: parseIncarnations(c.PreviousWorkers), PreviousRunsEnd: now + leaseLeft + c.OrderGrace + clockMargin, PreviousOrdersEnd: max(now, previousLeaseEnd(leaseLeft, now)), PreviousLeaseEnd: previousLeaseEnd(leaseLeft, now), WorkerRunsEnd: runDeadlines(&c.PreviousRow, now),
-			DrainedUntil: drainedUntil(&c.PreviousRow, now), UnrecordedOwners: c.PreviousRow.UnrecordedOwners,
-			Limits: limits,
-		}),
-	}
-	if leaseLeft > 0 {
-		o.earlierLeaseUntil = c.TableClock() + leaseLeft.Milliseconds() + 1
+		wake: make(chan struct{}, 1), limitWake: make(chan struct{}, 1), writeDone: make(chan struct{}),
+		orderSlots: make(map[gauge.Incarnation]chan struct{}), stopSlots: make(map[gauge.Incarnation]chan struct{}),
+		orderLag:          lag.New(lag.Config{Window: lagWindow, SlowCall: lagThreshold, MinCalls: lagMinOrders, MinPeers: lagMinWorkers}),
+		behindDetector:    lag.NewBehindDetector(lag.BehindConfig{Threshold: behindAfter, ReportInterval: behindLogInterval}),
+		heldBackUntil:     make(map[string]time.Duration),
+		earlierLeaseUntil: previous.earlierLeaseUntil,
+		pool:              sched.New(poolConfig(&c, &previous, limits)),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	return o
 }
 
-// earlierLeaseLeft returns how much may be left of the lease of an earlier owner that may be alive.
-func earlierLeaseLeft(c *Config) time.Duration {
-	if c.PreviousRow.EarlierLeaseUntil == 0 {
-		return c.PreviousLeaseLeft
-	}
-	left := time.Duration(c.PreviousRow.EarlierLeaseUntil-c.TableClock())*time.Millisecond + tableClockMargin
-	return max(0, left, c.PreviousLeaseLeft)
-}
-
-// previousLeaseEnd returns when the leases of earlier owners have certainly run out, given how much may
-// be left of them; 0 if these owners have ended.
-func previousLeaseEnd(left, now time.Duration) time.Duration {
-	if left == 0 {
-		return 0
-	}
-	return now + left + clockMargin
-}
-
-// runDeadlines returns, for each worker that didn't answer the previous owner, when nothing can run
-// there any more. The previous owner writes this when it gives up the lease; a row written while it
-// still held the lease doesn't cover what it granted later.
-func runDeadlines(previous *gauge.LeaseRow, now time.Duration) map[gauge.Incarnation]time.Duration {
-	if previous.Holder != "" {
-		return nil
-	}
-	until := make(map[gauge.Incarnation]time.Duration, len(previous.RemainingLeases))
-	for name, left := range previous.RemainingLeases {
-		until[gauge.ParseIncarnation(name)] = now + time.Duration(left)*time.Millisecond + clockMargin
-	}
-	return until
-}
-
-// drainedUntil returns until when a worker must not get starts because the previous owner reported
-// it as drained. The previous owner writes this when it gives up the lease.
-func drainedUntil(previous *gauge.LeaseRow, now time.Duration) map[string]time.Duration {
-	if previous.Holder != "" {
-		return nil
-	}
-	until := make(map[string]time.Duration, len(previous.DrainedFor))
-	for id, left := range previous.DrainedFor {
-		until[id] = now + time.Duration(left)*time.Millisecond
-	}
-	return until
-}
-
 // Run reads the pool's jobs and runs the pool until the lease is lost, Stop is called or the
 // context given to New ends.
 func (o *Owner) Run(site *gauge.Site, workers []gauge.Worker) {
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -51,45 +51,6 @@
 	p.retireWorker(w, "restarted in another pool", p.lastTick)
 }
 
-// awaitReport has inherited tasks wait for the report of an incarnation to which previous owners may have
-// given orders. If they name two of one worker, the later one may have a lease from calls for the other.
-func (p *Pool) awaitReport(incarnation gauge.Incarnation) {
-	other, named := p.unreported[incarnation.Worker]
-	if named && incarnation.IsBefore(other) {
-		incarnation, other = other, incarnation
-	}
-	p.unreported[incarnation.Worker] = incarnation
-	if named && other != incarnation {
-		p.expectStaleLease(incarnation, other)
-	}
-}
-
-// staleLease is a lease that an incarnation of a worker may have from calls for an earlier one.
-type staleLease struct {
-	earlier gauge.Incarnation
-	end     time.Duration
-}
-
-// expectStaleLease records that a worker has started again lately. Its new incarnation carries out calls
-// of previous owners that were meant for the earlier one, as it knows of no fencing token, and measures
-// their deadlines by a clock of its own, so that they may give it the longest lease that it grants. A
-// worker has one lease for all its runs, which never gets shorter.
-func (p *Pool) expectStaleLease(incarnation, earlier gauge.Incarnation) {
-	end, known := p.conf.WorkerRunsEnd[incarnation]
-	if !known {
-		end = p.conf.PreviousOrdersEnd + p.longestLease()
-	}
-	p.staleLeases[incarnation.Worker] = staleLease{earlier: earlier, end: end}
-	p.conf.Logs.Info("worker started again under a previous owner", "pool", p.conf.Name, "worker", incarnation.Worker, "born", incarnation.StartedAt,
-		"before", earlier.StartedAt, "known", known)
-}
-
-// awaitsEarlier reports whether inherited tasks wait for an earlier incarnation of a worker.
-func (p *Pool) awaitsEarlier(incarnation gauge.Incarnation) bool {
-	previous, awaited := p.unreported[incarnation.Worker]
-	return awaited && previous.IsBefore(incarnation)
-}
-
 // workerThatAnswered returns the worker whose incarnation has answered a call; nil if the
 // incarnation is dead or no longer the newest.
 func (p *Pool) workerThatAnswered(incarnation gauge.Incarnation, startedAt int64, now time.Duration) *worker {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -154,12 +154,6 @@
 	return w.minClockAt(now) + time.Duration(float64(span)*minClockRate)
 }
 
-// assumeLongestLease records that calls for an earlier incarnation may extend the lease up to a time.
-func (w *worker) assumeLongestLease(earlier gauge.Incarnation, until time.Duration) {
-	w.earlier, w.longLeaseUntil = earlier, max(w.longLeaseUntil, until)
-	w.leaseExpiry = max(w.leaseExpiry, until)
-}
-
 // readClock records a reading of the worker's clock.
 func (w *worker) readClock(clock, now time.Duration) {
 	if clock > 0 && clock >= w.clock {
