--- a/internal/sched/incarnation_test.go
+++ b/internal/sched/incarnation_test.go
@@ -235,14 +235,14 @@
 	g.failHeartbeatOf(incarnationAt("w1", 1))
 	g.answerHeartbeat(incarnationAt("w1", 1), 2, time.Second, nil)
 	g.failHeartbeatOf(incarnationAt("w1", 2))
-	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], time.Duration(slowClockLease))
+	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], slowClockLease)
 
 	g.advance(3 * time.Second)
 	// The token rises. Until the worker has answered a call with it, older grants may reach it.
 	g.pool.LeaseRowWritten(g.pool.LeaseRowWorkers(), 300)
 	g.answerHeartbeat(incarnationAt("w1", 2), 2, 4*time.Second, nil)
 	g.failHeartbeatOf(incarnationAt("w1", 2))
-	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], time.Duration(slowClockLease))
+	assert.Equal(t, g.pool.RemainingLeases(g.now)[incarnationAt("w1", 2)], slowClockLease)
 }
 
 // Guards against a worker that drains when the owner first learns of it and is taken to leave at
