sched: the test of lost runs' rows checks the records at both sizes

Of 4,096 lost runs it checked no record: a row without any would have passed. Now the row is decoded, and at least 500 tasks' records are to be there. Nothing is loosened. Found by reading the change once more.

--- a/internal/sched/rowsize_test.go
+++ b/internal/sched/rowsize_test.go
@@ -82,7 +82,9 @@
 			}
 			batch := g.writeAll(2 * fence)
 			assert.Equal(t, len(batch.Changes), 1)
-			assert.Assert(t, len(batch.Changes[0].Row) > 10*tasks || tasks > 500, "no runs are recorded")
+			row, err := gauge.DecodeJobRow(batch.Changes[0].Row)
+			assert.NilError(t, err)
+			assert.Assert(t, len(row.SuspectRuns) >= 500, "%d lost runs are recorded", len(row.SuspectRuns))
 			assert.Assert(t, len(batch.Changes[0].Row) <= rowLimit, "the row has %d bytes", len(batch.Changes[0].Row))
 		})
 	}
