mesh: what other entries' messages hold is bounded, and taken as they arrive

Seen from outside: 400 connections to the address for other entries, each announcing a message of 1 MiB and stopping a byte short, brought a process on a machine of 160 MB to 430 MB. A process without a key, as on the users' machines, takes them from anybody.

Cause: frame.Read took the announced length before the first byte had come, and nothing bounded the connections or what they hold together. A process that had no descriptor left for a moment stopped listening for good, as any error of Accept ended Serve.

Change: internal/budget bounds what connections hold together and how many there are; when it is used up, the one that has gone without a whole call for longest is evicted, one whose call is being answered is not.

--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,201 @@
+// Package budget bounds the memory and the connections that clients hold together.
+//
+// When it is used up, the client that has gone without a whole request for longest is evicted, so
+// that clients that stall, or send little by little, don't keep out those that come after them. A
+// client whose request is being handled is not evicted.
+package budget
+
+import (
+	"container/list"
+	"sync"
+
+	"sapphiregauge/internal/fill"
+)
+
+// Config sets up a Budget.
+type Config struct {
+	Bytes int // memory that all clients may hold together; default 40 MiB
+	Conns int // connections that may be open; default 1,000
+}
+
+const (
+	defaultBytes = 40 << 20
+	defaultConns = 1000
+	// ConnBytes is what an open connection takes: the goroutine that serves it, a read buffer, and
+	// what the kernel keeps of its unread bytes.
+	ConnBytes = 32 << 10
+)
+
+// Budget is shared by the connections of one or more listeners.
+type Budget struct {
+	conf Config
+
+	mu        sync.Mutex
+	bytes     int
+	conns     int
+	evictable *list.List // of *Share, the one that has waited for longest first
+}
+
+// New returns a Budget that nothing is taken from.
+func New(c Config) *Budget {
+	fill.Zero(&c.Bytes, defaultBytes)
+	fill.Zero(&c.Conns, defaultConns)
+	return &Budget{conf: c, evictable: list.New()}
+}
+
+// Share is what one connection holds. Its methods may be called after its eviction.
+type Share struct {
+	budget *Budget
+	close  func()
+	bytes  int
+	gone   bool          // evicted, or left
+	place  *list.Element // among the evictable ones; nil: protected
+}
+
+// Join takes room for a connection, which is evictable from now on. An eviction calls closeConn, which
+// must not block. Join returns nil if there is no room: the requests of all others are being handled.
+func (b *Budget) Join(closeConn func()) *Share {
+	s := &Share{budget: b, close: closeConn}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.conns >= b.conf.Conns {
+		if !b.evictOldest(s) {
+			return nil
+		}
+	}
+	if !b.makeRoom(s, ConnBytes) {
+		return nil
+	}
+	b.conns++
+	b.bytes += ConnBytes
+	s.bytes = ConnBytes
+	s.place = b.evictable.PushBack(s)
+	return s
+}
+
+// EvictOldest evicts the connection that has waited for longest, if there is one that may be evicted.
+func (b *Budget) EvictOldest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evictOldest(nil)
+}
+
+// evictOldest evicts the share that has waited for longest. It returns false if there is none, or if
+// that is the asking one. The caller holds the lock.
+func (b *Budget) evictOldest(asking *Share) bool {
+	oldest := b.evictable.Front()
+	if oldest == nil || oldest.Value == asking {
+		return false
+	}
+	b.drop(oldest.Value.(*Share)) //nolint:forcetypeassert // the list has nothing else
+	return true
+}
+
+// makeRoom evicts others until there is room for so many bytes. The caller holds the lock.
+func (b *Budget) makeRoom(asking *Share, bytes int) bool {
+	if bytes > b.conf.Bytes {
+		return false
+	}
+	for b.bytes+bytes > b.conf.Bytes {
+		if !b.evictOldest(asking) {
+			return false
+		}
+	}
+	return true
+}
+
+// drop closes a share's connection and gives its room back. The caller holds the lock.
+func (b *Budget) drop(s *Share) {
+	s.leave()
+	s.close()
+}
+
+// Reserve takes room for more bytes. It returns false if there is none: the share has been evicted, has
+// waited for longest itself, or the requests of all others are being handled.
+func (s *Share) Reserve(bytes int) bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.gone || !s.budget.makeRoom(s, bytes) {
+		return false
+	}
+	s.budget.bytes += bytes
+	s.bytes += bytes
+	return true
+}
+
+// Release gives bytes back.
+func (s *Share) Release(bytes int) {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.gone {
+		return
+	}
+	s.budget.bytes -= bytes
+	s.bytes -= bytes
+}
+
+// ReleaseAll gives all bytes back but those of the connection itself.
+func (s *Share) ReleaseAll() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.gone {
+		return
+	}
+	s.budget.bytes -= s.bytes - ConnBytes
+	s.bytes = ConnBytes
+}
+
+// Protect excludes the share from eviction, as its request is being handled. It returns false if the
+// share has been evicted.
+func (s *Share) Protect() bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.place != nil {
+		s.budget.evictable.Remove(s.place)
+		s.place = nil
+	}
+	return !s.gone
+}
+
+// Wait makes the share evictable, as the one that has waited for the shortest time.
+func (s *Share) Wait() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	switch {
+	case s.gone:
+	case s.place == nil:
+		s.place = s.budget.evictable.PushBack(s)
+	default:
+		s.budget.evictable.MoveToBack(s.place)
+	}
+}
+
+// Evict evicts the share unless it is protected.
+func (s *Share) Evict() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.place != nil {
+		s.budget.drop(s)
+	}
+}
+
+// Leave gives everything back, as the connection has been closed.
+func (s *Share) Leave() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.leave()
+}
+
+// leave is Leave; the caller holds the lock.
+func (s *Share) leave() {
+	if s.gone {
+		return
+	}
+	s.gone = true
+	s.budget.conns--
+	s.budget.bytes -= s.bytes
+	if s.place != nil {
+		s.budget.evictable.Remove(s.place)
+		s.place = nil
+	}
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -52,6 +53,13 @@
 // malformed one or one of another version of gauge.KindInvalid; errors of r are returned as they
 // are.
 func Read(r io.Reader, limit int) (Frame, error) {
+	return ReadReserved(r, limit, func(int) error { return nil })
+}
+
+// ReadReserved is Read, and calls reserve with a number of bytes before that much memory is taken: as
+// the frame arrives, not for what its prefix announces, and then for its decoded values. An error of
+// reserve is returned as it is.
+func ReadReserved(r io.Reader, limit int, reserve func(bytes int) error) (Frame, error) {
 	var f Frame
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
@@ -61,8 +69,8 @@
 	if int64(size) > int64(limit) {
 		return f, gauge.Errorf(gauge.KindTooLarge, "frame of %d bytes, limit %d", size, limit)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(size), reserve)
+	if err != nil {
 		return f, err
 	}
 	if err := Decode(body, &f); err != nil {
@@ -74,6 +82,29 @@
 	return f, nil
 }
 
+// firstPiece is the memory that is taken, in bytes, before the first byte of a longer body has come.
+const firstPiece = 4 << 10
+
+// readBody reads size bytes into memory that doubles as they arrive.
+func readBody(r io.Reader, size int, reserve func(bytes int) error) ([]byte, error) {
+	var body []byte
+	for read := 0; read < size; read = len(body) {
+		next := min(max(2*read, firstPiece), size)
+		if err := reserve(next - read); err != nil {
+			return nil, err
+		}
+		body = append(make([]byte, 0, next), body...)[:next]
+		_, err := io.ReadFull(r, body[read:])
+		if errors.Is(err, io.EOF) && read > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // Encode encodes a value as the body of a frame.
 func Encode(v any) (msgpack.RawMessage, error) {
 	b, err := msgpack.Marshal(v)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -14,6 +14,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/accept"
+	"sapphiregauge/internal/budget"
 	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/frame"
 )
@@ -30,6 +32,8 @@
 	// Quiet is the timeout of a call, and of writing a frame; default 2 s. A call without an
 	// answer in this time closes its connection if nothing else was received on it.
 	Quiet time.Duration
+	// Budget bounds what connections from peers may hold; nil: one of its own.
+	Budget *budget.Budget
 	// Closed is called when the connection for calls to a peer has ended; it may be nil.
 	Closed func(addr string)
 }
@@ -44,6 +48,8 @@
 	// maxConcurrentCalls bounds the concurrent calls of one connection, so that a misbehaving
 	// peer can't use up the memory.
 	maxConcurrentCalls = 256
+	// frameTimeout bounds the time from the first byte of a call to its last.
+	frameTimeout = 10 * time.Second
 )
 
 // Handler answers the calls of one method. The body is the encoded request. The result is encoded
@@ -59,8 +65,8 @@
 	calls    atomic.Int64 // made by this entry
 
 	mu       sync.Mutex
-	links    map[string]*link  // connections to peers, by address
-	accepted map[net.Conn]bool // connections from peers
+	links    map[string]*link           // connections to peers, by address
+	accepted map[net.Conn]*budget.Share // connections from peers
 	listener net.Listener
 	closed   bool
 }
@@ -71,9 +77,12 @@
 	fill.Zero(&c.Dial, defaultHandshakeTimeout)
 	fill.Zero(&c.Connect, defaultConnectTimeout)
 	fill.Zero(&c.Quiet, defaultCallTimeout)
+	if c.Budget == nil {
+		c.Budget = budget.New(budget.Config{})
+	}
 	return &Node{
 		conf: c, handlers: make(map[string]Handler),
-		links: make(map[string]*link), accepted: make(map[net.Conn]bool),
+		links: make(map[string]*link), accepted: make(map[net.Conn]*budget.Share),
 	}
 }
 
@@ -98,20 +107,18 @@
 	n.mu.Lock()
 	n.listener = l
 	n.mu.Unlock()
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if n.isClosed() {
-				return nil
-			}
-			return gauge.Errorf(gauge.KindInternal, "mesh.Serve").WithCause(err)
-		}
-		if !n.track(c) {
+	accept.Loop(l, func(c net.Conn) {
+		share := n.track(c)
+		if share == nil {
 			_ = c.Close()
-			continue
+			return
 		}
-		n.group.Go(func() { n.serveConn(ctx, c) })
+		n.group.Go(func() { n.serveConn(ctx, c, share) })
+	}, func(error) { n.conf.Budget.EvictOldest() })
+	if n.isClosed() {
+		return nil
 	}
+	return gauge.Errorf(gauge.KindInternal, "mesh.Serve: the listener was closed")
 }
 
 // Close closes all connections and waits for running calls to end.
@@ -139,24 +146,30 @@
 	return n.closed
 }
 
-// track records an accepted connection; it returns false if the node is closed.
-func (n *Node) track(c net.Conn) bool {
+// track records an accepted connection. It returns nil if the node is closed, or there is no room.
+func (n *Node) track(c net.Conn) *budget.Share {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
-		return false
+		return nil
+	}
+	share := n.conf.Budget.Join(func() { _ = c.Close() })
+	if share != nil {
+		n.accepted[c] = share
 	}
-	n.accepted[c] = true
-	return true
+	return share
 }
 
-func (n *Node) serveConn(ctx context.Context, c net.Conn) {
-	defer func() {
-		_ = c.Close()
-		n.mu.Lock()
-		delete(n.accepted, c)
-		n.mu.Unlock()
-	}()
+func (n *Node) forget(c net.Conn) {
+	_ = c.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accepted[c].Leave()
+	delete(n.accepted, c)
+}
+
+func (n *Node) serveConn(ctx context.Context, c net.Conn, share *budget.Share) {
+	defer n.forget(c)
 	_ = c.SetDeadline(time.Now().Add(n.conf.Dial))
 	if err := n.proveAsServer(c); err != nil {
 		return
@@ -165,15 +178,18 @@
 	var writeMu sync.Mutex
 	var running conc.WaitGroup
 	defer running.Wait()
+	calls := &callCounter{share: share}
 	callSlots := make(chan struct{}, maxConcurrentCalls)
 	for {
-		f, err := frame.Read(c, n.conf.Limit)
+		f, size, err := n.readCall(c, share)
 		if err != nil {
 			return
 		}
 		callSlots <- struct{}{}
+		calls.begin()
 		running.Go(func() {
 			defer func() { <-callSlots }()
+			defer calls.end(size)
 			answer := n.answer(ctx, f)
 			writeMu.Lock()
 			defer writeMu.Unlock()
@@ -182,6 +198,49 @@
 	}
 }
 
+// readCall reads one call, and returns what it holds of the share.
+func (n *Node) readCall(c net.Conn, share *budget.Share) (f frame.Frame, size int, err error) {
+	f, err = frame.ReadReserved(c, n.conf.Limit, func(bytes int) error {
+		if size == 0 {
+			_ = c.SetReadDeadline(time.Now().Add(frameTimeout))
+		}
+		if !share.Reserve(bytes) {
+			return gauge.Errorf(gauge.KindNoRoom, "no room for a call of %s", c.RemoteAddr())
+		}
+		size += bytes
+		return nil
+	})
+	_ = c.SetReadDeadline(time.Time{})
+	return f, size, err
+}
+
+// callCounter counts the calls of one connection that are being answered. Meanwhile the connection
+// isn't evicted.
+type callCounter struct {
+	share *budget.Share
+
+	mu      sync.Mutex
+	running int
+}
+
+func (k *callCounter) begin() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.running++
+	k.share.Protect()
+}
+
+// end counts a call as answered, and gives back what it held.
+func (k *callCounter) end(size int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.running--
+	k.share.Release(size)
+	if k.running == 0 {
+		k.share.Wait()
+	}
+}
+
 // write sends a frame. A failure closes the connection, which ends the goroutine that reads it.
 func (n *Node) write(c net.Conn, f frame.Frame) {
 	_ = c.SetWriteDeadline(time.Now().Add(n.conf.Quiet))
