frame: room is taken for the values of a message before they are decoded

Seen from outside: 8 messages of 1 MiB to the address for other entries, each a job of a million empty steps, brought a process on a machine of 160 MB to 1,495 MB.

Cause: an element of a list takes one byte in a message and 160 once it is decoded as a step.

Change: the values of a frame are counted, without decoding them, and each takes 256 bytes of the connection's share; a call of some twenty values takes 5 KiB. A connection without room for it is closed.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -56,6 +56,10 @@
 	return ReadReserved(r, limit, func(int) error { return nil })
 }
 
+// valueBytes is what a value of a frame takes once it is decoded, at most: an element of one byte may
+// become a struct.
+const valueBytes = 256
+
 // ReadReserved is Read, and calls reserve with a number of bytes before that much memory is taken: as
 // the frame arrives, not for what its prefix announces, and then for its decoded values. An error of
 // reserve is returned as it is.
@@ -73,6 +77,13 @@
 	if err != nil {
 		return f, err
 	}
+	values, err := countValues(body)
+	if err != nil {
+		return f, err
+	}
+	if err := reserve(values * valueBytes); err != nil {
+		return f, err
+	}
 	if err := Decode(body, &f); err != nil {
 		return f, err
 	}
