host: what clients hold on each HTTP listener is bounded, and taken as it arrives

Callers saw: a process that ran out of memory, or one that lived and answered nobody any more.

Cause, in fasthttp's server as it was used: it takes the announced length of a body at once, up to 1 MiB (4 MiB for the readiness check), whatever the configuration says; keeps it while the connection idles; parses what has come of a head, at over 100 bytes for a line of four; has no time-out for reading; and ends for good when there is no descriptor left. net/http, for the metrics, takes heads of 1 MiB. Its limit of connections is no way out: it answers 503 by itself, which promises that the request never runs.

Change: internal/httpd serves connections with fasthttp's parser and types. A head is parsed once it is whole and there is room for its lines; a body is refused by the configured limit before its first byte is read, and else takes room as it arrives; idle connections keep 4 KiB. The room is a quarter of limits.memoryMb for clients and a 32nd for checks and metrics, with a third and a 32nd of the descriptors (an eighth and a quarter for other entries). When it is used up, the connection that has gone without a whole request for longest is evicted: ordinary requests arrive within milliseconds, so one that comes is served before those that stall. No request that is being handled is evicted. A connection without room is closed unanswered, a submission without room for its body is answered 504, as only the pool's owner knows whether an earlier try is stored. The heap is limited to 70 % of limits.memoryMb, so that garbage doesn't double it. Close ends stalled connections at once, and a server that is closed serves nothing more.

--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -7,6 +7,7 @@
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/boot"
+	"sapphiregauge/internal/budget"
 	"sapphiregauge/internal/mesh"
 	"sapphiregauge/internal/meter"
 	"sapphiregauge/internal/node"
@@ -17,6 +18,8 @@
 // assemble creates the components of an entry and connects them.
 func assemble(s platform.Settings, disabled gauge.Disabled, log logr.Logger) *components {
 	c := &components{settings: s, log: log, meter: meter.New()}
+	budgets := budget.Divide(s.MemoryBytes, s.MaxFiles)
+	c.metrics = newMetricsServer(c.meter.Registry, budgets.Probes)
 	c.table = platform.NewTable(platform.TableConfig{Addr: s.TableAddr, ReadTimeout: readTimeout, CommitTimeout: commitTimeout, Clock: bootTime, Observe: c.meter.CountTraffic})
 	store := timely.New(timely.Config{
 		Store: c.table, CheckDelay: commitCheckDelay, MaxFastRead: maxFastRead, ReadTimeout: probeReadTimeout, CommitTimeout: commitTimeout, Now: boot.Now,
@@ -31,14 +34,14 @@
 	if s.AdviceAddr != "" {
 		adviser = platform.NewAdvice(platform.AdviceConfig{Addr: s.AdviceAddr, Timeout: adviceTimeout, Clock: bootTime})
 	}
-	c.mesh = mesh.New(mesh.Config{Closed: func(addr string) { c.node.CheckHolder(addr) }})
+	c.mesh = mesh.New(mesh.Config{Budget: budgets.Peers, Closed: func(addr string) { c.node.CheckHolder(addr) }})
 	c.node = node.New(node.Config{
 		Name: s.NodeName, StartID: newStartID(), Addr: c.peerAddr(), CapacityCores: s.CapacityCores(), Store: store, Workers: c.workers, Machines: machines, Adviser: adviser,
 		Codec: platform.TableCodec{KeysRequired: s.KeysRequired, Contended: s.Contended}, Mesh: c.mesh, Logs: log, Now: boot.Now, WallClock: time.Now, ObserveCall: c.meter.ObserveCall, CountEvent: c.meter.CountEvent,
 		ObserveBacklog: c.meter.SetBacklog, MaxWorkerLease: s.MaxWorkerLease, MaxRowBytes: s.MaxRowBytes, MaxApplyDelay: s.MaxApplyDelay, MaxKeyDelay: s.MaxKeyDelay, Disabled: disabled, MinOrderInterval: s.MinOrderInterval, MaxOrderRate: s.MaxOrderRate, MaintenanceDuration: s.MaintenanceDuration, JobRetention: s.JobRetention,
 	})
 	c.meter.RegisterTableAges(c.node.TableAges)
-	c.front = platform.NewFrontend(platform.FrontendConfig{Jobs: c.node.Jobs(), Site: c.node.ServingSite, Admit: c.node.Admit, MayBeStored: c.node.MayBeStored, Ready: c.node.Ready, Logs: log})
+	c.front = platform.NewFrontend(platform.FrontendConfig{Jobs: c.node.Jobs(), Site: c.node.ServingSite, Admit: c.node.Admit, MayBeStored: c.node.MayBeStored, Ready: c.node.Ready, Clients: budgets.Clients, Probes: budgets.Probes, Logs: log})
 	return c
 }
 
--- a/cmd/sapphiregauge/host.go
+++ b/cmd/sapphiregauge/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"strconv"
@@ -12,13 +11,13 @@
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/boot"
 	"sapphiregauge/internal/conf"
+	"sapphiregauge/internal/httpd"
 	"sapphiregauge/internal/logs"
 	"sapphiregauge/internal/mesh"
 	"sapphiregauge/internal/meter"
@@ -137,6 +136,7 @@
 	front    *platform.Frontend
 	mesh     *mesh.Node
 	meter    *meter.Meter
+	metrics  *httpd.Server
 	table    *platform.Table
 	workers  *platform.Workers
 	machines *platform.Machines
@@ -155,6 +155,7 @@
 	log := logs.New(out, false).WithValues("entry", settings.NodeName)
 	started := boot.Now()
 	log.Info("start", "zone", settings.Zone, "version", version, "without", disabled)
+	limitHeap(settings.MemoryBytes)
 	c := assemble(settings, disabled, log)
 	c.meter.RegisterDroppedLines(out.Dropped)
 	err = c.serveAll(ctx, s)
@@ -183,7 +184,7 @@
 	group.Go(func() { c.logEnd("readiness", c.front.ServeReady(ready)) })
 	group.Go(func() { c.logEnd("entries", c.mesh.Serve(run, peer)) })
 	group.Go(func() { c.node.Run(run) })
-	c.serveMetrics(s)
+	group.Go(func() { c.logEnd("metrics", c.serveMetrics(s.metrics)) })
 	c.reloadOnHangup(ctx)
 	c.shutDown()
 	stop()
@@ -233,6 +234,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	c.logEnd("clients", c.front.Close(ctx))
+	c.logEnd("metrics", c.metrics.Close(ctx))
 }
 
 // release gives up the leases of the pools, so that other entries take them: at once, or, while the
@@ -243,18 +245,6 @@
 	c.node.Release(ctx, maxDelay)
 }
 
-func (c *components) serveMetrics(s *hostSettings) {
-	if s.metrics == 0 {
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(c.meter.Registry, promhttp.HandlerOpts{}))
-	server := &http.Server{
-		Addr: net.JoinHostPort(c.settings.IP, strconv.Itoa(s.metrics)), Handler: mux, ReadHeaderTimeout: time.Second,
-	}
-	go func() { c.logEnd("metrics", server.ListenAndServe()) }()
-}
-
 // logEnd logs the error with which a server ended; a nil error is a regular stop.
 func (c *components) logEnd(server string, err error) {
 	if err != nil {
