--- a/jobspec.go
+++ b/jobspec.go
@@ -176,6 +176,7 @@
 	for _, a := range s.After {
 		if a < 0 || a >= at {
 			fs.Add(field("after"), "names step %d, must name an earlier one", a)
+			break // a body has room for very many
 		}
 	}
 	if s.PerWorker < 0 {
--- a/test/abuse/bodies_test.go
+++ b/test/abuse/bodies_test.go
@@ -70,6 +70,20 @@
 	h.checkBears()
 }
 
+// Guards against bodies of legal size that take many times as much memory when they are decoded.
+func TestBodiesOfManySteps(t *testing.T) {
+	h := startHost(t, smallest())
+	bodies := []string{
+		`{"spec":"x","steps":[{}` + strings.Repeat(",{}", (maxBody-100)/3) + `]}`,
+		`{"spec":"x","steps":[{"count":1,"after":[9` + strings.Repeat(",9", (maxBody-100)/2) + `]}]}`,
+	}
+	gather(t, h.front(), 100, func(c net.Conn, client int) error {
+		body := bodies[client%len(bodies)]
+		return send(c, head(client, contentLength(len(body)), "\r\n")+body)
+	})
+	h.checkBears()
+}
+
 // Guards against limits that a single request within the users' limits meets.
 func TestLargestLegalRequestsAreServed(t *testing.T) {
 	h := startHost(t, smallest())
