entry: what callers hold is bounded, and a stop doesn't wait for those that stall

Cause: as on the users' machines, fiber's server being fasthttp's; the announced 16 MiB were taken at once, and a stop waited for connections whose request wasn't whole, up to the 30 s that a request may take to arrive.

--- a/cmd/sapphiregauge/entry.go
+++ b/cmd/sapphiregauge/entry.go
@@ -36,6 +36,7 @@
 	seeds                                                                                          []string
 	pollInterval, heartbeatInterval, memberRowInterval, leaseDuration, roundInterval, listInterval time.Duration
 	drainDelay, shutdownTimeout                                                                    time.Duration
+	resources                                                                                      *resources
 }
 
 func defaultEntry() *entrySettings {
@@ -43,7 +44,7 @@
 		httpAddr: "127.0.0.1:8080", peerAddr: "127.0.0.1:8081", platformAddr: "127.0.0.1:8090", logLevel: "info",
 		pollInterval: time.Second, heartbeatInterval: time.Second, memberRowInterval: 5 * time.Second,
 		leaseDuration: 3 * time.Second, roundInterval: time.Second, listInterval: 2 * time.Second,
-		drainDelay: 5 * time.Second, shutdownTimeout: 2 * time.Minute,
+		drainDelay: 5 * time.Second, shutdownTimeout: 2 * time.Minute, resources: defaultResources(),
 	}
 }
 
@@ -60,7 +61,7 @@
 		{Flag: "opkey", Help: "key that operators' commands must carry", Dest: &s.operatorKey, Check: conf.SecretKey(&s.operatorKey)},
 		{Flag: "level", Help: "log level, info or debug", Dest: &s.logLevel, Check: conf.OneOf(&s.logLevel, "info", "debug")},
 	}
-	return append(l, s.timeSettings()...)
+	return append(append(l, s.timeSettings()...), s.resources.settings()...)
 }
 
 func (s *entrySettings) timeSettings() conf.List {
@@ -102,6 +103,7 @@
 	platform := plat.New(plat.Config{Addr: s.platformAddr, Key: s.platformKey, Clock: time.Now})
 	defer platform.Close()
 	exitOnSecondSignal(ctx)
+	limitHeap(s.resources.memoryBytes())
 	return entry.New(entry.Config{
 		Self: gauge.Member{ID: s.id, StartID: uuid.NewString(), Zone: s.zone},
 		HTTP: httpListener, Peer: peerListener, Seeds: s.seeds,
@@ -110,6 +112,7 @@
 		Clock: time.Now, Logs: logs.New(os.Stderr, s.logLevel == "debug").WithValues("entry", s.id),
 		PollInterval: s.pollInterval, HeartbeatInterval: s.heartbeatInterval, MemberRowInterval: s.memberRowInterval, LeaseDuration: s.leaseDuration, RoundInterval: s.roundInterval,
 		ListInterval: s.listInterval, DrainDelay: s.drainDelay, ShutdownTimeout: s.shutdownTimeout,
+		MemoryBytes: s.resources.memoryBytes(), MaxFiles: s.resources.files,
 	}).Run(ctx)
 }
 
--- a/cmd/sapphiregauge/local.go
+++ b/cmd/sapphiregauge/local.go
@@ -18,9 +18,10 @@
 
 func newLocal() *command {
 	http, key, level, workers := "127.0.0.1:8080", "local-operators-key", "info", 16
+	limits := defaultResources()
 	return &command{
 		sub: newSubcommand("local", usageLocal),
-		settings: conf.List{
+		settings: append(conf.List{
 			{Flag: "http", Help: "ip:port for callers and operators", Dest: &http, Check: conf.Addr(&http)},
 			{Flag: "opkey", Help: "key that operators' commands must carry", Dest: &key, Check: conf.SecretKey(&key)},
 			{Flag: "workers", Help: "number of workers", Dest: &workers, Check: func(fs *gauge.Faults, field string) {
@@ -29,11 +30,13 @@
 				}
 			}},
 			{Flag: "level", Help: "log level, info or debug", Dest: &level, Check: conf.OneOf(&level, "info", "debug")},
-		},
+		}, limits.settings()...),
 		run: func(ctx context.Context) error {
+			limitHeap(limits.memoryBytes())
 			fmt.Printf("entry at http://%s, operators' key %s\n", http, key)
 			return local.New(local.Config{
-				HTTP: http, Workers: workers, OperatorKey: key, Logs: logs.New(os.Stderr, level == "debug"),
+				HTTP: http, Workers: workers, OperatorKey: key, MemoryBytes: limits.memoryBytes(), MaxFiles: limits.files,
+				Logs: logs.New(os.Stderr, level == "debug"),
 			}).Run(ctx)
 		},
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,11 +16,14 @@
 	gauge "sapphiregauge"
 	"sapphiregauge/internal/apply"
 	"sapphiregauge/internal/broker"
+	"sapphiregauge/internal/budget"
 	"sapphiregauge/internal/burn"
 	"sapphiregauge/internal/claim"
 	"sapphiregauge/internal/ctrl"
+	"sapphiregauge/internal/fill"
 	"sapphiregauge/internal/follow"
 	"sapphiregauge/internal/holds"
+	"sapphiregauge/internal/httpd"
 	"sapphiregauge/internal/lease"
 	"sapphiregauge/internal/member"
 	"sapphiregauge/internal/mesh"
@@ -48,6 +51,8 @@
 	OperatorKey string
 	Clock       gauge.Clock
 	Logs        logr.Logger
+	MemoryBytes int // memory that the process may use; default 1 GiB
+	MaxFiles    int // file descriptors that the process may open; default 4,096
 
 	PollInterval      time.Duration // interval between reads of the table's head row
 	HeartbeatInterval time.Duration // interval between heartbeats
@@ -78,6 +83,7 @@
 	promises *holds.Recorder
 	log      *revlog.Log
 	app      *fiber.App
+	http     *httpd.Server
 
 	filled   map[string]bool // pools that once had the promised hosts; used only by watchHosts
 	draining atomic.Bool
@@ -93,8 +99,17 @@
 // maxFrame bounds a message between entries.
 const maxFrame = 16 << 20 // bytes
 
+// What the process may use by default.
+const (
+	DefaultMemoryBytes = 1 << 30
+	DefaultMaxFiles    = 4096
+)
+
 // New returns an Entry that doesn't run yet.
 func New(c Config) *Entry {
+	fill.Zero(&c.MemoryBytes, DefaultMemoryBytes)
+	fill.Zero(&c.MaxFiles, DefaultMaxFiles)
+	budgets := budget.Divide(c.MemoryBytes, c.MaxFiles)
 	c.Self.HTTP = c.HTTP.Addr().String()
 	c.Self.Peer = c.Peer.Addr().String()
 	e := &Entry{
@@ -102,7 +117,7 @@
 		burn: burn.New(c.Clock), promises: holds.New(c.Clock), filled: make(map[string]bool),
 	}
 	e.hostList.Store(&hostList{})
-	e.mesh = mesh.New(mesh.Config{Key: c.PeerKey, Limit: maxFrame})
+	e.mesh = mesh.New(mesh.Config{Key: c.PeerKey, Limit: maxFrame, Budget: budgets.Peers})
 	e.follow = follow.New(follow.Config{
 		Log: e.log, PollInterval: c.PollInterval, Clock: c.Clock, Logs: c.Logs.WithName("follow"),
 		FetchFromPeers: e.fetchFromPeers, OnAdopted: e.onAdopted,
@@ -140,6 +155,7 @@
 	e.mesh.Handle(stateMethod, e.handleState)
 	e.mesh.Handle(reportMethod, e.handleReport)
 	e.routes()
+	e.http = e.newHTTPServer(budgets.Clients)
 	return e
 }
 
@@ -183,9 +199,7 @@
 	group.Go(asTask(e.orphan.Run))
 	group.Go(asTask(e.ctrl.Run))
 	group.Go(asTask(e.watchHosts))
-	group.Go(func(context.Context) error {
-		return e.app.Listener(e.conf.HTTP, fiber.ListenConfig{DisableStartupMessage: true})
-	})
+	group.Go(func(context.Context) error { return e.http.Serve(e.conf.HTTP) })
 	group.Go(func(inner context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -221,7 +235,7 @@
 	if err != nil {
 		e.conf.Logs.Error(err, "stopped before all requests were done")
 	}
-	if err := e.app.ShutdownWithContext(ctx); err != nil {
+	if err := e.http.Close(ctx); err != nil {
 		e.conf.Logs.Info("HTTP server did not close in time", "reason", err.Error())
 	}
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), time.Second)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -8,19 +8,22 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
 
 	gauge "sapphiregauge"
+	"sapphiregauge/internal/budget"
 	"sapphiregauge/internal/frame"
 	"sapphiregauge/internal/front"
+	"sapphiregauge/internal/httpd"
 	"sapphiregauge/internal/order"
 	"sapphiregauge/internal/query"
 )
 
 const (
-	bodyLimit = 16 << 20
-	headLimit = 16 << 10
-	readLimit = 30 * time.Second
-	idleLimit = time.Minute
+	bodyLimit   = 16 << 20 // bytes
+	bodyTimeout = 30 * time.Second
+	// roomRetryDelay is when a call that there was no room for may be made again.
+	roomRetryDelay = time.Second
 )
 
 func decodeBody(body []byte, v any) error { return frame.Decode(body, v) }
@@ -28,10 +31,7 @@
 // routes sets up the HTTP server. Immutable is needed because an accepted request is still in
 // use after its handler has returned: strings and bodies stay valid.
 func (e *Entry) routes() {
-	e.app = fiber.New(fiber.Config{
-		Immutable: true, BodyLimit: bodyLimit, ReadBufferSize: headLimit,
-		ReadTimeout: readLimit, IdleTimeout: idleLimit, ErrorHandler: onError,
-	})
+	e.app = fiber.New(fiber.Config{Immutable: true, ErrorHandler: onError})
 	e.app.Use(e.closeWhenDraining)
 	query.Health(e.app, e.ready)
 	e.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(e.meter.Registry, promhttp.HandlerOpts{})))
@@ -46,6 +46,22 @@
 	order.New(order.Config{Apply: e.apply.Apply, Applied: e.onApplied}).Register(operators)
 }
 
+// newHTTPServer returns the server of the routes.
+func (e *Entry) newHTTPServer(clients *budget.Budget) *httpd.Server {
+	return httpd.New(httpd.Config{
+		Handler: e.app.Handler(), Refuse: e.refuse, MaxBody: func() int { return bodyLimit }, Budget: clients, BodyTimeout: bodyTimeout,
+	})
+}
+
+// refuse answers a call whose body isn't read, or can't be.
+func (e *Entry) refuse(c *fasthttp.RequestCtx, err error) {
+	ctx := e.app.AcquireCtx(c)
+	defer e.app.ReleaseCtx(ctx)
+	if err := front.Problem(ctx, gauge.Refuse(nil, gauge.KindOf(err), gauge.AsError(err).Reason, roomRetryDelay)); err != nil {
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
+
 // onApplied makes this entry read the new revision; the entry then notifies the others.
 func (e *Entry) onApplied(revision int64) { e.follow.Wake(revision) }
 
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -24,6 +24,8 @@
 	HTTP        string // ip:port for callers and operators
 	Workers     int    // number of workers
 	OperatorKey string // key that operators' calls must carry
+	MemoryBytes int    // memory that the process may use
+	MaxFiles    int    // file descriptors that the process may open
 	Logs        logr.Logger
 }
 
@@ -72,7 +74,7 @@
 	e := entry.New(entry.Config{
 		Self: gauge.Member{ID: "local", StartID: uuid.NewString(), Zone: zoneName(0)},
 		HTTP: httpListener, Peer: peerListener, Table: store, Objects: store, Platform: hosts,
-		PeerKey: []byte(uuid.NewString()), OperatorKey: s.conf.OperatorKey,
+		PeerKey: []byte(uuid.NewString()), OperatorKey: s.conf.OperatorKey, MemoryBytes: s.conf.MemoryBytes, MaxFiles: s.conf.MaxFiles,
 		Clock: time.Now, Logs: s.conf.Logs,
 		PollInterval: time.Second / 2, HeartbeatInterval: time.Second / 2, MemberRowInterval: time.Second, LeaseDuration: time.Second,
 		RoundInterval: time.Second / 4, ListInterval: time.Second / 2, DrainDelay: 0, ShutdownTimeout: time.Minute,
