--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -16,6 +16,8 @@
 type Config struct {
 	Bytes int // memory that all clients may hold together; default 40 MiB
 	Conns int // connections that may be open; default 1,000
+	// Evicted is called for each eviction, and must not block; it may be nil.
+	Evicted func()
 }
 
 const (
@@ -108,6 +110,9 @@
 func (b *Budget) drop(s *Share) {
 	s.leave()
 	s.close()
+	if b.conf.Evicted != nil {
+		b.conf.Evicted()
+	}
 }
 
 // Reserve takes room for more bytes. It returns false if there is none: the share has been evicted, has
@@ -170,12 +175,13 @@
 	}
 }
 
-// Evict evicts the share unless it is protected.
-func (s *Share) Evict() {
+// CloseWaiting closes the share's connection and gives its room back, unless it is protected.
+func (s *Share) CloseWaiting() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	if s.place != nil {
-		s.budget.drop(s)
+		s.leave()
+		s.close()
 	}
 }
 
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -79,7 +79,7 @@
 		w.shares["a"].ReleaseAll()
 		assert.Assert(t, w.shares["b"].Reserve(room))
 		assert.Assert(t, !w.shares["c"].Reserve(1))
-		w.shares["d"].Evict()
+		w.shares["d"].CloseWaiting()
 		assert.Assert(t, !slices.Contains(w.evicted, "d"), "it is protected")
 		for _, name := range names {
 			w.shares[name].Leave()
@@ -96,7 +96,7 @@
 		maxBody = 256 << 10
 		entries = 585
 	)
-	m := budget.Divide(160<<20, 4100)
+	m := budget.Divide(160<<20, 4100, func(event string) { t.Error(event) })
 	client := m.Clients.Join(func() {})
 	assert.Assert(t, client.Reserve(maxBody))
 	for range entries {
--- a/internal/budget/machine.go
+++ b/internal/budget/machine.go
@@ -21,15 +21,16 @@
 	reservedFiles = 200
 )
 
-// Divide divides the memory of a process, in bytes, and its file descriptors.
-func Divide(memory, files int) Machine {
+// Divide divides the memory of a process, in bytes, and its file descriptors. It counts evictions by
+// the events that OPERATIONS.md lists.
+func Divide(memory, files int, count func(event string)) Machine {
 	conns := max(0, files-reservedFiles)
-	part := func(bytesDivisor, connsDivisor int) *Budget {
-		return New(Config{Bytes: memory / bytesDivisor, Conns: max(1, conns/connsDivisor)})
+	part := func(bytesDivisor, connsDivisor int, evicted string) *Budget {
+		return New(Config{Bytes: memory / bytesDivisor, Conns: max(1, conns/connsDivisor), Evicted: func() { count(evicted) }})
 	}
 	return Machine{
-		Clients: part(clientBytesDivisor, clientConnsDivisor),
-		Peers:   part(peerBytesDivisor, peerConnsDivisor),
-		Probes:  part(probeBytesDivisor, probeConnsDivisor),
+		Clients: part(clientBytesDivisor, clientConnsDivisor, "client evicted"),
+		Peers:   part(peerBytesDivisor, peerConnsDivisor, "peer evicted"),
+		Probes:  part(probeBytesDivisor, probeConnsDivisor, "probe evicted"),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,6 @@
 func New(c Config) *Entry {
 	fill.Zero(&c.MemoryBytes, DefaultMemoryBytes)
 	fill.Zero(&c.MaxFiles, DefaultMaxFiles)
-	budgets := budget.Divide(c.MemoryBytes, c.MaxFiles)
 	c.Self.HTTP = c.HTTP.Addr().String()
 	c.Self.Peer = c.Peer.Addr().String()
 	e := &Entry{
@@ -117,6 +116,7 @@
 		burn: burn.New(c.Clock), promises: holds.New(c.Clock), filled: make(map[string]bool),
 	}
 	e.hostList.Store(&hostList{})
+	budgets := budget.Divide(c.MemoryBytes, c.MaxFiles, e.meter.CountEvent)
 	e.mesh = mesh.New(mesh.Config{Key: c.PeerKey, Limit: maxFrame, Budget: budgets.Peers})
 	e.follow = follow.New(follow.Config{
 		Log: e.log, PollInterval: c.PollInterval, Clock: c.Clock, Logs: c.Logs.WithName("follow"),
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -102,7 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		share.Evict()
+		share.CloseWaiting()
 		return
 	}
 	s.conns[k] = true
@@ -129,7 +129,7 @@
 		_ = l.Close()
 	}
 	for k := range s.conns {
-		k.share.Evict()
+		k.share.CloseWaiting()
 	}
 	s.mu.Unlock()
 	answered := make(chan struct{})
