entry: a compressed body is decompressed up to the limit of a body

Callers saw: one call of 1 MiB, 1 GiB of zero bytes in gzip, brought `local` to 4,079 MB of 384.

Cause: fiber decompresses a body that has a Content-Encoding, without a limit, also several times over.

Change: internal/httpd decompresses gzip and deflate by the limit of a body, as it takes room for it.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -49,7 +49,7 @@
 // newHTTPServer returns the server of the routes.
 func (e *Entry) newHTTPServer(clients *budget.Budget) *httpd.Server {
 	return httpd.New(httpd.Config{
-		Handler: e.app.Handler(), Refuse: e.refuse, MaxBody: func() int { return bodyLimit }, Budget: clients, BodyTimeout: bodyTimeout,
+		Handler: e.app.Handler(), Refuse: e.refuse, MaxBody: func() int { return bodyLimit }, Decompress: true, Budget: clients, BodyTimeout: bodyTimeout,
 	})
 }
 
--- a/internal/httpd/body.go
+++ b/internal/httpd/body.go
@@ -19,10 +19,20 @@
 	lengthNone    = -2
 )
 
-// readBody reads the body of a request. Errors are of the kinds that Config.Refuse takes, or those of
-// the connection.
+// readBody reads the body of a request, and decompresses it if that is asked for. Errors are of the
+// kinds that Config.Refuse takes, or those of the connection.
 func (k *conn) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
-	limit, length := k.server.conf.MaxBody(), ctx.Request.Header.ContentLength()
+	limit := k.server.conf.MaxBody()
+	body, err := k.receiveBody(ctx, limit)
+	if err != nil || !k.server.conf.Decompress {
+		return body, err
+	}
+	return k.decompress(ctx, body, limit)
+}
+
+// receiveBody reads the body of a request as it was sent.
+func (k *conn) receiveBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, error) {
+	length := ctx.Request.Header.ContentLength()
 	if length == lengthNone || length == 0 {
 		return nil, nil
 	}
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -31,6 +31,9 @@
 	Refuse func(c *fasthttp.RequestCtx, err error)
 	// MaxBody returns the limit of a body, in bytes, as it is now; nil: there must be no body.
 	MaxBody func() int
+	// Decompress has bodies decompressed before they are handled: those in gzip and deflate; others are
+	// refused.
+	Decompress bool
 	// MaxHead is the limit of a request line and its header lines, in bytes; default 18 KiB.
 	MaxHead     int
 	Budget      *budget.Budget // nil: one of its own
--- a/internal/httpd/server_test.go
+++ b/internal/httpd/server_test.go
@@ -1,6 +1,9 @@
 package httpd_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"compress/zlib"
 	"context"
 	"fmt"
 	"io"
@@ -127,6 +130,42 @@
 	}
 }
 
+// Guards against memory that is taken for what a body is once it is decompressed.
+func TestCompressedBodies(t *testing.T) {
+	_, addr := start(t, httpd.Config{Decompress: true})
+	compressed := func(newWriter func(io.Writer) io.WriteCloser, size int) string {
+		var b bytes.Buffer
+		w := newWriter(&b)
+		_, err := w.Write(bytes.Repeat([]byte("x"), size))
+		assert.NilError(t, err)
+		assert.NilError(t, w.Close())
+		return b.String()
+	}
+	inGzip := func(w io.Writer) io.WriteCloser { return gzip.NewWriter(w) }
+	inDeflate := func(w io.Writer) io.WriteCloser { return zlib.NewWriter(w) }
+	whole := "200 POST /a " + strings.Repeat("x", maxBody)
+	for _, tt := range []struct{ name, encoding, body, want string }{
+		{"not compressed", "identity", "x", "200 POST /a x"},
+		{"gzip", "gzip", compressed(inGzip, maxBody), whole},
+		{"deflate", "Deflate", compressed(inDeflate, maxBody), whole},
+		{"too large", "gzip", compressed(inGzip, maxBody+1), "413 refused /a"},
+		{"malformed", "gzip", "x", "400 refused /a"},
+		{"cut off", "gzip", compressed(inGzip, maxBody)[:20], "400 refused /a"},
+		{"twice", "gzip, gzip", compressed(inGzip, 1), "400 refused /a"},
+		{"unknown", "br", "x", "400 refused /a"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := dial(t, addr)
+			_, err := fmt.Fprintf(c, "POST /a HTTP/1.1\r\n%sConnection: close\r\nContent-Encoding: %s\r\nContent-Length: %d\r\n\r\n%s", host, tt.encoding, len(tt.body), tt.body)
+			assert.NilError(t, err)
+			assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+			answer, err := io.ReadAll(c)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, statuses(string(answer)), []string{tt.want})
+		})
+	}
+}
+
 // Guards against a stop that waits for clients that stall.
 func TestCloseDoesNotWaitForStalledClients(t *testing.T) {
 	began, release := make(chan struct{}), make(chan struct{})
--- a/test/abuse/entry_test.go
+++ b/test/abuse/entry_test.go
@@ -1,6 +1,8 @@
 package abuse_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"net"
@@ -113,6 +115,47 @@
 	e.checkBears()
 }
 
+// Guards against memory that is taken for a body of legal size which is far larger once it is
+// decompressed.
+func TestCompressedCalls(t *testing.T) {
+	e := startEntry(t, machine{ip: hostIP, memoryMB: 384, files: 4100})
+	small := compressed(t, 100)
+	assert.Equal(t, e.post("gzip", small), http.StatusOK)
+	large := compressed(t, 1<<30)
+	assert.Assert(t, len(large) < maxCallBody)
+	assert.Check(t, e.post("gzip", large) != http.StatusOK)
+	e.checkBears()
+}
+
+// compressed returns so many zero bytes, compressed.
+func compressed(t *testing.T, size int) []byte {
+	t.Helper()
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	piece := make([]byte, 1<<20)
+	for left := size; left > 0; left -= len(piece) {
+		_, err := w.Write(piece[:min(left, len(piece))])
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, w.Close())
+	return b.Bytes()
+}
+
+// post makes a call with an encoded body, and returns the status; 0: no answer.
+func (e *entry) post(encoding string, body []byte) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.addr+"/v1/services/brakes", bytes.NewReader(body))
+	assert.NilError(e.t, err)
+	req.Header.Set("Content-Encoding", encoding)
+	req.Header.Set("X-Team", "garages")
+	client := http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Guards against clients that use up an entry's descriptors, so that its listener ends for good.
 func TestMoreCallersThanDescriptors(t *testing.T) {
 	e := startEntry(t, machine{ip: hostIP, memoryMB: 384, files: 600})
