--- a/test/abuse/listeners_test.go
+++ b/test/abuse/listeners_test.go
@@ -1,10 +1,12 @@
 package abuse_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -74,3 +76,45 @@
 	gather(t, h.metrics(), 1500, func(c net.Conn, _ int) error { return send(c, text) })
 	h.checkBears()
 }
+
+// Guards against budgets that are too much for the machine together.
+func TestCrowdsOnAllListeners(t *testing.T) {
+	h := startHost(t, smallest())
+	body := validBody(maxBody - 1)
+	gather(t, h.front(), 800, func(c net.Conn, client int) error {
+		if err := send(c, head(client, contentLength(maxBody), "\r\n")); err != nil {
+			return err
+		}
+		return sendInPieces(c, body, 1+client%8)
+	})
+	lines := strings.Repeat("a:\r\n", shortLines)
+	gather(t, h.front(), 800, func(c net.Conn, client int) error { return send(c, head(client, lines)) })
+	message := binary.BigEndian.AppendUint32(nil, 1<<20)
+	gather(t, h.peers(), 300, func(c net.Conn, _ int) error {
+		if err := proveKey(c); err != nil {
+			return err
+		}
+		return send(c, string(message)+strings.Repeat("x", 1<<20-1))
+	})
+	for _, addr := range []string{h.ready(), h.metrics()} {
+		gather(t, addr, 300, func(c net.Conn, _ int) error { return send(c, "GET /metrics HTTP/1.1\r\nHost: x\r\n"+lines) })
+	}
+	h.checkBears()
+}
+
+// Guards against bytes that the kernel keeps for a process while that is suspended. They count as its
+// memory.
+func TestCrowdOfASuspendedProcess(t *testing.T) {
+	h := startHost(t, smallest())
+	assert.NilError(t, h.cmd.Process.Signal(syscall.SIGSTOP))
+	body := validBody(maxBody - 1)
+	gather(t, h.front(), 1500, func(c net.Conn, client int) error {
+		if err := send(c, head(client, contentLength(maxBody), "\r\n")); err != nil {
+			return err
+		}
+		return sendInPieces(c, body, 1+client%8)
+	})
+	h.checkWithinMachine()
+	assert.NilError(t, h.cmd.Process.Signal(syscall.SIGCONT))
+	h.checkBears()
+}
