--- a/cmd/sapphiregauge/assemble.go
+++ b/cmd/sapphiregauge/assemble.go
@@ -18,7 +18,7 @@
 // assemble creates the components of an entry and connects them.
 func assemble(s platform.Settings, disabled gauge.Disabled, log logr.Logger) *components {
 	c := &components{settings: s, log: log, meter: meter.New()}
-	budgets := budget.Divide(s.MemoryBytes, s.MaxFiles, c.meter.CountEvent)
+	budgets := budget.Divide(budget.MachineConfig{Memory: s.MemoryBytes, Files: s.MaxFiles, Count: c.meter.CountEvent})
 	c.metrics = newMetricsServer(c.meter.Registry, budgets.Probes)
 	c.table = platform.NewTable(platform.TableConfig{Addr: s.TableAddr, ReadTimeout: readTimeout, CommitTimeout: commitTimeout, Clock: bootTime, Observe: c.meter.CountTraffic})
 	store := timely.New(timely.Config{
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -16,16 +16,22 @@
 type Config struct {
 	Bytes int // memory that all clients may hold together; default 40 MiB
 	Conns int // connections that may be open; default 1,000
+	// ReceiveBuffer is what the kernel keeps for each connection, in bytes, of what has been sent on it
+	// and hasn't been read; default 8 KiB. Larger requests from far away arrive faster with a larger one.
+	ReceiveBuffer int
 	// Evicted is called for each eviction, and must not block; it may be nil.
 	Evicted func()
 }
 
 const (
-	defaultBytes = 40 << 20
-	defaultConns = 1000
-	// ConnBytes is what an open connection takes: the goroutine that serves it, a read buffer, and
-	// what the kernel keeps of its unread bytes.
-	ConnBytes = 32 << 10
+	defaultBytes         = 40 << 20
+	defaultConns         = 1000
+	defaultReceiveBuffer = 8 << 10
+	// serveBytes is what an open connection takes in the process: a goroutine, and buffers to read and
+	// to write.
+	serveBytes = 16 << 10
+	// receiveFactor is what the kernel makes of a receive buffer that is asked for, for its own records.
+	receiveFactor = 2
 )
 
 // Budget is shared by the connections of one or more listeners.
@@ -42,9 +48,16 @@
 func New(c Config) *Budget {
 	fill.Zero(&c.Bytes, defaultBytes)
 	fill.Zero(&c.Conns, defaultConns)
+	fill.Zero(&c.ReceiveBuffer, defaultReceiveBuffer)
 	return &Budget{conf: c, evictable: list.New()}
 }
 
+// ReceiveBuffer returns the receive buffer that connections are to have, in bytes.
+func (b *Budget) ReceiveBuffer() int { return b.conf.ReceiveBuffer }
+
+// ConnBytes returns what an open connection takes, in bytes.
+func (b *Budget) ConnBytes() int { return serveBytes + receiveFactor*b.conf.ReceiveBuffer }
+
 // Share is what one connection holds. Its methods may be called after its eviction.
 type Share struct {
 	budget *Budget
@@ -65,12 +78,12 @@
 			return nil
 		}
 	}
-	if !b.makeRoom(s, ConnBytes) {
+	s.bytes = b.ConnBytes()
+	if !b.makeRoom(s, s.bytes) {
 		return nil
 	}
 	b.conns++
-	b.bytes += ConnBytes
-	s.bytes = ConnBytes
+	b.bytes += s.bytes
 	s.place = b.evictable.PushBack(s)
 	return s
 }
@@ -146,8 +159,8 @@
 	if s.gone {
 		return
 	}
-	s.budget.bytes -= s.bytes - ConnBytes
-	s.bytes = ConnBytes
+	s.budget.bytes -= s.bytes - s.budget.ConnBytes()
+	s.bytes = s.budget.ConnBytes()
 }
 
 // Protect excludes the share from eviction, as its request is being handled. It returns false if the
--- a/internal/budget/machine.go
+++ b/internal/budget/machine.go
@@ -21,16 +21,28 @@
 	reservedFiles = 200
 )
 
-// Divide divides the memory of a process, in bytes, and its file descriptors. It counts evictions by
-// the events that OPERATIONS.md lists.
-func Divide(memory, files int, count func(event string)) Machine {
-	conns := max(0, files-reservedFiles)
-	part := func(bytesDivisor, connsDivisor int, evicted string) *Budget {
-		return New(Config{Bytes: memory / bytesDivisor, Conns: max(1, conns/connsDivisor), Evicted: func() { count(evicted) }})
+// MachineConfig tells what a process may use.
+type MachineConfig struct {
+	Memory int // bytes
+	Files  int // file descriptors
+	// ReceiveBuffer is that of connections from clients and other entries, in bytes; 0: the default of
+	// Config.
+	ReceiveBuffer int
+	Count         func(event string) // counts evictions by the events that OPERATIONS.md lists
+}
+
+// Divide divides what a process may use.
+func Divide(c MachineConfig) Machine {
+	conns := max(0, c.Files-reservedFiles)
+	part := func(bytesDivisor, connsDivisor, receiveBuffer int, evicted string) *Budget {
+		return New(Config{
+			Bytes: c.Memory / bytesDivisor, Conns: max(1, conns/connsDivisor), ReceiveBuffer: receiveBuffer,
+			Evicted: func() { c.Count(evicted) },
+		})
 	}
 	return Machine{
-		Clients: part(clientBytesDivisor, clientConnsDivisor, "client evicted"),
-		Peers:   part(peerBytesDivisor, peerConnsDivisor, "peer evicted"),
-		Probes:  part(probeBytesDivisor, probeConnsDivisor, "probe evicted"),
+		Clients: part(clientBytesDivisor, clientConnsDivisor, c.ReceiveBuffer, "client evicted"),
+		Peers:   part(peerBytesDivisor, peerConnsDivisor, c.ReceiveBuffer, "peer evicted"),
+		Probes:  part(probeBytesDivisor, probeConnsDivisor, 0, "probe evicted"),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,6 +99,10 @@
 // maxFrame bounds a message between entries.
 const maxFrame = 16 << 20 // bytes
 
+// receiveBuffer is that of each connection, in bytes: a body of 16 MiB from far away must arrive in
+// time.
+const receiveBuffer = 64 << 10
+
 // What the process may use by default.
 const (
 	DefaultMemoryBytes = 1 << 30
@@ -116,7 +120,7 @@
 		burn: burn.New(c.Clock), promises: holds.New(c.Clock), filled: make(map[string]bool),
 	}
 	e.hostList.Store(&hostList{})
-	budgets := budget.Divide(c.MemoryBytes, c.MaxFiles, e.meter.CountEvent)
+	budgets := budget.Divide(budget.MachineConfig{Memory: c.MemoryBytes, Files: c.MaxFiles, ReceiveBuffer: receiveBuffer, Count: e.meter.CountEvent})
 	e.mesh = mesh.New(mesh.Config{Key: c.PeerKey, Limit: maxFrame, Budget: budgets.Peers})
 	e.follow = follow.New(follow.Config{
 		Log: e.log, PollInterval: c.PollInterval, Clock: c.Clock, Logs: c.Logs.WithName("follow"),
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -41,7 +41,6 @@
 	net    net.Conn
 	source *source
 	reader *bufio.Reader
-	served bool // a request has been answered
 }
 
 // source reads from the connection unless it is sealed.
@@ -72,7 +71,6 @@
 	for k.serveNext() {
 		k.share.ReleaseAll()
 		k.shrinkReader()
-		k.served = true
 	}
 }
 
--- a/internal/httpd/head.go
+++ b/internal/httpd/head.go
@@ -18,11 +18,7 @@
 // returns. Errors of other kinds than gauge.KindInvalid and gauge.KindTooLarge are those of the
 // connection, or tell that there is no room.
 func (k *conn) awaitHead() (fields int, err error) {
-	wait := k.server.conf.HeadTimeout
-	if k.served {
-		wait = k.server.conf.IdleTimeout
-	}
-	_ = k.net.SetReadDeadline(time.Now().Add(wait))
+	_ = k.net.SetReadDeadline(time.Now().Add(k.server.conf.IdleTimeout))
 	if _, err := k.reader.Peek(1); err != nil {
 		return 0, err
 	}
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -39,7 +39,7 @@
 	Budget      *budget.Budget // nil: one of its own
 	HeadTimeout time.Duration  // from the first byte of a head to its last; default 10 s
 	BodyTimeout time.Duration  // from the last byte of a head to that of the body; default 30 s
-	IdleTimeout time.Duration  // between two requests of a connection; default 60 s
+	IdleTimeout time.Duration  // until the first byte of a connection's first or next request; default 60 s
 	// WriteTimeout bounds the writing of a response; default 10 s.
 	WriteTimeout time.Duration
 }
@@ -89,7 +89,9 @@
 	}
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
-	accept.Loop(l, s.start, func(error) { s.conf.Budget.EvictOldest() })
+	accept.Loop(accept.Config{
+		Listener: l, ReceiveBuffer: s.conf.Budget.ReceiveBuffer(), Serve: s.start, Exhausted: s.conf.Budget.EvictOldest,
+	})
 	return nil
 }
 
