budget: nobody is evicted within the time in which ordinary requests arrive

Cause, by reading: of many large bodies that come at once, each newcomer evicted the oldest, which was the nearest to its end; and with all other requests being handled, an answer that was just being written could make way for a newcomer. An answer that fits into the connection's buffers needs no room of its own any more.

Change: a client may be evicted 200 ms after it began to wait. TestClientHasTimeBeforeItIsEvicted.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -2,12 +2,15 @@
 //
 // When it is used up, the client that has gone without a whole request for longest is evicted, so
 // that clients that stall, or send little by little, don't keep out those that come after them. A
-// client whose request is being handled is not evicted.
+// client whose request is being handled is not evicted, nor one that hasn't had the time in which
+// ordinary requests arrive and answers are read: of many that send large bodies at once, those that
+// are nearest to their end would go first.
 package budget
 
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"sapphiregauge/internal/fill"
 )
@@ -19,6 +22,8 @@
 	// ReceiveBuffer is what the kernel keeps for each connection, in bytes, of what has been sent on it
 	// and hasn't been read; default 8 KiB. Larger requests from far away arrive faster with a larger one.
 	ReceiveBuffer int
+	// MinWait is how long a client must have waited before it may be evicted; default 200 ms.
+	MinWait time.Duration
 	// Evicted is called for each eviction, and must not block; it may be nil.
 	Evicted func()
 }
@@ -27,6 +32,7 @@
 	defaultBytes         = 40 << 20
 	defaultConns         = 1000
 	defaultReceiveBuffer = 8 << 10
+	defaultMinWait       = 200 * time.Millisecond
 	// serveBytes is what an open connection takes in the process: a goroutine, and buffers to read and
 	// to write.
 	serveBytes = 16 << 10
@@ -49,6 +55,7 @@
 	fill.Zero(&c.Bytes, defaultBytes)
 	fill.Zero(&c.Conns, defaultConns)
 	fill.Zero(&c.ReceiveBuffer, defaultReceiveBuffer)
+	fill.Zero(&c.MinWait, defaultMinWait)
 	return &Budget{conf: c, evictable: list.New()}
 }
 
@@ -64,11 +71,12 @@
 	close  func()
 	bytes  int
 	gone   bool          // evicted, or left
+	since  time.Time     // when it began to wait
 	place  *list.Element // among the evictable ones; nil: protected
 }
 
 // Join takes room for a connection, which is evictable from now on. An eviction calls closeConn, which
-// must not block. Join returns nil if there is no room: the requests of all others are being handled.
+// must not block. Join returns nil if there is no room, and nobody who may be evicted.
 func (b *Budget) Join(closeConn func()) *Share {
 	s := &Share{budget: b, close: closeConn}
 	b.mu.Lock()
@@ -84,7 +92,7 @@
 	}
 	b.conns++
 	b.bytes += s.bytes
-	s.place = b.evictable.PushBack(s)
+	s.wait()
 	return s
 }
 
@@ -95,14 +103,18 @@
 	b.evictOldest(nil)
 }
 
-// evictOldest evicts the share that has waited for longest. It returns false if there is none, or if
-// that is the asking one. The caller holds the lock.
+// evictOldest evicts the share that has waited for longest. It returns false if there is none, if that
+// is the asking one, or if it hasn't waited for long enough. The caller holds the lock.
 func (b *Budget) evictOldest(asking *Share) bool {
-	oldest := b.evictable.Front()
-	if oldest == nil || oldest.Value == asking {
+	front := b.evictable.Front()
+	if front == nil {
 		return false
 	}
-	b.drop(oldest.Value.(*Share)) //nolint:forcetypeassert // the list has nothing else
+	oldest := front.Value.(*Share) //nolint:forcetypeassert // the list has nothing else
+	if oldest == asking || time.Since(oldest.since) < b.conf.MinWait {
+		return false
+	}
+	b.drop(oldest)
 	return true
 }
 
@@ -129,7 +141,7 @@
 }
 
 // Reserve takes room for more bytes. It returns false if there is none: the share has been evicted, has
-// waited for longest itself, or the requests of all others are being handled.
+// waited for longest itself, or none of the others may be evicted.
 func (s *Share) Reserve(bytes int) bool {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
@@ -179,13 +191,19 @@
 func (s *Share) Wait() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	switch {
-	case s.gone:
-	case s.place == nil:
+	if !s.gone {
+		s.wait()
+	}
+}
+
+// wait is Wait; the caller holds the lock.
+func (s *Share) wait() {
+	s.since = time.Now()
+	if s.place == nil {
 		s.place = s.budget.evictable.PushBack(s)
-	default:
-		s.budget.evictable.MoveToBack(s.place)
+		return
 	}
+	s.budget.evictable.MoveToBack(s.place)
 }
 
 // CloseWaiting closes the share's connection and gives its room back, unless it is protected.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -3,10 +3,12 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"sapphiregauge/internal/budget"
+	"sapphiregauge/internal/fill"
 )
 
 // connBytes is what a connection takes by default.
@@ -19,7 +21,9 @@
 	evicted []string
 }
 
+// newCrowd makes a crowd whose clients may be evicted at once, unless a least wait is given.
 func newCrowd(c budget.Config) *crowd {
+	fill.Zero(&c.MinWait, time.Nanosecond)
 	return &crowd{b: budget.New(c), shares: make(map[string]*budget.Share)}
 }
 
@@ -67,6 +71,17 @@
 	assert.Assert(t, !w.shares["second"].Reserve(3*connBytes), "more than there is")
 }
 
+// Guards against clients that evict each other before their requests can have arrived.
+func TestClientHasTimeBeforeItIsEvicted(t *testing.T) {
+	w := newCrowd(budget.Config{Conns: 1, MinWait: time.Hour})
+	assert.Assert(t, w.join("first"))
+	assert.Assert(t, !w.join("second"))
+	w.b.EvictOldest()
+	assert.Equal(t, len(w.evicted), 0)
+	w.shares["first"].CloseWaiting()
+	assert.DeepEqual(t, w.evicted, []string{"first"})
+}
+
 // Guards against room that is lost, or given back twice, so that the bound drifts.
 func TestAllRoomIsGivenBack(t *testing.T) {
 	const clients, room = 4, 1000
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -105,8 +105,16 @@
 		return false
 	}
 	k.server.conf.Handler(ctx)
+	ctx.Request.ResetBody()
+	k.share.ReleaseAll()
 	k.share.Wait()
-	return k.share.Reserve(len(ctx.Response.Body())) && k.respond(ctx) && !ctx.Response.ConnectionClose()
+	return k.reserveResponse(ctx) && k.respond(ctx) && !ctx.Response.ConnectionClose()
+}
+
+// reserveResponse takes room for a response that is larger than the connection's buffers.
+func (k *conn) reserveResponse(ctx *fasthttp.RequestCtx) bool {
+	size := len(ctx.Response.Body())
+	return size <= bufferSize || k.share.Reserve(size)
 }
 
 // respond writes the response.
