httpd: an answer that is being written isn't lost when the server is closed

Between the end of its handling and the writing of its answer a connection counted as one that waits for a request, and Close ended those at once.

Change: a connection that waits for its answer to be read may make way for others, but Close waits for it; once the server is closed an answer has a second to be read, so that a client that doesn't read holds up no stop. Whether another request is waited for is decided so that Close sees the connection, or the connection sees Close.

Evidence: TestCloseWaitsForAnswersThatAreBeingWritten, a forced order, failed before and passes; TestCloseDoesNotWaitForClientsThatDoNotRead. 40 runs of both with -race, 8 of TestStoppingEntryFinishesRequests: passed.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -67,12 +67,13 @@
 
 // Share is what one connection holds. Its methods may be called after its eviction.
 type Share struct {
-	budget *Budget
-	close  func()
-	bytes  int
-	gone   bool          // evicted, or left
-	since  time.Time     // when it began to wait
-	place  *list.Element // among the evictable ones; nil: protected
+	budget    *Budget
+	close     func()
+	bytes     int
+	gone      bool          // evicted, or left
+	answering bool          // it waits for its answer to be read, not for a request
+	since     time.Time     // when it began to wait
+	place     *list.Element // among the evictable ones; nil: protected
 }
 
 // Join takes room for a connection, which is evictable from now on. An eviction calls closeConn, which
@@ -187,16 +188,28 @@
 	return !s.gone
 }
 
-// Wait makes the share evictable, as the one that has waited for the shortest time.
+// Wait makes the share evictable, as the one that has waited for the shortest time, as a request is
+// waited for.
 func (s *Share) Wait() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
+	s.answering = false
 	if !s.gone {
 		s.wait()
 	}
 }
 
-// wait is Wait; the caller holds the lock.
+// Answer is Wait, as the client is waited for to read its answer.
+func (s *Share) Answer() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.answering = true
+	if !s.gone {
+		s.wait()
+	}
+}
+
+// wait makes the share evictable; the caller holds the lock.
 func (s *Share) wait() {
 	s.since = time.Now()
 	if s.place == nil {
@@ -206,11 +219,11 @@
 	s.budget.evictable.MoveToBack(s.place)
 }
 
-// CloseWaiting closes the share's connection and gives its room back, unless it is protected.
+// CloseWaiting closes the share's connection and gives its room back if a request is waited for.
 func (s *Share) CloseWaiting() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	if s.place != nil {
+	if s.place != nil && !s.answering {
 		s.leave()
 		s.close()
 	}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -70,6 +70,11 @@
 	defer func() { _ = k.net.Close() }()
 	for k.serveNext() {
 		k.share.ReleaseAll()
+		k.share.Wait()
+		// Close has seen the connection waiting, or is seen here.
+		if k.server.isClosed() {
+			return
+		}
 		k.shrinkReader()
 	}
 }
@@ -107,7 +112,7 @@
 	k.server.conf.Handler(ctx)
 	ctx.Request.ResetBody()
 	k.share.ReleaseAll()
-	k.share.Wait()
+	k.share.Answer()
 	return k.reserveResponse(ctx) && k.respond(ctx) && !ctx.Response.ConnectionClose()
 }
 
@@ -132,7 +137,7 @@
 	w := writers.Get().(*bufio.Writer) //nolint:forcetypeassert // the pool has nothing else
 	defer writers.Put(w)
 	w.Reset(k.net)
-	_ = k.net.SetWriteDeadline(time.Now().Add(k.server.conf.WriteTimeout))
+	k.server.limitWrite(k)
 	return ctx.Response.Write(w) == nil && w.Flush() == nil
 }
 
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -51,6 +51,9 @@
 	defaultBodyTimeout  = 30 * time.Second
 	defaultIdleTimeout  = 60 * time.Second
 	defaultWriteTimeout = 10 * time.Second
+	// lastWriteTimeout bounds the writing of a response once the server is closed: a client that doesn't
+	// read must not hold up a stop.
+	lastWriteTimeout = time.Second
 )
 
 // Server serves one or more listeners.
@@ -125,8 +128,19 @@
 	return s.closed
 }
 
+// limitWrite sets the time by which a response must have been written.
+func (s *Server) limitWrite(k *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	timeout := s.conf.WriteTimeout
+	if s.closed {
+		timeout = min(timeout, lastWriteTimeout)
+	}
+	_ = k.net.SetWriteDeadline(time.Now().Add(timeout))
+}
+
 // Close stops listening, closes the connections that have no whole request, and waits until those
-// that have one are answered, or until ctx ends, whose error it then returns.
+// that have one have been answered, or until ctx ends, whose error it then returns.
 func (s *Server) Close(ctx context.Context) error {
 	s.mu.Lock()
 	s.closed = true
@@ -135,6 +149,7 @@
 	}
 	for k := range s.conns {
 		k.share.CloseWaiting()
+		_ = k.net.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
 	}
 	s.mu.Unlock()
 	answered := make(chan struct{})
--- a/internal/httpd/server_test.go
+++ b/internal/httpd/server_test.go
@@ -201,6 +201,58 @@
 	assert.NilError(t, s.Serve(l), "a server that is closed serves nothing more")
 }
 
+// body is a response's body that is made when it is read for the first time.
+type body func()
+
+func (b body) Read([]byte) (int, error) {
+	b()
+	return 0, io.EOF
+}
+
+// Guards against an answer that is lost because the server is closed after the request has been
+// handled and before the answer is written.
+func TestCloseWaitsForAnswersThatAreBeingWritten(t *testing.T) {
+	var s *httpd.Server
+	var addr string
+	closed := make(chan error, 1)
+	s, addr = start(t, httpd.Config{Handler: func(c *fasthttp.RequestCtx) {
+		c.SetBodyStream(body(func() {
+			go func() { closed <- s.Close(context.Background()) }()
+			for { // until it has begun
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					break
+				}
+				_ = c.Close()
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.Check(t, err)
+			assert.Check(t, s.Serve(l)) // until it has gone through all connections
+		}), -1)
+	}})
+	c := dial(t, addr)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	answer, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, len(statuses(string(answer))), 1, "%s", answer)
+	assert.NilError(t, <-closed)
+}
+
+// Guards against a stop that waits for a client that doesn't read its answer.
+func TestCloseDoesNotWaitForClientsThatDoNotRead(t *testing.T) {
+	handled := make(chan struct{})
+	s, addr := start(t, httpd.Config{WriteTimeout: time.Hour, Handler: func(c *fasthttp.RequestCtx) {
+		c.SetBody(make([]byte, 16<<20))
+		close(handled)
+	}})
+	c := dial(t, addr)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	<-handled
+	assert.NilError(t, s.Close(context.Background()))
+}
+
 // Guards against a client that stalls and keeps out those that come after it.
 func TestStalledClientMakesWay(t *testing.T) {
 	_, addr := start(t, httpd.Config{Budget: budget.New(budget.Config{Conns: 1, MinWait: time.Nanosecond})})
