--- a/test/abuse/bodies_test.go
+++ b/test/abuse/bodies_test.go
@@ -1,11 +1,13 @@
 package abuse_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -94,5 +96,31 @@
 	}
 	assert.Equal(t, h.submitAs("00000000000000a2", []byte(smallJob), header), http.StatusOK)
 	assert.Equal(t, h.submitAs("00000000000000a3", validBody(maxBody+1), nil), http.StatusRequestEntityTooLarge)
+	for client, framing := range []string{contentLength(maxBody), chunked} {
+		assert.Equal(t, h.submitInPieces(client, framing), http.StatusOK, framing)
+	}
 	h.checkBears()
 }
+
+// submitInPieces submits the largest job in pieces with pauses, and returns the status.
+func (h *host) submitInPieces(client int, framing string) int {
+	const pieces, pause = 64, 20 * time.Millisecond
+	c, err := net.Dial("tcp", h.front())
+	assert.NilError(h.t, err)
+	defer c.Close()
+	assert.NilError(h.t, c.SetDeadline(time.Now().Add(waitTimeout)))
+	assert.NilError(h.t, send(c, head(client, framing, "\r\n")))
+	end := ""
+	for body := validBody(maxBody); len(body) > 0; body = body[maxBody/pieces:] {
+		piece := string(body[:maxBody/pieces])
+		if framing == chunked {
+			piece, end = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece), "0\r\n\r\n"
+		}
+		assert.NilError(h.t, send(c, piece))
+		time.Sleep(pause)
+	}
+	assert.NilError(h.t, send(c, end))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(h.t, err)
+	return resp.StatusCode
+}
