--- a/review/standin3/gang.go
+++ b/review/standin3/gang.go
@@ -62,7 +62,7 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go s.submitQuickJobs(stop)
+	go s.submitQuickJobs(stop, stepBody{Count: 2, CPU: 900, MemMB: 64, EstimateMS: 300, runMS: 200})
 	time.Sleep(2 * time.Second)
 	for i := range gangRounds {
 		id := fmt.Sprintf("5c0e7a21d94b%04x", i)
@@ -91,15 +91,17 @@
 	return f.judgeGangs(), nil
 }
 
-// submitQuickJobs submits small jobs until stop is closed.
-func (s *site) submitQuickJobs(stop chan struct{}) {
+// submitQuickJobs submits jobs of one step until stop is closed.
+func (s *site) submitQuickJobs(stop chan struct{}, step stepBody) {
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(quickInterval):
 		}
-		job := &jobBody{Spec: "quick", Steps: []stepBody{{Count: 2, CPU: 900, MemMB: 64, EstimateMS: 300, runMS: 200 + 37*(i%11)}}}
+		one := step
+		one.runMS += 37 * (i % 11)
+		job := &jobBody{Spec: "quick", Steps: []stepBody{one}}
 		go s.submit(quickPrefix, fmt.Sprintf("%016x", 0xabc000+i), job, i)
 	}
 }
--- a/review/standin3/host.go
+++ b/review/standin3/host.go
@@ -92,14 +92,14 @@
 		return nil
 	}
 	settings := filepath.Join(h.site.dir, h.name+".conf")
-	if err := os.WriteFile(settings, []byte(h.settings()), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(h.settings()), 0o600); err != nil { //nolint:gosec // in the temporary folder that this case made
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(h.site.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	p := exec.Command(program, "host", "--metrics=9464") //nolint:noctx // it is ended by close
+	p := exec.Command(program, "host", "--metrics=9464")
 	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), settingsEnv + "=" + settings}
 	p.Stdout, p.Stderr = log, log
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -36,6 +36,7 @@
 	return map[string]caseFunc{
 		"gang": playGang,
 		"wave": playWave,
+		"ids":  playIDs,
 	}
 }
 
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -36,7 +36,7 @@
 	client   *http.Client
 
 	mu      sync.Mutex
-	jobs    map[string]*jobBody // by id: what clients have sent
+	jobs    map[string]*jobBody // by id and spec: what clients have sent
 	workers []*worker
 	closed  bool
 }
@@ -82,7 +82,7 @@
 }
 
 func (s *site) isReady(h *host) bool {
-	resp, err := s.client.Get(fmt.Sprintf("http://%s:%d/sapphiregauge/ready", h.ip, s.ports.ready)) //nolint:noctx // the client has a timeout
+	resp, err := s.client.Get(fmt.Sprintf("http://%s:%d/sapphiregauge/ready", h.ip, s.ports.ready)) //nolint:gosec // to a loopback address of this case
 	if err != nil {
 		return false
 	}
@@ -120,7 +120,7 @@
 		w.end()
 	}
 	if s.dir != "" && os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(s.dir)
+		_ = os.RemoveAll(s.dir) //nolint:gosec // the temporary folder that this case made
 	}
 }
 
@@ -149,8 +149,8 @@
 func (s *site) submit(prefix, id string, j *jobBody, first int) int {
 	j.queue = prefix
 	s.mu.Lock()
-	if s.jobs[id] == nil {
-		s.jobs[id] = j
+	if s.jobs[id+"/"+j.Spec] == nil {
+		s.jobs[id+"/"+j.Spec] = j
 	}
 	s.mu.Unlock()
 	body, err := json.Marshal(j)
@@ -178,7 +178,7 @@
 func (s *site) call(h *host, method, path string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front()+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front()+path, bytes.NewReader(body)) //nolint:gosec // to a loopback address of this case
 	if err != nil {
 		return 0, nil
 	}
@@ -186,7 +186,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Sapphiregauge-Deadline-Ms", "3000")
 	sent := time.Now()
-	resp, err := s.client.Do(req)
+	resp, err := s.client.Do(req) //nolint:gosec // to a loopback address of this case
 	if err != nil {
 		s.rec.printf("client %s %s at %s, %d bytes: no answer (%v)", method, path, h.name, len(body), errors.Unwrap(err))
 		return 0, nil
@@ -212,8 +212,8 @@
 }
 
 // job returns a job that clients have sent, nil if there is none.
-func (s *site) job(id string) *jobBody {
+func (s *site) job(id, spec string) *jobBody {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.jobs[id]
+	return s.jobs[id+"/"+spec]
 }
--- a/review/standin3/wave.go
+++ b/review/standin3/wave.go
@@ -67,7 +67,8 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go s.submitQuickJobs(stop)
+	// Enough work for most of the machines, so that they stay in the pool.
+	go s.submitQuickJobs(stop, stepBody{Count: 4, CPU: 3000, MemMB: 64, EstimateMS: 500, runMS: 350})
 	time.Sleep(2 * time.Second)
 	s.table.Put("op", fmt.Sprintf("wave/%d", waveNumber), map[string]any{"wave": waveNumber, "machines": ids, "durationS": waveSeconds, "maximum": waveMost})
 	go func() {
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -36,6 +36,7 @@
 	gangs map[string]*gang
 	// produced are the checkpoints that a step's tasks have had, by step.
 	produced map[string]map[string]bool
+	specs    map[string]int // starts that were carried out, by task and spec
 }
 
 // gang is one run of a gang.
@@ -82,7 +83,7 @@
 }
 
 func newFleet(s *site) *fleet {
-	f := &fleet{site: s, gangs: make(map[string]*gang), produced: make(map[string]map[string]bool)}
+	f := &fleet{site: s, gangs: make(map[string]*gang), produced: make(map[string]map[string]bool), specs: make(map[string]int)}
 	go f.tick()
 	return f
 }
@@ -233,7 +234,7 @@
 		return w.refuse("old")
 	}
 	parts := strings.Split(c.Task, ".")
-	job := f.site.job(parts[0])
+	job := f.site.job(parts[0], c.Spec)
 	if len(parts) != taskParts || job == nil {
 		f.site.rec.printf("worker %s: start of unknown task %s", w.id, c.Task)
 		return http.StatusBadRequest, w.answer()
@@ -245,6 +246,7 @@
 	step := strings.Join(parts[:3], ".")
 	run := &taskRun{task: c.Task, step: step, number: c.Run, spec: job.Steps[number], saved: c.Checkpoint, base: workOf(c.Checkpoint), startedAt: time.Now()}
 	w.runs[c.Task] = run
+	f.specs[c.Task+"/"+c.Spec]++
 	note := ""
 	if c.Checkpoint != "" && !f.produced[step][c.Checkpoint] {
 		note = ", which no task of the step has had"
@@ -417,7 +419,7 @@
 	for _, r := range w.runs {
 		w.fleet.note(r.step, r.checkpoint())
 		switch {
-		case r.worked() >= r.spec.runMS && !r.begunAt.IsZero():
+		case r.worked() >= r.spec.runMS && !r.begunAt.IsZero() && r.breakAt.IsZero():
 			w.done(r)
 		case !r.breakAt.IsZero() && now.After(r.breakAt):
 			w.finish(r, "broken")
