--- a/review/standin3/gang.go
+++ b/review/standin3/gang.go
@@ -39,9 +39,9 @@
 	})
 }
 
-// startRacks starts the workers of all racks.
-func (f *fleet) startRacks() error {
-	for i := range rackCount {
+// startRacks starts the workers of so many racks.
+func (f *fleet) startRacks(count int) error {
+	for i := range count {
 		for k := range workersPerRack {
 			if _, err := f.addWorker(fmt.Sprintf("m-%d-%d", i+1, k+1), poolName, fmt.Sprintf("r1-%d", i+1), workerCPU); err != nil {
 				return err
@@ -54,7 +54,7 @@
 func playGang(s *site) (verdict, error) {
 	s.putConfig(1)
 	f := newFleet(s)
-	if err := f.startRacks(); err != nil {
+	if err := f.startRacks(rackCount); err != nil {
 		return verdict{}, err
 	}
 	if err := s.startHosts(2); err != nil {
--- a/review/standin3/ids.go
+++ b/review/standin3/ids.go
@@ -19,7 +19,7 @@
 func playIDs(s *site) (verdict, error) {
 	s.putConfig(1)
 	f := newFleet(s)
-	if err := f.startRacks(); err != nil {
+	if err := f.startRacks(rackCount); err != nil {
 		return verdict{}, err
 	}
 	if err := s.startHosts(2); err != nil {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -37,6 +37,7 @@
 		"gang": playGang,
 		"wave": playWave,
 		"ids":  playIDs,
+		"gone": playGone,
 	}
 }
 
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -32,11 +32,15 @@
 	mu   sync.Mutex
 	next int
 	all  []*worker
+	// tellsStart says that workers tell when they began, as they may start again under their IDs.
+	tellsStart bool
 	// gangs are the runs of each start of a gang, by step and run number.
 	gangs map[string]*gang
 	// produced are the checkpoints that a step's tasks have had, by step.
 	produced map[string]map[string]bool
 	specs    map[string]int // starts that were carried out, by task and spec
+	// lastStart is when a task of a job last began, by job.
+	lastStart map[string]time.Time
 }
 
 // gang is one run of a gang.
@@ -61,6 +65,7 @@
 
 	// Guarded by fleet.mu.
 	dead     bool
+	dark     bool // it answers nothing
 	fence    int64
 	leaseEnd time.Duration
 	runs     map[string]*taskRun
@@ -83,7 +88,7 @@
 }
 
 func newFleet(s *site) *fleet {
-	f := &fleet{site: s, gangs: make(map[string]*gang), produced: make(map[string]map[string]bool), specs: make(map[string]int)}
+	f := &fleet{site: s, gangs: make(map[string]*gang), produced: make(map[string]map[string]bool), specs: make(map[string]int), lastStart: make(map[string]time.Time)}
 	go f.tick()
 	return f
 }
@@ -119,10 +124,14 @@
 
 // list writes the worker's entry.
 func (w *worker) list(state string) {
-	w.fleet.site.table.Put("servers", w.id, map[string]any{
+	row := map[string]any{
 		"service": w.service, "address": w.listen.Addr().String(), "zone": "hala-a", "version": "1", "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
 		"capacity": map[string]int{"cpu": w.cpu, "memMb": 64000, "gpus": 0}, "labels": []string{"kind-a", w.rack},
-	})
+	}
+	if w.fleet.tellsStart {
+		row["born"] = w.born.UnixMilli()
+	}
+	w.fleet.site.table.Put("servers", w.id, row)
 }
 
 // end ends the worker and all that runs there, without a word.
@@ -143,6 +152,24 @@
 	}
 }
 
+// goDark ends a worker for good, so that callers get no answer of any kind. Its entry goes after three
+// heartbeat intervals.
+func (w *worker) goDark() {
+	w.fleet.site.rec.printf("worker %s is lost for good", w.id)
+	w.fleet.mu.Lock()
+	w.dark = true
+	w.dead = true
+	for task, r := range w.runs {
+		w.fleet.leave(r)
+		delete(w.runs, task)
+	}
+	w.fleet.mu.Unlock()
+	time.AfterFunc(rowExpiry, func() {
+		w.fleet.site.table.Delete("servers", w.id)
+		w.fleet.site.rec.printf("the entry of worker %s is removed", w.id)
+	})
+}
+
 // crash ends a worker, whose entry goes after three heartbeat intervals.
 func (w *worker) crash() {
 	w.end()
@@ -182,6 +209,12 @@
 		return
 	}
 	w.fleet.mu.Lock()
+	if w.dark {
+		w.fleet.mu.Unlock()
+		w.fleet.site.rec.printf("worker %s leaves %s of %s unanswered", w.id, r.URL.Path, c.Task)
+		<-r.Context().Done()
+		return
+	}
 	status, body := w.carryOut(strings.TrimPrefix(r.URL.Path, "/sapphiregauge/"), &c)
 	w.fleet.mu.Unlock()
 	out.Header().Set("Content-Type", "application/json")
@@ -246,6 +279,7 @@
 	step := strings.Join(parts[:3], ".")
 	run := &taskRun{task: c.Task, step: step, number: c.Run, spec: job.Steps[number], saved: c.Checkpoint, base: workOf(c.Checkpoint), startedAt: time.Now()}
 	w.runs[c.Task] = run
+	f.lastStart[parts[0]] = time.Now()
 	f.specs[c.Task+"/"+c.Spec]++
 	note := ""
 	if c.Checkpoint != "" && !f.produced[step][c.Checkpoint] {
@@ -294,6 +328,9 @@
 		running = append(running, []any{r.task, r.number, r.checkpoint(), r.percent(), r.spec.CPU})
 	}
 	body := w.answer()
+	if w.fleet.tellsStart {
+		body["born"] = w.born.UnixMilli()
+	}
 	body["running"], body["finished"] = running, w.ends[:min(len(w.ends), maxEnds)]
 	return http.StatusOK, body
 }
